--- /dev/null
+++ b/cmd/cherryctl/apply.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/cherrystage/cherrystage/internal/adminapi"
+	"github.com/cherrystage/cherrystage/internal/inventory"
+	"github.com/pkg/errors"
+)
+
+// changeFlags are the flags of every command that changes something.
+type changeFlags struct {
+	From     int64  `long:"from" default:"-1" description:"revision that the change was made from; by default the one in force"`
+	Note     string `long:"note" description:"note for the audit trail"`
+	ChangeID string `long:"change-id" description:"identifier of the change; give that of an earlier try whose outcome is unknown"`
+	DryRun   bool   `long:"dry-run" description:"show what would change, and change nothing"`
+}
+
+type applyCommand struct {
+	changeFlags
+	Args struct {
+		File string `positional-arg-name:"FILE" description:"inventory in JSON, or - for standard input"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute makes the inventory what the file says.
+func (c *applyCommand) Execute([]string) error {
+	var document inventory.Document
+	if err := readJSON(c.Args.File, &document); err != nil {
+		return err
+	}
+	return c.submit(adminapi.ChangeRequest{Document: &document})
+}
+
+func readJSON(path string, into any) error {
+	var text []byte
+	var err error
+	if path == "-" {
+		text, err = io.ReadAll(os.Stdin)
+	} else {
+		text, err = os.ReadFile(path)
+	}
+	if err != nil {
+		return errors.Wrap(err, "read")
+	}
+	return errors.Wrap(decodeStrict(text, into), path)
+}
+
+// submit sends a change and shows its outcome.
+func (f *changeFlags) submit(req adminapi.ChangeRequest) error {
+	ctx := context.Background()
+	req.Note, req.DryRun, req.ChangeID = f.Note, f.DryRun, f.ChangeID
+	if req.ChangeID == "" {
+		req.ChangeID = newChangeID()
+	}
+	if f.From >= 0 {
+		req.From = inventory.Revision(f.From)
+	} else {
+		current, err := client().Status(ctx)
+		if err != nil {
+			return err
+		}
+		req.From = current.Revision
+	}
+	result, err := client().Change(ctx, req)
+	if err != nil {
+		return errors.WithMessagef(err, "change %s", req.ChangeID)
+	}
+	return show(result, func(w *tabwriter.Writer) {
+		printOps(w, result.Ops)
+		switch {
+		case len(result.Ops) == 0:
+			row(w, fmt.Sprintf("nothing to change; revision %d", result.Revision))
+		case result.DryRun:
+			row(w, fmt.Sprintf("dry run: %d items would change", len(result.Ops)))
+		default:
+			row(w, fmt.Sprintf("accepted as revision %d (change %s)", result.Revision, result.ChangeID))
+		}
+	})
+}
+
+func newChangeID() string {
+	var id [8]byte
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
+
+// decodeStrict refuses unknown fields: a misspelt rule must not pass as none.
+func decodeStrict(text []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.DisallowUnknownFields()
+	return decoder.Decode(into)
+}
--- /dev/null
+++ b/cmd/cherryctl/drain.go
@@ -0,0 +1,21 @@
+package main
+
+import (
+	"context"
+	"fmt"
+)
+
+type drainCommand struct {
+	Args struct {
+		Host string `positional-arg-name:"HOST"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// Execute makes an entry host give its work away.
+func (c *drainCommand) Execute([]string) error {
+	if err := client().Drain(context.Background(), c.Args.Host); err != nil {
+		return err
+	}
+	fmt.Printf("%s is draining: not ready, its runners are handed over; stop its process when its streams have ended\n", c.Args.Host)
+	return nil
+}
--- /dev/null
+++ b/internal/adminapi/status.go
@@ -0,0 +1,43 @@
+package adminapi
+
+import (
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/dispatch"
+	"github.com/cherrystage/cherrystage/internal/fleet"
+	"github.com/cherrystage/cherrystage/internal/inventory"
+	"github.com/cherrystage/cherrystage/internal/loading"
+	"github.com/cherrystage/cherrystage/internal/residency"
+)
+
+// Status is the state of the deployment as one host sees it.
+type Status struct {
+	Host     string             `json:"host"`
+	Now      time.Time          `json:"now"`
+	Revision inventory.Revision `json:"revision"`
+	Adapters int                `json:"adapters"`
+	// LeaseValid says that this host's lease holds, so the object API answers it.
+	LeaseValid bool             `json:"lease_valid"`
+	Hosts      []HostStatus     `json:"hosts"`
+	Runners    []RunnerStatus   `json:"runners"`
+	Services   []fleet.Host     `json:"services,omitempty"`
+	Loads      loading.View     `json:"loads"`
+	Requests   dispatch.Figures `json:"requests"`
+	InUse      int              `json:"in_use"`
+	Waiting    int              `json:"waiting"`
+}
+
+// HostStatus is one entry host.
+type HostStatus struct {
+	fleet.Member
+	State    fleet.State `json:"state"`
+	Speaking bool        `json:"speaking"`
+}
+
+// RunnerStatus is one runner.
+type RunnerStatus struct {
+	residency.View
+	State      fleet.State `json:"state"`
+	DataCentre string      `json:"data_centre"`
+	Base       string      `json:"base"`
+}
--- /dev/null
+++ b/internal/callerapi/callerapi.go
@@ -0,0 +1,349 @@
+// Package callerapi is the HTTP interface to callers: completions as model
+// servers commonly offer them, the list of models, and plain services.
+package callerapi
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/dispatch"
+	"github.com/cherrystage/cherrystage/internal/engine"
+	"github.com/cherrystage/cherrystage/internal/inventory"
+	"github.com/cherrystage/cherrystage/internal/plain"
+	"github.com/cherrystage/cherrystage/internal/verdict"
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+)
+
+// Headers of this interface.
+const (
+	HeaderVerdict        = "Cherrystage-Verdict"
+	HeaderIdempotent     = "Cherrystage-Idempotent"
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRequestID      = "X-Request-Id"
+)
+
+// Codes of refusals made before a request is admitted.
+const (
+	codeUnauthorized = "unauthorized"
+	codeForbidden    = "forbidden"
+	codeUnknownModel = "unknown_model"
+	codeBadRequest   = "bad_request"
+	codeTooLarge     = "too_large"
+	codeNotReady     = "not_ready"
+)
+
+const (
+	maxKeyLength = 256
+	bearerPrefix = "Bearer "
+)
+
+// Dispatcher serves requests.
+type Dispatcher interface {
+	Complete(ctx context.Context, req dispatch.Request, pass func(engine.Piece) error) *dispatch.Refusal
+	Service(ctx context.Context, req dispatch.Request, call plain.Call) (plain.Answer, *dispatch.Refusal)
+}
+
+// Inventory gives the snapshot in force.
+type Inventory interface{ Snapshot() *inventory.Snapshot }
+
+// Streams counts the requests under way, for the bound on them and for a
+// graceful stop.
+type Streams interface {
+	// Begin refuses when too many are under way.
+	Begin() bool
+	End()
+}
+
+// API is the interface to callers.
+type API struct {
+	dispatcher Dispatcher
+	inventory  Inventory
+	streams    Streams
+	ready      func() bool
+	maxBody    int64
+}
+
+// New makes the interface; ready tells whether this host takes requests.
+func New(dispatcher Dispatcher, inv Inventory, streams Streams, ready func() bool, maxBody int64) *API {
+	return &API{dispatcher: dispatcher, inventory: inv, streams: streams, ready: ready, maxBody: maxBody}
+}
+
+// Handler gives the HTTP handler.
+func (a *API) Handler() http.Handler {
+	e := echo.New()
+	e.HideBanner = true
+	e.HTTPErrorHandler = handleError
+	e.GET("/readyz", a.readyz)
+	e.GET("/v1/models", a.models)
+	e.POST("/v1/completions", a.complete)
+	e.POST("/v1/chat/completions", a.complete)
+	e.Any("/services/:service", a.service)
+	e.Any("/services/:service/*", a.service)
+	return e
+}
+
+func (a *API) readyz(c echo.Context) error {
+	if !a.ready() {
+		return c.JSON(http.StatusServiceUnavailable, map[string]string{"status": codeNotReady})
+	}
+	return c.JSON(http.StatusOK, map[string]string{"status": "ready"})
+}
+
+func refuse(status int, code, message string) *dispatch.Refusal {
+	return &dispatch.Refusal{Status: status, Code: code, Message: message, Verdict: verdict.NotRun}
+}
+
+// errorBody is the JSON of a refusal.
+type errorBody struct {
+	Code    string          `json:"code"`
+	Message string          `json:"message"`
+	Verdict verdict.Verdict `json:"verdict"`
+}
+
+// handleError writes every refusal in the one form that callers know.
+func handleError(err error, c echo.Context) {
+	var refusal *dispatch.Refusal
+	if !errors.As(err, &refusal) {
+		refusal = unforeseen(err)
+	}
+	if c.Response().Committed {
+		return
+	}
+	header := c.Response().Header()
+	header.Set(HeaderVerdict, refusal.Verdict.String())
+	if refusal.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
+	}
+	_ = c.JSON(refusal.Status, errorBody{Code: refusal.Code, Message: refusal.Message, Verdict: refusal.Verdict})
+}
+
+// unforeseen covers the errors of the HTTP library, which come before any
+// request is sent on.
+func unforeseen(err error) *dispatch.Refusal {
+	var library *echo.HTTPError
+	if errors.As(err, &library) {
+		return refuse(library.Code, codeBadRequest, http.StatusText(library.Code))
+	}
+	return &dispatch.Refusal{Status: http.StatusInternalServerError, Code: "internal", Message: "internal error", Verdict: verdict.MayHaveRun}
+}
+
+// caller finds who sends the request.
+func (a *API) caller(c echo.Context, snapshot *inventory.Snapshot) (inventory.Caller, error) {
+	key, found := strings.CutPrefix(c.Request().Header.Get("Authorization"), bearerPrefix)
+	if !found {
+		return inventory.Caller{}, refuse(http.StatusUnauthorized, codeUnauthorized, "no bearer key")
+	}
+	caller, ok := snapshot.CallerByKey(key)
+	if !ok {
+		return inventory.Caller{}, refuse(http.StatusUnauthorized, codeUnauthorized, "unknown key")
+	}
+	return caller, nil
+}
+
+func (a *API) readBody(c echo.Context) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, a.maxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, refuse(http.StatusRequestEntityTooLarge, codeTooLarge, "body over "+strconv.FormatInt(a.maxBody, 10)+" bytes")
+	}
+	if err != nil {
+		return nil, refuse(http.StatusBadRequest, codeBadRequest, "body not read: "+err.Error())
+	}
+	return body, nil
+}
+
+// newRequest fills in what every request has.
+func newRequest(c echo.Context, caller inventory.Caller, treatment inventory.Treatment) (dispatch.Request, error) {
+	header := c.Request().Header
+	id := header.Get(HeaderRequestID)
+	if id == "" {
+		id = newID()
+	}
+	key := header.Get(HeaderIdempotencyKey)
+	if len(id) > maxKeyLength || len(key) > maxKeyLength {
+		return dispatch.Request{}, refuse(http.StatusBadRequest, codeBadRequest, "X-Request-Id and Idempotency-Key take up to 256 characters")
+	}
+	c.Response().Header().Set(HeaderRequestID, id)
+	return dispatch.Request{
+		ID: id, Caller: caller.Name, Weight: caller.Weight, Priority: treatment.Priority,
+		Path:       c.Request().URL.Path,
+		Idempotent: !treatment.NonIdempotent && header.Get(HeaderIdempotent) != "false",
+		Key:        key,
+	}, nil
+}
+
+func newID() string {
+	var id [12]byte
+	_, _ = rand.Read(id[:])
+	return hex.EncodeToString(id[:])
+}
+
+type modelList struct {
+	Object string       `json:"object"`
+	Data   []modelEntry `json:"data"`
+}
+
+type modelEntry struct {
+	ID       string   `json:"id"`
+	Object   string   `json:"object"`
+	Base     string   `json:"base"`
+	Current  string   `json:"current"`
+	Versions []string `json:"versions"`
+}
+
+// models lists the adapters that the caller may call.
+func (a *API) models(c echo.Context) error {
+	snapshot := a.inventory.Snapshot()
+	caller, err := a.caller(c, snapshot)
+	if err != nil {
+		return err
+	}
+	list := modelList{Object: "list", Data: []modelEntry{}}
+	for _, adapter := range snapshot.Adapters() {
+		if inventory.Allows(adapter.Callers, caller.Name) {
+			list.Data = append(list.Data, modelEntry{ID: adapter.Name, Object: "model", Base: adapter.Base, Current: adapter.Current, Versions: adapter.Versions})
+		}
+	}
+	return c.JSON(http.StatusOK, list)
+}
+
+// service passes a request to a plain service on.
+func (a *API) service(c echo.Context) error {
+	snapshot := a.inventory.Snapshot()
+	caller, err := a.caller(c, snapshot)
+	if err != nil {
+		return err
+	}
+	name := c.Param("service")
+	service, ok := snapshot.Service(name)
+	if !ok || !inventory.Allows(service.Callers, caller.Name) {
+		return refuse(http.StatusNotFound, codeUnknownModel, "no service "+name+" for this caller")
+	}
+	path := "/" + strings.TrimPrefix(c.Param("*"), "/")
+	body, err := a.readBody(c)
+	if err != nil {
+		return err
+	}
+	req, err := newRequest(c, caller, snapshot.Treat(caller, "", name, path))
+	if err != nil {
+		return err
+	}
+	req.Service = name
+	if !a.streams.Begin() {
+		return tooManyStreams()
+	}
+	defer a.streams.End()
+	call := plain.Call{
+		Method: c.Request().Method, Path: path, Query: c.Request().URL.RawQuery,
+		Header: c.Request().Header, Body: body, TraceID: req.ID,
+	}
+	answer, refusal := a.dispatcher.Service(c.Request().Context(), req, call)
+	if refusal != nil {
+		return refusal
+	}
+	return writeAnswer(c, answer)
+}
+
+func tooManyStreams() error {
+	return &dispatch.Refusal{
+		Status: http.StatusServiceUnavailable, Code: dispatch.CodeOverloaded,
+		Message: "too many requests are under way on this host", Verdict: verdict.NotRun, RetryAfter: time.Second,
+	}
+}
+
+func writeAnswer(c echo.Context, answer plain.Answer) error {
+	header := c.Response().Header()
+	for name, values := range answer.Header {
+		if name != "Content-Length" {
+			header[name] = values
+		}
+	}
+	ended := verdict.Ran
+	if answer.Status >= http.StatusInternalServerError {
+		// The service failed on the way: how far it came is not known.
+		ended = verdict.MayHaveRun
+	}
+	header.Set(HeaderVerdict, ended.String())
+	c.Response().WriteHeader(answer.Status)
+	_, err := c.Response().Write(answer.Body)
+	return err
+}
+
+// completionBody is what is read of a caller's request; all else passes on.
+type completionBody struct {
+	Model  string `json:"model"`
+	Stream bool   `json:"stream"`
+}
+
+// complete serves a completion.
+func (a *API) complete(c echo.Context) error {
+	snapshot := a.inventory.Snapshot()
+	caller, err := a.caller(c, snapshot)
+	if err != nil {
+		return err
+	}
+	raw, err := a.readBody(c)
+	if err != nil {
+		return err
+	}
+	var body completionBody
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return refuse(http.StatusBadRequest, codeBadRequest, "body is not a completion request: "+err.Error())
+	}
+	req, err := a.admit(c, snapshot, caller, body.Model, raw)
+	if err != nil {
+		return err
+	}
+	if !a.streams.Begin() {
+		return tooManyStreams()
+	}
+	defer a.streams.End()
+	if body.Stream {
+		return a.stream(c, req)
+	}
+	return a.whole(c, req)
+}
+
+// admit fixes the adapter's version and checks that the caller may use it.
+func (a *API) admit(c echo.Context, snapshot *inventory.Snapshot, caller inventory.Caller, model string, raw []byte) (dispatch.Request, error) {
+	adapter, version, err := snapshot.Resolve(model)
+	if err != nil {
+		return dispatch.Request{}, refuse(http.StatusNotFound, codeUnknownModel, err.Error())
+	}
+	if !inventory.Allows(adapter.Callers, caller.Name) {
+		return dispatch.Request{}, refuse(http.StatusForbidden, codeForbidden, "caller "+caller.Name+" may not use adapter "+adapter.Name)
+	}
+	req, err := newRequest(c, caller, snapshot.Treat(caller, adapter.Name, "", c.Request().URL.Path))
+	if err != nil {
+		return dispatch.Request{}, err
+	}
+	req.Model = inventory.ModelName(adapter.Name, version)
+	req.Base = adapter.Base
+	req.Body, err = forEngine(raw, req.Model)
+	return req, err
+}
+
+// forEngine gives the body with the versioned name, and always as a stream:
+// pieces are how silence, order and completeness are seen.
+func forEngine(raw []byte, model string) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		return nil, refuse(http.StatusBadRequest, codeBadRequest, "body is not a JSON object")
+	}
+	name, err := json.Marshal(model)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode model name")
+	}
+	fields["model"] = name
+	fields["stream"] = json.RawMessage("true")
+	return json.Marshal(fields)
+}
--- /dev/null
+++ b/internal/configlog/chunks.go
@@ -0,0 +1,103 @@
+package configlog
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+
+	"github.com/cherrystage/cherrystage/internal/inventory"
+	"github.com/cherrystage/cherrystage/internal/objectapi"
+	"github.com/pkg/errors"
+)
+
+// Split cuts a snapshot into documents of bounded size.
+func Split(snapshot *inventory.Snapshot) ([][]byte, error) {
+	rest := snapshot.Document()
+	adapters := rest.Adapters
+	rest.Adapters = nil
+	first, err := json.Marshal(rest)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode inventory")
+	}
+	chunks := [][]byte{first}
+	for len(adapters) > 0 {
+		n, err := fitting(adapters)
+		if err != nil {
+			return nil, err
+		}
+		part, err := json.Marshal(inventory.Document{Adapters: adapters[:n]})
+		if err != nil {
+			return nil, errors.Wrap(err, "encode inventory")
+		}
+		chunks = append(chunks, part)
+		adapters = adapters[n:]
+	}
+	return chunks, nil
+}
+
+// fitting gives how many of the adapters fill one chunk, at least one.
+func fitting(adapters []inventory.Adapter) (int, error) {
+	size := 0
+	for i, adapter := range adapters {
+		text, err := json.Marshal(adapter)
+		if err != nil {
+			return 0, errors.Wrap(err, "encode adapter")
+		}
+		size += len(text) + 1
+		if size > chunkBytes && i > 0 {
+			return i, nil
+		}
+	}
+	return len(adapters), nil
+}
+
+// Join makes a snapshot from chunks.
+func Join(revision inventory.Revision, chunks [][]byte) (*inventory.Snapshot, error) {
+	var ops []inventory.Op
+	for _, chunk := range chunks {
+		var part inventory.Document
+		if err := json.Unmarshal(chunk, &part); err != nil {
+			return nil, errors.Wrap(err, "decode chunk")
+		}
+		ops = append(ops, inventory.Diff(inventory.Empty(), part)...)
+	}
+	if revision == 0 {
+		return inventory.Empty(), nil
+	}
+	return inventory.Empty().Apply(revision, ops)
+}
+
+// writeChunks stores a snapshot. A chunk is named for its content, so writing
+// it twice, or after a lost answer, is harmless.
+func (p *Publisher) writeChunks(ctx context.Context, snapshot *inventory.Snapshot) ([]string, error) {
+	chunks, err := Split(snapshot)
+	if err != nil {
+		return nil, err
+	}
+	var names []string
+	for _, chunk := range chunks {
+		digest := sha256.Sum256(chunk)
+		name := hex.EncodeToString(digest[:])
+		if err := p.createOnce(ctx, chunkPrefix+name, chunk); err != nil {
+			return nil, err
+		}
+		names = append(names, name)
+	}
+	return names, nil
+}
+
+// createOnce writes an object that is either absent or already the same.
+func (p *Publisher) createOnce(ctx context.Context, key string, value []byte) error {
+	var err error
+	for range lostAnswerTries {
+		_, err = p.objects.Put(ctx, key, value, 0)
+		if err == nil || errors.Is(err, objectapi.ErrConflict) {
+			return nil
+		}
+		if !errors.Is(err, objectapi.ErrAnswerLost) {
+			return err
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/configlog/read.go
@@ -0,0 +1,109 @@
+package configlog
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cherrystage/cherrystage/internal/inventory"
+	"github.com/cherrystage/cherrystage/internal/objectapi"
+	"github.com/pkg/errors"
+)
+
+// Reader reads the log.
+type Reader struct{ objects Objects }
+
+// NewReader makes a reader.
+func NewReader(objects Objects) *Reader { return &Reader{objects: objects} }
+
+// Head reads the head. An object API that has none yet holds revision zero.
+func (r *Reader) Head(ctx context.Context) (Head, objectapi.Version, error) {
+	object, err := r.objects.Get(ctx, HeadKey)
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return Head{}, 0, nil
+	}
+	if err != nil {
+		return Head{}, 0, err
+	}
+	head, err := decodeHead(object)
+	return head, object.Version, err
+}
+
+// Change reads one change.
+func (r *Reader) Change(ctx context.Context, ref Ref) (Change, error) {
+	object, err := r.objects.Get(ctx, ref.Key())
+	if err != nil {
+		return Change{}, err
+	}
+	var change Change
+	err = json.Unmarshal(object.Value, &change)
+	return change, errors.Wrapf(err, "change %s", ref.ChangeID)
+}
+
+// CatchUp brings a snapshot to the head, by changes where it can and by
+// chunks where it must, and gives the changes that it read.
+func (r *Reader) CatchUp(ctx context.Context, snapshot *inventory.Snapshot, head Head) (*inventory.Snapshot, []Change, error) {
+	if snapshot.Revision() >= head.Revision {
+		return snapshot, nil, nil
+	}
+	refs, complete := head.After(snapshot.Revision())
+	if !complete || anyRebased(refs) {
+		based, err := r.chunks(ctx, head)
+		if err != nil {
+			return nil, nil, err
+		}
+		snapshot = based
+		refs, _ = head.After(snapshot.Revision())
+	}
+	var changes []Change
+	for _, ref := range refs {
+		change, err := r.Change(ctx, ref)
+		if err != nil {
+			return nil, nil, err
+		}
+		if snapshot, err = change.Apply(snapshot); err != nil {
+			return nil, nil, err
+		}
+		changes = append(changes, change)
+	}
+	return snapshot, changes, nil
+}
+
+// anyRebased says whether one of the changes stands in chunks only.
+func anyRebased(refs []Ref) bool {
+	for _, ref := range refs {
+		if ref.Rebased {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Reader) chunks(ctx context.Context, head Head) (*inventory.Snapshot, error) {
+	var chunks [][]byte
+	for _, name := range head.Chunks {
+		object, err := r.objects.Get(ctx, chunkPrefix+name)
+		if err != nil {
+			return nil, err
+		}
+		chunks = append(chunks, object.Value)
+	}
+	return Join(head.Base, chunks)
+}
+
+// Audit reads the trail backwards from the head, newest first.
+func (r *Reader) Audit(ctx context.Context, limit int) ([]Change, error) {
+	head, _, err := r.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var trail []Change
+	for ref := head.last(); ref != nil && len(trail) < limit; {
+		change, err := r.Change(ctx, *ref)
+		if err != nil {
+			return nil, err
+		}
+		trail = append(trail, change)
+		ref = change.Previous
+	}
+	return trail, nil
+}
--- /dev/null
+++ b/internal/control/load.go
@@ -0,0 +1,214 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/engine"
+	"github.com/cherrystage/cherrystage/internal/loading"
+	"github.com/cherrystage/cherrystage/internal/verdict"
+	"github.com/pkg/errors"
+)
+
+const (
+	permitWait = 5 * time.Second
+	retryPause = 50 * time.Millisecond
+	// failureMemory is how long a failed load refuses the callers that come
+	// for it, so that they go to another runner.
+	failureMemory = 2 * time.Second
+)
+
+// want is a model that is to be loaded on a runner.
+type want struct {
+	ask     loading.Ask
+	waiters int
+	taken   bool
+	failed  error
+	failAt  time.Time
+}
+
+// addWant asks for a load; waiting says that a caller waits for it.
+func (m *managed) addWant(ask loading.Ask, waiting bool) *want {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	w := m.wants[ask.Model]
+	if w == nil || (w.failed != nil && time.Since(w.failAt) > failureMemory) {
+		w = &want{ask: ask}
+		m.wants[ask.Model] = w
+	}
+	if waiting {
+		w.waiters++
+		w.ask.Class = loading.ClassWaiting
+		w.ask.Priority = max(w.ask.Priority, ask.Priority)
+	}
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return w
+}
+
+// dropWaiter takes a waiting caller back; a want that nobody waits for any
+// more, and that is not being loaded, is dropped.
+func (m *managed) dropWaiter(model string, w *want) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	w.waiters--
+	if w.waiters <= 0 && !w.taken && w.failed == nil && w.ask.Class == loading.ClassWaiting && m.wants[model] == w {
+		delete(m.wants, model)
+	}
+}
+
+func (m *managed) failure(w *want) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return w.failed
+}
+
+func (m *managed) wantedModels() map[string]bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	wanted := make(map[string]bool, len(m.wants))
+	for model, w := range m.wants {
+		wanted[model] = w.failed == nil
+	}
+	return wanted
+}
+
+// takeWant gives the most urgent want that nobody works on.
+func (m *managed) takeWant() *want {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var open []*want
+	for model, w := range m.wants {
+		switch {
+		case w.failed != nil && time.Since(w.failAt) > failureMemory:
+			delete(m.wants, model)
+		case w.failed == nil && !w.taken:
+			open = append(open, w)
+		}
+	}
+	if len(open) == 0 {
+		return nil
+	}
+	first := slices.MinFunc(open, func(a, b *want) int {
+		if a.ask.Class != b.ask.Class {
+			return cmp.Compare(b.ask.Class, a.ask.Class)
+		}
+		return cmp.Or(cmp.Compare(b.ask.Priority, a.ask.Priority), a.ask.Since.Compare(b.ask.Since), cmp.Compare(a.ask.Model, b.ask.Model))
+	})
+	first.taken = true
+	return first
+}
+
+// finishWant ends the work on a want. retry leaves it to be taken again.
+func (m *managed) finishWant(w *want, failed error, retry bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	w.taken = false
+	w.failed = failed
+	w.failAt = time.Now()
+	if retry && (w.waiters > 0 || w.ask.Class == loading.ClassForeseen) {
+		w.failed = nil
+		return
+	}
+	if failed == nil && m.wants[w.ask.Model] == w {
+		delete(m.wants, w.ask.Model)
+	}
+}
+
+// loadWanted loads what is wanted on a runner, the most urgent first.
+func (c *Controller) loadWanted(ctx context.Context, m *managed) {
+	for ctx.Err() == nil {
+		changed := m.waitChange()
+		w := m.takeWant()
+		if w == nil {
+			select {
+			case <-ctx.Done():
+			case <-changed:
+			}
+			continue
+		}
+		err, retry := c.load(ctx, m, w.ask)
+		m.finishWant(w, err, retry)
+		c.notify(m)
+		if retry {
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+func pause(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// load brings one model onto a runner. It takes the permit before it makes
+// room: a model goes on serving for as long as the queue of loads is long.
+func (c *Controller) load(ctx context.Context, m *managed, ask loading.Ask) (err error, retry bool) {
+	if _, present := m.runner.State(ask.Model); present {
+		return nil, false
+	}
+	if m.runner.Free() <= 0 && len(c.victims(m, time.Now())) == 0 {
+		return errNoVictim, true
+	}
+	permit, err := c.deps.Loads.Acquire(ctx, ask, permitWait)
+	if err != nil {
+		return err, !errors.Is(err, loading.ErrBroken)
+	}
+	if !m.runner.BeginLoad(ask.Model, time.Now()) {
+		if err := c.makeRoom(ctx, m); err != nil {
+			permit.Cancel()
+			return err, true
+		}
+		if !m.runner.BeginLoad(ask.Model, time.Now()) {
+			permit.Cancel()
+			return errNoVictim, true
+		}
+	}
+	c.notify(m)
+	return c.orderLoad(ctx, m, ask.Model, permit), false
+}
+
+func (c *Controller) orderLoad(ctx context.Context, m *managed, model string, permit *loading.Permit) error {
+	started := time.Now()
+	err := c.order(ctx, m, engine.OrderLoad, model)
+	now := time.Now()
+	if err != nil && ctx.Err() != nil {
+		// The runner is handed over: the load goes on without us and says nothing about the model.
+		permit.Cancel()
+	} else {
+		permit.Done(err == nil, now.Sub(started))
+	}
+	switch {
+	case err == nil:
+		m.runner.Loaded(model, now)
+	case verdict.Of(err) == verdict.NotRun:
+		m.runner.LoadFailed(model)
+		c.loseIfStale(m, err)
+	default:
+		m.runner.LoadUnknown(model, now.Add(c.cfg.OrderLife))
+	}
+	if err != nil {
+		c.deps.Log.Warn("load failed", "runner", m.host.ID, "model", model, "error", err)
+	}
+	return err
+}
+
+// Prefetch asks for a load that nobody waits for yet.
+func (c *Controller) Prefetch(runner, model string, value float64) bool {
+	m := c.find(runner)
+	if m == nil {
+		return false
+	}
+	if _, present := m.runner.State(model); present {
+		return false
+	}
+	ask := loading.Ask{Runner: runner, Model: model, Class: loading.ClassForeseen, Since: time.Now(), Value: value}
+	m.addWant(ask, false)
+	return true
+}
--- /dev/null
+++ b/internal/control/nodelease.go
@@ -0,0 +1,156 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/lease"
+	"github.com/cherrystage/cherrystage/internal/objectapi"
+	"github.com/pkg/errors"
+)
+
+// renewalsPerLife is how often a lease is renewed within its life.
+const renewalsPerLife = 3
+
+// renewTries bounds the tries of one renewal that found another version.
+const renewTries = 2
+
+// nodeLease is the stored state of this node's lease.
+type nodeLease struct {
+	mu      sync.Mutex
+	version objectapi.Version
+	renewal uint64
+	held    bool
+}
+
+func (c *Controller) keepLease(ctx context.Context) {
+	interval := c.cfg.LeaseLife / renewalsPerLife
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		c.lease.Beat(time.Now(), interval)
+		c.renew(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// renew writes the node's lease once. A conflict means that a peer broke it
+// while this process was paused or cut off: everything owned is lost then.
+func (c *Controller) renew(ctx context.Context) {
+	c.node.mu.Lock()
+	defer c.node.mu.Unlock()
+	for range renewTries {
+		if c.isDraining() || !c.renewOnce(ctx) {
+			return
+		}
+	}
+}
+
+// renewOnce reports whether it makes sense to try again at once.
+func (c *Controller) renewOnce(ctx context.Context) bool {
+	record := lease.Record{Host: c.cfg.Self.Host, Incarnation: c.cfg.Self.Incarnation, Renewal: c.node.renewal + 1}
+	sent := time.Now()
+	version, err := c.putLease(ctx, record, c.node.version)
+	switch {
+	case err == nil:
+		c.node.version = version
+		c.node.renewal++
+		c.node.held = true
+		c.lease.Renewed(sent)
+	case errors.Is(err, objectapi.ErrConflict), errors.Is(err, objectapi.ErrAnswerLost):
+		return c.recoverLease(ctx)
+	default:
+		c.deps.Log.Debug("lease not renewed", "error", err)
+	}
+	return false
+}
+
+func (c *Controller) putLease(ctx context.Context, record lease.Record, version objectapi.Version) (objectapi.Version, error) {
+	text, err := json.Marshal(record)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode lease")
+	}
+	return c.deps.Objects.Put(ctx, lease.Key(record.Host), text, version)
+}
+
+// recoverLease reads what stands in the place of this node's lease. It may be
+// our own renewal whose answer was lost, an earlier process's lease, or ours,
+// broken. After the last, what was owned is lost before the lease is renewed.
+func (c *Controller) recoverLease(ctx context.Context) bool {
+	record, version, err := c.readLease(ctx, c.cfg.Self.Host)
+	if err != nil {
+		return false
+	}
+	if c.node.held && !record.Holds(c.cfg.Self.Incarnation) {
+		c.deps.Log.Warn("lease has ended; all runners are given up", "ended_by", record.EndedBy, "holder", record.Incarnation)
+		c.node.held = false
+		c.lease.Lost()
+		c.loseAll()
+	}
+	c.node.version = version
+	c.node.renewal = max(c.node.renewal, record.Renewal)
+	return true
+}
+
+func (c *Controller) readLease(ctx context.Context, host string) (lease.Record, objectapi.Version, error) {
+	object, err := c.deps.Objects.Get(ctx, lease.Key(host))
+	if errors.Is(err, objectapi.ErrNotFound) {
+		return lease.Record{Host: host}, 0, nil
+	}
+	if err != nil {
+		return lease.Record{}, 0, err
+	}
+	var record lease.Record
+	err = json.Unmarshal(object.Value, &record)
+	return record, object.Version, errors.Wrap(err, "decode lease")
+}
+
+// ended says whether the lease of a process has ended as a fact in the object
+// API: broken, released, or replaced by a later process of its host.
+func (c *Controller) ended(ctx context.Context, host, incarnation string) bool {
+	record, _, err := c.readLease(ctx, host)
+	return err == nil && !record.Holds(incarnation)
+}
+
+// Ended says whether the lease of a process has ended as a fact in the object API.
+func (c *Controller) Ended(ctx context.Context, host, incarnation string) bool {
+	return c.ended(ctx, host, incarnation)
+}
+
+// breakIfLapsed breaks the lease of a host that has not renewed it for its
+// whole life, as timed by this node. The update is conditional: a renewal in
+// the meantime wins.
+func (c *Controller) breakIfLapsed(ctx context.Context, host string) {
+	record, version, err := c.readLease(ctx, host)
+	if err != nil || record.EndedBy != "" {
+		return
+	}
+	if !c.observer.Observe(host, version, time.Now()) {
+		return
+	}
+	record.EndedBy = c.cfg.Self.Host
+	if _, err := c.putLease(ctx, record, version); err == nil {
+		c.deps.Log.Info("lapsed lease broken", "host", host, "incarnation", record.Incarnation)
+	}
+}
+
+// releaseLease ends this node's lease at a planned stop, so that successors
+// need not wait for it to lapse.
+func (c *Controller) releaseLease(ctx context.Context) {
+	c.node.mu.Lock()
+	defer c.node.mu.Unlock()
+	if !c.node.held {
+		return
+	}
+	record := lease.Record{Host: c.cfg.Self.Host, Incarnation: c.cfg.Self.Incarnation, Renewal: c.node.renewal + 1, EndedBy: c.cfg.Self.Host}
+	if _, err := c.putLease(ctx, record, c.node.version); err != nil {
+		c.deps.Log.Warn("lease not released; successors wait until it lapses", "error", err)
+	}
+	c.lease.Lost()
+}
--- /dev/null
+++ b/internal/dispatch/metrics.go
@@ -0,0 +1,109 @@
+package dispatch
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cherrystage/cherrystage/internal/verdict"
+)
+
+// Bounds of the histograms, in microseconds.
+const (
+	histogramLeast  = 1
+	histogramMost   = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits = 2
+)
+
+// Metrics counts what happens to requests. It is safe for concurrent use.
+type Metrics struct {
+	ran, notRun, mayHaveRun, retries, stalls atomic.Int64
+
+	queue, stall, first histogram
+}
+
+type histogram struct {
+	mu   sync.Mutex
+	hist *hdrhistogram.Histogram
+}
+
+func (h *histogram) record(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.hist == nil {
+		h.hist = hdrhistogram.New(histogramLeast, histogramMost, histogramDigits)
+	}
+	_ = h.hist.RecordValue(max(histogramLeast, min(histogramMost, d.Microseconds())))
+}
+
+// Quantiles are a histogram's figures, in milliseconds.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	Mean  float64 `json:"mean_ms"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+func (h *histogram) quantiles() Quantiles {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.hist == nil {
+		return Quantiles{}
+	}
+	at := func(q float64) float64 { return float64(h.hist.ValueAtQuantile(q)) / 1000 }
+	return Quantiles{
+		Count: h.hist.TotalCount(), Mean: h.hist.Mean() / 1000,
+		P50: at(50), P95: at(95), P99: at(99), Max: float64(h.hist.Max()) / 1000,
+	}
+}
+
+// Ended counts a request by its verdict.
+func (m *Metrics) Ended(refusal *Refusal) {
+	switch verdictOf(refusal) {
+	case verdict.Ran:
+		m.ran.Add(1)
+	case verdict.NotRun:
+		m.notRun.Add(1)
+	default:
+		m.mayHaveRun.Add(1)
+	}
+}
+
+// Retried counts a second try.
+func (m *Metrics) Retried() { m.retries.Add(1) }
+
+// Queued records a wait for a place.
+func (m *Metrics) Queued(d time.Duration) { m.queue.record(d) }
+
+// Stalled records a wait for a load.
+func (m *Metrics) Stalled(d time.Duration) {
+	m.stalls.Add(1)
+	m.stall.record(d)
+}
+
+// FirstPiece records the time from sending to the first piece.
+func (m *Metrics) FirstPiece(d time.Duration) { m.first.record(d) }
+
+// Figures are the metrics as they are shown.
+type Figures struct {
+	Ran        int64     `json:"requests_ran"`
+	NotRun     int64     `json:"requests_not_run"`
+	MayHaveRun int64     `json:"requests_may_have_run"`
+	Retries    int64     `json:"retries"`
+	Stalls     int64     `json:"requests_stalled"`
+	Queue      Quantiles `json:"queue_time"`
+	Stall      Quantiles `json:"load_stall"`
+	First      Quantiles `json:"time_to_first_piece"`
+}
+
+// Figures gives the metrics.
+func (m *Metrics) Figures() Figures {
+	return Figures{
+		Ran: m.ran.Load(), NotRun: m.notRun.Load(), MayHaveRun: m.mayHaveRun.Load(),
+		Retries: m.retries.Load(), Stalls: m.stalls.Load(),
+		Queue: m.queue.quantiles(), Stall: m.stall.quantiles(), First: m.first.quantiles(),
+	}
+}
--- /dev/null
+++ b/internal/dispatch/refusal.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/claims"
+	"github.com/cherrystage/cherrystage/internal/engine"
+	"github.com/cherrystage/cherrystage/internal/verdict"
+	"github.com/pkg/errors"
+)
+
+// Codes of refusals, as callers read them.
+const (
+	CodeNoRunner     = "no_runner"
+	CodeNoTarget     = "no_target"
+	CodeLoadQueue    = "load_queue_full"
+	CodeAdapterFails = "adapter_fails_to_load"
+	CodeOverloaded   = "overloaded"
+	CodeDuplicate    = "duplicate_request"
+	CodeClaim        = "claim_unavailable"
+	CodeCallerGone   = "caller_gone"
+)
+
+// Times after which a refused caller should come again.
+const (
+	retrySoon  = time.Second
+	retryLater = 5 * time.Second
+)
+
+// Refusal is the final answer to a request that got no whole answer.
+type Refusal struct {
+	Status     int
+	Code       string
+	Message    string
+	Verdict    verdict.Verdict
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return r.Code + ": " + r.Message + " (" + r.Verdict.String() + ")" }
+
+func notRun(code, message string, retryAfter time.Duration) *Refusal {
+	return &Refusal{Status: http.StatusServiceUnavailable, Code: code, Message: message, Verdict: verdict.NotRun, RetryAfter: retryAfter}
+}
+
+func gateRefusal(err error) *Refusal {
+	var full *FullError
+	if errors.As(err, &full) {
+		return &Refusal{
+			Status: http.StatusTooManyRequests, Code: CodeOverloaded, Message: full.Error(),
+			Verdict: verdict.NotRun, RetryAfter: full.RetryAfter,
+		}
+	}
+	return notRun(CodeCallerGone, "the caller went away", 0)
+}
+
+func claimRefusal(err error) *Refusal {
+	var duplicate *claims.DuplicateError
+	if errors.As(err, &duplicate) {
+		return &Refusal{Status: http.StatusConflict, Code: CodeDuplicate, Message: duplicate.Error(), Verdict: duplicate.Earlier}
+	}
+	if errors.Is(err, context.Canceled) {
+		return notRun(CodeCallerGone, "the caller went away", 0)
+	}
+	return notRun(CodeClaim, err.Error(), retryLater)
+}
+
+// failureRefusal turns the last attempt's failure into the caller's answer.
+// The target's own refusal of the request keeps its status.
+func failureRefusal(failure *engine.Failure) *Refusal {
+	refusal := &Refusal{
+		Status: http.StatusBadGateway, Code: failure.Code, Message: failure.Error(),
+		Verdict: failure.Verdict(), RetryAfter: failure.RetryAfter,
+	}
+	switch {
+	case failure.Stage == engine.StageRefused && failure.Status < 500 && failure.Code != engine.CodeNotLoaded:
+		refusal.Status = failure.Status
+	case failure.Code == engine.CodeSilent:
+		refusal.Status = http.StatusGatewayTimeout
+	case refusal.Verdict == verdict.NotRun:
+		refusal.Status = http.StatusServiceUnavailable
+		refusal.RetryAfter = max(refusal.RetryAfter, retrySoon)
+	}
+	return refusal
+}
+
+// sequence numbers what this process sends.
+type sequence struct{ last atomic.Int64 }
+
+func (s *sequence) next(prefix string) string {
+	return prefix + "-" + strconv.FormatInt(s.last.Add(1), 10)
+}
+
+// turn gives a number that moves on, for taking targets in turn.
+func (s *sequence) turn() int { return int(s.last.Add(1) & 0xffff) }
--- /dev/null
+++ b/internal/dispatch/services.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/engine"
+	"github.com/cherrystage/cherrystage/internal/fleet"
+	"github.com/cherrystage/cherrystage/internal/plain"
+	"github.com/cherrystage/cherrystage/internal/verdict"
+)
+
+// serviceHost picks a live host of a service, in turn.
+func (d *Dispatcher) serviceHost(service string, avoided map[string]bool) (fleet.Host, bool) {
+	now := time.Now()
+	var hosts []fleet.Host
+	for _, host := range d.deps.Hosts.ByRole(fleet.RoleService) {
+		if host.Service == service && host.State == fleet.StateLive && !avoided[host.ID] {
+			hosts = append(hosts, host)
+		}
+	}
+	for offset := range hosts {
+		host := hosts[(d.ids.turn()+offset)%len(hosts)]
+		if d.deps.Breakers.Enter(host.ID, now) {
+			return host, true
+		}
+	}
+	return fleet.Host{}, false
+}
+
+// Service serves a request to a plain service.
+func (d *Dispatcher) Service(ctx context.Context, req Request, call plain.Call) (answer plain.Answer, refusal *Refusal) {
+	trace := d.deps.Traces.Begin(req.ID, req.Caller, "service/"+req.Service, time.Now())
+	refusal = d.guarded(ctx, req, trace, func(ctx context.Context) *Refusal {
+		var failed *Refusal
+		answer, failed = d.serviceAttempts(ctx, req, call, trace)
+		return failed
+	})
+	trace.End(refusal, time.Now())
+	d.deps.Metrics.Ended(refusal)
+	return answer, refusal
+}
+
+func (d *Dispatcher) serviceAttempts(ctx context.Context, req Request, call plain.Call, trace *Trace) (plain.Answer, *Refusal) {
+	d.deps.Budget.First()
+	avoided := map[string]bool{}
+	var last *engine.Failure
+	for range maxAttempts {
+		host, ok := d.serviceHost(req.Service, avoided)
+		if !ok {
+			break
+		}
+		trace.Sent(host.ID, time.Now())
+		call.Address = host.Address
+		call.Idempotent = req.Idempotent
+		answer, failure := d.deps.Services.Do(ctx, call)
+		d.deps.Breakers.Leave(host.ID, healthy(failure), time.Now())
+		if failure == nil {
+			return answer, nil
+		}
+		trace.Note(host.ID+": "+failure.Error(), time.Now())
+		last = failure
+		if !failure.MayRetry(req.Idempotent) || !d.deps.Budget.Retry() {
+			return answer, failureRefusal(failure)
+		}
+		avoided[host.ID] = true
+	}
+	if last != nil && last.Verdict() != verdict.NotRun {
+		return plain.Answer{}, failureRefusal(last)
+	}
+	return plain.Answer{}, notRun(CodeNoTarget, "no host of the service can take the request", retrySoon)
+}
--- /dev/null
+++ b/internal/dispatch/trace.go
@@ -0,0 +1,137 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	traceLimit = 4096
+	noteLimit  = 32
+)
+
+// Traces keeps why the last requests went where they went, for operators'
+// question after one of them. It is safe for concurrent use.
+type Traces struct {
+	mu    sync.Mutex
+	ring  []*Trace
+	byID  map[string]*Trace
+	place int
+}
+
+// Trace is the story of one request.
+type Trace struct {
+	mu      sync.Mutex
+	id      string
+	caller  string
+	model   string
+	began   time.Time
+	ended   time.Time
+	runner  string
+	verdict string
+	refusal string
+	notes   []Note
+}
+
+// Note is one event of a request, with the time since its beginning.
+type Note struct {
+	AfterMS float64 `json:"after_ms"`
+	Text    string  `json:"text"`
+}
+
+// Story is a trace as operators read it.
+type Story struct {
+	ID      string    `json:"id"`
+	Caller  string    `json:"caller"`
+	Model   string    `json:"model"`
+	Began   time.Time `json:"began"`
+	TookMS  float64   `json:"took_ms"`
+	Runner  string    `json:"runner"`
+	Verdict string    `json:"verdict"`
+	Refusal string    `json:"refusal,omitempty"`
+	Notes   []Note    `json:"notes"`
+}
+
+// NewTraces makes an empty collection.
+func NewTraces() *Traces {
+	return &Traces{ring: make([]*Trace, traceLimit), byID: map[string]*Trace{}}
+}
+
+// Begin begins a request's story; the oldest one is dropped for it.
+func (t *Traces) Begin(id, caller, model string, now time.Time) *Trace {
+	trace := &Trace{id: id, caller: caller, model: model, began: now}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if old := t.ring[t.place]; old != nil && t.byID[old.id] == old {
+		delete(t.byID, old.id)
+	}
+	t.ring[t.place] = trace
+	t.byID[id] = trace
+	t.place = (t.place + 1) % traceLimit
+	return trace
+}
+
+// Find gives a request's story.
+func (t *Traces) Find(id string) (Story, bool) {
+	t.mu.Lock()
+	trace := t.byID[id]
+	t.mu.Unlock()
+	if trace == nil {
+		return Story{}, false
+	}
+	return trace.story(), true
+}
+
+// Note adds an event.
+func (t *Trace) Note(text string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.noteLocked(text, now)
+}
+
+func (t *Trace) noteLocked(text string, now time.Time) {
+	if len(t.notes) < noteLimit {
+		t.notes = append(t.notes, Note{AfterMS: milliseconds(now.Sub(t.began)), Text: text})
+	}
+}
+
+// Sent notes that the request was sent to a target.
+func (t *Trace) Sent(target string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.runner = target
+	t.noteLocked("sent to "+target, now)
+}
+
+// Runner gives the target that the request was last sent to.
+func (t *Trace) Runner() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.runner
+}
+
+// End ends the story.
+func (t *Trace) End(refusal *Refusal, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.ended = now
+	t.verdict = verdictOf(refusal).String()
+	if refusal != nil {
+		t.refusal = refusal.Error()
+	}
+}
+
+func (t *Trace) story() Story {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	story := Story{
+		ID: t.id, Caller: t.caller, Model: t.model, Began: t.began, Runner: t.runner,
+		Verdict: t.verdict, Refusal: t.refusal, Notes: append([]Note(nil), t.notes...),
+	}
+	if !t.ended.IsZero() {
+		story.TookMS = milliseconds(t.ended.Sub(t.began))
+	}
+	return story
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
--- /dev/null
+++ b/internal/inventory/document.go
@@ -0,0 +1,148 @@
+// Package inventory is the aggregate of what operators keep: adapters and
+// their versions, callers, plain services and rules, under one revision.
+//
+// Its rules: a change is taken whole or not at all, a revision only grows,
+// and a snapshot never changes once it is made.
+package inventory
+
+import (
+	"encoding/hex"
+	"regexp"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Limits of an inventory.
+const (
+	MaxNameLength      = 128
+	MaxVersions        = 64
+	MaxPriority        = 9
+	digestLength       = 32
+	defaultVersionOnly = 1
+	// AnyCaller in a list of callers lets every known caller in.
+	AnyCaller = "*"
+)
+
+// Adapter is one fine-tuned adapter with its versions.
+type Adapter struct {
+	Name     string   `json:"name"`
+	Base     string   `json:"base"`
+	Versions []string `json:"versions"`
+	// Current is served to callers that name no version.
+	Current string `json:"current"`
+	// Callers may use the adapter; AnyCaller stands for all.
+	Callers []string `json:"callers"`
+}
+
+// Caller is one that may send requests.
+type Caller struct {
+	Name string `json:"name"`
+	// KeyDigest is the SHA-256 digest of the caller's bearer key in hexadecimal.
+	KeyDigest string `json:"key_digest"`
+	// Priority from 0 to 9; a larger one goes first.
+	Priority int `json:"priority"`
+	// Weight is the caller's share where callers of one priority compete; 0 counts as 1.
+	Weight int `json:"weight,omitempty"`
+}
+
+// Service is a plain service that requests are routed to as well.
+type Service struct {
+	Name    string   `json:"name"`
+	Callers []string `json:"callers"`
+}
+
+// Rule changes how requests are treated. A request matches when every field
+// given matches; the field left empty matches all.
+type Rule struct {
+	Name       string `json:"name"`
+	Caller     string `json:"caller,omitempty"`
+	Adapter    string `json:"adapter,omitempty"`
+	Service    string `json:"service,omitempty"`
+	PathPrefix string `json:"path_prefix,omitempty"`
+	// NonIdempotent marks matching requests as never to be repeated.
+	NonIdempotent bool `json:"non_idempotent,omitempty"`
+	// Priority, where given, replaces the caller's.
+	Priority *int `json:"priority,omitempty"`
+}
+
+// Document is a whole inventory as operators write it.
+type Document struct {
+	Adapters []Adapter `json:"adapters"`
+	Callers  []Caller  `json:"callers"`
+	Services []Service `json:"services"`
+	Rules    []Rule    `json:"rules"`
+}
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]*$`)
+
+func checkName(kind, name string) error {
+	if len(name) > MaxNameLength || !namePattern.MatchString(name) {
+		return errors.Errorf("%s name %q: want 1 to %d characters of a-z 0-9 . _ -, beginning with a letter or digit", kind, name, MaxNameLength)
+	}
+	return nil
+}
+
+// Check says what is wrong with an adapter.
+func (a Adapter) Check() error {
+	if err := checkName("adapter", a.Name); err != nil {
+		return err
+	}
+	if err := checkName("base model", a.Base); err != nil {
+		return errors.Wrapf(err, "adapter %s", a.Name)
+	}
+	if len(a.Versions) < defaultVersionOnly || len(a.Versions) > MaxVersions {
+		return errors.Errorf("adapter %s: want 1 to %d versions", a.Name, MaxVersions)
+	}
+	seen := map[string]bool{}
+	for _, version := range a.Versions {
+		if err := checkName("version", version); err != nil {
+			return errors.Wrapf(err, "adapter %s", a.Name)
+		}
+		if seen[version] {
+			return errors.Errorf("adapter %s: version %s is listed twice", a.Name, version)
+		}
+		seen[version] = true
+	}
+	if !seen[a.Current] {
+		return errors.Errorf("adapter %s: current version %q is not among its versions", a.Name, a.Current)
+	}
+	return nil
+}
+
+// Check says what is wrong with a caller.
+func (c Caller) Check() error {
+	if err := checkName("caller", c.Name); err != nil {
+		return err
+	}
+	if raw, err := hex.DecodeString(c.KeyDigest); err != nil || len(raw) != digestLength {
+		return errors.Errorf("caller %s: key_digest is not a SHA-256 digest in hexadecimal", c.Name)
+	}
+	if c.Priority < 0 || c.Priority > MaxPriority {
+		return errors.Errorf("caller %s: priority %d is not within 0 to %d", c.Name, c.Priority, MaxPriority)
+	}
+	if c.Weight < 0 {
+		return errors.Errorf("caller %s: weight %d is negative", c.Name, c.Weight)
+	}
+	return nil
+}
+
+// Check says what is wrong with a service.
+func (s Service) Check() error { return checkName("service", s.Name) }
+
+// Check says what is wrong with a rule.
+func (r Rule) Check() error {
+	if err := checkName("rule", r.Name); err != nil {
+		return err
+	}
+	if r.Priority != nil && (*r.Priority < 0 || *r.Priority > MaxPriority) {
+		return errors.Errorf("rule %s: priority %d is not within 0 to %d", r.Name, *r.Priority, MaxPriority)
+	}
+	if r.PathPrefix != "" && !strings.HasPrefix(r.PathPrefix, "/") {
+		return errors.Errorf("rule %s: path_prefix %q does not begin with /", r.Name, r.PathPrefix)
+	}
+	if !r.NonIdempotent && r.Priority == nil {
+		return errors.Errorf("rule %s: it changes nothing: give non_idempotent or priority", r.Name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/inventory/snapshot.go
@@ -0,0 +1,353 @@
+package inventory
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sort"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// Revision counts the accepted changes. It only grows.
+type Revision uint64
+
+// shardCount divides the adapters, so that a change copies one shard of about
+// a hundred records at the largest inventory and not the whole table.
+const shardCount = 1024
+
+// record is an adapter as a snapshot keeps it. Lists that many adapters have
+// in common are interned: 140,000 adapters must fit into a few megabytes.
+type record struct {
+	name     string
+	base     string
+	current  string
+	versions []string
+	callers  []string
+}
+
+// Snapshot is the inventory at one revision. It never changes, so readers
+// need no lock.
+type Snapshot struct {
+	revision Revision
+	shards   [shardCount][]record
+	count    int
+	callers  map[string]Caller
+	byDigest map[string]string
+	services map[string]Service
+	rules    []Rule
+	lists    *interner
+}
+
+// Empty gives the snapshot of revision zero.
+func Empty() *Snapshot {
+	return &Snapshot{
+		callers:  map[string]Caller{},
+		byDigest: map[string]string{},
+		services: map[string]Service{},
+		lists:    &interner{kept: map[string][]string{}},
+	}
+}
+
+// Revision gives the snapshot's revision.
+func (s *Snapshot) Revision() Revision { return s.revision }
+
+// Len gives the number of adapters.
+func (s *Snapshot) Len() int { return s.count }
+
+// Apply makes the next snapshot. It returns an error, and no snapshot, if any
+// step is wrong: a change is taken whole or not at all.
+func (s *Snapshot) Apply(revision Revision, ops []Op) (*Snapshot, error) {
+	if revision <= s.revision {
+		return nil, errors.Errorf("revision %d is not after revision %d", revision, s.revision)
+	}
+	next := s.clone(revision)
+	copied := map[int]bool{}
+	for _, op := range ops {
+		if err := op.Check(); err != nil {
+			return nil, err
+		}
+		if err := next.step(op, copied); err != nil {
+			return nil, err
+		}
+	}
+	return next, next.checkKeys()
+}
+
+func (s *Snapshot) clone(revision Revision) *Snapshot {
+	next := *s
+	next.revision = revision
+	next.callers = copyMap(s.callers)
+	next.byDigest = copyMap(s.byDigest)
+	next.services = copyMap(s.services)
+	next.rules = append([]Rule(nil), s.rules...)
+	return &next
+}
+
+func copyMap[V any](from map[string]V) map[string]V {
+	to := make(map[string]V, len(from))
+	for key, value := range from {
+		to[key] = value
+	}
+	return to
+}
+
+func (s *Snapshot) step(op Op, copied map[int]bool) error {
+	switch {
+	case op.PutAdapter != nil:
+		s.putAdapter(*op.PutAdapter, copied)
+	case op.DeleteAdapter != "":
+		return s.deleteAdapter(op.DeleteAdapter, copied)
+	case op.PutCaller != nil:
+		s.forgetDigest(op.PutCaller.Name)
+		s.callers[op.PutCaller.Name] = *op.PutCaller
+		s.byDigest[op.PutCaller.KeyDigest] = op.PutCaller.Name
+	case op.DeleteCaller != "":
+		if _, ok := s.callers[op.DeleteCaller]; !ok {
+			return errors.Errorf("no caller %q", op.DeleteCaller)
+		}
+		s.forgetDigest(op.DeleteCaller)
+		delete(s.callers, op.DeleteCaller)
+	case op.PutService != nil:
+		s.services[op.PutService.Name] = *op.PutService
+	case op.DeleteService != "":
+		if _, ok := s.services[op.DeleteService]; !ok {
+			return errors.Errorf("no service %q", op.DeleteService)
+		}
+		delete(s.services, op.DeleteService)
+	case op.PutRule != nil:
+		s.putRule(*op.PutRule)
+	case op.DeleteRule != "":
+		return s.deleteRule(op.DeleteRule)
+	}
+	return nil
+}
+
+func (s *Snapshot) forgetDigest(caller string) {
+	old := s.callers[caller].KeyDigest
+	if s.byDigest[old] == caller {
+		delete(s.byDigest, old)
+	}
+}
+
+// checkKeys refuses two callers with one key: a request would count for either.
+func (s *Snapshot) checkKeys() error {
+	if len(s.byDigest) == len(s.callers) {
+		return nil
+	}
+	return errors.New("two callers have the same key_digest")
+}
+
+func shardOf(name string) int { return int(xxhash.Sum64String(name) % shardCount) }
+
+// position finds a name in its sorted shard.
+func position(shard []record, name string) (int, bool) {
+	at := sort.Search(len(shard), func(i int) bool { return shard[i].name >= name })
+	return at, at < len(shard) && shard[at].name == name
+}
+
+func (s *Snapshot) ownShard(index int, copied map[int]bool) []record {
+	if !copied[index] {
+		s.shards[index] = append([]record(nil), s.shards[index]...)
+		copied[index] = true
+	}
+	return s.shards[index]
+}
+
+func (s *Snapshot) putAdapter(a Adapter, copied map[int]bool) {
+	index := shardOf(a.Name)
+	shard := s.ownShard(index, copied)
+	fresh := record{
+		name:     a.Name,
+		base:     s.lists.intern([]string{a.Base})[0],
+		versions: s.lists.intern(a.Versions),
+		callers:  s.lists.intern(a.Callers),
+	}
+	fresh.current = fresh.versions[indexOf(fresh.versions, a.Current)]
+	at, found := position(shard, a.Name)
+	if found {
+		shard[at] = fresh
+		return
+	}
+	shard = append(shard, record{})
+	copy(shard[at+1:], shard[at:])
+	shard[at] = fresh
+	s.shards[index] = shard
+	s.count++
+}
+
+func indexOf(list []string, item string) int {
+	for i, candidate := range list {
+		if candidate == item {
+			return i
+		}
+	}
+	return 0
+}
+
+func (s *Snapshot) deleteAdapter(name string, copied map[int]bool) error {
+	index := shardOf(name)
+	shard := s.ownShard(index, copied)
+	at, found := position(shard, name)
+	if !found {
+		return errors.Errorf("no adapter %q", name)
+	}
+	s.shards[index] = append(shard[:at], shard[at+1:]...)
+	s.count--
+	return nil
+}
+
+func (s *Snapshot) putRule(rule Rule) {
+	for i := range s.rules {
+		if s.rules[i].Name == rule.Name {
+			s.rules[i] = rule
+			return
+		}
+	}
+	s.rules = append(s.rules, rule)
+}
+
+func (s *Snapshot) deleteRule(name string) error {
+	for i := range s.rules {
+		if s.rules[i].Name == name {
+			s.rules = append(s.rules[:i], s.rules[i+1:]...)
+			return nil
+		}
+	}
+	return errors.Errorf("no rule %q", name)
+}
+
+// Adapter gives one adapter by name.
+func (s *Snapshot) Adapter(name string) (Adapter, bool) {
+	shard := s.shards[shardOf(name)]
+	at, found := position(shard, name)
+	if !found {
+		return Adapter{}, false
+	}
+	return shard[at].adapter(), true
+}
+
+func (r record) adapter() Adapter {
+	return Adapter{Name: r.name, Base: r.base, Versions: r.versions, Current: r.current, Callers: r.callers}
+}
+
+// Adapters gives all adapters, sorted by name.
+func (s *Snapshot) Adapters() []Adapter {
+	all := make([]Adapter, 0, s.count)
+	for _, shard := range s.shards {
+		for _, rec := range shard {
+			all = append(all, rec.adapter())
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
+// Callers gives all callers, sorted by name.
+func (s *Snapshot) Callers() []Caller { return sortedValues(s.callers) }
+
+// Services gives all services, sorted by name.
+func (s *Snapshot) Services() []Service { return sortedValues(s.services) }
+
+// Rules gives all rules in the order in which they were added.
+func (s *Snapshot) Rules() []Rule { return append([]Rule(nil), s.rules...) }
+
+func sortedValues[V any](from map[string]V) []V {
+	names := make([]string, 0, len(from))
+	for name := range from {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	values := make([]V, 0, len(from))
+	for _, name := range names {
+		values = append(values, from[name])
+	}
+	return values
+}
+
+// Document gives the whole inventory as operators write it.
+func (s *Snapshot) Document() Document {
+	return Document{Adapters: s.Adapters(), Callers: s.Callers(), Services: s.Services(), Rules: s.Rules()}
+}
+
+// CallerByKey finds the caller that a bearer key belongs to.
+func (s *Snapshot) CallerByKey(key string) (Caller, bool) {
+	digest := sha256.Sum256([]byte(key))
+	name, ok := s.byDigest[hex.EncodeToString(digest[:])]
+	return s.callers[name], ok
+}
+
+// Service gives one service by name.
+func (s *Snapshot) Service(name string) (Service, bool) {
+	service, ok := s.services[name]
+	return service, ok
+}
+
+// Allows says whether a list of callers lets one in.
+func Allows(callers []string, caller string) bool {
+	for _, allowed := range callers {
+		if allowed == AnyCaller || allowed == caller {
+			return true
+		}
+	}
+	return false
+}
+
+// ModelName is the name under which engines know one version of an adapter.
+// It holds the version, so that a change of version can never be served under
+// the old name.
+func ModelName(adapter, version string) string { return adapter + "@" + version }
+
+// SplitModel takes a model name apart; the version is empty where none was given.
+func SplitModel(model string) (adapter, version string) {
+	adapter, version, _ = strings.Cut(model, "@")
+	return adapter, version
+}
+
+// Resolve fixes the version that a request will run on.
+func (s *Snapshot) Resolve(model string) (Adapter, string, error) {
+	name, version := SplitModel(model)
+	adapter, ok := s.Adapter(name)
+	if !ok {
+		return Adapter{}, "", errors.Errorf("no adapter %q in the inventory", name)
+	}
+	if version == "" {
+		return adapter, adapter.Current, nil
+	}
+	for _, known := range adapter.Versions {
+		if known == version {
+			return adapter, version, nil
+		}
+	}
+	return Adapter{}, "", errors.Errorf("adapter %q has no version %q", name, version)
+}
+
+// Treatment is what the rules say of a request.
+type Treatment struct {
+	NonIdempotent bool
+	Priority      int
+}
+
+// Treat applies the rules to a request of a caller; adapter or service is
+// empty where it does not apply.
+func (s *Snapshot) Treat(caller Caller, adapter, service, path string) Treatment {
+	treatment := Treatment{Priority: caller.Priority}
+	for _, rule := range s.rules {
+		if !rule.matches(caller.Name, adapter, service, path) {
+			continue
+		}
+		treatment.NonIdempotent = treatment.NonIdempotent || rule.NonIdempotent
+		if rule.Priority != nil {
+			treatment.Priority = *rule.Priority
+		}
+	}
+	return treatment
+}
+
+func (r Rule) matches(caller, adapter, service, path string) bool {
+	return (r.Caller == "" || r.Caller == caller) &&
+		(r.Adapter == "" || r.Adapter == adapter) &&
+		(r.Service == "" || r.Service == service) &&
+		strings.HasPrefix(path, r.PathPrefix)
+}
--- /dev/null
+++ b/internal/node/run.go
@@ -0,0 +1,186 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/adminapi"
+	"github.com/cherrystage/cherrystage/internal/callerapi"
+	"github.com/cherrystage/cherrystage/internal/fleet"
+	"github.com/pkg/errors"
+)
+
+const (
+	hostListInterval = time.Second
+	idleInterval     = 10 * time.Second
+	// pinIdle is how long an unused pin is kept: long enough for a model in
+	// use, short enough that a host cut off blocks few evictions.
+	pinIdle       = time.Minute
+	limitInterval = 250 * time.Millisecond
+	headerTimeout = 10 * time.Second
+)
+
+// Listeners are the addresses that a node serves on.
+type Listeners struct {
+	Callers, Operators, Peers net.Listener
+}
+
+// Background runs everything but the servers until the context ends.
+func (n *Node) Background(ctx context.Context) {
+	n.mu.Lock()
+	n.runCtx = ctx
+	n.mu.Unlock()
+	n.readHosts(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { every(ctx, hostListInterval, func() { n.readHosts(ctx) }) })
+	wg.Go(func() { n.membership.Run(ctx) })
+	wg.Go(func() { n.sync.Run(ctx) })
+	wg.Go(func() { n.controller.Run(ctx) })
+	wg.Go(func() { n.loads.Run(ctx) })
+	wg.Go(func() { every(ctx, limitInterval, n.setLimit) })
+	wg.Go(func() { every(ctx, shareInterval, func() { n.claimShares(ctx) }) })
+	wg.Go(func() {
+		every(ctx, idleInterval, func() { n.dispatcher.GiveBackIdle(ctx, time.Now().Add(-pinIdle)) })
+	})
+	wg.Wait()
+	n.pool.Close()
+	n.server.Close()
+}
+
+func every(ctx context.Context, interval time.Duration, do func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			do()
+		}
+	}
+}
+
+func (n *Node) readHosts(ctx context.Context) {
+	list, err := n.hostList.Hosts(ctx)
+	if err != nil {
+		n.log.Debug("host list not read; the last one stays in force", "error", err)
+		return
+	}
+	if n.hosts.Update(list) {
+		n.table.SetHosts(n.hosts.ByRole(fleet.RoleRunner))
+	}
+}
+
+// ServePeers serves peers until the listener closes.
+func (n *Node) ServePeers(listener net.Listener) error { return n.server.Serve(listener) }
+
+// CallerServer gives the HTTP server for callers.
+func (n *Node) CallerServer() *http.Server {
+	api := callerapi.New(n.dispatcher, n.follower, n.streams, n.Ready, n.cfg.Limits.MaxBodyBytes)
+	return n.httpServer(api.Handler())
+}
+
+// OperatorServer gives the HTTP server for operators.
+func (n *Node) OperatorServer() *http.Server {
+	api := adminapi.New(n.publisher, n.reader, n, n.cfg.OperatorByDigest())
+	return n.httpServer(api.Handler())
+}
+
+func (n *Node) httpServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, MaxHeaderBytes: n.cfg.Limits.MaxHeaderBytes, ReadHeaderTimeout: headerTimeout}
+}
+
+// Ready tells the balancer whether this host takes new requests.
+func (n *Node) Ready() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.leaving && n.follower.Snapshot().Revision() > 0
+}
+
+// drainHere makes this host not ready and gives its runners away. Requests
+// that still come are served.
+func (n *Node) drainHere() {
+	n.mu.Lock()
+	already := n.draining
+	n.leaving = true
+	n.draining = true
+	n.mu.Unlock()
+	if already {
+		return
+	}
+	n.log.Info("draining: not ready any more; runners are handed over", "open", n.streams.Open())
+	n.announce()
+	go func() {
+		defer close(n.handedOver)
+		n.handOver()
+	}()
+}
+
+const handOverTimeout = 10 * time.Second
+
+func (n *Node) handOver() {
+	ctx, cancel := context.WithTimeout(n.context(), handOverTimeout)
+	defer cancel()
+	n.controller.Drain(ctx)
+	n.releaseShares(ctx)
+	n.announce()
+}
+
+// Shutdown ends this host's service without cutting a request off: it is not
+// ready at once, takes new work until the balancer has noticed, and then waits
+// for the open streams. It returns the number that were cut off, because the
+// limit passed or the context ended.
+func (n *Node) Shutdown(ctx context.Context, callers *http.Server) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, n.cfg.Timing.DrainLimit)
+	defer cancel()
+	n.drainHere()
+	notice := time.NewTimer(n.cfg.Timing.DrainNotice)
+	defer notice.Stop()
+	select {
+	case <-notice.C:
+	case <-ctx.Done():
+	}
+	select {
+	case <-n.handedOver:
+	case <-ctx.Done():
+	}
+	err := callers.Shutdown(ctx)
+	select {
+	case <-n.streams.Empty():
+	case <-ctx.Done():
+	}
+	cut := n.streams.Open()
+	if err != nil {
+		_ = callers.Close()
+	}
+	if cut == 0 {
+		return 0, nil
+	}
+	return cut, errors.Wrap(err, "drain")
+}
+
+// setLimit sets how many requests this host admits at a time: what the runners
+// can batch less what other hosts have there, and at least a fair part.
+func (n *Node) setLimit() {
+	runners := n.table.All("")
+	places, elsewhere := 0, 0
+	for _, runner := range runners {
+		if runner.Live {
+			places += runner.MaxBatch
+			elsewhere += max(0, runner.Occupancy-runner.Own)
+		}
+	}
+	if places == 0 {
+		return
+	}
+	hosts := max(1, len(n.members.Candidates("", time.Now())))
+	limit := max(places*overcommit/100-elsewhere, places/hosts)
+	n.gate.SetLimit(min(limit, n.cfg.Limits.MaxStreams))
+}
+
+// overcommit, in percent of the runners' batches, keeps a short queue before
+// each engine, so that a place that frees is filled at once.
+const overcommit = 150
--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,132 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Dialer opens a connection to a peer's address.
+type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Pool keeps one connection to each peer that this process calls. It is safe
+// for concurrent use.
+type Pool struct {
+	self Identity
+	key  []byte
+	dial Dialer
+
+	mu    sync.Mutex
+	peers map[string]*link
+}
+
+// link is the connection to one address.
+type link struct {
+	mu   sync.Mutex
+	rpc  *jsonrpc2.Conn
+	peer Identity
+}
+
+// NewPool makes a pool for the process self.
+func NewPool(self Identity, key []byte, dial Dialer) *Pool {
+	return &Pool{self: self, key: key, dial: dial, peers: map[string]*link{}}
+}
+
+// Call calls a method of the peer at an address. The context must have a
+// deadline. If the deadline passes, the connection is given up with it: it may
+// have gone silent for good while a new one would work.
+func (p *Pool) Call(ctx context.Context, address, method string, params, result any) error {
+	return p.call(ctx, address, method, params, result, true)
+}
+
+// CallLong calls a method that may rightly take until the deadline, so a
+// passed deadline says nothing about the connection.
+func (p *Pool) CallLong(ctx context.Context, address, method string, params, result any) error {
+	return p.call(ctx, address, method, params, result, false)
+}
+
+func (p *Pool) call(ctx context.Context, address, method string, params, result any, closeOnDeadline bool) error {
+	l := p.link(address)
+	rpc, err := l.connect(ctx, p, address)
+	if err != nil {
+		return errors.Wrapf(err, "peer %s", address)
+	}
+	err = rpc.Call(ctx, method, params, result)
+	if err != nil && (errors.Is(err, jsonrpc2.ErrClosed) || (closeOnDeadline && ctx.Err() != nil)) {
+		l.drop(rpc)
+	}
+	return errors.Wrapf(err, "peer %s: %s", address, method)
+}
+
+func (p *Pool) link(address string) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.peers[address]
+	if l == nil {
+		l = &link{}
+		p.peers[address] = l
+	}
+	return l
+}
+
+// connect gives the link's connection, making one where there is none. The
+// link's lock is held meanwhile: callers of one peer wait for one handshake.
+func (l *link) connect(ctx context.Context, p *Pool, address string) (*jsonrpc2.Conn, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.rpc != nil {
+		return l.rpc, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(conn, codec{}), noCalls{})
+	peer, err := introduce(ctx, rpc, p.self, p.key)
+	if err != nil {
+		_ = rpc.Close()
+		return nil, err
+	}
+	l.rpc = rpc
+	l.peer = peer
+	go l.watch(rpc)
+	return rpc, nil
+}
+
+func (l *link) watch(rpc *jsonrpc2.Conn) {
+	<-rpc.DisconnectNotify()
+	l.drop(rpc)
+}
+
+func (l *link) drop(rpc *jsonrpc2.Conn) {
+	l.mu.Lock()
+	if l.rpc == rpc {
+		l.rpc = nil
+	}
+	l.mu.Unlock()
+	_ = rpc.Close()
+}
+
+// Close ends all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.peers {
+		l.mu.Lock()
+		rpc := l.rpc
+		l.mu.Unlock()
+		if rpc != nil {
+			l.drop(rpc)
+		}
+	}
+}
+
+// noCalls serves nothing: a peer calls over its own connection.
+type noCalls struct{}
+
+func (noCalls) Handle(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) {}
