Failure tests in virtual time over a network in memory; placement avoids blocked runners

The successor rightly evicts nothing on a runner while a host that may hold pins is not heard, but placement kept choosing such runners. Ruled out: releasing pins by time, since a holder paused just before it sends would then hit an eviction. Change: owners tell how many models could make room, and placement prefers runners where something can; idle pins go back after 15 s instead of 60 s. Also: the RPC library's log goes into the JSON log.

--- /dev/null
+++ b/internal/node/cluster_test.go
@@ -0,0 +1,319 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/adminapi"
+	"github.com/cherrystage/cherrystage/internal/adminclient"
+	"github.com/cherrystage/cherrystage/internal/callerapi"
+	"github.com/cherrystage/cherrystage/internal/inventory"
+	"github.com/cherrystage/cherrystage/internal/settings"
+	"github.com/cherrystage/cherrystage/internal/standalone"
+	"github.com/cherrystage/cherrystage/internal/standin"
+	"github.com/hashicorp/go-hclog"
+	"github.com/jessevdk/go-flags"
+	"github.com/shoenig/test/must"
+)
+
+const (
+	callerKey   = "caller-key"
+	operatorKey = "operator-key"
+	testPeerKey = "0123456789abcdef"
+)
+
+// cluster is a few entry hosts before stand-ins, on a network in memory, in
+// virtual time.
+type cluster struct {
+	t     *testing.T
+	net   *standin.Network
+	world *standin.World
+	nodes map[string]*testNode
+	// tune changes the settings of nodes that are started.
+	tune func(cfg *settings.Settings)
+}
+
+type testNode struct {
+	*Node
+	id      string
+	cancel  context.CancelFunc
+	done    chan struct{}
+	callers *http.Server
+	servers []*http.Server
+	closers []io.Closer
+}
+
+func smallWorld() standin.WorldConfig {
+	return standin.WorldConfig{
+		Runners: 2, Slots: 2, MaxBatch: 8, TokenTime: 20 * time.Millisecond, LoadTime: 300 * time.Millisecond,
+		ReportLag: 200 * time.Millisecond, Parallel: 1, Base: "base", DataCentre: "hall", Service: "dispatch",
+	}
+}
+
+// inCluster runs a test in virtual time with so many entry hosts, ready.
+func inCluster(t *testing.T, hosts int, world standin.WorldConfig, run func(c *cluster)) {
+	t.Helper()
+	synctestCluster(t, hosts, world, nil, run)
+}
+
+// synctestCluster is inCluster with other settings of the hosts.
+func synctestCluster(t *testing.T, hosts int, world standin.WorldConfig, tune func(cfg *settings.Settings), run func(c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, world)
+		c.tune = tune
+		defer c.close()
+		for i := range hosts {
+			c.start(fmt.Sprintf("e%d", i+1))
+		}
+		c.apply(sampleDocument())
+		// Leases, ownership and shares settle.
+		time.Sleep(6 * time.Second)
+		run(c)
+	})
+}
+
+func newCluster(t *testing.T, cfg standin.WorldConfig) *cluster {
+	t.Helper()
+	network := standin.NewNetwork()
+	world, err := standin.NewWorld(cfg, func(name string) (net.Listener, error) { return network.Host(name).Listen("80") })
+	must.NoError(t, err)
+	return &cluster{t: t, net: network, world: world, nodes: map[string]*testNode{}}
+}
+
+func sampleDocument() inventory.Document {
+	document := inventory.Document{
+		Callers: []inventory.Caller{
+			{Name: "pilot", KeyDigest: standalone.Digest(callerKey), Priority: 5},
+			{Name: "farm", KeyDigest: standalone.Digest("farm-key")},
+		},
+		Services: []inventory.Service{{Name: "dispatch", Callers: []string{"*"}}},
+		Rules:    []inventory.Rule{{Name: "once", Service: "dispatch", PathPrefix: "/tugs", NonIdempotent: true}},
+	}
+	for i := range 8 {
+		document.Adapters = append(document.Adapters, inventory.Adapter{
+			Name: fmt.Sprintf("a%d", i), Base: "base", Versions: []string{"1", "2"}, Current: "1", Callers: []string{"pilot"},
+		})
+	}
+	return document
+}
+
+func defaultSettings(t *testing.T) *settings.Settings {
+	t.Helper()
+	cfg := &settings.Settings{}
+	_, err := flags.NewParser(cfg, flags.None).ParseArgs(nil)
+	must.NoError(t, err)
+	return cfg
+}
+
+// start starts an entry host and lists it.
+func (c *cluster) start(id string) *testNode {
+	c.t.Helper()
+	cfg := defaultSettings(c.t)
+	cfg.Host, cfg.DataCentre = id, "hall"
+	cfg.ObjectAPI = "http://" + c.world.Address
+	cfg.HostList = cfg.ObjectAPI
+	cfg.Callers, cfg.Operators, cfg.Peers = id+":80", id+":81", id+":82"
+	cfg.PeerKey = testPeerKey
+	cfg.OperatorKeys = []string{"kim=" + standalone.Digest(operatorKey)}
+	if c.tune != nil {
+		c.tune(cfg)
+	}
+	must.NoError(c.t, cfg.Check())
+	c.world.AddEntry(id, "hall", cfg.Peers)
+	host := c.net.Host(id)
+	n := New(cfg, host.Dial, hclog.New(&hclog.LoggerOptions{Level: logLevel, Output: testLog{c.t}, Name: id}))
+	ctx, cancel := context.WithCancel(context.Background())
+	node := &testNode{Node: n, id: id, cancel: cancel, done: make(chan struct{}), callers: n.CallerServer()}
+	node.servers = []*http.Server{node.callers, n.OperatorServer()}
+	for i, server := range node.servers {
+		listener, err := host.Listen(fmt.Sprint(80 + i))
+		must.NoError(c.t, err)
+		go func() { _ = server.Serve(listener) }()
+	}
+	peers, err := host.Listen("82")
+	must.NoError(c.t, err)
+	node.closers = append(node.closers, peers)
+	go func() { _ = n.ServePeers(peers) }()
+	go func() { defer close(node.done); n.Background(ctx) }()
+	c.nodes[id] = node
+	return node
+}
+
+// logLevel is raised by hand when a test is looked into.
+const logLevel = hclog.Off
+
+type testLog struct{ t *testing.T }
+
+func (l testLog) Write(text []byte) (int, error) {
+	l.t.Log(string(bytes.TrimSpace(text)))
+	return len(text), nil
+}
+
+// kill ends an entry host without any goodbye, as kill -9 does.
+func (c *cluster) kill(id string) {
+	node := c.nodes[id]
+	delete(c.nodes, id)
+	c.net.Cut(id, "*")
+	node.cancel()
+	for _, server := range node.servers {
+		_ = server.Close()
+	}
+	for _, closer := range node.closers {
+		_ = closer.Close()
+	}
+	<-node.done
+	c.net.Mend(id, "*")
+}
+
+func (c *cluster) close() {
+	for id := range c.nodes {
+		c.kill(id)
+	}
+	c.world.Close()
+	c.net.Close()
+	// Clients notice the closed connections.
+	time.Sleep(time.Minute)
+}
+
+func (c *cluster) transport(host string) *http.Transport {
+	return &http.Transport{DialContext: c.net.Host("client-" + host).Dial, DisableKeepAlives: true}
+}
+
+func (c *cluster) admin(host string) *adminclient.Client {
+	return adminclient.New("http://"+host+":81", operatorKey, c.transport(host))
+}
+
+// apply makes the inventory what the document says, through any host.
+func (c *cluster) apply(document inventory.Document) adminapi.ChangeResult {
+	c.t.Helper()
+	for id := range c.nodes {
+		// The host may not have read the revision that it is to start from.
+		time.Sleep(time.Second)
+		revision := c.nodes[id].Snapshot().Revision()
+		result, err := c.admin(id).Change(context.Background(), adminapi.ChangeRequest{ChangeID: fmt.Sprint("apply-", revision), From: revision, Document: &document})
+		must.NoError(c.t, err)
+		return result
+	}
+	c.t.Fatal("no host")
+	return adminapi.ChangeResult{}
+}
+
+// addAdapter adds an adapter to the inventory.
+func (c *cluster) addAdapter(name string) {
+	c.t.Helper()
+	document := c.nodes["e1"].Snapshot().Document()
+	document.Adapters = append(document.Adapters, inventory.Adapter{
+		Name: name, Base: "base", Versions: []string{"1"}, Current: "1", Callers: []string{"pilot"},
+	})
+	c.apply(document)
+	time.Sleep(3 * time.Second)
+}
+
+// answer is what a caller saw.
+type answer struct {
+	status  int
+	verdict string
+	code    string
+	retry   string
+	text    string
+	model   string
+	err     error
+}
+
+// ask sends a completion through a host and gives what the caller saw.
+func (c *cluster) ask(host, model, id string, tokens int, header ...string) answer {
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":%d}`, model, tokens)
+	return c.send(host, "/v1/completions", body, append(header, callerapi.HeaderRequestID, id)...)
+}
+
+func (c *cluster) send(host, path, body string, header ...string) answer {
+	req, err := http.NewRequest(http.MethodPost, "http://"+host+":80"+path, bytes.NewReader([]byte(body)))
+	must.NoError(c.t, err)
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := c.transport(host).RoundTrip(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	return readAnswer(resp, text, err)
+}
+
+func readAnswer(resp *http.Response, text []byte, err error) answer {
+	got := answer{status: resp.StatusCode, verdict: resp.Header.Get(callerapi.HeaderVerdict), retry: resp.Header.Get("Retry-After"), err: err}
+	var body struct {
+		Code    string `json:"code"`
+		Model   string `json:"model"`
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if json.Unmarshal(text, &body) == nil {
+		got.code, got.model = body.Code, body.Model
+	}
+	if len(body.Choices) > 0 {
+		got.text = body.Choices[0].Text
+	}
+	return got
+}
+
+// wholeText is the answer of a stand-in engine of so many tokens.
+func wholeText(tokens int) string {
+	text := ""
+	for i := range tokens {
+		text += fmt.Sprintf("t%d ", i)
+	}
+	return text
+}
+
+// requireWhole fails unless the caller got the whole answer of the model.
+func requireWhole(t *testing.T, got answer, model string, tokens int) {
+	t.Helper()
+	must.NoError(t, got.err)
+	must.Eq(t, http.StatusOK, got.status, must.Sprintf("%+v", got))
+	must.Eq(t, model, got.model)
+	must.Eq(t, wholeText(tokens), got.text)
+	must.Eq(t, "ran", got.verdict)
+}
+
+// evictedInUse counts broken promises on all engines.
+func (c *cluster) evictedInUse() int {
+	broken := 0
+	for _, e := range c.world.Engines {
+		broken += e.Counts().EvictedInUse
+	}
+	return broken
+}
+
+// runs counts how often a caller's request was begun on any engine.
+func (c *cluster) runs(id string) int {
+	runs := 0
+	for _, e := range c.world.Engines {
+		runs += e.Runs(id)
+	}
+	return runs
+}
+
+// ownerOf gives the host that owns a runner, or "".
+func (c *cluster) ownerOf(runner string) string {
+	for id, node := range c.nodes {
+		for _, owned := range node.controller.Owned() {
+			if owned == runner {
+				return id
+			}
+		}
+	}
+	return ""
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,7 +118,7 @@
 		Dial: dial, ConnectTimeout: t.ConnectTimeout, FirstPieceTimeout: t.FirstPieceTimeout,
 		SilenceTimeout: t.SilenceTimeout, OrderTimeout: t.OrderTimeout, MaxResumes: maxResumes,
 	})
-	n.pool = peer.NewPool(n.self, []byte(n.cfg.PeerKey), peer.Dialer(dial))
+	n.pool = peer.NewPool(n.self, []byte(n.cfg.PeerKey), peer.Dialer(dial), n.log.Named("peer"))
 }
 
 func (n *Node) makeState() {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -15,10 +15,10 @@
 
 const (
 	hostListInterval = time.Second
-	idleInterval     = 10 * time.Second
+	idleInterval     = 5 * time.Second
 	// pinIdle is how long an unused pin is kept: long enough for a model in
 	// use, short enough that a host cut off blocks few evictions.
-	pinIdle       = time.Minute
+	pinIdle       = 15 * time.Second
 	limitInterval = 250 * time.Millisecond
 	headerTimeout = 10 * time.Second
 )
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 )
@@ -18,6 +19,7 @@
 	self Identity
 	key  []byte
 	dial Dialer
+	log  hclog.Logger
 
 	mu    sync.Mutex
 	peers map[string]*link
@@ -31,8 +33,8 @@
 }
 
 // NewPool makes a pool for the process self.
-func NewPool(self Identity, key []byte, dial Dialer) *Pool {
-	return &Pool{self: self, key: key, dial: dial, peers: map[string]*link{}}
+func NewPool(self Identity, key []byte, dial Dialer, log hclog.Logger) *Pool {
+	return &Pool{self: self, key: key, dial: dial, log: log, peers: map[string]*link{}}
 }
 
 // Call calls a method of the peer at an address. The context must have a
@@ -86,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(conn, codec{}), noCalls{})
+	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(conn, codec{}), noCalls{}, jsonrpc2.SetLogger(rpcLog{p.log}))
 	peer, err := introduce(ctx, rpc, p.self, p.key)
 	if err != nil {
 		_ = rpc.Close()
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -57,10 +58,15 @@
 	sess.patience = time.AfterFunc(handshakeTimeout, sess.expire)
 	s.conns[sess] = struct{}{}
 	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(conn, codec{}),
-		jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(sess.handle)))
+		jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(sess.handle)), jsonrpc2.SetLogger(rpcLog{s.log}))
 	go s.forget(sess, rpc)
 }
 
+// rpcLog takes what the library logs, which is mostly the end of connections.
+type rpcLog struct{ log hclog.Logger }
+
+func (l rpcLog) Printf(format string, values ...any) { l.log.Debug(fmt.Sprintf(format, values...)) }
+
 func (s *Server) forget(sess *session, rpc *jsonrpc2.Conn) {
 	<-rpc.DisconnectNotify()
 	sess.patience.Stop()
--- a/internal/residency/slots.go
+++ b/internal/residency/slots.go
@@ -103,6 +103,10 @@
 func (r *Runner) Candidates() []Candidate {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.candidatesLocked()
+}
+
+func (r *Runner) candidatesLocked() []Candidate {
 	if !r.owned || !r.ready || len(r.unheard) > 0 {
 		return nil
 	}
@@ -230,7 +234,9 @@
 	Fill     float64    `json:"fill"`
 	Models   []SlotView `json:"models"`
 	Doubts   int        `json:"doubts,omitempty"`
-	Unheard  int        `json:"unheard,omitempty"`
+	// Evictable is the number of models that could make room now.
+	Evictable int `json:"evictable"`
+	Unheard   int `json:"unheard,omitempty"`
 }
 
 // View gives the runner as its owner sees it, the slots sorted by model.
@@ -243,6 +249,11 @@
 		Running: r.report.Running, Queued: r.report.Queued, Fill: r.report.Fill,
 		Doubts: len(r.doubts), Unheard: len(r.unheard),
 	}
+	for _, candidate := range r.candidatesLocked() {
+		if candidate.Running == 0 {
+			view.Evictable++
+		}
+	}
 	for _, model := range sortedKeys(r.slots) {
 		s := r.slots[model]
 		state := s.state
@@ -257,7 +268,7 @@
 // Same says whether two views differ in nothing that a peer must be told.
 func (v View) Same(other View) bool {
 	if v.Runner != other.Runner || v.Owner != other.Owner || v.Fence != other.Fence || v.Boot != other.Boot ||
-		v.Slots != other.Slots || v.Running != other.Running || v.Queued != other.Queued || len(v.Models) != len(other.Models) {
+		v.Slots != other.Slots || v.Running != other.Running || v.Queued != other.Queued || (v.Evictable == 0) != (other.Evictable == 0) || len(v.Models) != len(other.Models) {
 		return false
 	}
 	for i := range v.Models {
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -153,7 +153,7 @@
 // placeScore orders runners for a load; smaller is better. Its steps are
 // coarse, so that hosts with slightly different views agree.
 type placeScore struct {
-	full    int // 0 with a free slot, else 1
+	full    int // 0 with a free slot, 1 where one can be made, else 2
 	loading int
 	wait    int // steps of queue wait
 	busy    int // steps of occupancy
@@ -166,8 +166,14 @@
 
 func scoreOf(r Runner, weights Weights, times Times) placeScore {
 	score := placeScore{loading: r.Loading, wait: int(QueueWait(r, weights, times) / waitStep)}
-	if r.Free <= 0 {
+	switch {
+	case r.Free > 0:
+	case r.Evictable > 0:
 		score.full = 1
+	default:
+		// Nothing can make room there now, for instance since a host that may
+		// hold pins is not heard: any other runner serves the caller sooner.
+		score.full = 2
 	}
 	if r.MaxBatch > 0 {
 		score.busy = r.Occupancy * busySteps / r.MaxBatch
@@ -180,6 +186,9 @@
 }
 
 func (a placeScore) less(b placeScore) bool {
+	if (a.full == 2) != (b.full == 2) {
+		return a.full < b.full
+	}
 	if a.wait != b.wait {
 		return a.wait < b.wait
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -162,17 +162,19 @@
 
 // Runner is one runner as a decision sees it.
 type Runner struct {
-	ID       string
-	Address  string
-	Owner    string
-	Base     string
-	Live     bool
-	Known    bool
-	Fence    uint64
-	Slots    int
-	Free     int
-	Loading  int
-	MaxBatch int
+	ID      string
+	Address string
+	Owner   string
+	Base    string
+	Live    bool
+	Known   bool
+	Fence   uint64
+	Slots   int
+	Free    int
+	Loading int
+	// Evictable is the number of models that could make room.
+	Evictable int
+	MaxBatch  int
 	// Occupancy is the number of requests on the runner, by the owner's last
 	// word and this host's own count since.
 	Occupancy int
@@ -193,7 +195,7 @@
 		ID: info.host.ID, Address: info.host.Address, Owner: view.Owner, Base: info.host.Base,
 		Live: info.host.State == fleet.StateLive, Known: info.known, Fence: view.Fence,
 		Slots: view.Slots, Free: view.Slots - len(view.Models), Loading: loading,
-		MaxBatch: view.MaxBatch, Occupancy: occupancy, Own: own,
+		Evictable: view.Evictable, MaxBatch: view.MaxBatch, Occupancy: occupancy, Own: own,
 	}
 }
 
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -117,6 +117,13 @@
 	return e.runs[request]
 }
 
+// ResidentCount gives the number of slots that hold a model.
+func (e *Engine) ResidentCount() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.resident)
+}
+
 // Resident tells whether a model is loaded.
 func (e *Engine) Resident(model string) bool {
 	e.mu.Lock()
--- /dev/null
+++ b/internal/standin/network.go
@@ -0,0 +1,228 @@
+package standin
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Network is a network in memory between named hosts, for tests in virtual
+// time. Hosts can be cut off from each other, and open connections can be made
+// to go silent while new ones work.
+type Network struct {
+	mu        sync.Mutex
+	listeners map[string]*memListener
+	conns     map[*memConn]struct{}
+	cut       map[[2]string]bool
+}
+
+// NewNetwork makes a network without hosts.
+func NewNetwork() *Network {
+	return &Network{listeners: map[string]*memListener{}, conns: map[*memConn]struct{}{}, cut: map[[2]string]bool{}}
+}
+
+// HostNet is the network as one host uses it.
+type HostNet struct {
+	network *Network
+	host    string
+}
+
+// Host gives the network as a host uses it.
+func (n *Network) Host(name string) *HostNet { return &HostNet{network: n, host: name} }
+
+// Listen listens on the host's only address of a port.
+func (h *HostNet) Listen(port string) (net.Listener, error) {
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	address := h.host + ":" + port
+	listener := &memListener{network: h.network, host: h.host, address: memAddr(address), incoming: make(chan net.Conn), closed: make(chan struct{})}
+	h.network.listeners[address] = listener
+	return listener, nil
+}
+
+// Dial opens a connection from the host.
+func (h *HostNet) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	refused := &net.OpError{Op: "dial", Net: network, Addr: memAddr(address), Err: syscall.ECONNREFUSED}
+	target := hostOf(address)
+	h.network.mu.Lock()
+	listener := h.network.listeners[address]
+	blocked := h.network.isCut(h.host, target)
+	h.network.mu.Unlock()
+	if listener == nil || blocked {
+		return nil, refused
+	}
+	near, far := net.Pipe()
+	client := &memConn{Conn: near, network: h.network, ends: [2]string{h.host, target}, closed: make(chan struct{})}
+	server := &memConn{Conn: far, network: h.network, ends: [2]string{h.host, target}, closed: make(chan struct{})}
+	h.network.add(client, server)
+	select {
+	case listener.incoming <- server:
+		return client, nil
+	case <-listener.closed:
+		_ = client.Close()
+		return nil, refused
+	case <-ctx.Done():
+		_ = client.Close()
+		return nil, &net.OpError{Op: "dial", Net: network, Addr: memAddr(address), Err: ctx.Err()}
+	}
+}
+
+func hostOf(address string) string {
+	host, _, _ := net.SplitHostPort(address)
+	return host
+}
+
+func (n *Network) add(conns ...*memConn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, conn := range conns {
+		n.conns[conn] = struct{}{}
+	}
+}
+
+func (n *Network) isCut(a, b string) bool {
+	return n.cut[[2]string{a, b}] || n.cut[[2]string{b, a}] || n.cut[[2]string{a, "*"}] || n.cut[[2]string{b, "*"}]
+}
+
+// Cut breaks the connections between two hosts and lets none be made; "*"
+// stands for every other host.
+func (n *Network) Cut(a, b string) {
+	n.mu.Lock()
+	n.cut[[2]string{a, b}] = true
+	n.mu.Unlock()
+	n.each(a, b, func(conn *memConn) { _ = conn.Close() })
+}
+
+// Mend undoes Cut.
+func (n *Network) Mend(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, [2]string{a, b})
+}
+
+// Silence makes the open connections between two hosts carry nothing any
+// more, without either end noticing. New connections work.
+func (n *Network) Silence(a, b string) {
+	n.each(a, b, func(conn *memConn) { conn.silence() })
+}
+
+func (n *Network) each(a, b string, do func(conn *memConn)) {
+	n.mu.Lock()
+	var chosen []*memConn
+	for conn := range n.conns {
+		if conn.between(a, b) {
+			chosen = append(chosen, conn)
+		}
+	}
+	n.mu.Unlock()
+	for _, conn := range chosen {
+		do(conn)
+	}
+}
+
+// Close breaks every connection.
+func (n *Network) Close() {
+	n.each("*", "*", func(conn *memConn) { _ = conn.Close() })
+}
+
+type memAddr string
+
+func (a memAddr) Network() string { return "tcp" }
+func (a memAddr) String() string  { return string(a) }
+
+type memListener struct {
+	network  *Network
+	host     string
+	address  memAddr
+	incoming chan net.Conn
+	once     sync.Once
+	closed   chan struct{}
+}
+
+func (l *memListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.incoming:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.network.mu.Lock()
+		defer l.network.mu.Unlock()
+		if l.network.listeners[string(l.address)] == l {
+			delete(l.network.listeners, string(l.address))
+		}
+	})
+	return nil
+}
+
+func (l *memListener) Addr() net.Addr { return l.address }
+
+// memConn is one end of a connection.
+type memConn struct {
+	net.Conn
+	network *Network
+	ends    [2]string
+	once    sync.Once
+	closed  chan struct{}
+
+	mu     sync.Mutex
+	silent bool
+}
+
+func (c *memConn) between(a, b string) bool {
+	has := func(name string) bool { return name == "*" || c.ends[0] == name || c.ends[1] == name }
+	return has(a) && has(b)
+}
+
+func (c *memConn) silence() {
+	c.mu.Lock()
+	c.silent = true
+	c.mu.Unlock()
+	// A write under way waits for a reader that will never come: it ends here.
+	_ = c.Conn.SetWriteDeadline(time.Now())
+}
+
+func (c *memConn) isSilent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent
+}
+
+func (c *memConn) Write(data []byte) (int, error) {
+	if c.isSilent() {
+		return len(data), nil
+	}
+	n, err := c.Conn.Write(data)
+	if err != nil && c.isSilent() {
+		return len(data), nil
+	}
+	return n, err
+}
+
+func (c *memConn) Read(data []byte) (int, error) {
+	n, err := c.Conn.Read(data)
+	if c.isSilent() && (n > 0 || err == nil) {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *memConn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.network.mu.Lock()
+		delete(c.network.conns, c)
+		c.network.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
+
+func (c *memConn) RemoteAddr() net.Addr { return memAddr(c.ends[0] + ":0") }
