--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -104,6 +104,8 @@
 	pass      func(Piece) error
 	assembler *Assembler
 	passed    int
+	// reused says that the first try went out on a pooled connection.
+	reused atomic.Bool
 }
 
 func (a *attempt) first(ctx context.Context) *Failure {
@@ -111,7 +113,7 @@
 	defer cancel(nil)
 	patience := time.AfterFunc(a.client.cfg.FirstPieceTimeout, func() { cancel(errSilent) })
 	defer patience.Stop()
-	resp, failure := a.send(ctx)
+	resp, failure := a.send(ctx, patience)
 	if failure != nil {
 		return failure
 	}
@@ -120,10 +122,19 @@
 }
 
 // send posts the request and gives the response once its header has come.
-func (a *attempt) send(ctx context.Context) (*http.Response, *Failure) {
+func (a *attempt) send(ctx context.Context, patience *time.Timer) (*http.Response, *Failure) {
 	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			connected.Store(true)
+			if info.Reused {
+				// A pooled connection may have gone silent while it was idle:
+				// then nothing would come for as long as the first piece may
+				// take. After a shorter wait the answer is asked for on a new one.
+				a.reused.Store(true)
+				patience.Reset(min(a.client.cfg.SilenceTimeout, a.client.cfg.FirstPieceTimeout))
+			}
+		},
 	})
 	req, err := http.NewRequestWithContext(traced, http.MethodPost, "http://"+a.call.Address+a.call.Path, bytes.NewReader(a.call.Body))
 	if err != nil {
@@ -192,11 +203,13 @@
 }
 
 // resumable says whether the rest of the answer can be asked for: the engine
-// has begun the request, its connection broke or went silent, and the caller
-// is still there.
+// has, or may have, begun the request, its connection broke or went silent,
+// and the caller is still there.
 func (a *attempt) resumable(ctx context.Context, failure *Failure) bool {
-	return failure.Stage == StageStream && ctx.Err() == nil &&
-		(failure.Code == CodeCut || failure.Code == CodeSilent)
+	if ctx.Err() != nil || (failure.Code != CodeCut && failure.Code != CodeSilent) {
+		return false
+	}
+	return failure.Stage == StageStream || (failure.Stage == StageSend && a.reused.Load())
 }
 
 // resume takes the answer up again from the first piece that is missing, on a
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -17,6 +17,13 @@
 	maxHeldPieces = 256
 )
 
+// After the closing mark the rest of the body is read, so that the connection
+// can be used again; an engine that does not end it is not waited for.
+const (
+	drainTime  = 50 * time.Millisecond
+	drainBytes = 512
+)
+
 var errSilent = errors.New("no piece within the time allowed")
 
 // errCaller wraps the failure to pass a piece on.
@@ -38,6 +45,8 @@
 			return failure
 		}
 		if a.assembler.Whole() {
+			patience.Reset(drainTime)
+			_, _ = io.CopyN(io.Discard, body, drainBytes)
 			return nil
 		}
 	}
--- /dev/null
+++ b/internal/node/once_test.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"bytes"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/callerapi"
+	"github.com/cherrystage/cherrystage/internal/standin"
+	"github.com/shoenig/test/must"
+)
+
+func bodyOf(text string) io.Reader { return bytes.NewReader([]byte(text)) }
+
+// tug sends a request that may run only once, under an idempotency key.
+func (c *cluster) tug(host, key, id string) answer {
+	return c.send(host, "/services/dispatch/tugs", `{"tug":7}`, callerapi.HeaderIdempotencyKey, key, callerapi.HeaderRequestID, id)
+}
+
+func TestRace12SameRequestThroughTwoHostsAtOnce(t *testing.T) {
+	// A caller sends one tug call through two hosts at once under one key. It
+	// runs once; the other try is told that it may have run or has run.
+	inCluster(t, 2, smallWorld(), func(c *cluster) {
+		var wg sync.WaitGroup
+		got := make([]answer, 2)
+		for i, host := range []string{"e1", "e2"} {
+			wg.Go(func() { got[i] = c.tug(host, "key-1", "tug") })
+		}
+		wg.Wait()
+		must.Eq(t, 1, c.world.Service.Runs("tug"))
+		if got[0].status != 200 {
+			got[0], got[1] = got[1], got[0]
+		}
+		must.Eq(t, 200, got[0].status)
+		must.Eq(t, 409, got[1].status)
+		must.NotEq(t, "not-run", got[1].verdict)
+		time.Sleep(time.Second)
+		must.Eq(t, "ran", c.tug("e2", "key-1", "tug").verdict)
+		must.Eq(t, 1, c.world.Service.Runs("tug"))
+	})
+}
+
+func TestRepeatAfterFirstHostDied(t *testing.T) {
+	// The host that sent a once-only completion dies before it can note how it
+	// ended. The caller repeats it through another host under its key, and is
+	// told that it may have run; it does not run again.
+	inCluster(t, 3, smallWorld(), func(c *cluster) {
+		c.fill("e1", "a0")
+		header := []string{callerapi.HeaderIdempotent, "false", callerapi.HeaderIdempotencyKey, "key-2"}
+		go c.ask("e2", "a0", "once", 500, header...)
+		time.Sleep(2 * time.Second)
+		must.Eq(t, 1, c.runs("once"))
+		c.kill("e2")
+		time.Sleep(20 * time.Second)
+		got := c.ask("e3", "a0", "once", 500, header...)
+		must.Eq(t, 409, got.status)
+		must.Eq(t, "may-have-run", got.verdict)
+		must.Eq(t, 1, c.runs("once"))
+	})
+}
+
+func TestClaimWithLostAnswer(t *testing.T) {
+	// The object API takes the claim and loses its answer. The host finds its
+	// own claim and runs the request, once.
+	inCluster(t, 2, smallWorld(), func(c *cluster) {
+		c.world.Platform.LoseAnswers(1)
+		must.Eq(t, 200, c.tug("e1", "key-3", "tug").status)
+		must.Eq(t, 1, c.world.Service.Runs("tug"))
+	})
+}
+
+func TestOnceOnlyRequestsWhileStoreIsDown(t *testing.T) {
+	// The object API is down. A once-only request with a key cannot be claimed
+	// and is refused as not run, at once; one without a key, which its caller
+	// will not repeat, runs.
+	inCluster(t, 2, smallWorld(), func(c *cluster) {
+		c.world.Platform.SetDown(true)
+		got := c.tug("e1", "key-4", "tug")
+		must.Eq(t, 503, got.status)
+		must.Eq(t, "not-run", got.verdict)
+		must.NotEq(t, "", got.retry)
+		must.Eq(t, 200, c.send("e1", "/services/dispatch/tugs", `{}`, callerapi.HeaderRequestID, "keyless").status)
+		must.Eq(t, 1, c.world.Service.Runs("keyless"))
+		must.Eq(t, 0, c.world.Service.Runs("tug"))
+	})
+}
+
+func TestNotRunRefusalsAreTriedAgain(t *testing.T) {
+	// Engines refuse twice before they begin and say so. A once-only request
+	// is tried again and runs once; after a plain failure it is not.
+	inCluster(t, 2, smallWorld(), func(c *cluster) {
+		c.fill("e1", "a0")
+		c.setFaults(standin.Faults{RefuseNotRun: 1})
+		once := []string{callerapi.HeaderIdempotent, "false"}
+		requireWhole(t, c.ask("e1", "a0", "refused", 5, once...), "a0@1", 5)
+		must.Eq(t, 1, c.runs("refused"))
+		c.setFaults(standin.Faults{Fail500: 1})
+		got := c.ask("e1", "a0", "failed", 5, once...)
+		must.Eq(t, 502, got.status)
+		must.Eq(t, "may-have-run", got.verdict)
+	})
+}
--- a/internal/node/races_test.go
+++ b/internal/node/races_test.go
@@ -75,9 +75,9 @@
 		adapter := order.Model[:2]
 		runner := c.runnerWith(order.Model)
 		owner := c.ownerOf(runner)
-		c.isolate(owner, runner)
+		c.isolate(owner)
 		time.Sleep(15 * time.Second)
-		successor := c.ownerOf2(runner, owner)
+		successor := c.successorOf(runner, owner)
 		must.NotEq(t, "", successor, must.Sprint("nobody took the runner over"))
 		got := c.ask(successor, adapter, "long", 3000)
 		requireWhole(t, got, order.Model, 3000)
@@ -99,7 +99,7 @@
 
 // isolate cuts a host off from the platform and its peers; its connections to
 // runners stay.
-func (c *cluster) isolate(host string, _ ...string) {
+func (c *cluster) isolate(host string) {
 	c.net.Cut(host, "platform")
 	for id := range c.nodes {
 		if id != host {
@@ -108,8 +108,8 @@
 	}
 }
 
-// ownerOf2 gives the owner of a runner other than a former one.
-func (c *cluster) ownerOf2(runner, former string) string {
+// successorOf gives the owner of a runner other than a former one.
+func (c *cluster) successorOf(runner, former string) string {
 	for id, node := range c.nodes {
 		for _, owned := range node.controller.Owned() {
 			if owned == runner && id != former {
@@ -122,9 +122,10 @@
 
 func TestRace03HolderCutOffKeepsItsPin(t *testing.T) {
 	// A caller streams through a host that is cut off from its peers, with the
-	// pin it was given before, and gets every piece. Meanwhile the owner is
-	// pressed for room on that runner by other callers. A holder that is not
-	// heard may be paused just before it sends, so its pins stand.
+	// pin it was given before, and gets every piece. The owner was pressed for
+	// room just before, when the host's pin was idle; the eviction would reach
+	// the engine after the stream began. A holder that is not heard may be
+	// paused just before it sends, so its pins stand.
 	inCluster(t, 3, smallWorld(), func(c *cluster) {
 		c.fill("e1", "a0", "a1", "a2", "a3")
 		runner := c.runnerWith("a0@1")
@@ -135,20 +136,36 @@
 				c.net.Cut(holder, id)
 			}
 		}
-		time.Sleep(10 * time.Second)
-		other := c.otherHost(holder)
+		evicting := c.delayEvictions("a0@1", 2*time.Second)
 		var wg sync.WaitGroup
 		for _, model := range []string{"a4", "a5", "a6", "a7"} {
-			wg.Go(func() { c.ask(other, model, "press-"+model, 1) })
+			wg.Go(func() { c.ask(c.otherHost(holder), model, "press-"+model, 1) })
+		}
+		select {
+		case <-evicting:
+		case <-time.After(10 * time.Second):
 		}
-		got := c.ask(holder, "a0", "paused", 1500)
+		got := c.ask(holder, "a0", "paused", 500)
 		wg.Wait()
-		requireWhole(t, got, "a0@1", 1500)
 		must.Eq(t, 0, c.evictedInUse())
+		requireWhole(t, got, "a0@1", 500)
 		must.Eq(t, runner, c.nodes[holder].storyOf("paused"))
 	})
 }
 
+// delayEvictions makes evictions of a model reach their engine late, and tells
+// when the first was sent.
+func (c *cluster) delayEvictions(model string, delay time.Duration) <-chan bool {
+	sent := make(chan bool, 16)
+	c.setFaults(standin.Faults{HoldOrder: func(order engine.Order) {
+		if order.Kind == engine.OrderEvict && order.Model == model {
+			sent <- true
+			time.Sleep(delay)
+		}
+	}})
+	return sent
+}
+
 // storyOf gives the runner that served a request.
 func (n *testNode) storyOf(request string) string {
 	story, _ := n.traces.Find(request)
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -18,6 +18,7 @@
 // Limits of the client.
 const (
 	defaultTimeout   = 3 * time.Second
+	firstReadTimeout = time.Second
 	watchGrace       = 2 * time.Second
 	maxListingBytes  = 64 << 20
 	maxErrorBodySize = 512
@@ -46,7 +47,17 @@
 
 // Get reads one object.
 func (c *Client) Get(ctx context.Context, key string) (Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	object, err := c.getOnce(ctx, key, firstReadTimeout)
+	if err == nil || !errors.Is(err, ErrUnavailable) || ctx.Err() != nil {
+		return object, err
+	}
+	// The pooled connection may have gone silent while new ones work.
+	c.http.CloseIdleConnections()
+	return c.getOnce(ctx, key, c.timeout)
+}
+
+func (c *Client) getOnce(ctx context.Context, key string, timeout time.Duration) (Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	resp, err := c.do(ctx, "get", key, http.MethodGet, "/objects/"+key, nil, nil)
 	if err != nil {
@@ -143,6 +154,8 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		// Whatever was wrong with this connection may be wrong with its like.
+		c.http.CloseIdleConnections()
 		return nil, &Error{Op: op, Key: key, Cause: transportCause(method), Info: err.Error()}
 	}
 	if resp.StatusCode < http.StatusMultipleChoices {
