--- /dev/null
+++ b/internal/dispatch/limits_test.go
@@ -0,0 +1,111 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+)
+
+func TestBudgetBoundsSecondTries(t *testing.T) {
+	// A target fails every request. Second tries stay a fifth of the first
+	// ones, with a few to spare, so the target is not beaten further.
+	budget := NewBudget(0.2)
+	retries := 0
+	for range 1000 {
+		budget.First()
+		if budget.Retry() {
+			retries++
+		}
+	}
+	must.LessEq(t, 1000/5+budgetReserve, retries)
+	must.GreaterEq(t, 1000/5, retries)
+}
+
+func TestBreakerTriesWithASingleRequest(t *testing.T) {
+	// A target failed three times. It is left alone; after its rest one request
+	// goes to it and all others stay away until that one has ended.
+	now := time.Unix(0, 0)
+	b := NewBreakers()
+	for range breakerFailures {
+		must.True(t, b.Enter("r", now))
+		b.Leave("r", false, now)
+	}
+	must.False(t, b.Enter("r", now))
+	now = now.Add(breakerFirst)
+	must.True(t, b.Enter("r", now))
+	must.False(t, b.Enter("r", now))
+	must.True(t, b.Avoid("r", now))
+	b.Leave("r", false, now)
+	must.False(t, b.Enter("r", now.Add(breakerFirst)))
+	now = now.Add(2 * breakerFirst)
+	must.True(t, b.Enter("r", now))
+	b.Leave("r", true, now)
+	must.True(t, b.Enter("r", now))
+	must.True(t, b.Enter("r", now))
+}
+
+func TestBurstOfOneCallerDoesNotStarveAnother(t *testing.T) {
+	// One caller has a hundred requests waiting when another's first comes. It
+	// gets the next place but one, and from then on every second.
+	q := newFairQueue()
+	for range 100 {
+		q.push(Entrant{Caller: "digests"})
+	}
+	for range 3 {
+		q.push(Entrant{Caller: "gauge"})
+	}
+	var order []string
+	for range 6 {
+		order = append(order, q.pop().entrant.Caller)
+	}
+	must.SliceContainsAll(t, []string{"digests", "gauge", "digests", "gauge", "digests", "gauge"}, order)
+	must.Eq(t, "gauge", order[1])
+}
+
+func TestPriorityGoesFirst(t *testing.T) {
+	q := newFairQueue()
+	q.push(Entrant{Caller: "a", Priority: 0})
+	q.push(Entrant{Caller: "b", Priority: 5})
+	must.Eq(t, "b", q.pop().entrant.Caller)
+}
+
+func TestGateRefusesEarlyWhatCannotBeServedInTime(t *testing.T) {
+	// All places are taken for long and others wait. A newcomer that would wait
+	// longer than allowed is refused at once and told when to come again; one
+	// that waits and is not admitted in time is refused at that time.
+	synctest.Test(t, func(t *testing.T) {
+		gate := NewGate(1, 10, 3*time.Second, 2*time.Second)
+		must.NoError(t, gate.Enter(context.Background(), Entrant{Caller: "a"}))
+		waited := make(chan error, 1)
+		go func() { waited <- gate.Enter(context.Background(), Entrant{Caller: "a"}) }()
+		synctest.Wait()
+		began := time.Now()
+		err := gate.Enter(context.Background(), Entrant{Caller: "a"})
+		var full *FullError
+		must.True(t, errors.As(err, &full))
+		must.Eq(t, 0, time.Since(began))
+		must.Eq(t, 4*time.Second, full.RetryAfter)
+		must.Error(t, <-waited)
+		must.Eq(t, 3*time.Second, time.Since(began))
+	})
+}
+
+func TestGateGivesPlacesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := NewGate(2, 10, time.Minute, time.Second)
+		for i := range 8 {
+			go func() {
+				must.NoError(t, gate.Enter(context.Background(), Entrant{Caller: "a"}))
+				time.Sleep(time.Duration(i+1) * time.Second)
+				gate.Leave(time.Second)
+			}()
+		}
+		time.Sleep(time.Minute)
+		must.Eq(t, 0, gate.InUse())
+		must.Eq(t, 0, gate.Waiting())
+	})
+}
--- a/internal/loading/queue.go
+++ b/internal/loading/queue.go
@@ -109,8 +109,7 @@
 			delete(q.active, other)
 		}
 	}
-	ask, ok := q.waiting[ticket]
-	if !ok || len(q.active) >= q.parallel || q.first() != ticket || q.brokenLocked(ask.Model, now) > 0 {
+	if _, ok := q.waiting[ticket]; !ok || len(q.active) >= q.parallel || q.first(now) != ticket {
 		return false
 	}
 	if !q.allowance.Take(now) {
@@ -121,9 +120,14 @@
 	return true
 }
 
-func (q *Queue) first() uint64 {
+// first gives the ticket that is next in order. Asks for a model whose loads
+// are put off are passed over.
+func (q *Queue) first(now time.Time) uint64 {
 	var best uint64
 	for ticket, ask := range q.waiting {
+		if q.brokenLocked(ask.Model, now) > 0 {
+			continue
+		}
 		if best == 0 {
 			best = ticket
 			continue
