Foresight: rates at homes, new versions, restarts and habits; changes of slots told at once

Cause: evictions went by each host's own count of requests, and nothing was loaded before a caller waited. Now each adapter has a home that keeps its demand, tells owners the rates of what is resident, and asks for foreseen loads; a foreseen load evicts only what is worth clearly less. Found on the way: (1) slots changed at one owner were known to others half a second later, so homes evicted models while other runners had free slots; a change of slots now goes out at once. (3) Versions of one adapter had different homes, so a new version was never loaded ahead; the home goes by the adapter's name (TestNewVersionIsLoadedBeforeItIsCurrent, red then green).

--- a/internal/control/evict.go
+++ b/internal/control/evict.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/engine"
+	"github.com/cherrystage/cherrystage/internal/loading"
 	"github.com/cherrystage/cherrystage/internal/residency"
 	"github.com/cherrystage/cherrystage/internal/verdict"
 	"github.com/pkg/errors"
@@ -21,9 +22,10 @@
 // errNoVictim: nothing on the runner can be evicted now.
 var errNoVictim = errors.New("nothing on the runner can be evicted now")
 
-// makeRoom evicts the model of a runner that is least worth keeping.
-func (c *Controller) makeRoom(ctx context.Context, m *managed) error {
-	candidates := c.victims(m, time.Now())
+// makeRoom evicts the model of a runner that is least worth keeping. For a
+// load that nobody waits for it takes only what is worth clearly less.
+func (c *Controller) makeRoom(ctx context.Context, m *managed, ask loading.Ask) error {
+	candidates := c.victimsFor(m, ask, time.Now())
 	for _, candidate := range candidates {
 		err := c.evict(ctx, m, candidate.Model)
 		if err == nil {
@@ -34,6 +36,20 @@
 	return errNoVictim
 }
 
+// foreseenMargin keeps two models of like demand from taking turns.
+const foreseenMargin = 0.5
+
+// victimsFor gives the models that may be evicted for a load.
+func (c *Controller) victimsFor(m *managed, ask loading.Ask, now time.Time) []residency.Candidate {
+	candidates := c.victims(m, now)
+	if ask.Class == loading.ClassWaiting {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(candidate residency.Candidate) bool {
+		return !candidate.InDoubt && c.deps.Demand.PerSecond(candidate.Model, now) > foreseenMargin*ask.Value
+	})
+}
+
 // victims orders the models that could be evicted: in doubt and useless
 // first, then by the expected uses that their eviction would cost.
 func (c *Controller) victims(m *managed, now time.Time) []residency.Candidate {
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -153,15 +153,16 @@
 	if _, present := m.runner.State(ask.Model); present {
 		return nil, false
 	}
-	if m.runner.Free() <= 0 && len(c.victims(m, time.Now())) == 0 {
-		return errNoVictim, true
+	if m.runner.Free() <= 0 && len(c.victimsFor(m, ask, time.Now())) == 0 {
+		// A caller waits for room; a foreseen need is dropped and may come again.
+		return errNoVictim, ask.Class == loading.ClassWaiting
 	}
 	permit, err := c.deps.Loads.Acquire(ctx, ask, permitWait)
 	if err != nil {
 		return err, !errors.Is(err, loading.ErrBroken)
 	}
 	if !m.runner.BeginLoad(ask.Model, time.Now()) {
-		if err := c.makeRoom(ctx, m); err != nil {
+		if err := c.makeRoom(ctx, m, ask); err != nil {
 			permit.Cancel()
 			return err, true
 		}
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/fleet"
+	"github.com/cherrystage/cherrystage/internal/inventory"
 	"github.com/cherrystage/cherrystage/internal/peer"
 	"github.com/cherrystage/cherrystage/internal/routing"
 )
@@ -20,10 +21,11 @@
 )
 
 // Home gives the member that keeps a model's demand and chooses where it is
-// loaded. It is a hint, not a lease: two homes for a moment cost one extra
+// loaded; all versions of an adapter have one home. It is a hint, not a lease: two homes for a moment cost one extra
 // load, and nothing that must hold depends on it.
 func Home(model string, candidates []string) string {
-	return fleet.First("home/"+model, candidates)
+	adapter, _ := inventory.SplitModel(model)
+	return fleet.First("home/"+adapter, candidates)
 }
 
 // Placer chooses where models are loaded: at their home for all hosts.
@@ -143,6 +145,11 @@
 	p.recent[model] = placement{runner: runner, at: now}
 }
 
+// PlaceAhead chooses the runner for a load that nobody waits for.
+func (d *Dispatcher) PlaceAhead(ctx context.Context, model, base string) (routing.Runner, bool) {
+	return d.deps.Placer.Place(ctx, model, base, nil, d.times(time.Now()))
+}
+
 // LoadWait gives the time until a load asked for now would be done, as the
 // member that orders loads last told.
 func (p *Placer) LoadWait(now time.Time) time.Duration {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -26,6 +26,8 @@
 	Member fleet.Member     `json:"member"`
 	Views  []residency.View `json:"views,omitempty"`
 	Counts []demand.Count   `json:"counts,omitempty"`
+	// Rates are the requests a second of models resident on the receiver's runners.
+	Rates []demand.Count `json:"rates,omitempty"`
 	// Full: the sender wants the receiver's whole state, since it has just started.
 	Full bool `json:"full,omitempty"`
 }
@@ -56,6 +58,9 @@
 	// Counted takes those that a peer sends.
 	TakeCounts func(host string) []demand.Count
 	Counted    func(counts []demand.Count)
+	// TakeRates gives rates for a peer that owns runners; Rates takes a peer's.
+	TakeRates func(host string) []demand.Count
+	Rates     func(rates []demand.Count)
 	// Heard is told each member's word.
 	Heard func(member fleet.Member)
 	Log   hclog.Logger
@@ -66,6 +71,7 @@
 	deps     Deps
 	interval time.Duration
 	seeds    []string
+	nudged   chan struct{}
 
 	mu    sync.Mutex
 	sent  map[string]map[string]residency.View
@@ -76,7 +82,7 @@
 // NewService makes the service. seeds are peers' addresses to start from while
 // the host list is away.
 func NewService(deps Deps, interval time.Duration, seeds []string) *Service {
-	return &Service{deps: deps, interval: interval, seeds: seeds, sent: map[string]map[string]residency.View{}, met: map[string]string{}}
+	return &Service{deps: deps, interval: interval, seeds: seeds, nudged: make(chan struct{}, 1), sent: map[string]map[string]residency.View{}, met: map[string]string{}}
 }
 
 // Register adds the methods that peers call.
@@ -86,6 +92,7 @@
 		beat.Member.Incarnation = from.Incarnation
 		s.take(beat.Member, beat.Views)
 		s.deps.Counted(beat.Counts)
+		s.deps.Rates(beat.Rates)
 		answer := Answer{Member: s.deps.Self()}
 		if beat.Full {
 			answer.Views = s.deps.Views()
@@ -111,10 +118,32 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-s.nudged:
+			pause(ctx, nudgePause)
 		}
 	}
 }
 
+// nudgePause lets changes that come together go out together.
+const nudgePause = 20 * time.Millisecond
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Nudge makes a round go out soon.
+func (s *Service) Nudge() {
+	select {
+	case s.nudged <- struct{}{}:
+	default:
+	}
+}
+
 // Round sends one heartbeat to each neighbour. A slow peer does not hold the
 // next round up; it is sent to again once it has answered.
 func (s *Service) Round(ctx context.Context) {
@@ -157,7 +186,10 @@
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	fresh := s.changedFor(to.host)
-	beat := Beat{Member: s.deps.Self(), Views: fresh, Counts: s.deps.TakeCounts(to.host), Full: !s.hasMet(to.host, "")}
+	beat := Beat{
+		Member: s.deps.Self(), Views: fresh, Counts: s.deps.TakeCounts(to.host),
+		Rates: s.deps.TakeRates(to.host), Full: !s.hasMet(to.host, ""),
+	}
 	var answer Answer
 	if err := s.deps.Peers.Call(ctx, to.address, methodBeat, beat, &answer); err != nil {
 		s.forgetSent(to.host)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,9 @@
 	// usualService is the usual time of a request until one was measured.
 	usualService = 2 * time.Second
 	maxResumes   = 3
+	// orderLives is how many times its timeout an order may go on at an engine:
+	// a load that was not answered in time may share the weight store with others.
+	orderLives = 3
 )
 
 // Node is one entry host.
@@ -80,6 +83,10 @@
 	draining bool
 	owned    map[string]residency.View
 	runCtx   context.Context
+	// demandVersion and lastCandidates belong to the loops that keep demand.
+	demandVersion  objectapi.Version
+	fresh          freshVersions
+	lastCandidates []string
 	// handedOver is closed once a drain has given all runners away.
 	handedOver chan struct{}
 }
@@ -145,14 +152,14 @@
 	n.loads = loading.NewService(n.cfg.Host, queue, n.allowance, n.members, n.pool, t.OrderTimeout, n.log.Named("loading"))
 	n.controller = control.New(control.Config{
 		Self: n.self, DataCentre: n.cfg.DataCentre, LeaseLife: t.LeaseLife, ReportInterval: t.ReportInterval,
-		OrderLife: t.OrderTimeout, Parallel: n.cfg.Loads.Parallel,
+		OrderLife: orderLives * t.OrderTimeout, Parallel: n.cfg.Loads.Parallel,
 	}, control.Deps{
 		Engines: n.engines, Objects: n.objects, Loads: n.loads, Demand: n.demand, Peers: n.pool,
 		Hosts: n.hosts, Members: n.members, Holder: n.holder, Publish: n.publish, Log: n.log.Named("control"),
 	})
 	n.membership = membership.NewService(membership.Deps{
 		Peers: n.pool, Hosts: n.hosts, Members: n.members, Self: n.member, Views: n.ownedViews, Seen: n.seen,
-		TakeCounts: n.demand.take, Counted: n.demand.counted, Heard: n.heard, Log: n.log.Named("membership"),
+		TakeCounts: n.demand.take, Counted: n.demand.counted, TakeRates: n.demand.ratesFor, Rates: n.demand.tell, Heard: n.heard, Log: n.log.Named("membership"),
 	}, t.HeartbeatInterval, splitSeeds(n.cfg.Seeds))
 	n.sync = configsync.New(configsync.Config{
 		Host: n.cfg.Host, DataCentre: n.cfg.DataCentre, WatchWait: t.WatchWait, Poll: t.PollInterval,
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -41,6 +41,9 @@
 	wg.Go(func() { n.controller.Run(ctx) })
 	wg.Go(func() { n.loads.Run(ctx) })
 	wg.Go(func() { every(ctx, limitInterval, n.setLimit) })
+	wg.Go(func() { every(ctx, foresightInterval, func() { n.foresee(ctx) }) })
+	wg.Go(func() { every(ctx, demandInterval, func() { n.saveDemand(ctx) }) })
+	wg.Go(func() { every(ctx, foresightInterval, func() { n.inheritDemand(ctx) }) })
 	wg.Go(func() { every(ctx, shareInterval, func() { n.claimShares(ctx) }) })
 	wg.Go(func() {
 		every(ctx, idleInterval, func() { n.dispatcher.GiveBackIdle(ctx, time.Now().Add(-pinIdle)) })
@@ -126,6 +129,7 @@
 	defer cancel()
 	n.controller.Drain(ctx)
 	n.releaseShares(ctx)
+	n.handDemand(ctx)
 	n.announce()
 }
 
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -29,12 +29,21 @@
 	}
 }
 
+// candidates gives the members that hold roles now.
+func (n *Node) candidates(now time.Time) []string { return n.members.Candidates("", now) }
+
 // publish takes what this node's owner side tells of a runner over.
 func (n *Node) publish(view residency.View) {
 	n.mu.Lock()
+	moved := !view.SameModels(n.owned[view.Runner])
 	n.owned[view.Runner] = view
 	n.mu.Unlock()
 	n.table.Update(view)
+	if moved {
+		// Told at once: homes that place loads by a view half a second old
+		// evict models while other runners have free slots.
+		n.membership.Nudge()
+	}
 }
 
 // ownedViews gives what this node tells of the runners it owns.
@@ -106,6 +115,7 @@
 const (
 	methodExplain = "trace.find"
 	methodDrain   = "node.drain"
+	methodDemand  = "demand.hand"
 	askTimeout    = 2 * time.Second
 )
 
@@ -123,6 +133,10 @@
 		story, found := n.traces.Find(p.Request)
 		return explainResult{Found: found, Story: story}, nil
 	})
+	peer.Handle(mux, methodDemand, func(_ context.Context, _ peer.Identity, p demandParams) (struct{}, error) {
+		n.demand.estimator.Restore(p.Items, time.Now())
+		return struct{}{}, nil
+	})
 	peer.Handle(mux, methodDrain, func(context.Context, peer.Identity, struct{}) (struct{}, error) {
 		n.drainHere()
 		return struct{}{}, nil
--- a/internal/residency/slots.go
+++ b/internal/residency/slots.go
@@ -268,7 +268,16 @@
 // Same says whether two views differ in nothing that a peer must be told.
 func (v View) Same(other View) bool {
 	if v.Runner != other.Runner || v.Owner != other.Owner || v.Fence != other.Fence || v.Boot != other.Boot ||
-		v.Slots != other.Slots || v.Running != other.Running || v.Queued != other.Queued || (v.Evictable == 0) != (other.Evictable == 0) || len(v.Models) != len(other.Models) {
+		v.Slots != other.Slots || v.Running != other.Running || v.Queued != other.Queued ||
+		(v.Evictable == 0) != (other.Evictable == 0) {
+		return false
+	}
+	return v.SameModels(other)
+}
+
+// SameModels says whether two views show the same models in the same states.
+func (v View) SameModels(other View) bool {
+	if len(v.Models) != len(other.Models) {
 		return false
 	}
 	for i := range v.Models {
