Experiment in virtual time: the daemon's code against each host for itself and a reference

Seen: the daemon makes 2.5 loads a second where 3.5 are allowed, although callers wait; requests wait up to their limit of 30 s and are refused then, not early, since the estimate sees only one wish of each runner.

--- /dev/null
+++ b/internal/node/experiment_test.go
@@ -0,0 +1,303 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/inventory"
+	"github.com/cherrystage/cherrystage/internal/settings"
+	"github.com/cherrystage/cherrystage/internal/standalone"
+	"github.com/cherrystage/cherrystage/internal/standin"
+	"github.com/shoenig/test/must"
+)
+
+// The experiment runs the daemon's own code in virtual time before stand-in
+// engines, on a trace whose popularity is skewed, shifts without warning, and
+// has a quiet stretch and a burst on adapters that were cold. The same trace
+// goes through the baseline (each host for itself: the least loaded runner that
+// has the adapter by its own knowledge, else a load on the least loaded one,
+// evicting what it used longest ago) and through a reference that knows the
+// whole trace. The full runs are asked for by the environment variable
+// CHERRYSTAGE_EXPERIMENT=full; otherwise one short run checks the promises.
+
+// deployment is one of the users' deployments at its size of today.
+type deployment struct {
+	name      string
+	runners   int
+	slots     int
+	batch     int
+	rate      float64 // loads a second
+	parallel  int
+	load      time.Duration
+	perSecond float64 // requests
+	burst     float64
+	pieces    int
+	preset    string
+}
+
+var (
+	kushiro = deployment{"kushiro", 9, 8, 16, 3.5, 1, 280 * time.Millisecond, 8, 20, 15, "stalls"}
+	caroni  = deployment{"caroni", 18, 8, 16, 6, 2, 330 * time.Millisecond, 14, 30, 30, "batches"}
+)
+
+const (
+	adapters   = 3000
+	pieceTime  = 220 * time.Millisecond // four tokens of 55 ms
+	entryHosts = 8
+	burstSize  = 30
+)
+
+// arrival is one request of a trace.
+type arrival struct {
+	at      time.Duration
+	adapter int
+	pieces  int
+	host    int
+}
+
+// makeTrace draws a trace: a third of it quiet at the start, a shift of
+// popularity at half, and a burst in the last third.
+func makeTrace(d deployment, seed uint64, length time.Duration) []arrival {
+	random := rand.New(rand.NewPCG(seed, 1))
+	zipf := rand.NewZipf(random, 1.1, 1, adapters-1)
+	order := random.Perm(adapters)
+	shifted := false
+	var trace []arrival
+	for at := time.Duration(0); at < length; {
+		burst := at > length*7/10 && at < length*8/10
+		perSecond := d.perSecond
+		switch {
+		case at < length/4:
+			perSecond /= 2
+		case burst:
+			perSecond = d.burst
+		}
+		at += time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))
+		if !shifted && at > length/2 {
+			shifted = true
+			random.Shuffle(adapters, func(i, j int) { order[i], order[j] = order[j], order[i] })
+		}
+		rank := int(zipf.Uint64())
+		if burst && random.Float64() < 0.6 {
+			rank = adapters/2 + random.IntN(burstSize)
+		}
+		pieces := 1 + int(random.ExpFloat64()*float64(d.pieces))
+		trace = append(trace, arrival{at: at, adapter: order[rank], pieces: min(pieces, 8*d.pieces), host: random.IntN(entryHosts)})
+	}
+	return trace
+}
+
+// outcome is what one run measured.
+type outcome struct {
+	stalls  []time.Duration
+	refused int
+	broken  int
+	loads   int
+	fill    float64
+}
+
+// stallLeast is the wait before the first piece from which a request counts as
+// stalled.
+const stallLeast = 10 * time.Millisecond
+
+func (o outcome) String() string {
+	slices.Sort(o.stalls)
+	at := func(q float64) time.Duration {
+		if len(o.stalls) == 0 {
+			return 0
+		}
+		return o.stalls[min(len(o.stalls)-1, int(q*float64(len(o.stalls))))].Round(time.Millisecond)
+	}
+	var sum time.Duration
+	stalled := 0
+	for _, stall := range o.stalls {
+		sum += stall
+		if stall >= stallLeast {
+			stalled++
+		}
+	}
+	mean := sum / time.Duration(max(1, len(o.stalls)))
+	return fmt.Sprintf("stall mean %s p95 %s p99 %s, stalled %.1f%%, loads %d, fill %.3f, refused %d, broken %d",
+		mean.Round(time.Millisecond), at(0.95), at(0.99), 100*float64(stalled)/float64(max(1, len(o.stalls))), o.loads, o.fill, o.refused, o.broken)
+}
+
+func experimentDocument() inventory.Document {
+	document := inventory.Document{Callers: []inventory.Caller{{Name: "pilot", KeyDigest: standalone.Digest(callerKey)}}}
+	for i := range adapters {
+		document.Adapters = append(document.Adapters, inventory.Adapter{
+			Name: fmt.Sprintf("a%04d", i), Base: "base", Versions: []string{"1"}, Current: "1", Callers: []string{"*"},
+		})
+	}
+	return document
+}
+
+func (d deployment) world() standin.WorldConfig {
+	return standin.WorldConfig{
+		Runners: d.runners, Slots: d.slots, MaxBatch: d.batch, TokenTime: pieceTime, LoadTime: d.load,
+		ReportLag: 500 * time.Millisecond, Parallel: d.parallel, Base: "base", DataCentre: "hall",
+	}
+}
+
+// runDaemon plays a trace through the daemon's code.
+func runDaemon(t *testing.T, d deployment, trace []arrival, faults func(c *cluster)) (result outcome) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, d.world())
+		c.tune = func(cfg *settings.Settings) {
+			cfg.Loads.Rate, cfg.Loads.Parallel, cfg.Loads.Time, cfg.Loads.Preset = d.rate, d.parallel, d.load, d.preset
+			cfg.Loads.Shares = entryHosts
+		}
+		defer c.close()
+		for i := range entryHosts {
+			c.start(fmt.Sprintf("e%d", i+1))
+		}
+		c.apply(experimentDocument())
+		time.Sleep(10 * time.Second)
+		result = c.play(trace, faults)
+		result.measure(c.world)
+	})
+	return result
+}
+
+// measure reads what the engines and the weight store saw.
+func (o *outcome) measure(world *standin.World) {
+	var busy, filled float64
+	for _, e := range world.Engines {
+		o.broken += e.Counts().EvictedInUse
+		o.loads += e.Counts().Loads
+		time, fill := e.Fill()
+		busy += time.Seconds()
+		filled += time.Seconds() * fill
+	}
+	o.fill = filled / max(busy, 1)
+}
+
+// play sends the trace's requests at their times, each once, through the host
+// it names or, while that is away, the next.
+func (c *cluster) play(trace []arrival, faults func(c *cluster)) outcome {
+	var mu sync.Mutex
+	var result outcome
+	var wg sync.WaitGroup
+	clients := map[string]*http.Client{}
+	for i := range entryHosts {
+		id := fmt.Sprintf("e%d", i+1)
+		clients[id] = &http.Client{Transport: &http.Transport{DialContext: c.net.Host("client").Dial, DisableKeepAlives: true}}
+	}
+	began := time.Now()
+	if faults != nil {
+		wg.Go(func() { faults(c) })
+	}
+	for i, request := range trace {
+		time.Sleep(time.Until(began.Add(request.at)))
+		wg.Go(func() {
+			var stall time.Duration
+			ok, wrong := false, false
+			for try := range entryHosts {
+				id := fmt.Sprintf("e%d", (request.host+try)%entryHosts+1)
+				sent := time.Now()
+				stall, ok, wrong = streamOnce(clients[id], id, request, i)
+				if ok || wrong || time.Since(sent) > 0 {
+					break
+				}
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if wrong {
+				result.broken++
+			}
+			if !ok {
+				result.refused++
+				return
+			}
+			result.stalls = append(result.stalls, stall)
+		})
+	}
+	wg.Wait()
+	return result
+}
+
+// streamOnce sends one request and gives the wait before its first piece,
+// whether a whole answer came, and whether a wrong one did.
+func streamOnce(client *http.Client, id string, request arrival, index int) (stall time.Duration, ok, wrong bool) {
+	model := fmt.Sprintf("a%04d", request.adapter)
+	body := fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d}`, model, request.pieces)
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+id+":80/v1/completions", bodyOf(body))
+	if err != nil {
+		return 0, false, false
+	}
+	req.Header.Set("Authorization", "Bearer "+callerKey)
+	req.Header.Set("X-Request-Id", fmt.Sprint("x", index))
+	sent := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, false, false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	stall = time.Since(sent) - pieceTime
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK || !strings.HasSuffix(string(text), "[DONE]\n\n") {
+		return 0, false, false
+	}
+	whole := strings.Count(string(text), `"model":"`+model+`@1"`) == request.pieces
+	return stall, whole, !whole
+}
+
+// someFaults kills and replaces a host, restarts an engine, takes the object
+// API away for a while and cuts a host off.
+func someFaults(length time.Duration) func(c *cluster) {
+	return func(c *cluster) {
+		part := length / 12
+		time.Sleep(2 * part)
+		c.kill("e3")
+		time.Sleep(part)
+		c.start("e3")
+		c.world.Engines[0].Restart()
+		time.Sleep(2 * part)
+		c.world.Platform.SetDown(true)
+		time.Sleep(2 * part)
+		c.world.Platform.SetDown(false)
+		for id := range c.nodes {
+			if id != "e5" {
+				c.net.Cut("e5", id)
+			}
+		}
+		time.Sleep(part)
+		for id := range c.nodes {
+			c.net.Mend("e5", id)
+		}
+		c.world.Engines[1].Restart()
+	}
+}
+
+func TestExperiment(t *testing.T) {
+	// Promises hold over a whole trace with faults; the figures are printed.
+	if os.Getenv("CHERRYSTAGE_EXPERIMENT") != "full" {
+		trace := makeTrace(kushiro, 1, 40*time.Second)
+		result := runDaemon(t, kushiro, trace, someFaults(40*time.Second))
+		must.Eq(t, 0, result.broken, must.Sprint(result))
+		return
+	}
+	length := 10 * time.Minute
+	for _, d := range []deployment{kushiro, caroni} {
+		for seed := range uint64(3) {
+			trace := makeTrace(d, seed+1, length)
+			t.Logf("%s seed %d, %d requests", d.name, seed+1, len(trace))
+			daemon := runDaemon(t, d, trace, nil)
+			t.Logf("  daemon          %s", daemon)
+			faulty := runDaemon(t, d, trace, someFaults(length))
+			t.Logf("  daemon, faults  %s", faulty)
+			t.Logf("  baseline        %s", runBaseline(t, d, trace))
+			t.Logf("  reference       %s", runReference(d, trace))
+			must.Eq(t, 0, daemon.broken+faulty.broken)
+		}
+	}
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -41,6 +41,33 @@
 	faults   Faults
 	counts   Counts
 	runs     map[string]int
+	// running requests over time, for the mean fill of the steps that were run.
+	running    int
+	runningAt  time.Time
+	busy, work time.Duration
+}
+
+// Fill gives the mean share of the batch that was used, over the time in which
+// the engine ran at all.
+func (e *Engine) Fill() (busy time.Duration, fill float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.accountLocked(0)
+	if e.busy == 0 {
+		return 0, 0
+	}
+	return e.busy, float64(e.work) / float64(e.busy) / float64(e.cfg.MaxBatch)
+}
+
+func (e *Engine) accountLocked(change int) {
+	now := time.Now()
+	if e.running > 0 {
+		elapsed := now.Sub(e.runningAt)
+		e.busy += elapsed
+		e.work += elapsed * time.Duration(min(e.running, e.cfg.MaxBatch))
+	}
+	e.running += change
+	e.runningAt = now
 }
 
 // Faults switches an engine's misbehaviour.
@@ -201,6 +228,7 @@
 		started:  time.Now(),
 	}
 	e.resident[req.Model].running++
+	e.accountLocked(1)
 	e.runs[r.Header.Get(engine.HeaderTrace)]++
 	e.streams[r.Header.Get(engine.HeaderRequestID)] = st
 	return st
@@ -211,6 +239,7 @@
 func (e *Engine) end(st *stream) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.accountLocked(-1)
 	if s := e.resident[st.model]; s != nil {
 		s.running--
 	}
