Loads: wishes are told to all hosts, and those that most wait for go first

A home forgot a placement after 3 s, while the queue of loads was 25 s long, so one adapter was wished for on several runners and the queue fed itself; the estimate of a wait saw one wish of each runner. Change: an owner's word names the models that are wanted, and hosts join them; members tell how many loads are waited for, which makes the estimate; where many wait a load goes before one that few wait for.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -33,7 +33,6 @@
 // Loads hands out permits to load.
 type Loads interface {
 	Acquire(ctx context.Context, ask loading.Ask, wait time.Duration) (*loading.Permit, error)
-	Expected(ask loading.Ask) time.Duration
 }
 
 // Demand tells how often a model will likely be asked for.
@@ -156,6 +155,21 @@
 	return ids
 }
 
+// Wanted gives the number of loads that callers wait for on owned runners.
+func (c *Controller) Wanted() int {
+	c.mu.Lock()
+	all := make([]*managed, 0, len(c.managed))
+	for _, m := range c.managed {
+		all = append(all, m)
+	}
+	c.mu.Unlock()
+	wanted := 0
+	for _, m := range all {
+		wanted += m.waitedFor()
+	}
+	return wanted
+}
+
 // notify wakes those who wait for a change of a runner and tells its state.
 func (c *Controller) notify(m *managed) {
 	m.mu.Lock()
@@ -163,7 +177,9 @@
 	m.changed = make(chan struct{})
 	m.mu.Unlock()
 	if _, owned := m.runner.Owned(); owned {
-		c.deps.Publish(m.runner.View(c.cfg.Self.Host))
+		view := m.runner.View(c.cfg.Self.Host)
+		view.Wanted = m.openWants(view)
+		c.deps.Publish(view)
 	}
 }
 
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -1,19 +1,21 @@
 package control
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/engine"
 	"github.com/cherrystage/cherrystage/internal/loading"
+	"github.com/cherrystage/cherrystage/internal/residency"
 	"github.com/cherrystage/cherrystage/internal/verdict"
 	"github.com/pkg/errors"
 )
 
 const (
-	permitWait = 5 * time.Second
+	// permitWait is short: after it the most urgent wish is chosen anew, since
+	// others may have come to wait meanwhile.
+	permitWait = time.Second
 	retryPause = 50 * time.Millisecond
 	// failureMemory is how long a failed load refuses the callers that come
 	// for it, so that they go to another runner.
@@ -40,6 +42,7 @@
 	}
 	if waiting {
 		w.waiters++
+		w.ask.Waiters = w.waiters
 		w.ask.Class = loading.ClassWaiting
 		w.ask.Priority = max(w.ask.Priority, ask.Priority)
 	}
@@ -54,6 +57,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	w.waiters--
+	w.ask.Waiters = w.waiters
 	if w.waiters <= 0 && !w.taken && w.failed == nil && w.ask.Class == loading.ClassWaiting && m.wants[model] == w {
 		delete(m.wants, model)
 	}
@@ -65,6 +69,39 @@
 	return w.failed
 }
 
+// waitedFor gives the number of loads that callers wait for.
+func (m *managed) waitedFor() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	count := 0
+	for _, w := range m.wants {
+		if w.waiters > 0 && w.failed == nil {
+			count++
+		}
+	}
+	return count
+}
+
+// openWants gives the models that are wanted and have no slot yet, sorted. Told
+// to the other hosts, it keeps them from having one model loaded twice while
+// the queue of loads is long.
+func (m *managed) openWants(view residency.View) []string {
+	present := make(map[string]bool, len(view.Models))
+	for _, slot := range view.Models {
+		present[slot.Model] = true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var open []string
+	for model, w := range m.wants {
+		if w.failed == nil && !present[model] {
+			open = append(open, model)
+		}
+	}
+	slices.Sort(open)
+	return open
+}
+
 func (m *managed) wantedModels() map[string]bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -91,16 +128,19 @@
 	if len(open) == 0 {
 		return nil
 	}
-	first := slices.MinFunc(open, func(a, b *want) int {
-		if a.ask.Class != b.ask.Class {
-			return cmp.Compare(b.ask.Class, a.ask.Class)
-		}
-		return cmp.Or(cmp.Compare(b.ask.Priority, a.ask.Priority), a.ask.Since.Compare(b.ask.Since), cmp.Compare(a.ask.Model, b.ask.Model))
-	})
+	now := time.Now()
+	first := slices.MinFunc(open, func(a, b *want) int { return loading.Compare(a.ask, b.ask, now) })
 	first.taken = true
 	return first
 }
 
+// askOf gives a copy of a want's ask, which changes as callers come and go.
+func (m *managed) askOf(w *want) loading.Ask {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return w.ask
+}
+
 // finishWant ends the work on a want. retry leaves it to be taken again.
 func (m *managed) finishWant(w *want, failed error, retry bool) {
 	m.mu.Lock()
@@ -129,7 +169,7 @@
 			}
 			continue
 		}
-		err, retry := c.load(ctx, m, w.ask)
+		err, retry := c.load(ctx, m, m.askOf(w))
 		m.finishWant(w, err, retry)
 		c.notify(m)
 		if retry {
--- a/internal/control/pins.go
+++ b/internal/control/pins.go
@@ -139,6 +139,7 @@
 		}
 		if w == nil && errors.Is(err, residency.ErrNotResident) {
 			w = m.addWant(c.askFor(p), true)
+			c.notify(m)
 			changed = m.waitChange()
 		}
 		if w != nil && m.failure(w) != nil {
--- a/internal/fleet/members.go
+++ b/internal/fleet/members.go
@@ -18,6 +18,8 @@
 	// Ready: the process has an inventory and may own runners.
 	Ready    bool   `json:"ready,omitempty"`
 	Revision uint64 `json:"revision"`
+	// Wanted is the number of loads that callers wait for on its runners.
+	Wanted int `json:"wanted,omitempty"`
 	// LoadWaitMS is the time, in milliseconds, until a load asked of this
 	// member now would be done; of use from the member that orders loads.
 	LoadWaitMS int64 `json:"load_wait_ms,omitempty"`
--- a/internal/loading/queue.go
+++ b/internal/loading/queue.go
@@ -23,20 +23,33 @@
 	Class    Class     `json:"class"`
 	Priority int       `json:"priority"`
 	Since    time.Time `json:"since"`
+	// Waiters is the number of requests that wait for the load.
+	Waiters int `json:"waiters,omitempty"`
 	// Value orders foreseen loads: the expected uses in the next minute.
 	Value float64 `json:"value,omitempty"`
 }
 
-// before orders asks: waiting callers first, by priority and then by age;
-// then foreseen loads by their value.
-func before(a, b Ask) int {
+// Compare orders asks: waiting callers first, by priority and then by the time
+// that all who wait have waited together; then foreseen loads by their value.
+// Where many wait, a load ends more waiting; and one who waits alone comes
+// first in the end, since time counts as much as numbers.
+func Compare(a, b Ask, now time.Time) int {
 	if a.Class != b.Class {
 		if a.Class == ClassWaiting {
 			return -1
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(b.Value, a.Value), a.Since.Compare(b.Since), cmp.Compare(a.Model, b.Model))
+	return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(b.Value, a.Value),
+		cmp.Compare(b.waited(now), a.waited(now)), a.Since.Compare(b.Since), cmp.Compare(a.Model, b.Model))
+}
+
+// leastWait lets numbers count from the first moment on.
+const leastWait = 100 * time.Millisecond
+
+// waited is the time that all who wait have waited together, about.
+func (a Ask) waited(now time.Time) time.Duration {
+	return (now.Sub(a.Since) + leastWait) * time.Duration(max(1, a.Waiters))
 }
 
 // Queue is the one order of loads. It hands out permits and takes them back.
@@ -51,6 +64,7 @@
 	active  map[uint64]time.Time
 	broken  map[string]breakage
 	mean    time.Duration
+	changed chan struct{}
 }
 
 // breakage counts the failed loads of a model in a row.
@@ -78,6 +92,7 @@
 		active:    map[uint64]time.Time{},
 		broken:    map[string]breakage{},
 		mean:      usual,
+		changed:   make(chan struct{}),
 	}
 }
 
@@ -96,6 +111,20 @@
 	defer q.mu.Unlock()
 	delete(q.waiting, ticket)
 	delete(q.active, ticket)
+	q.wake()
+}
+
+// wake tells those who wait for a permit that the order has moved.
+func (q *Queue) wake() {
+	close(q.changed)
+	q.changed = make(chan struct{})
+}
+
+// Changed gives a channel that is closed when a permit may have become free.
+func (q *Queue) Changed() <-chan struct{} {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.changed
 }
 
 // Permit hands a permit to the ticket if it is first in order and the
@@ -132,7 +161,7 @@
 			best = ticket
 			continue
 		}
-		order := before(ask, q.waiting[best])
+		order := Compare(ask, q.waiting[best], now)
 		if order < 0 || (order == 0 && ticket < best) {
 			best = ticket
 		}
@@ -147,6 +176,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	delete(q.active, ticket)
+	q.wake()
 	if ok {
 		delete(q.broken, model)
 		q.mean += (took - q.mean) / meanWeight
@@ -172,17 +202,12 @@
 	return max(0, q.broken[model].until.Sub(now))
 }
 
-// Expected gives the time until an ask of a class would be loaded if it
-// joined now: those before it, its own load, and the rate allowed.
-func (q *Queue) Expected(ask Ask, now time.Time) time.Duration {
+// Expected gives the time until a load asked for now would be done, with so
+// many others that wait before it.
+func (q *Queue) Expected(others int, now time.Time) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	ahead := len(q.active)
-	for _, other := range q.waiting {
-		if before(other, ask) <= 0 {
-			ahead++
-		}
-	}
+	ahead := len(q.active) + others
 	perLoad := q.mean / time.Duration(q.parallel)
 	if allowed := q.allowance.PerSecond(now); allowed > 0 {
 		perLoad = max(perLoad, time.Duration(float64(time.Second)/allowed))
@@ -207,7 +232,7 @@
 	for _, ask := range q.waiting {
 		view.Waiting = append(view.Waiting, ask)
 	}
-	slices.SortFunc(view.Waiting, before)
+	slices.SortFunc(view.Waiting, func(a, b Ask) int { return Compare(a, b, now) })
 	for model := range q.broken {
 		if q.brokenLocked(model, now) > 0 {
 			view.Broken = append(view.Broken, model)
--- a/internal/loading/service.go
+++ b/internal/loading/service.go
@@ -166,14 +166,15 @@
 	}
 }
 
-// permitHere waits in this host's queue. Tickets poll: the order can change
-// with every new ask, and at a few loads a second the polling costs little.
+// permitHere waits in this host's queue. A ticket looks again when a permit
+// was given back, and now and then, since the allowance grows by itself.
 func (s *Service) permitHere(ctx context.Context, ask Ask, wait time.Duration) (permitResult, error) {
 	ticket := s.queue.Join(ask)
 	deadline := time.Now().Add(wait)
 	ticker := time.NewTicker(permitPoll)
 	defer ticker.Stop()
 	for {
+		changed := s.queue.Changed()
 		now := time.Now()
 		if broken := s.queue.Broken(ask.Model, now); broken > 0 {
 			s.queue.Leave(ticket)
@@ -190,6 +191,7 @@
 		case <-ctx.Done():
 			s.queue.Leave(ticket)
 			return permitResult{}, ctx.Err()
+		case <-changed:
 		case <-ticker.C:
 		}
 	}
@@ -242,8 +244,15 @@
 	s.allowance.Borrowed(member.Host, result.Shares, asked, loanLife, time.Now())
 }
 
-// Expected gives the likely time until a load asked for now would be done.
-func (s *Service) Expected(ask Ask) time.Duration { return s.queue.Expected(ask, time.Now()) }
+// Expected gives the likely time until a load asked for now would be done, if
+// this host orders loads for all: after all that the members say they want.
+func (s *Service) Expected() time.Duration {
+	wanted := 0
+	for _, member := range s.members.All() {
+		wanted += member.Wanted
+	}
+	return s.queue.Expected(wanted, time.Now())
+}
 
 // View gives this host's queue as operators see it.
 func (s *Service) View() View { return s.queue.View(time.Now()) }
--- a/internal/node/state.go
+++ b/internal/node/state.go
@@ -9,7 +9,6 @@
 	"github.com/cherrystage/cherrystage/internal/dispatch"
 	"github.com/cherrystage/cherrystage/internal/fleet"
 	"github.com/cherrystage/cherrystage/internal/inventory"
-	"github.com/cherrystage/cherrystage/internal/loading"
 	"github.com/cherrystage/cherrystage/internal/peer"
 	"github.com/cherrystage/cherrystage/internal/residency"
 	"github.com/pkg/errors"
@@ -21,11 +20,10 @@
 	leaving := n.leaving
 	n.mu.Unlock()
 	revision := n.follower.Snapshot().Revision()
-	ask := loading.Ask{Class: loading.ClassWaiting, Since: time.Now()}
 	return fleet.Member{
 		Host: n.cfg.Host, Incarnation: n.self.Incarnation, Address: n.cfg.AdvertisedPeer(),
 		DataCentre: n.cfg.DataCentre, Region: n.cfg.Region, Leaving: leaving, Ready: n.started.Before(time.Now()),
-		Revision: uint64(revision), LoadWaitMS: n.loads.Expected(ask).Milliseconds(),
+		Revision: uint64(revision), LoadWaitMS: n.loads.Expected().Milliseconds(), Wanted: n.controller.Wanted(),
 	}
 }
 
--- a/internal/residency/slots.go
+++ b/internal/residency/slots.go
@@ -1,6 +1,7 @@
 package residency
 
 import (
+	"slices"
 	"time"
 )
 
@@ -233,7 +234,9 @@
 	Queued   int        `json:"queued"`
 	Fill     float64    `json:"fill"`
 	Models   []SlotView `json:"models"`
-	Doubts   int        `json:"doubts,omitempty"`
+	// Wanted are the models that are to be loaded and have no slot yet, sorted.
+	Wanted []string `json:"wanted,omitempty"`
+	Doubts int      `json:"doubts,omitempty"`
 	// Evictable is the number of models that could make room now.
 	Evictable int `json:"evictable"`
 	Unheard   int `json:"unheard,omitempty"`
@@ -277,7 +280,7 @@
 
 // SameModels says whether two views show the same models in the same states.
 func (v View) SameModels(other View) bool {
-	if len(v.Models) != len(other.Models) {
+	if len(v.Models) != len(other.Models) || !slices.Equal(v.Wanted, other.Wanted) {
 		return false
 	}
 	for i := range v.Models {
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -108,18 +108,27 @@
 
 // index keeps the list of runners of each model.
 func (t *Table) index(old, current residency.View) {
-	keep := make(map[string]bool, len(current.Models))
-	for _, slot := range current.Models {
-		keep[slot.Model] = true
-		t.addRunner(slot.Model, current.Runner)
+	keep := make(map[string]bool, len(current.Models)+len(current.Wanted))
+	for _, model := range modelsOf(current) {
+		keep[model] = true
+		t.addRunner(model, current.Runner)
 	}
-	for _, slot := range old.Models {
-		if !keep[slot.Model] {
-			t.removeRunner(slot.Model, old.Runner)
+	for _, model := range modelsOf(old) {
+		if !keep[model] {
+			t.removeRunner(model, old.Runner)
 		}
 	}
 }
 
+// modelsOf gives the models that have a slot on a runner or are to get one.
+func modelsOf(view residency.View) []string {
+	models := slices.Clone(view.Wanted)
+	for _, slot := range view.Models {
+		models = append(models, slot.Model)
+	}
+	return models
+}
+
 func (t *Table) addRunner(model, runner string) {
 	s := &t.models[shardIndex(model)]
 	s.mu.Lock()
@@ -183,7 +192,7 @@
 
 func (info *runnerInfo) decisionView() Runner {
 	view := &info.view
-	loading := 0
+	loading := len(view.Wanted)
 	for _, slot := range view.Models {
 		if slot.State == residency.SlotLoading {
 			loading++
@@ -245,6 +254,9 @@
 			return Located{Runner: info.decisionView(), State: slot.State}, true
 		}
 	}
+	if slices.Contains(info.view.Wanted, model) {
+		return Located{Runner: info.decisionView(), State: residency.SlotWanted}, true
+	}
 	return Located{}, false
 }
 
