Loads: a victim in use is passed over at once; unheard owners are avoided

Cause: under saturation 2.97 loads a second were begun where 3.5 are allowed. A recall of a model in use waited up to 500 ms for it while the permit to load was held, and tickets looked for a permit every 20 ms. Change: a holder in mid-request says so and the next model is tried; a ticket wakes when a permit comes back or the allowance has grown. Loads and requests keep away from runners whose owner is not heard, unless a pin is held.

--- a/internal/control/evict.go
+++ b/internal/control/evict.go
@@ -14,10 +14,7 @@
 	"github.com/pkg/errors"
 )
 
-const (
-	recallTimeout = 500 * time.Millisecond
-	recallPoll    = 5 * time.Millisecond
-)
+const recallTimeout = 500 * time.Millisecond
 
 // errNoVictim: nothing on the runner can be evicted now.
 var errNoVictim = errors.New("nothing on the runner can be evicted now")
@@ -80,8 +77,10 @@
 	if !ok {
 		return errors.New("the model has no idle slot")
 	}
+	// A holder in the middle of a request says so at once, and the next model
+	// is tried: a permit to load is held meanwhile.
 	c.recall(ctx, m, pinned)
-	if !c.awaitReturns(ctx, m, model) || !m.runner.BeginEvict(model) {
+	if !m.runner.BeginEvict(model) {
 		m.runner.CancelRecall(model)
 		c.notify(m)
 		return errors.New("the model is in use")
@@ -116,18 +115,6 @@
 	}
 }
 
-// awaitReturns waits a little for pins that were in use when recalled.
-func (c *Controller) awaitReturns(ctx context.Context, m *managed, model string) bool {
-	deadline := time.Now().Add(recallTimeout)
-	for m.runner.PinsOut(model) > 0 {
-		if ctx.Err() != nil || !time.Now().Before(deadline) {
-			return false
-		}
-		time.Sleep(recallPoll)
-	}
-	return true
-}
-
 // orderEviction sends the eviction, with the safeguards that the engine needs.
 func (c *Controller) orderEviction(ctx context.Context, m *managed, model string) error {
 	intent := c.newIntent(m, model)
--- a/internal/dispatch/place.go
+++ b/internal/dispatch/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -107,7 +108,9 @@
 		return last.runner
 	}
 	avoid := func(id string) bool { return params.Avoid[id] }
-	runners := p.withPlacements(p.table.All(params.Base), now)
+	runners := slices.DeleteFunc(p.withPlacements(p.table.All(params.Base), now), func(r routing.Runner) bool {
+		return !p.members.Speaking(r.Owner, now)
+	})
 	runner, ok := routing.Place(params.Model, runners, p.weights, times, avoid)
 	if !ok {
 		return ""
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/control"
@@ -56,9 +57,10 @@
 // decide chooses among what this host knows; for a model that is nowhere, the
 // model's home chooses, so that hosts do not load it in several places.
 func (d *Dispatcher) decide(ctx context.Context, req Request, state *tries, now time.Time) routing.Decision {
-	avoid := func(id string) bool { return state.avoided[id] || d.deps.Breakers.Avoid(id, now) }
 	times := d.times(now)
-	decision := routing.Choose(d.deps.Table.With(req.Model), d.cfg.Weights, times, avoid)
+	located := d.reachable(req.Model, now)
+	avoid := func(id string) bool { return state.avoided[id] || d.deps.Breakers.Avoid(id, now) }
+	decision := routing.Choose(located, d.cfg.Weights, times, avoid)
 	if decision.Spread {
 		d.spread(ctx, req, decision.Runner.ID)
 	}
@@ -72,6 +74,16 @@
 	return routing.Decision{Action: routing.ActionLoad, Runner: runner, Wait: times.Load, Reason: "to be loaded"}
 }
 
+// reachable gives the runners that have the model and can be used: those whose
+// owner is heard, and those on which this host has a pin already. An owner that
+// nobody hears keeps its runners for as long as it renews its lease.
+func (d *Dispatcher) reachable(model string, now time.Time) []routing.Located {
+	located := d.deps.Table.With(model)
+	return slices.DeleteFunc(located, func(l routing.Located) bool {
+		return !d.deps.Members.Speaking(l.Owner, now) && !d.deps.Holder.Holds(l.ID, model)
+	})
+}
+
 // times gives the measured times that expected waits are made from.
 func (d *Dispatcher) times(now time.Time) routing.Times {
 	return routing.Times{Service: d.deps.Gate.Service(), Load: d.deps.Placer.LoadWait(now)}
--- a/internal/loading/service.go
+++ b/internal/loading/service.go
@@ -26,7 +26,7 @@
 	loanLife       = 3 * time.Second
 	borrowInterval = time.Second
 	borrowTimeout  = 800 * time.Millisecond
-	permitPoll     = 20 * time.Millisecond
+	permitPoll     = 100 * time.Millisecond
 	doneTimeout    = time.Second
 )
 
@@ -167,15 +167,16 @@
 }
 
 // permitHere waits in this host's queue. A ticket looks again when a permit
-// was given back, and now and then, since the allowance grows by itself.
+// was given back, and when the allowance has grown by one load.
 func (s *Service) permitHere(ctx context.Context, ask Ask, wait time.Duration) (permitResult, error) {
 	ticket := s.queue.Join(ask)
 	deadline := time.Now().Add(wait)
-	ticker := time.NewTicker(permitPoll)
-	defer ticker.Stop()
+	timer := time.NewTimer(permitPoll)
+	defer timer.Stop()
 	for {
 		changed := s.queue.Changed()
 		now := time.Now()
+		timer.Reset(min(permitPoll, s.allowance.NextIn(now)))
 		if broken := s.queue.Broken(ask.Model, now); broken > 0 {
 			s.queue.Leave(ticket)
 			return permitResult{BrokenMS: broken.Milliseconds()}, nil
@@ -192,7 +193,7 @@
 			s.queue.Leave(ticket)
 			return permitResult{}, ctx.Err()
 		case <-changed:
-		case <-ticker.C:
+		case <-timer.C:
 		}
 	}
 }
--- a/internal/loading/shares.go
+++ b/internal/loading/shares.go
@@ -164,6 +164,20 @@
 	return a.bucket.AllowN(now, 1)
 }
 
+// NextIn gives the time until the allowance has grown by one load. Where one is
+// left already, something else is in the way, and the answer is a second.
+func (a *Allowance) NextIn(now time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settle(now)
+	a.adjust(now)
+	tokens, limit := a.bucket.TokensAt(now), float64(a.bucket.Limit())
+	if tokens >= 1 || limit <= 0 {
+		return time.Second
+	}
+	return time.Duration((1-tokens)/limit*float64(time.Second)) + time.Millisecond
+}
+
 // PerSecond gives the loads a second that this host may order now.
 func (a *Allowance) PerSecond(now time.Time) float64 {
 	a.mu.Lock()
--- a/internal/residency/holder.go
+++ b/internal/residency/holder.go
@@ -127,6 +127,15 @@
 	s.runner(runner).raise(fence)
 }
 
+// Holds says whether a use could begin now.
+func (h *Holder) Holds(runner, model string) bool {
+	s := h.shard(runner)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.runners[runner]
+	return held != nil && held.pins[model] != nil && !held.pins[model].recalled
+}
+
 // Use begins a use of a model on a runner; false if no pin allows it.
 func (h *Holder) Use(runner, model string) bool {
 	s := h.shard(runner)
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -161,7 +161,7 @@
 
 const (
 	waitStep  = 500 * time.Millisecond
-	busySteps = 4
+	busySteps = 8
 )
 
 func scoreOf(r Runner, weights Weights, times Times) placeScore {
