--- /dev/null
+++ b/spec/spec_test.go
@@ -0,0 +1,84 @@
+package spec
+
+import (
+	"os"
+	"strconv"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// limit bounds the states of one exploration; SPEC_STATES asks for more.
+func limit(t *testing.T) int {
+	if text := os.Getenv("SPEC_STATES"); text != "" {
+		number, err := strconv.Atoi(text)
+		must.NoError(t, err)
+		return number
+	}
+	return 1_000_000
+}
+
+func TestNoModelInUseIsEvicted(t *testing.T) {
+	// Whatever the order of steps, with an owner paused for as long as one
+	// likes and its order late: no model is evicted while a holder uses it.
+	for name, fenced := range map[string]bool{"fenced": true, "unfenced": false} {
+		t.Run(name, func(t *testing.T) {
+			states, broken, complete := Explore(Protocol(fenced), limit(t))
+			t.Logf("one model: %d distinct states, every one within the bounds: %t", states, complete)
+			must.SliceEmpty(t, broken, must.Sprintf("%+v", broken))
+			must.True(t, complete)
+			two := Protocol(fenced)
+			two.Models = 2
+			states, broken, complete = Explore(two, limit(t)/4)
+			t.Logf("two models: %d distinct states, every one within the bounds: %t", states, complete)
+			must.SliceEmpty(t, broken, must.Sprintf("%+v", broken))
+		})
+	}
+}
+
+func TestEachSafeguardIsNeeded(t *testing.T) {
+	// With one safeguard switched off, the exploration finds a broken promise.
+	for _, row := range []struct {
+		name   string
+		fenced bool
+		off    func(g *Safeguards)
+	}{
+		{"engine checks fencing", true, func(g *Safeguards) { g.Fenced = false }},
+		{"fencing order first", true, func(g *Safeguards) { g.FenceFirst = false }},
+		{"intents", false, func(g *Safeguards) { g.Intents = false }},
+		{"all holders heard", true, func(g *Safeguards) { g.HearAll = false }},
+		{"all holders heard, unfenced", false, func(g *Safeguards) { g.HearAll = false }},
+		{"pins returned", true, func(g *Safeguards) { g.WaitReturns = false }},
+		{"void grants", true, func(g *Safeguards) { g.VoidGrants = false }},
+		{"old grants refused", true, func(g *Safeguards) { g.RefuseOldGrants = false }},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			g := Protocol(row.fenced)
+			row.off(&g)
+			states, broken, _ := Explore(g, limit(t))
+			must.SliceNotEmpty(t, broken, must.Sprintf("%d states", states))
+			t.Logf("%s after %d steps, %d states", broken[len(broken)-1].Broken, len(broken)-1, states)
+		})
+	}
+}
+
+func TestHeadAndClaims(t *testing.T) {
+	// Two writers, a lost answer, stale reads, and one once-only request
+	// through two hosts: no change is lost or accepted twice, no revision goes
+	// back, and the request runs at most once.
+	states, broken, complete := ExploreStore(StoreProtocol(), limit(t))
+	t.Logf("%d distinct states", states)
+	must.True(t, complete)
+	must.SliceEmpty(t, broken)
+	for name, off := range map[string]func(g *StoreSafeguards){
+		"conditional update": func(g *StoreSafeguards) { g.Conditional = false },
+		"read back":          func(g *StoreSafeguards) { g.ReadBack = false },
+		"never back":         func(g *StoreSafeguards) { g.NeverBack = false },
+		"claim":              func(g *StoreSafeguards) { g.Claim = false },
+	} {
+		g := StoreProtocol()
+		off(&g)
+		_, broken, _ := ExploreStore(g, limit(t))
+		must.SliceNotEmpty(t, broken, must.Sprint(name))
+	}
+}
