--- a/cmd/cherrystaged/main.go
+++ b/cmd/cherrystaged/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"expvar"
 	"fmt"
 	"net"
 	"net/http"
@@ -82,6 +83,7 @@
 		return err
 	}
 	n := node.New(cfg, (&net.Dialer{}).DialContext, log)
+	expvar.Publish("cherrystage", n.Vars())
 	callers, operators := n.CallerServer(), n.OperatorServer()
 
 	var group run.Group
--- a/internal/inventory/document.go
+++ b/internal/inventory/document.go
@@ -104,6 +104,14 @@
 		}
 		seen[version] = true
 	}
+	for _, caller := range a.Callers {
+		if caller == AnyCaller {
+			continue
+		}
+		if err := checkName("caller", caller); err != nil {
+			return errors.Wrapf(err, "adapter %s", a.Name)
+		}
+	}
 	if !seen[a.Current] {
 		return errors.Errorf("adapter %s: current version %q is not among its versions", a.Name, a.Current)
 	}
--- a/internal/inventory/snapshot.go
+++ b/internal/inventory/snapshot.go
@@ -17,14 +17,11 @@
 // a hundred records at the largest inventory and not the whole table.
 const shardCount = 1024
 
-// record is an adapter as a snapshot keeps it. Lists that many adapters have
-// in common are interned: 140,000 adapters must fit into a few megabytes.
+// record is an adapter as a snapshot keeps it. All but the name is interned,
+// since many adapters have it in common: 140,000 must fit into a few megabytes.
 type record struct {
-	name     string
-	base     string
-	current  string
-	versions []string
-	callers  []string
+	name    string
+	profile *profile
 }
 
 // Snapshot is the inventory at one revision. It never changes, so readers
@@ -37,7 +34,7 @@
 	byDigest map[string]string
 	services map[string]Service
 	rules    []Rule
-	lists    *interner
+	profiles *interner
 }
 
 // Empty gives the snapshot of revision zero.
@@ -46,7 +43,7 @@
 		callers:  map[string]Caller{},
 		byDigest: map[string]string{},
 		services: map[string]Service{},
-		lists:    &interner{kept: map[string][]string{}},
+		profiles: &interner{kept: map[string]*profile{}},
 	}
 }
 
@@ -158,13 +155,7 @@
 func (s *Snapshot) putAdapter(a Adapter, copied map[int]bool) {
 	index := shardOf(a.Name)
 	shard := s.ownShard(index, copied)
-	fresh := record{
-		name:     a.Name,
-		base:     s.lists.intern([]string{a.Base})[0],
-		versions: s.lists.intern(a.Versions),
-		callers:  s.lists.intern(a.Callers),
-	}
-	fresh.current = fresh.versions[indexOf(fresh.versions, a.Current)]
+	fresh := record{name: strings.Clone(a.Name), profile: s.profiles.intern(a)}
 	at, found := position(shard, a.Name)
 	if found {
 		shard[at] = fresh
@@ -177,15 +168,6 @@
 	s.count++
 }
 
-func indexOf(list []string, item string) int {
-	for i, candidate := range list {
-		if candidate == item {
-			return i
-		}
-	}
-	return 0
-}
-
 func (s *Snapshot) deleteAdapter(name string, copied map[int]bool) error {
 	index := shardOf(name)
 	shard := s.ownShard(index, copied)
@@ -229,7 +211,8 @@
 }
 
 func (r record) adapter() Adapter {
-	return Adapter{Name: r.name, Base: r.base, Versions: r.versions, Current: r.current, Callers: r.callers}
+	p := r.profile
+	return Adapter{Name: r.name, Base: p.base, Versions: p.versions, Current: p.current, Callers: p.callers}
 }
 
 // Adapters gives all adapters, sorted by name.
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"expvar"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/dispatch"
+)
+
+// figures are this host's metrics. docs/operators/metrics.md lists them with
+// their units.
+type figures struct {
+	dispatch.Figures
+	Revision        uint64  `json:"revision"`
+	Adapters        int     `json:"adapters"`
+	Open            int     `json:"requests_open"`
+	InUse           int     `json:"gate_in_use"`
+	Waiting         int     `json:"gate_waiting"`
+	RetriesDenied   int64   `json:"retries_denied"`
+	PinsHeld        int     `json:"pins_held"`
+	RunnersOwned    int     `json:"runners_owned"`
+	LeaseSeconds    float64 `json:"lease_seconds_left"`
+	LoadsWanted     int     `json:"loads_wanted"`
+	LoadsPerSecond  float64 `json:"loads_per_second_allowed"`
+	ObjectCalls     int64   `json:"object_api_calls"`
+	HeartbeatsSent  int64   `json:"heartbeats_answered"`
+	PeersRejected   int64   `json:"peer_rejected"`
+	HostListsStale  int     `json:"host_lists_not_believed"`
+	DemandModels    int     `json:"demand_models"`
+	UptimeSeconds   float64 `json:"uptime_seconds"`
+	EvictionsLocked int     `json:"runners_blocked_by_unheard_hosts"`
+}
+
+// Vars gives this host's metrics for the expvar page.
+func (n *Node) Vars() expvar.Var { return expvar.Func(func() any { return n.figures() }) }
+
+func (n *Node) figures() figures {
+	now := time.Now()
+	snapshot := n.follower.Snapshot()
+	f := figures{
+		Figures: n.metrics.Figures(), Revision: uint64(snapshot.Revision()), Adapters: snapshot.Len(),
+		Open: n.streams.Open(), InUse: n.gate.InUse(), Waiting: n.gate.Waiting(), RetriesDenied: n.budget.Denied(),
+		PinsHeld: n.holder.Count(), RunnersOwned: len(n.controller.Owned()),
+		LeaseSeconds: max(0, n.controller.Lease().Sub(now).Seconds()), LoadsWanted: n.controller.Wanted(),
+		LoadsPerSecond: n.allowance.PerSecond(now), ObjectCalls: n.objects.Calls(), HeartbeatsSent: n.membership.Beats(),
+		PeersRejected: n.server.Rejected(), HostListsStale: n.hosts.Stale(), DemandModels: n.demand.estimator.Len(),
+		UptimeSeconds: now.Sub(n.started).Seconds(),
+	}
+	for _, view := range n.ownedViews() {
+		if view.Unheard > 0 {
+			f.EvictionsLocked++
+		}
+	}
+	return f
+}
