--- a/cmd/cherrystaged/main.go
+++ b/cmd/cherrystaged/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/cherrystage/cherrystage/internal/node"
 	"github.com/cherrystage/cherrystage/internal/settings"
@@ -67,6 +68,10 @@
 	return cfg, err
 }
 
+// dialer probes idle connections early: something between two hosts may lose
+// track of a connection, and the probes find it before a request does.
+var dialer = net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
+
 // serve wires every long-running part into one run group.
 func serve(cfg *settings.Settings, log hclog.Logger) error {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -82,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	n := node.New(cfg, (&net.Dialer{}).DialContext, log)
+	n := node.New(cfg, dialer.DialContext, log)
 	expvar.Publish("cherrystage", n.Vars())
 	callers, operators := n.CallerServer(), n.OperatorServer()
 
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -8,6 +8,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
+	"maps"
 	"math"
 	"net/http"
 	"strconv"
@@ -336,9 +337,14 @@
 // pieces are how silence, order and completeness are seen.
 func forEngine(raw []byte, model string) ([]byte, error) {
 	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(raw, &fields); err != nil {
+	if err := json.Unmarshal(raw, &fields); err != nil || fields == nil {
 		return nil, refuse(http.StatusBadRequest, codeBadRequest, "body is not a JSON object")
 	}
+	// Names that differ in case only go too: some engines would read the
+	// caller's "Model" in the place of the name that was checked.
+	maps.DeleteFunc(fields, func(name string, _ json.RawMessage) bool {
+		return strings.EqualFold(name, "model") || strings.EqualFold(name, "stream")
+	})
 	name, err := json.Marshal(model)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode model name")
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,138 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/binary"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/standin"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+type echoParams struct {
+	Text   string `json:"text"`
+	WaitMS int    `json:"wait_ms"`
+}
+
+func echoMux() *Mux {
+	mux := NewMux()
+	Handle(mux, "echo", func(_ context.Context, from Identity, p echoParams) (string, error) {
+		time.Sleep(time.Duration(p.WaitMS) * time.Millisecond)
+		return from.Host + ": " + p.Text, nil
+	})
+	Handle(mux, "refuse", func(context.Context, Identity, echoParams) (string, error) {
+		return "", Refuse(errors.New("not now"))
+	})
+	return mux
+}
+
+// between runs a test with a server "b" and a pool of "a" that has a key.
+func between(t *testing.T, clientKey string, run func(t *testing.T, pool *Pool, server *Server, network *standin.Network)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := standin.NewNetwork()
+		listener, err := network.Host("b").Listen("82")
+		must.NoError(t, err)
+		server := NewServer(Identity{"b", "1"}, []byte("the right key"), echoMux(), hclog.NewNullLogger())
+		go func() { _ = server.Serve(listener) }()
+		pool := NewPool(Identity{"a", "1"}, []byte(clientKey), network.Host("a").Dial, hclog.NewNullLogger())
+		run(t, pool, server, network)
+		pool.Close()
+		server.Close()
+		_ = listener.Close()
+		network.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+func call(pool *Pool, method string, params echoParams, timeout time.Duration) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var result string
+	err := pool.Call(ctx, "b:82", method, params, &result)
+	return result, err
+}
+
+func TestCallAndRefusal(t *testing.T) {
+	between(t, "the right key", func(t *testing.T, pool *Pool, _ *Server, _ *standin.Network) {
+		got, err := call(pool, "echo", echoParams{Text: "hello"}, time.Second)
+		must.NoError(t, err)
+		must.Eq(t, "a: hello", got)
+		_, err = call(pool, "refuse", echoParams{}, time.Second)
+		must.True(t, Refused(err))
+		_, err = call(pool, "nothing", echoParams{}, time.Second)
+		must.Error(t, err)
+		must.False(t, Refused(err))
+	})
+}
+
+func TestStrangerIsRefusedAndCounted(t *testing.T) {
+	// A process with a wrong key, and one that skips the proof, get a clear
+	// refusal and no answer; each is counted.
+	between(t, "a wrong key", func(t *testing.T, pool *Pool, server *Server, network *standin.Network) {
+		_, err := call(pool, "echo", echoParams{Text: "hello"}, time.Second)
+		must.ErrorContains(t, err, "shared key")
+		conn, err := network.Host("a").Dial(context.Background(), "tcp", "b:82")
+		must.NoError(t, err)
+		rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(conn, codec{}), noCalls{})
+		err = rpc.Call(context.Background(), "echo", echoParams{}, nil)
+		must.ErrorContains(t, err, "not authorized")
+		must.Eq(t, 1, server.Rejected())
+		// A connection that never proves the key is closed.
+		time.Sleep(2 * handshakeTimeout)
+		must.Error(t, rpc.Call(context.Background(), "echo", echoParams{}, nil))
+	})
+}
+
+func TestSilentConnectionIsGivenUp(t *testing.T) {
+	// The connection to a peer goes silent. One call runs into its deadline;
+	// the next goes over a new connection and is answered.
+	between(t, "the right key", func(t *testing.T, pool *Pool, _ *Server, network *standin.Network) {
+		_, err := call(pool, "echo", echoParams{}, time.Second)
+		must.NoError(t, err)
+		network.Silence("a", "b")
+		_, err = call(pool, "echo", echoParams{}, time.Second)
+		must.Error(t, err)
+		_, err = call(pool, "echo", echoParams{}, time.Second)
+		must.NoError(t, err)
+	})
+}
+
+func TestSlowCallDoesNotHoldOthersUp(t *testing.T) {
+	between(t, "the right key", func(t *testing.T, pool *Pool, _ *Server, _ *standin.Network) {
+		slow := make(chan error, 1)
+		go func() {
+			_, err := call(pool, "echo", echoParams{WaitMS: 5000}, 10*time.Second)
+			slow <- err
+		}()
+		time.Sleep(time.Millisecond)
+		began := time.Now()
+		_, err := call(pool, "echo", echoParams{}, time.Second)
+		must.NoError(t, err)
+		must.Less(t, time.Second, time.Since(began))
+		must.NoError(t, <-slow)
+	})
+}
+
+func FuzzBoundedMessages(f *testing.F) {
+	f.Add([]byte{0x02, '{', '}'})
+	f.Add(binary.AppendUvarint(nil, MaxMessageBytes+1))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01})
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		// Whatever comes, reading one message ends, and one that announces more
+		// than the bound is refused.
+		var into any
+		err := codec{}.ReadObject(bufio.NewReader(bytes.NewReader(data)), &into)
+		if size, n := binary.Uvarint(data); n > 0 && size > MaxMessageBytes {
+			must.Error(t, err)
+		}
+	})
+}
