--- a/internal/configsync/configsync.go
+++ b/internal/configsync/configsync.go
@@ -15,6 +15,7 @@
 	"github.com/cherrystage/cherrystage/internal/inventory"
 	"github.com/cherrystage/cherrystage/internal/objectapi"
 	"github.com/cherrystage/cherrystage/internal/peer"
+	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -88,12 +89,12 @@
 	var after objectapi.Version
 	for ctx.Err() == nil {
 		if !s.watches() {
-			sleep(ctx, s.cfg.Poll)
+			timing.Sleep(ctx, s.cfg.Poll)
 			continue
 		}
 		changes, err := s.objects.Watch(ctx, configlog.HeadKey, after, s.cfg.WatchWait)
 		if err != nil {
-			sleep(ctx, pause.NextBackOff())
+			timing.Sleep(ctx, pause.NextBackOff())
 			continue
 		}
 		after = max(after, changes.Version)
@@ -102,7 +103,7 @@
 			continue
 		}
 		if err := s.Sync(ctx); err != nil {
-			sleep(ctx, pause.NextBackOff())
+			timing.Sleep(ctx, pause.NextBackOff())
 			continue
 		}
 		pause.Reset()
@@ -142,7 +143,7 @@
 		} else {
 			pause.Reset()
 		}
-		sleep(ctx, wait)
+		timing.Sleep(ctx, wait)
 	}
 }
 
@@ -205,15 +206,6 @@
 	return wait*3/4 + rand.N(wait/2+1)
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Peer methods of this package.
 const (
 	methodSince = "config.since"
--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -8,6 +8,7 @@
 	"github.com/cherrystage/cherrystage/internal/engine"
 	"github.com/cherrystage/cherrystage/internal/loading"
 	"github.com/cherrystage/cherrystage/internal/residency"
+	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/cherrystage/cherrystage/internal/verdict"
 	"github.com/pkg/errors"
 )
@@ -173,20 +174,11 @@
 		m.finishWant(w, err, retry)
 		c.notify(m)
 		if retry {
-			pause(ctx, retryPause)
+			timing.Sleep(ctx, retryPause)
 		}
 	}
 }
 
-func pause(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // load brings one model onto a runner. It takes the permit before it makes
 // room: a model goes on serving for as long as the queue of loads is long.
 func (c *Controller) load(ctx context.Context, m *managed, ask loading.Ask) (err error, retry bool) {
--- a/internal/control/nodelease.go
+++ b/internal/control/nodelease.go
@@ -111,18 +111,13 @@
 	return record, object.Version, errors.Wrap(err, "decode lease")
 }
 
-// ended says whether the lease of a process has ended as a fact in the object
+// Ended says whether the lease of a process has ended as a fact in the object
 // API: broken, released, or replaced by a later process of its host.
-func (c *Controller) ended(ctx context.Context, host, incarnation string) bool {
+func (c *Controller) Ended(ctx context.Context, host, incarnation string) bool {
 	record, _, err := c.readLease(ctx, host)
 	return err == nil && !record.Holds(incarnation)
 }
 
-// Ended says whether the lease of a process has ended as a fact in the object API.
-func (c *Controller) Ended(ctx context.Context, host, incarnation string) bool {
-	return c.ended(ctx, host, incarnation)
-}
-
 // breakIfLapsed breaks the lease of a host that has not renewed it for its
 // whole life, as timed by this node. The update is conditional: a renewal in
 // the meantime wins.
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -8,6 +8,7 @@
 	"github.com/cherrystage/cherrystage/internal/control"
 	"github.com/cherrystage/cherrystage/internal/residency"
 	"github.com/cherrystage/cherrystage/internal/routing"
+	"github.com/cherrystage/cherrystage/internal/timing"
 )
 
 const (
@@ -96,7 +97,7 @@
 	if decision.Action == routing.ActionNone {
 		// Every runner has been tried or none is known: all may be tried again.
 		clear(state.avoided)
-		sleep(ctx, viewPause)
+		timing.Sleep(ctx, viewPause)
 		return false, nil
 	}
 	if d.use(ctx, runner.ID, req.Model) {
@@ -111,7 +112,7 @@
 	result, err := d.acquire(ctx, req, runner, wait)
 	if err != nil {
 		trace.Note("owner "+runner.Owner+" of "+runner.ID+" does not answer: "+err.Error(), time.Now())
-		sleep(ctx, viewPause)
+		timing.Sleep(ctx, viewPause)
 		return false, nil
 	}
 	if result.Pin != nil && d.deps.Holder.Granted(*result.Pin, time.Now()) && d.use(ctx, runner.ID, req.Model) {
@@ -149,7 +150,7 @@
 	case control.RefusedDoubt:
 		state.avoided[runner] = true
 	default:
-		sleep(ctx, viewPause)
+		timing.Sleep(ctx, viewPause)
 	}
 	return nil
 }
@@ -265,12 +266,3 @@
 		d.giveBack(ctx, ret.Pin.Runner, ret)
 	}
 }
-
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/measure/chaos.sh
+++ b/internal/measure/chaos.sh
@@ -29,6 +29,7 @@
     --object-api http://127.0.0.1:9010 --host-list http://127.0.0.1:9010 --operator "op=$digest" \
     > "$work/e$1.log" 2>&1 &
   pids[e$1]=$!
+  disown
 }
 for i in $(seq 8); do start "$i"; done
 sleep 3
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -13,6 +13,7 @@
 	"github.com/cherrystage/cherrystage/internal/fleet"
 	"github.com/cherrystage/cherrystage/internal/peer"
 	"github.com/cherrystage/cherrystage/internal/residency"
+	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -119,7 +120,7 @@
 			return
 		case <-ticker.C:
 		case <-s.nudged:
-			pause(ctx, nudgePause)
+			timing.Sleep(ctx, nudgePause)
 		}
 	}
 }
@@ -127,15 +128,6 @@
 // nudgePause lets changes that come together go out together.
 const nudgePause = 20 * time.Millisecond
 
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Nudge makes a round go out soon.
 func (s *Service) Nudge() {
 	select {
--- a/internal/node/foresight_test.go
+++ b/internal/node/foresight_test.go
@@ -92,7 +92,7 @@
 				node.demand.estimator.Add("a7@1", 1, at)
 			}
 		}
-		time.Sleep(now.Add(-time.Minute).Sub(time.Now()))
+		time.Sleep(time.Until(now.Add(-time.Minute)))
 		must.NotEq(t, "", c.runnerWith("a7@1"))
 		requireWhole(t, c.ask("e1", "a7", "habit", 5), "a7@1", 5)
 	})
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -10,6 +10,7 @@
 	"github.com/cherrystage/cherrystage/internal/adminapi"
 	"github.com/cherrystage/cherrystage/internal/callerapi"
 	"github.com/cherrystage/cherrystage/internal/fleet"
+	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/pkg/errors"
 )
 
@@ -35,37 +36,24 @@
 	n.mu.Unlock()
 	n.readHosts(ctx)
 	var wg sync.WaitGroup
-	wg.Go(func() { every(ctx, hostListInterval, func() { n.readHosts(ctx) }) })
+	wg.Go(func() { timing.Every(ctx, hostListInterval, func() { n.readHosts(ctx) }) })
 	wg.Go(func() { n.membership.Run(ctx) })
 	wg.Go(func() { n.sync.Run(ctx) })
 	wg.Go(func() { n.controller.Run(ctx) })
 	wg.Go(func() { n.loads.Run(ctx) })
-	wg.Go(func() { every(ctx, limitInterval, n.setLimit) })
-	wg.Go(func() { every(ctx, foresightInterval, func() { n.foresee(ctx) }) })
-	wg.Go(func() { every(ctx, demandInterval, func() { n.saveDemand(ctx) }) })
-	wg.Go(func() { every(ctx, foresightInterval, func() { n.inheritDemand(ctx) }) })
-	wg.Go(func() { every(ctx, shareInterval, func() { n.claimShares(ctx) }) })
+	wg.Go(func() { timing.Every(ctx, limitInterval, n.setLimit) })
+	wg.Go(func() { timing.Every(ctx, foresightInterval, func() { n.foresee(ctx) }) })
+	wg.Go(func() { timing.Every(ctx, demandInterval, func() { n.saveDemand(ctx) }) })
+	wg.Go(func() { timing.Every(ctx, foresightInterval, func() { n.inheritDemand(ctx) }) })
+	wg.Go(func() { timing.Every(ctx, shareInterval, func() { n.claimShares(ctx) }) })
 	wg.Go(func() {
-		every(ctx, idleInterval, func() { n.dispatcher.GiveBackIdle(ctx, time.Now().Add(-pinIdle)) })
+		timing.Every(ctx, idleInterval, func() { n.dispatcher.GiveBackIdle(ctx, time.Now().Add(-pinIdle)) })
 	})
 	wg.Wait()
 	n.pool.Close()
 	n.server.Close()
 }
 
-func every(ctx context.Context, interval time.Duration, do func()) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			do()
-		}
-	}
-}
-
 func (n *Node) readHosts(ctx context.Context) {
 	list, err := n.hostList.Hosts(ctx)
 	if err != nil {
--- a/internal/residency/holder.go
+++ b/internal/residency/holder.go
@@ -75,6 +75,15 @@
 	return held
 }
 
+// pin gives the pin held on a model, or nil.
+func (s *holderShard) pin(runner, model string) *heldPin {
+	held := s.runners[runner]
+	if held == nil {
+		return nil
+	}
+	return held.pins[model]
+}
+
 // Granted takes a pin over and reports whether it may be used. Two grants are
 // refused: one whose recall overtook it on the way (its owner already counts
 // it as given back), and one of an owner that has a successor (the successor
@@ -132,8 +141,8 @@
 	s := h.shard(runner)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	held := s.runners[runner]
-	return held != nil && held.pins[model] != nil && !held.pins[model].recalled
+	pin := s.pin(runner, model)
+	return pin != nil && !pin.recalled
 }
 
 // Use begins a use of a model on a runner; false if no pin allows it.
@@ -141,11 +150,7 @@
 	s := h.shard(runner)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	held := s.runners[runner]
-	if held == nil {
-		return false
-	}
-	pin := held.pins[model]
+	pin := s.pin(runner, model)
 	if pin == nil || pin.recalled {
 		return false
 	}
@@ -159,18 +164,17 @@
 	s := h.shard(runner)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	held := s.runners[runner]
-	if held == nil || held.pins[model] == nil {
+	pin := s.pin(runner, model)
+	if pin == nil {
 		return Return{}, false
 	}
-	pin := held.pins[model]
 	pin.uses--
 	pin.idle = now
 	pin.unclean = pin.unclean || !clean
 	if !pin.recalled || pin.uses > 0 {
 		return Return{}, false
 	}
-	return held.giveBack(runner, model), true
+	return s.runners[runner].giveBack(runner, model), true
 }
 
 func (r *heldRunner) giveBack(runner, model string) Return {
@@ -237,16 +241,15 @@
 	s := h.shard(runner)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	held := s.runners[runner]
-	if held == nil || held.pins[model] == nil {
+	pin := s.pin(runner, model)
+	if pin == nil {
 		return Return{}, false
 	}
-	pin := held.pins[model]
 	pin.recalled = true
 	if pin.uses > 0 {
 		return Return{}, false
 	}
-	return held.giveBack(runner, model), true
+	return s.runners[runner].giveBack(runner, model), true
 }
 
 // IdleSince gives back the pins that have had no use since a time.
