cherryctl apply takes the revision from the file that get wrote

Cause: tried as an operator, get -o json and apply did not fit together: the field revision had to be deleted by hand, and the change was then made from whatever was in force, so that another shift's change was undone unseen. The file's revision is now what the change is made from.

--- a/cmd/cherryctl/apply.go
+++ b/cmd/cherryctl/apply.go
@@ -18,7 +18,7 @@
 
 // changeFlags are the flags of every command that changes something.
 type changeFlags struct {
-	From     int64  `long:"from" default:"-1" description:"revision that the change was made from; by default the one in force"`
+	From     int64  `long:"from" default:"-1" description:"revision that the change was made from; by default the one that the file names, else the one in force"`
 	Note     string `long:"note" description:"note for the audit trail"`
 	ChangeID string `long:"change-id" description:"identifier of the change; give that of an earlier try whose outcome is unknown"`
 	DryRun   bool   `long:"dry-run" description:"show what would change, and change nothing"`
@@ -33,11 +33,15 @@
 
 // Execute makes the inventory what the file says.
 func (c *applyCommand) Execute([]string) error {
-	var document inventory.Document
-	if err := readJSON(c.Args.File, &document); err != nil {
+	var file adminapi.InventoryResult
+	if err := readJSON(c.Args.File, &file); err != nil {
 		return err
 	}
-	return c.submit(adminapi.ChangeRequest{Document: &document})
+	if c.From < 0 && file.Revision > 0 {
+		// The file says which revision it was read at: what came since must not be undone unseen.
+		c.From = int64(file.Revision)
+	}
+	return c.submit(adminapi.ChangeRequest{Document: &file.Document})
 }
 
 func readJSON(path string, into any) error {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -31,7 +31,7 @@
 	HostList  string `long:"host-list" env:"CHERRYSTAGE_HOST_LIST" default:"http://127.0.0.1:9000" description:"URL of the platform's host list"`
 
 	PeerKey      string   `long:"peer-key" env:"CHERRYSTAGE_PEER_KEY" description:"key that all entry hosts share, at least 16 characters"`
-	OperatorKeys []string `long:"operator" env:"CHERRYSTAGE_OPERATORS_KEYS" env-delim:"," value-name:"NAME=DIGEST" description:"operator and the SHA-256 digest of its key in hexadecimal; may be given more than once"`
+	OperatorKeys []string `long:"operator" env:"CHERRYSTAGE_OPERATOR_KEYS" env-delim:"," value-name:"NAME=DIGEST" description:"operator and the SHA-256 digest of its key in hexadecimal; may be given more than once"`
 
 	LogLevel string `long:"log-level" env:"CHERRYSTAGE_LOG_LEVEL" default:"info" description:"least level that is logged: debug, info, warn or error"`
 
