--- a/internal/inventory/document.go
+++ b/internal/inventory/document.go
@@ -15,11 +15,11 @@
 
 // Limits of an inventory.
 const (
-	MaxNameLength      = 128
-	MaxVersions        = 64
-	MaxPriority        = 9
-	digestLength       = 32
-	defaultVersionOnly = 1
+	MaxNameLength = 128
+	MinVersions   = 1
+	MaxVersions   = 64
+	MaxPriority   = 9
+	digestLength  = 32
 	// AnyCaller in a list of callers lets every known caller in.
 	AnyCaller = "*"
 )
@@ -91,8 +91,8 @@
 	if err := checkName("base model", a.Base); err != nil {
 		return errors.Wrapf(err, "adapter %s", a.Name)
 	}
-	if len(a.Versions) < defaultVersionOnly || len(a.Versions) > MaxVersions {
-		return errors.Errorf("adapter %s: want 1 to %d versions", a.Name, MaxVersions)
+	if len(a.Versions) < MinVersions || len(a.Versions) > MaxVersions {
+		return errors.Errorf("adapter %s: want %d to %d versions", a.Name, MinVersions, MaxVersions)
 	}
 	seen := map[string]bool{}
 	for _, version := range a.Versions {
--- a/internal/node/demand.go
+++ b/internal/node/demand.go
@@ -16,7 +16,7 @@
 	// toldLife is how long a home's word on a rate is believed.
 	toldLife = 30 * time.Second
 	// rateInterval is the time between two words on rates to one owner.
-	rateInterval = 2 * time.Second
+	rateInterval = 5 * time.Second
 )
 
 // demandKeeper counts this host's requests, hands the counts to the homes of
--- a/internal/residency/slots.go
+++ b/internal/residency/slots.go
@@ -268,10 +268,23 @@
 	return view
 }
 
+// loadSteps is the number of steps of a runner's batch in which its load is
+// told to peers: a busy runner's load moves with every report, and told each
+// time it would be most of what hosts say to each other.
+const loadSteps = 8
+
+// loadStep gives the step of a view's load.
+func (v View) loadStep() int {
+	if v.MaxBatch == 0 {
+		return 0
+	}
+	return (v.Running + v.Queued) * loadSteps / v.MaxBatch
+}
+
 // Same says whether two views differ in nothing that a peer must be told.
 func (v View) Same(other View) bool {
 	if v.Runner != other.Runner || v.Owner != other.Owner || v.Fence != other.Fence || v.Boot != other.Boot ||
-		v.Slots != other.Slots || v.Running != other.Running || v.Queued != other.Queued ||
+		v.Slots != other.Slots || v.loadStep() != other.loadStep() ||
 		(v.Evictable == 0) != (other.Evictable == 0) {
 		return false
 	}
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -31,14 +31,15 @@
 	runners map[string][]string
 }
 
-// runnerInfo is one runner. started counts the requests that this host sent
-// since the owner's last word: the word does not contain them yet.
+// runnerInfo is one runner. inFlight counts this host's own requests there, and
+// told how many there were when the owner last told: what came or went since is
+// not in the owner's word.
 type runnerInfo struct {
 	host     fleet.Host
 	view     residency.View
 	known    bool
 	inFlight atomic.Int64
-	started  atomic.Int64
+	told     atomic.Int64
 }
 
 // NewTable makes an empty table.
@@ -100,7 +101,7 @@
 	old := info.view
 	info.view = view
 	info.known = true
-	info.started.Store(0)
+	info.told.Store(info.inFlight.Load())
 	s.mu.Unlock()
 	t.index(old, view)
 	return true
@@ -163,9 +164,6 @@
 	defer s.mu.RUnlock()
 	if info := s.runners[runner]; info != nil {
 		info.inFlight.Add(n)
-		if n > 0 {
-			info.started.Add(n)
-		}
 	}
 }
 
@@ -199,7 +197,7 @@
 		}
 	}
 	own := int(info.inFlight.Load())
-	occupancy := max(view.Running+view.Queued+int(info.started.Load()), own)
+	occupancy := max(view.Running+view.Queued+own-int(info.told.Load()), own)
 	return Runner{
 		ID: info.host.ID, Address: info.host.Address, Owner: view.Owner, Base: info.host.Base,
 		Live: info.host.State == fleet.StateLive, Known: info.known, Fence: view.Fence,
