--- a/internal/node/foresight_test.go
+++ b/internal/node/foresight_test.go
@@ -18,6 +18,7 @@
 		document.Adapters[0].Versions = []string{"1", "2", "3"}
 		c.apply(document)
 		c.useFor(time.Minute, "a0")
+		must.NotEq(t, "", c.runnerWith("a0@3"))
 		document.Adapters[0].Current = "3"
 		c.apply(document)
 		time.Sleep(2 * time.Second)
--- /dev/null
+++ b/internal/node/history_test.go
@@ -0,0 +1,105 @@
+package node
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/cherrystage/cherrystage/internal/adminclient"
+	"github.com/cherrystage/cherrystage/internal/inventory"
+	"github.com/cherrystage/cherrystage/internal/verdict"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+)
+
+// proposed is a change that an operator sent, made from a revision.
+type proposed struct{ from inventory.Revision }
+
+// decided is what the operator was told.
+type decided struct {
+	accepted inventory.Revision
+	refused  inventory.Revision // the revision that was in force
+	verdict  verdict.Verdict
+}
+
+// headModel is the inventory's head as a register: a change is accepted exactly
+// if it was made from the revision in force, and then moves it on by one. A
+// change of unknown outcome may or may not have been accepted.
+var headModel = porcupine.NondeterministicModel{
+	Init: func() []any { return []any{inventory.Revision(1)} },
+	Step: func(state, input, output any) []any {
+		current, in, out := state.(inventory.Revision), input.(proposed), output.(decided)
+		fits := in.from == current
+		switch {
+		case out.accepted > 0 && fits && out.accepted == current+1:
+			return []any{out.accepted}
+		case out.accepted > 0:
+			return nil
+		case out.refused > 0 && (fits || out.refused != current):
+			return nil
+		case out.verdict == verdict.MayHaveRun && fits:
+			return []any{current, current + 1}
+		default:
+			return []any{current}
+		}
+	},
+}
+
+func TestHistoryOfChangesIsLinearizable(t *testing.T) {
+	// Six operators race changes through three hosts, with answers of the
+	// object API lost now and then and an outage. What each was told fits one
+	// order of all changes, in which none is lost and none accepted twice.
+	inCluster(t, 3, smallWorld(), func(c *cluster) {
+		var mu sync.Mutex
+		var history []porcupine.Operation
+		began := time.Now()
+		var wg sync.WaitGroup
+		for client := range 6 {
+			wg.Go(func() {
+				host := fmt.Sprintf("e%d", client%3+1)
+				for i := range 25 {
+					from := c.nodes[host].Snapshot().Revision()
+					called := time.Since(began)
+					out := c.propose(host, fmt.Sprintf("h-%d-%d", client, i), from)
+					mu.Lock()
+					history = append(history, porcupine.Operation{
+						ClientId: client, Input: proposed{from}, Call: int64(called), Output: out, Return: int64(time.Since(began)),
+					})
+					mu.Unlock()
+					time.Sleep(time.Duration(50+37*client) * time.Millisecond)
+				}
+			})
+		}
+		for range 8 {
+			time.Sleep(300 * time.Millisecond)
+			c.world.Platform.LoseAnswers(4)
+		}
+		c.world.Platform.SetDown(true)
+		time.Sleep(400 * time.Millisecond)
+		c.world.Platform.SetDown(false)
+		wg.Wait()
+		accepted := 0
+		for _, operation := range history {
+			if operation.Output.(decided).accepted > 0 {
+				accepted++
+			}
+		}
+		must.Positive(t, accepted)
+		must.True(t, porcupine.CheckOperations(headModel.ToModel(), history), must.Sprintf("%+v", history))
+		t.Logf("%d changes, %d accepted", len(history), accepted)
+	})
+}
+
+func (c *cluster) propose(host, id string, from inventory.Revision) decided {
+	result, err := c.change(host, id, from, putRule("raced", id))
+	if err == nil {
+		return decided{accepted: result.Revision}
+	}
+	var failed *adminclient.APIError
+	if errors.As(err, &failed) {
+		return decided{refused: failed.Current, verdict: failed.Verdict()}
+	}
+	return decided{verdict: verdict.MayHaveRun}
+}
