The verdict is over all tries; the gate comes before the claim

Cause, found while reading: an idempotent request whose first try may have run, and whose later tries were refused before they began, was answered not-run, on the last refusal's word. A test was written first and was red (TestNotRunIsNotSaidAfterATryThatMayHaveRun, not-run for may-have-run), then the tries' verdicts were joined, for plain services too; it is green, and fails again with the safeguard taken out. Ruled out: once-only requests, which are not tried again after may-have-run. Also: a request that the gate turned away had written a claim before, two writes for nothing in an overload and a claim that a quick repeat could run into.

--- a/internal/control/load.go
+++ b/internal/control/load.go
@@ -170,7 +170,7 @@
 			}
 			continue
 		}
-		err, retry := c.load(ctx, m, m.askOf(w))
+		retry, err := c.load(ctx, m, m.askOf(w))
 		m.finishWant(w, err, retry)
 		c.notify(m)
 		if retry {
@@ -179,32 +179,33 @@
 	}
 }
 
-// load brings one model onto a runner. It takes the permit before it makes
-// room: a model goes on serving for as long as the queue of loads is long.
-func (c *Controller) load(ctx context.Context, m *managed, ask loading.Ask) (err error, retry bool) {
+// load brings one model onto a runner, and reports whether the wish is to be
+// taken up again. It takes the permit before it makes room: a model goes on
+// serving for as long as the queue of loads is long.
+func (c *Controller) load(ctx context.Context, m *managed, ask loading.Ask) (retry bool, err error) {
 	if _, present := m.runner.State(ask.Model); present {
-		return nil, false
+		return false, nil
 	}
 	if m.runner.Free() <= 0 && len(c.victimsFor(m, ask, time.Now())) == 0 {
 		// A caller waits for room; a foreseen need is dropped and may come again.
-		return errNoVictim, ask.Class == loading.ClassWaiting
+		return ask.Class == loading.ClassWaiting, errNoVictim
 	}
 	permit, err := c.deps.Loads.Acquire(ctx, ask, permitWait)
 	if err != nil {
-		return err, !errors.Is(err, loading.ErrBroken)
+		return !errors.Is(err, loading.ErrBroken), err
 	}
 	if !m.runner.BeginLoad(ask.Model, time.Now()) {
 		if err := c.makeRoom(ctx, m, ask); err != nil {
 			permit.Cancel()
-			return err, true
+			return true, err
 		}
 		if !m.runner.BeginLoad(ask.Model, time.Now()) {
 			permit.Cancel()
-			return errNoVictim, true
+			return true, errNoVictim
 		}
 	}
 	c.notify(m)
-	return c.orderLoad(ctx, m, ask.Model, permit), false
+	return false, c.orderLoad(ctx, m, ask.Model, permit)
 }
 
 func (c *Controller) orderLoad(ctx context.Context, m *managed, model string, permit *loading.Permit) error {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -126,17 +126,21 @@
 	return refusal
 }
 
-// guarded runs a request inside its claim and its place at the gate.
+// guarded runs a request inside its place at the gate and its claim. The gate
+// comes first: what it turns away in an overload costs the object API nothing,
+// and leaves no claim behind.
 func (d *Dispatcher) guarded(ctx context.Context, req Request, trace *Trace, run func(ctx context.Context) *Refusal) *Refusal {
-	claim, refusal := d.claim(ctx, req, trace)
-	if refusal != nil {
+	return d.gated(ctx, req, trace, func(ctx context.Context) *Refusal {
+		claim, refusal := d.claim(ctx, req, trace)
+		if refusal != nil {
+			return refusal
+		}
+		refusal = run(ctx)
+		if claim != nil {
+			claim.Finish(ctx, verdictOf(refusal))
+		}
 		return refusal
-	}
-	refusal = d.gated(ctx, req, trace, run)
-	if claim != nil {
-		claim.Finish(ctx, verdictOf(refusal))
-	}
-	return refusal
+	})
 }
 
 func verdictOf(refusal *Refusal) verdict.Verdict {
@@ -176,6 +180,26 @@
 type tries struct {
 	avoided map[string]bool
 	loads   int
+	// mayHaveRun: one of the tries so far may have run.
+	mayHaveRun bool
+}
+
+// note takes a failed try in.
+func (s *tries) note(failure *engine.Failure) {
+	s.mayHaveRun = s.mayHaveRun || failure.Verdict() != verdict.NotRun
+}
+
+// final gives the answer over all tries. A last try that did not run says
+// nothing of those before it: told "not run" on its word, a caller would
+// believe that of a request that ran.
+func (s *tries) final(refusal *Refusal) *Refusal {
+	if !s.mayHaveRun || refusal.Verdict != verdict.NotRun {
+		return refusal
+	}
+	whole := *refusal
+	whole.Verdict = verdict.MayHaveRun
+	whole.Message += "; an earlier try may have run"
+	return &whole
 }
 
 // attempts tries the request until it has an answer, or another try is not
@@ -186,23 +210,24 @@
 	for attempt := 1; ; attempt++ {
 		spot, refusal := d.reserve(ctx, req, state, trace)
 		if refusal != nil {
-			return refusal
+			return state.final(refusal)
 		}
 		failure := d.attempt(ctx, req, spot, trace, pass)
 		if failure == nil {
 			return nil
 		}
+		state.note(failure)
 		if req.Restart != nil {
 			failure.Passed = 0
 		}
 		if !failure.MayRetry(req.Idempotent) || attempt == maxAttempts {
-			return failureRefusal(failure)
+			return state.final(failureRefusal(failure))
 		}
 		// A missing model is this side's stale knowledge, not the target's
 		// failure: it does not count against the budget.
 		if failure.Code != engine.CodeNotLoaded && !d.deps.Budget.Retry() {
 			trace.Note("no further try: retry budget used up", time.Now())
-			return failureRefusal(failure)
+			return state.final(failureRefusal(failure))
 		}
 		state.avoided[spot.runner.ID] = failure.Code != engine.CodeNotLoaded
 		d.deps.Metrics.Retried()
--- a/internal/dispatch/services.go
+++ b/internal/dispatch/services.go
@@ -4,10 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/cherrystage/cherrystage/internal/engine"
 	"github.com/cherrystage/cherrystage/internal/fleet"
 	"github.com/cherrystage/cherrystage/internal/plain"
-	"github.com/cherrystage/cherrystage/internal/verdict"
 )
 
 // serviceHost picks a live host of a service, in turn.
@@ -43,10 +41,9 @@
 
 func (d *Dispatcher) serviceAttempts(ctx context.Context, req Request, call plain.Call, trace *Trace) (plain.Answer, *Refusal) {
 	d.deps.Budget.First()
-	avoided := map[string]bool{}
-	var last *engine.Failure
+	state := &tries{avoided: map[string]bool{}}
 	for range maxAttempts {
-		host, ok := d.serviceHost(req.Service, avoided)
+		host, ok := d.serviceHost(req.Service, state.avoided)
 		if !ok {
 			break
 		}
@@ -59,14 +56,11 @@
 			return answer, nil
 		}
 		trace.Note(host.ID+": "+failure.Error(), time.Now())
-		last = failure
+		state.note(failure)
 		if !failure.MayRetry(req.Idempotent) || !d.deps.Budget.Retry() {
-			return answer, failureRefusal(failure)
+			return answer, state.final(failureRefusal(failure))
 		}
-		avoided[host.ID] = true
+		state.avoided[host.ID] = true
 	}
-	if last != nil && last.Verdict() != verdict.NotRun {
-		return plain.Answer{}, failureRefusal(last)
-	}
-	return plain.Answer{}, notRun(CodeNoTarget, "no host of the service can take the request", retrySoon)
+	return plain.Answer{}, state.final(notRun(CodeNoTarget, "no host of the service can take the request", retrySoon))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -84,7 +84,8 @@
 	leaving  bool
 	draining bool
 	owned    map[string]residency.View
-	runCtx   context.Context
+	// runCtx ends with the node; work that a peer's message starts runs under it.
+	runCtx context.Context
 	// demandVersion and lastCandidates belong to the loops that keep demand.
 	demandVersion  objectapi.Version
 	fresh          freshVersions
--- a/internal/node/once_test.go
+++ b/internal/node/once_test.go
@@ -102,3 +102,16 @@
 		must.Eq(t, "may-have-run", got.verdict)
 	})
 }
+
+func TestNotRunIsNotSaidAfterATryThatMayHaveRun(t *testing.T) {
+	// The first try of an idempotent request fails in mid-work, and may have
+	// run. Every later try is refused before it begins. The caller is told
+	// may-have-run: the last refusal says nothing of the first try.
+	inCluster(t, 2, smallWorld(), func(c *cluster) {
+		c.fill("e1", "a0")
+		c.setFaults(standin.Faults{Fail500: 1, RefuseNotRun: 100})
+		got := c.ask("e1", "a0", "mixed", 5)
+		must.NotEq(t, 200, got.status)
+		must.Eq(t, "may-have-run", got.verdict)
+	})
+}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -199,14 +199,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.counts.Requests++
-	if e.faults.RefuseNotRun > 0 {
-		e.faults.RefuseNotRun--
-		return http.StatusServiceUnavailable, engine.CodeBusy
-	}
 	if e.faults.Fail500 > 0 {
 		e.faults.Fail500--
 		return http.StatusInternalServerError, "internal"
 	}
+	if e.faults.RefuseNotRun > 0 {
+		e.faults.RefuseNotRun--
+		return http.StatusServiceUnavailable, engine.CodeBusy
+	}
 	if s := e.resident[model]; s == nil || !s.ready {
 		return http.StatusNotFound, engine.CodeNotLoaded
 	}
