A fresh host is not ready before it has heard its peers

Cause, found while reading: a fresh host said that it was ready as soon as it had any revision. With the object API away and the first peer heard a revision behind, callers sent to it would see an accepted change revert for up to half a second. It now waits until every listed entry host was heard, at most 2 s, and until it is not behind any that was. The test fails with the wait taken out. What is left: after 2 s a host that hears only peers that are behind serves by their revision; it cannot know better.

--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -202,3 +202,27 @@
 		must.Len(t, 151, trail)
 	})
 }
+
+func TestFreshHostIsNotReadyBehindItsPeers(t *testing.T) {
+	// The object API is down and one of two hosts is a revision behind. A fresh
+	// host hears the one behind first. It does not say that it is ready before
+	// it has heard the other, so no caller sees the accepted change revert.
+	inCluster(t, 2, smallWorld(), func(c *cluster) {
+		c.net.Cut("e2", "e1")
+		c.net.Cut("e2", "platform")
+		_, err := c.change("e1", "second", 1, putRule("r", "farm"))
+		must.NoError(t, err)
+		time.Sleep(time.Second)
+		c.world.Platform.SetDown(true)
+		fresh := c.start("e3")
+		c.net.Cut("e3", "e1")
+		time.Sleep(1200 * time.Millisecond)
+		must.Eq(t, 1, fresh.Snapshot().Revision())
+		must.False(t, fresh.Ready())
+		c.net.Mend("e3", "e1")
+		for !fresh.Ready() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		must.Eq(t, 2, fresh.Snapshot().Revision())
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,6 +80,7 @@
 	placer     *dispatch.Placer
 
 	kept     atomic.Pointer[candidateList]
+	caught   atomic.Bool
 	mu       sync.Mutex
 	leaving  bool
 	draining bool
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -87,8 +87,35 @@
 // Ready tells the balancer whether this host takes new requests.
 func (n *Node) Ready() bool {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	return !n.leaving && n.follower.Snapshot().Revision() > 0
+	leaving := n.leaving
+	n.mu.Unlock()
+	return !leaving && n.follower.Snapshot().Revision() > 0 && n.caughtUp(time.Now())
+}
+
+// startGrace is how long a fresh host waits to hear the other entry hosts.
+const startGrace = 2 * time.Second
+
+// caughtUp says whether a fresh host has heard its peers and is not behind any
+// of them. The object API may be away, or a read of it stale, and the first
+// peer heard may be behind: a caller sent here too early would see an accepted
+// change revert. Once it was true it stays so.
+func (n *Node) caughtUp(now time.Time) bool {
+	if n.caught.Load() {
+		return true
+	}
+	own := uint64(n.follower.Snapshot().Revision())
+	for _, member := range n.members.All() {
+		if member.Revision > own {
+			return false
+		}
+	}
+	for _, host := range n.hosts.ByRole(fleet.RoleEntry) {
+		if !n.members.Speaking(host.ID, now) && now.Sub(n.started) < startGrace {
+			return false
+		}
+	}
+	n.caught.Store(true)
+	return true
 }
 
 // drainHere makes this host not ready and gives its runners away. Requests
