The weight store's own word on its rate

Hosts now read the store's limits every 10 s where it is named, and the lower of the two counts. TestWeightStoreAtATenthOfItsRate fails with the setting taken in its place.

--- a/internal/loading/shares.go
+++ b/internal/loading/shares.go
@@ -93,9 +93,10 @@
 // its own shares while they are not lent, and those borrowed. It is safe for
 // concurrent use.
 type Allowance struct {
-	perShare rate.Limit
+	total int
 
 	mu       sync.Mutex
+	perShare rate.Limit
 	own      int
 	coming   int
 	comingAt time.Time
@@ -114,6 +115,7 @@
 // number of shares that make up the rate, in loads a second.
 func NewAllowance(perSecond float64, total int, now time.Time) *Allowance {
 	a := &Allowance{
+		total:    total,
 		perShare: rate.Limit(perSecond / float64(total)),
 		loans:    map[string]loan{},
 		bucket:   rate.NewLimiter(0, 1),
@@ -140,6 +142,15 @@
 	a.adjust(now)
 }
 
+// SetRate changes the rate that all shares together make up, in loads a second.
+func (a *Allowance) SetRate(perSecond float64, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settle(now)
+	a.perShare = rate.Limit(perSecond / float64(a.total))
+	a.adjust(now)
+}
+
 // Lend lends this host's shares for a time that counts from now on this
 // host's clock. It returns zero while they are lent to another.
 func (a *Allowance) Lend(to string, now time.Time, life time.Duration) int {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/cherrystage/cherrystage/internal/residency"
 	"github.com/cherrystage/cherrystage/internal/routing"
 	"github.com/cherrystage/cherrystage/internal/settings"
+	"github.com/cherrystage/cherrystage/internal/weights"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -55,6 +56,7 @@
 
 	objects    *objectapi.Client
 	hostList   *hostlist.Client
+	weights    *weights.Client
 	engines    *engine.Client
 	pool       *peer.Pool
 	server     *peer.Server
@@ -126,6 +128,9 @@
 	platform := &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
 	n.objects = objectapi.NewClient(n.cfg.ObjectAPI, platform)
 	n.hostList = hostlist.NewClient(n.cfg.HostList, platform)
+	if n.cfg.WeightStore != "" {
+		n.weights = weights.NewClient(n.cfg.WeightStore, platform)
+	}
 	n.engines = engine.NewClient(engine.Config{
 		Dial: dial, ConnectTimeout: t.ConnectTimeout, FirstPieceTimeout: t.FirstPieceTimeout,
 		SilenceTimeout: t.SilenceTimeout, OrderTimeout: t.OrderTimeout, MaxResumes: maxResumes,
--- a/internal/node/races_test.go
+++ b/internal/node/races_test.go
@@ -300,6 +300,29 @@
 	})
 }
 
+func TestWeightStoreAtATenthOfItsRate(t *testing.T) {
+	// The weight store says that it allows a tenth of its usual rate. Within
+	// seconds all hosts together load no faster; what is resident is served on.
+	world := smallWorld()
+	world.LoadTime = 10 * time.Millisecond
+	tune := func(cfg *settings.Settings) { cfg.WeightStore = cfg.ObjectAPI }
+	synctestCluster(t, 3, world, tune, func(c *cluster) {
+		c.fill("e1", "a0")
+		c.world.Platform.SetLoadRate(0.35)
+		time.Sleep(15 * time.Second)
+		began := time.Now()
+		var wg sync.WaitGroup
+		for id := range c.nodes {
+			for _, model := range []string{"a1", "a2", "a3", "a4", "a5", "a6", "a7"} {
+				wg.Go(func() { c.ask(id, model, "cold-"+model, 1) })
+			}
+		}
+		requireWhole(t, c.ask("e2", "a0", "resident", 5), "a0@1", 5)
+		wg.Wait()
+		requireAllowance(t, c.world.Weights.Starts(), began, 0.35, 1)
+	})
+}
+
 // requireAllowance fails if any window holds more load starts than the rate
 // allows, with one load to spare for each host and one for the window's edge.
 func requireAllowance(t *testing.T, starts []time.Time, from time.Time, rate float64, hosts int) {
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -21,7 +21,9 @@
 	// use, short enough that a host cut off blocks few evictions.
 	pinIdle       = 15 * time.Second
 	limitInterval = 250 * time.Millisecond
-	headerTimeout = 10 * time.Second
+	// limitsInterval is the time between readings of the weight store's limits.
+	limitsInterval = 10 * time.Second
+	headerTimeout  = 10 * time.Second
 )
 
 // Listeners are the addresses that a node serves on.
@@ -35,8 +37,10 @@
 	n.runCtx = ctx
 	n.mu.Unlock()
 	n.readHosts(ctx)
+	n.readLimits(ctx)
 	var wg sync.WaitGroup
 	wg.Go(func() { timing.Every(ctx, hostListInterval, func() { n.readHosts(ctx) }) })
+	wg.Go(func() { timing.Every(ctx, limitsInterval, func() { n.readLimits(ctx) }) })
 	wg.Go(func() { n.membership.Run(ctx) })
 	wg.Go(func() { n.sync.Run(ctx) })
 	wg.Go(func() { n.controller.Run(ctx) })
@@ -65,6 +69,20 @@
 	}
 }
 
+// readLimits follows the weight store when it allows fewer loads than the
+// settings say. Without an answer the last limits stay.
+func (n *Node) readLimits(ctx context.Context) {
+	if n.weights == nil {
+		return
+	}
+	limits, err := n.weights.Limits(ctx)
+	if err != nil {
+		n.log.Debug("the weight store's limits not read; the last ones stay in force", "error", err)
+		return
+	}
+	n.allowance.SetRate(min(limits.PerSecond, n.cfg.Loads.Rate), time.Now())
+}
+
 // ServePeers serves peers until the listener closes.
 func (n *Node) ServePeers(listener net.Listener) error { return n.server.Serve(listener) }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -30,6 +30,8 @@
 	ObjectAPI string `long:"object-api" env:"CHERRYSTAGE_OBJECT_API" default:"http://127.0.0.1:9000" description:"URL of the platform's object API"`
 	HostList  string `long:"host-list" env:"CHERRYSTAGE_HOST_LIST" default:"http://127.0.0.1:9000" description:"URL of the platform's host list"`
 
+	WeightStore string `long:"weight-store" env:"CHERRYSTAGE_WEIGHT_STORE" description:"URL of the weight store; if given, a lower rate that it tells goes before --load-rate"`
+
 	PeerKey      string   `long:"peer-key" env:"CHERRYSTAGE_PEER_KEY" description:"key that all entry hosts share, at least 16 characters"`
 	OperatorKeys []string `long:"operator" env:"CHERRYSTAGE_OPERATOR_KEYS" env-delim:"," value-name:"NAME=DIGEST" description:"operator and the SHA-256 digest of its key in hexadecimal; may be given more than once"`
 
@@ -122,7 +124,11 @@
 	if s.Host == "" || s.DataCentre == "" {
 		return errors.New("--host and --data-centre must not be empty")
 	}
-	for flag, url := range map[string]string{"--object-api": s.ObjectAPI, "--host-list": s.HostList} {
+	urls := map[string]string{"--object-api": s.ObjectAPI, "--host-list": s.HostList}
+	if s.WeightStore != "" {
+		urls["--weight-store"] = s.WeightStore
+	}
+	for flag, url := range urls {
 		if !strings.HasPrefix(url, "http://") && !strings.HasPrefix(url, "https://") {
 			return errors.Errorf("%s %q: want a URL that begins with http:// or https://", flag, url)
 		}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -28,6 +28,7 @@
 		{"--peers", func(s *Settings) { s.Peers = "" }},
 		{"--peer-address", func(s *Settings) { s.PeerAddress = "x" }},
 		{"--object-api", func(s *Settings) { s.ObjectAPI = "127.0.0.1:9000" }},
+		{"--weight-store", func(s *Settings) { s.WeightStore = "x" }},
 		{"--host", func(s *Settings) { s.Host = "" }},
 		{"--peer-key", func(s *Settings) { s.PeerKey = "short" }},
 		{"--operator", func(s *Settings) { s.OperatorKeys = nil }},
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -38,6 +38,7 @@
 	loseNext int
 	calls    int
 	writes   int
+	loadRate float64
 }
 
 // NewPlatform makes an empty platform.
@@ -105,6 +106,8 @@
 	switch {
 	case r.URL.Path == "/hosts" && r.Method == http.MethodPost:
 		p.postHost(w, r)
+	case r.URL.Path == "/weights/limits":
+		p.limits(w)
 	case r.URL.Path == "/hosts":
 		p.getHosts(w)
 	case !p.admit(r):
@@ -120,6 +123,19 @@
 	}
 }
 
+// SetLoadRate sets the loads a second that the weight store says it allows.
+func (p *Platform) SetLoadRate(perSecond float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.loadRate = perSecond
+}
+
+func (p *Platform) limits(w http.ResponseWriter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	writeJSON(w, http.StatusOK, map[string]float64{"per_second": p.loadRate})
+}
+
 func (p *Platform) admit(r *http.Request) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/weights/weights.go
@@ -0,0 +1,64 @@
+// Package weights is the adapter to the weight store, which tells how many
+// loads it allows. Engines fetch the weights themselves.
+package weights
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	callTimeout    = 3 * time.Second
+	maxAnswerBytes = 4 << 10
+)
+
+// Limits are what the weight store allows to the whole deployment now.
+type Limits struct {
+	// PerSecond is the loads a second.
+	PerSecond float64 `json:"per_second"`
+}
+
+// Client reads the limits over HTTP and JSON.
+type Client struct {
+	url  string
+	http *http.Client
+}
+
+// NewClient makes a client for the weight store at base.
+func NewClient(base string, transport http.RoundTripper) *Client {
+	return &Client{
+		url:  strings.TrimSuffix(base, "/") + "/weights/limits",
+		http: &http.Client{Transport: transport, Timeout: callTimeout},
+	}
+}
+
+// Limits reads the limits. Limits that allow nothing are taken as an error: to
+// believe them would end all loads on one wrong answer.
+func (c *Client) Limits(ctx context.Context) (Limits, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return Limits{}, errors.Wrap(err, "weight store")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return Limits{}, errors.Wrap(err, "weight store")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return Limits{}, errors.Errorf("weight store: status %d", resp.StatusCode)
+	}
+	var limits Limits
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(&limits); err != nil {
+		return Limits{}, errors.Wrap(err, "weight store")
+	}
+	if limits.PerSecond <= 0 {
+		return Limits{}, errors.Errorf("weight store: %g loads a second", limits.PerSecond)
+	}
+	return limits, nil
+}
