Pins outlive the loss of their model

Cause, found while reading: when an engine lost a model (a restart, or its word that it has no such model), the owner dropped the slot with its pins. Their holders did not know and went on with them once the model was loaded again, and the owner evicted it without recalling them: an adapter in use could be evicted. A test was written first and was red (TestPinsOutliveALostModel: no pin to be recalled); pins are kept now while the model is away, and a pin that a member tells of a model that is not loaded counts as well. Ruled out: having holders drop their pins at a restart, since a paused holder does not hear of it. The specification does not model the loss of a model.

--- a/internal/residency/machine_test.go
+++ b/internal/residency/machine_test.go
@@ -40,6 +40,7 @@
 	returns []sent[residency.Return]
 	uses    []use
 	broken  string
+	boot    int
 }
 
 type sent[T any] struct {
@@ -80,7 +81,7 @@
 
 func (m *machine) report() {
 	m.now = m.now.Add(10 * time.Second)
-	report := engine.Report{Boot: "1", Slots: slots, MaxBatch: 4}
+	report := engine.Report{Boot: fmt.Sprint(m.boot), Slots: slots, MaxBatch: 4}
 	for _, model := range models {
 		if m.loaded[model] {
 			report.Resident = append(report.Resident, engine.ResidentModel{Model: model, Running: m.using[model]})
@@ -198,6 +199,20 @@
 	}
 }
 
+// restart empties the engine as a cold start does; what ran on it ends.
+func (m *machine) restart() {
+	m.boot++
+	clear(m.loaded)
+	clear(m.using)
+	for _, ended := range m.uses {
+		if ret, due := m.holders[ended.holder].Done("r", ended.model, false, m.now); due {
+			m.returns = append(m.returns, sent[residency.Return]{ended.holder, ret})
+		}
+	}
+	m.uses = nil
+	m.report()
+}
+
 // anyOwner gives the owner, or a former one that does not know that it is.
 func (m *machine) anyOwner(t *rapid.T) *residency.Runner {
 	at := rapid.IntRange(0, len(m.former)).Draw(t, "owner")
@@ -244,6 +259,26 @@
 	})
 }
 
+func TestRace05NoInterleavingAfterARestartEvictsAModelInUse(t *testing.T) {
+	// As before, with an engine that has restarted cold in between, so that
+	// pins are out on models that it lost and loads again.
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		m.owner.Heard(holderName(0), "1", nil, m.now)
+		m.owner.Heard(holderName(1), "1", nil, m.now)
+		m.loaded["a@1"] = true
+		m.report()
+		m.report()
+		for h := range m.holders {
+			pin, err := m.owner.Grant(holderName(h), "1", "a@1", m.now)
+			must.NoError(t, err)
+			m.holders[h].Granted(pin, m.now)
+		}
+		m.restart()
+		t.Repeat(m.steps())
+	})
+}
+
 func TestRace04RecallOvertakesItsGrant(t *testing.T) {
 	// The owner recalls a pin whose grant is still on its way, and takes the
 	// holder's word that it has none. The grant that arrives after is void:
@@ -299,3 +334,23 @@
 	must.True(t, m.holders[0].Granted(grant, m.now))
 	must.Eq(t, 1, m.owner.PinsOut("a@1"))
 }
+
+func TestPinsOutliveALostModel(t *testing.T) {
+	// An engine restarts cold. One host finds the model missing and has it
+	// loaded again; another still holds its pin from before, and uses it. The
+	// owner must recall that pin too before it evicts the model.
+	m := newMachine()
+	m.owner.Heard(holderName(0), "1", nil, m.now)
+	m.owner.Heard(holderName(1), "1", nil, m.now)
+	must.True(t, m.owner.BeginLoad("a@1", m.now))
+	m.owner.Loaded("a@1", m.now)
+	pin, err := m.owner.Grant(holderName(1), "1", "a@1", m.now)
+	must.NoError(t, err)
+	m.owner.Missing("a@1", m.now)
+	must.True(t, m.owner.BeginLoad("a@1", m.now))
+	m.owner.Loaded("a@1", m.now)
+	pinned, ok := m.owner.BeginRecall("a@1")
+	must.True(t, ok)
+	must.Eq(t, []residency.PinnedBy{{Holder: holderName(1), Pin: pin}}, pinned)
+	must.False(t, m.owner.BeginEvict("a@1"))
+}
--- a/internal/residency/runner.go
+++ b/internal/residency/runner.go
@@ -46,10 +46,12 @@
 	slotCount   int
 	boot        string
 	slots       map[string]*slot
-	gone        map[string]time.Time
-	unheard     map[string]bool
-	heard       map[string]string
-	doubts      map[string]Intent
+	// lost holds the pins that are out on models that the engine lost.
+	lost    map[string]map[string]outPin
+	gone    map[string]time.Time
+	unheard map[string]bool
+	heard   map[string]string
+	doubts  map[string]Intent
 	// report is the newest; described is the time at which it was true.
 	report    engine.Report
 	described time.Time
@@ -86,6 +88,7 @@
 	r.fence = record.Fence
 	r.seq = 0
 	r.slots = map[string]*slot{}
+	r.lost = map[string]map[string]outPin{}
 	r.gone = map[string]time.Time{}
 	r.heard = map[string]string{}
 	r.unheard = map[string]bool{}
@@ -149,11 +152,41 @@
 func (r *Runner) forgetResident() {
 	for model, s := range r.slots {
 		if s.state != SlotLoading {
-			delete(r.slots, model)
+			r.loseSlot(model)
 		}
 	}
 }
 
+// loseSlot drops the slot of a model that the engine has lost. Its pins stay:
+// their holders do not know, and use them again once the model is loaded again.
+func (r *Runner) loseSlot(model string) {
+	if s := r.slots[model]; s != nil && len(s.pins) > 0 {
+		r.lost[model] = s.pins
+	}
+	delete(r.slots, model)
+}
+
+// addSlot makes a slot for a model, with the pins that were out on it before
+// the engine lost it.
+func (r *Runner) addSlot(model string, state SlotState, now time.Time) *slot {
+	pins := r.lost[model]
+	if pins == nil {
+		pins = map[string]outPin{}
+	}
+	delete(r.lost, model)
+	s := &slot{state: state, pins: pins, changed: now, lastUse: now}
+	r.slots[model] = s
+	return s
+}
+
+// pinsOn gives the pins that are out on a model, whether it has a slot or was lost.
+func (r *Runner) pinsOn(model string) map[string]outPin {
+	if s := r.slots[model]; s != nil {
+		return s.pins
+	}
+	return r.lost[model]
+}
+
 // reconcile settles the table against the report. A report older than the
 // last change of a slot says nothing about it.
 func (r *Runner) reconcile() {
@@ -172,7 +205,7 @@
 			continue
 		}
 		if s.state != SlotLoading || (!s.orphaned.IsZero() && r.described.After(s.orphaned)) {
-			delete(r.slots, model)
+			r.loseSlot(model)
 		}
 	}
 	for model, at := range r.gone {
@@ -186,7 +219,7 @@
 	s := r.slots[model]
 	if s == nil {
 		if _, evicted := r.gone[model]; !evicted || r.described.After(r.gone[model]) {
-			r.slots[model] = &slot{state: SlotResident, pins: map[string]outPin{}, changed: r.described, lastUse: r.described}
+			r.addSlot(model, SlotResident, r.described)
 		}
 		return
 	}
@@ -224,15 +257,22 @@
 func (r *Runner) Returned(holder string, ret Return, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	s := r.slots[ret.Pin.Model]
-	if s == nil || ret.Pin.Fence != r.fence {
+	if ret.Pin.Fence != r.fence {
 		return
 	}
-	pin, ok := s.pins[holder]
+	pins := r.pinsOn(ret.Pin.Model)
+	pin, ok := pins[holder]
 	if !ok || ret.Pin.Seq < pin.seq {
 		return
 	}
-	delete(s.pins, holder)
+	delete(pins, holder)
+	s := r.slots[ret.Pin.Model]
+	if s == nil {
+		if len(pins) == 0 {
+			delete(r.lost, ret.Pin.Model)
+		}
+		return
+	}
 	s.lastUse = now
 	if !ret.Clean {
 		s.busyUntil = now.Add(settleTime)
@@ -253,12 +293,16 @@
 	delete(r.unheard, member)
 	r.heard[member] = incarnation
 	for _, held := range pins {
-		s := r.slots[held.Model]
-		if s == nil {
-			continue
+		known := r.pinsOn(held.Model)
+		if known == nil {
+			// Not loaded, as far as this owner knows: the pin counts once it is.
+			known = map[string]outPin{}
+			r.lost[held.Model] = known
+		}
+		if _, told := known[member]; !told {
+			known[member] = outPin{incarnation: incarnation}
 		}
-		if _, known := s.pins[member]; !known {
-			s.pins[member] = outPin{incarnation: incarnation}
+		if s := r.slots[held.Model]; s != nil {
 			s.lastUse = now
 		}
 	}
@@ -285,6 +329,11 @@
 	if unheard {
 		delete(r.unheard, member)
 	}
+	for _, pins := range r.lost {
+		if pin, pinned := pins[member]; pinned && pin.incarnation != live {
+			delete(pins, member)
+		}
+	}
 	for _, s := range r.slots {
 		pin, pinned := s.pins[member]
 		stale := pinned && pin.incarnation != live
--- a/internal/residency/slots.go
+++ b/internal/residency/slots.go
@@ -38,7 +38,7 @@
 	if !r.owned || !r.ready || doubted || r.slots[model] != nil || r.slotCount <= len(r.slots) {
 		return false
 	}
-	r.slots[model] = &slot{state: SlotLoading, pins: map[string]outPin{}, changed: now, lastUse: now}
+	r.addSlot(model, SlotLoading, now)
 	return true
 }
 
@@ -48,8 +48,7 @@
 	defer r.mu.Unlock()
 	s := r.slots[model]
 	if s == nil {
-		s = &slot{pins: map[string]outPin{}}
-		r.slots[model] = s
+		s = r.addSlot(model, SlotResident, now)
 	}
 	s.state = SlotResident
 	s.orphaned = time.Time{}
@@ -62,7 +61,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s := r.slots[model]; s != nil && s.state == SlotLoading {
-		delete(r.slots, model)
+		r.loseSlot(model)
 	}
 }
 
@@ -86,7 +85,7 @@
 	if s == nil || s.state == SlotLoading || s.changed.After(now) {
 		return
 	}
-	delete(r.slots, model)
+	r.loseSlot(model)
 	r.gone[model] = now
 }
 
