A host that stops gives its unused pins back

Cause, found while reading: a gracefully stopped host left its pins out, so what its callers used last could not be evicted for as long as the platform's list kept the host. A test was written with the change and fails without it.

--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -189,6 +189,7 @@
 	case <-n.streams.Empty():
 	case <-ctx.Done():
 	}
+	n.farewell()
 	cut := n.streams.Open()
 	if err != nil {
 		_ = callers.Close()
@@ -199,6 +200,16 @@
 	return cut, errors.Wrap(err, "drain")
 }
 
+// farewellTime lets the last messages go out.
+const farewellTime = 200 * time.Millisecond
+
+// farewell gives all unused pins back: left out, they would block evictions for
+// as long as the platform lists this host.
+func (n *Node) farewell() {
+	n.dispatcher.GiveBackIdle(n.context(), time.Now().Add(time.Hour))
+	timing.Sleep(n.context(), farewellTime)
+}
+
 // setLimit sets how many requests this host admits at a time: what the runners
 // can batch less what other hosts have there, and at least a fair part.
 func (n *Node) setLimit() {
--- a/internal/node/streams_test.go
+++ b/internal/node/streams_test.go
@@ -198,3 +198,21 @@
 		must.Error(t, err)
 	})
 }
+
+func TestStoppedHostLeavesNoPins(t *testing.T) {
+	// A host stops gracefully and stays on the host list. The adapters that its
+	// callers used last can make room for others at once.
+	tune := func(cfg *settings.Settings) { cfg.Timing.DrainNotice = time.Second }
+	synctestCluster(t, 2, smallWorld(), tune, func(c *cluster) {
+		for _, model := range []string{"a0", "a1", "a2", "a3"} {
+			requireWhole(t, c.ask("e1", model, "last-"+model, 1), model+"@1", 1)
+		}
+		cut, err := c.nodes["e1"].Shutdown(context.Background(), c.nodes["e1"].callers)
+		must.NoError(t, err)
+		must.Eq(t, 0, cut)
+		c.kill("e1")
+		for _, model := range []string{"a4", "a5", "a6", "a7"} {
+			requireWhole(t, c.ask("e2", model, "new-"+model, 1), model+"@1", 1)
+		}
+	})
+}
