An engine is fenced before anything it holds is used

Cause, found while reading: a new owner had the engine take an order under its number only if its first report showed something loaded. Behind a report that showed the engine empty, an earlier owner could load an adapter; the new owner took it over from the next report, let callers use it, and a late eviction of the earlier owner, whose number the engine had not been told to refuse, hit it. The test does just that; it was red with the old code and is green now. Ruled out: an order for a model that nobody has, since what engines make of it is not said. The node suite is green (50 s).

--- a/internal/control/runner.go
+++ b/internal/control/runner.go
@@ -29,13 +29,17 @@
 func (c *Controller) readReports(ctx context.Context, m *managed) {
 	ticker := time.NewTicker(c.cfg.ReportInterval)
 	defer ticker.Stop()
-	opened := false
+	fenced := !m.host.ChecksFence
 	for {
 		asked := time.Now()
 		report, err := c.deps.Engines.Report(ctx, m.host.Address)
+		if err == nil && !fenced && len(report.Resident) > 0 {
+			err = c.fenceEngine(ctx, m, report)
+			fenced = err == nil
+		}
 		if err == nil {
 			m.runner.Observe(report, asked)
-			opened = opened || c.open(ctx, m, report)
+			m.runner.Open()
 			c.hearHolders(ctx, m)
 			c.settleDoubts(m, time.Now())
 			c.notify(m)
@@ -48,18 +52,17 @@
 	}
 }
 
-// open lets pins be granted. An engine that checks fencing first gets an order
-// under the new number, so that no late order of the owner before is obeyed:
-// a load of what is loaded already changes nothing else.
-func (c *Controller) open(ctx context.Context, m *managed, report engine.Report) bool {
-	if m.host.ChecksFence && len(report.Resident) > 0 {
-		if err := c.order(ctx, m, engine.OrderLoad, report.Resident[0].Model); err != nil {
-			c.loseIfStale(m, err)
-			return false
-		}
-	}
-	m.runner.Open()
-	return true
+// fenceEngine gives an engine that checks fencing an order under the new number,
+// so that no late order of the owner before is obeyed: a load of what is loaded
+// already changes nothing else. It comes before the first report with anything
+// loaded is believed: what an earlier owner loaded after a report that showed
+// the engine empty must get no pin while that owner could still evict it.
+func (c *Controller) fenceEngine(ctx context.Context, m *managed, report engine.Report) error {
+	err := c.order(ctx, m, engine.OrderLoad, report.Resident[0].Model)
+	if err != nil {
+		c.loseIfStale(m, err)
+	}
+	return err
 }
 
 // order sends one order and counts it while it is under way.
--- a/internal/node/races_test.go
+++ b/internal/node/races_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -209,6 +210,26 @@
 	})
 }
 
+func TestEngineIsFencedBeforeWhatItHoldsIsUsed(t *testing.T) {
+	// An owner takes over an engine that shows itself empty. Then an order of
+	// an earlier owner loads an adapter, callers use it, and a late eviction of
+	// that earlier owner comes. It is refused: the new owner had the engine take
+	// an order under its own number before it let anyone use the adapter.
+	inCluster(t, 2, smallWorld(), func(c *cluster) {
+		client := engine.NewClient(engine.Config{Dial: c.net.Host("former").Dial, ConnectTimeout: time.Second, OrderTimeout: time.Minute})
+		late := engine.Order{Kind: engine.OrderLoad, Model: "a0@1"}
+		must.NoError(t, client.Order(context.Background(), "runner-1:80", late))
+		time.Sleep(2 * time.Second)
+		got := make(chan answer, 1)
+		go func() { got <- c.ask("e1", "a0", "uses-it", 500) }()
+		time.Sleep(time.Second)
+		late.Kind = engine.OrderEvict
+		must.Error(t, client.Order(context.Background(), "runner-1:80", late))
+		requireWhole(t, await(t, got), "a0@1", 500)
+		must.Eq(t, 0, c.evictedInUse())
+	})
+}
+
 func TestRace13TargetLeavesWhileRequestsWait(t *testing.T) {
 	// A runner is listed as leaving while requests stream and others wait for
 	// it. The streams end whole, the waiting ones are served elsewhere, and the
