A stopping host begins no late stream; a watch is renewed within a configuration's bound

Ruled out: the balancer (it had taken the host out; the requests came on open connections and while half of a zone was out).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,20 +70,26 @@
 	peers     *peer.Server
 	started   time.Time
 	stopping  atomic.Bool
+	refusing  atomic.Bool
 	ready     atomic.Bool
 	changed   chan struct{}
 	requests  atomic.Int64
 	grace     atomic.Int64
 }
 
-// The least times between two watches of a kind. Runners' entries change with
-// each adapter that comes or goes, several times a second, and a call a change
-// and host was four fifths of all calls to the store; what matters in them has
-// two seconds to be acted on.
+// How long watches wait and the least times between two of them, by kind.
+// Configurations must be in force and leaving runners be left alone within two
+// seconds, new versions within five. Runners' entries change with each adapter
+// that comes or goes, several times a second, and a call a change and host was
+// four fifths of all calls to the store.
 const (
+	configWait  = 1200 * time.Millisecond
 	configPace  = 200 * time.Millisecond
-	runnerPace  = 700 * time.Millisecond
-	versionPace = 400 * time.Millisecond
+	runnerWait  = 1200 * time.Millisecond
+	runnerPace  = time.Second
+	versionWait = 2500 * time.Millisecond
+	versionPace = 500 * time.Millisecond
+	fleetWait   = 4 * time.Second
 	fleetPace   = 300 * time.Millisecond
 )
 
@@ -132,7 +138,7 @@
 		Client: e.client, Limit: cfg.Retries, Hosts: e.state.Size, Now: now, Log: log,
 	})
 	e.callers = (&ingress.Ingress{
-		Dialect: platform.Dialect, Directory: e.directory, Serve: e.serve, Now: now, Log: log, Closing: e.stopping.Load,
+		Dialect: platform.Dialect, Directory: e.directory, Serve: e.serve, Now: now, Log: log, Closing: e.stopping.Load, Refusing: e.refusing.Load,
 	}).Server()
 	return e
 }
@@ -145,10 +151,10 @@
 
 func (e *Entry) follow(platform Platform) {
 	for _, f := range []*registry.Follower{
-		{Store: platform.Store, Kind: platform.ConfigKind, Sink: e.directory.Configs, Pace: configPace, Log: e.log},
-		{Store: platform.Store, Kind: platform.RunnerKind, Sink: e.directory.Runners, Pace: runnerPace, Log: e.log, Outage: e.outageEnded},
-		{Store: platform.Store, Kind: platform.VersionKind, Sink: e.directory.Versions, Pace: versionPace, Log: e.log},
-		{Store: platform.Store, Kind: mesh.Kind, Sink: e.mesh.Fleet(), Pace: fleetPace, Log: e.log},
+		{Store: platform.Store, Kind: platform.ConfigKind, Sink: e.directory.Configs, Wait: configWait, Pace: configPace, Log: e.log},
+		{Store: platform.Store, Kind: platform.RunnerKind, Sink: e.directory.Runners, Wait: runnerWait, Pace: runnerPace, Log: e.log, Outage: e.outageEnded},
+		{Store: platform.Store, Kind: platform.VersionKind, Sink: e.directory.Versions, Wait: versionWait, Pace: versionPace, Log: e.log},
+		{Store: platform.Store, Kind: mesh.Kind, Sink: e.mesh.Fleet(), Wait: fleetWait, Pace: fleetPace, Log: e.log},
 	} {
 		e.followers = append(e.followers, f)
 	}
@@ -258,25 +264,28 @@
 	leaveNotice = 2500 * time.Millisecond
 	// leaveMargin is kept before the platform ends the process.
 	leaveMargin = 300 * time.Millisecond
-	// drainPoll is how often the end of the last request is looked for.
-	drainPoll = 50 * time.Millisecond
 )
 
 // Shutdown stops taking callers and waits until the requests that are under way
 // have their answers, within the grace that the platform gives.
+//
+// Requests go on being served for as long as the balancer sends new connections.
+// After that the listener and idle connections are closed, and what still comes
+// on open ones is refused: a stream begun then would not end before the process
+// does, and would be cut off.
 func (e *Entry) Shutdown(ctx context.Context) {
 	begin := e.now()
 	e.stopping.Store(true)
 	e.ready.Store(false)
-	for ctx.Err() == nil {
-		passed := e.now().Sub(begin)
-		if passed >= time.Duration(e.grace.Load())-leaveMargin || (passed >= leaveNotice && e.requests.Load() == 0) {
-			break
-		}
-		timing.Sleep(ctx, drainPoll)
+	timing.Sleep(ctx, leaveNotice)
+	e.refusing.Store(true)
+	grace := time.Duration(e.grace.Load()) - leaveMargin - e.now().Sub(begin)
+	closing, cancel := context.WithTimeout(ctx, max(0, grace))
+	defer cancel()
+	if err := e.callers.Shutdown(closing); err != nil {
+		e.log.Warn("requests cut off at the end of the grace", "requests", e.requests.Load(), "error", err.Error())
 	}
 	e.log.Info("requests ended", "left", e.requests.Load(), "took_ms", e.now().Sub(begin).Milliseconds())
-	_ = e.callers.Close()
 }
 
 // Reconfigure takes over what may change while the process runs: the grace.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -36,6 +36,9 @@
 	// unknownRetry is when a caller should come back to a host that has no
 	// configuration yet.
 	unknownRetry = "0.5"
+	// leavingRetry is when a caller should come back that a stopping host
+	// refused: another host takes it at once.
+	leavingRetry = "0.05"
 )
 
 // Serve serves a request on its route.
@@ -50,6 +53,8 @@
 	Log       hclog.Logger
 	// Closing says that connections should be closed after their answer.
 	Closing func() bool
+	// Refusing says that no request is begun any more.
+	Refusing func() bool
 }
 
 // Server makes the HTTP server for callers.
@@ -82,6 +87,11 @@
 	if i.Closing() {
 		w.Header().Set("Connection", "close")
 	}
+	if i.Refusing() {
+		w.Header().Set("Retry-After", leavingRetry)
+		i.reject(w, r, http.StatusServiceUnavailable, "this host is stopping")
+		return
+	}
 	if len(r.TransferEncoding) > 0 {
 		switch recorder.framing() {
 		case framingBoth:
--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -12,10 +12,6 @@
 )
 
 const (
-	// watchWait is how long a watch waits. Each return costs a call of the
-	// store's allowance; a dead connection is found by probes and by peers that
-	// are ahead, not by this time.
-	watchWait = 10 * time.Second
 	// watchMargin is how long after its wait a watch without an answer is given
 	// up.
 	watchMargin = 2 * time.Second
@@ -45,6 +41,10 @@
 	Sink  Sink
 	Log   hclog.Logger
 
+	// Wait is how long a watch waits. A watch is not trusted alone: it may hear
+	// nothing of a change and stay open. The next one begins where it began and
+	// gets the change at once, so Wait bounds how late a change is seen.
+	Wait time.Duration
 	// Pace is the least time between two watches. Changes that come in between
 	// are told together, for the price of one call.
 	Pace time.Duration
@@ -109,9 +109,9 @@
 }
 
 func (f *Follower) watch(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+watchMargin)
 	defer cancel()
-	changes, revision, err := f.Store.Watch(ctx, f.Kind, f.Sink.Revision(), watchWait)
+	changes, revision, err := f.Store.Watch(ctx, f.Kind, f.Sink.Revision(), f.Wait)
 	if err != nil {
 		return err
 	}
