Loads: estimates move once a load; an order without an answer is given once more

Cause: complaints of several requests about one load raised the estimate of all loads (650 ms where 250 are needed), and each lost answer to an order cost all who waited 0.6 s; streams waited 2.4 s until their callers left, unserved.

--- a/internal/adapters/keeper.go
+++ b/internal/adapters/keeper.go
@@ -13,7 +13,7 @@
 
 const (
 	// orderTimeout bounds an order's answer, which takes a few milliseconds.
-	orderTimeout = 400 * time.Millisecond
+	orderTimeout = 200 * time.Millisecond
 	// reportTimeout bounds a report.
 	reportTimeout = 500 * time.Millisecond
 	// reportLag is how old a report may be: some hundred milliseconds, so an
@@ -27,13 +27,13 @@
 	// keptFree is the number of places that an idle keeper makes free ahead, so
 	// that the next load needs one order and not two.
 	keptFree = 1
+	// earlyAgain is how much later requests come after one came too early.
+	earlyAgain = 40 * time.Millisecond
 	// transitPoll is the pause of a keeper whose next load has to wait for
 	// another to end.
 	transitPoll = 10 * time.Millisecond
 	// idlePass is the pause of a keeper with nothing to do.
 	idlePass = 250 * time.Millisecond
-	// maxWaiting bounds the loads that wait for one runner.
-	maxWaiting = 64
 )
 
 // Errors of Want.
@@ -112,16 +112,26 @@
 	log       hclog.Logger
 }
 
+// queueTime estimates how long a further load waits until it is over; the lock
+// is held.
+func (k *Keeper) queueTime() time.Duration {
+	loads := map[Key]bool{}
+	for _, w := range k.waiting {
+		loads[w.key] = true
+	}
+	return time.Duration(len(loads)+1) * k.times.Estimate(false, 0, 1)
+}
+
 // Want asks for an adapter and tells from when it is there. It returns once
-// the load is ordered.
-func (k *Keeper) Want(ctx context.Context, key Key) (time.Time, error) {
+// the load is ordered, or at once if the adapter would not be there in time.
+func (k *Keeper) Want(ctx context.Context, key Key, within time.Duration) (time.Time, error) {
 	k.mu.Lock()
 	if readyAt, ok := k.slots.Ready(key); ok {
 		k.slots.Touch(key.Adapter, k.now())
 		k.mu.Unlock()
 		return readyAt, nil
 	}
-	if len(k.waiting) >= maxWaiting {
+	if k.queueTime() > within {
 		k.mu.Unlock()
 		return time.Time{}, ErrCrowded
 	}
@@ -146,6 +156,8 @@
 	// Patience is the longest wait for other prompts that the asker takes; it
 	// has another runner to go to.
 	Patience time.Duration
+	// Within is the time after which sending the request is of no use.
+	Within time.Duration
 }
 
 // ErrPressed: the prompts before it would keep the request waiting for longer
@@ -174,7 +186,7 @@
 	readyAt := k.now()
 	if ask.Key.Name != "" {
 		var err error
-		if readyAt, err = k.Want(ctx, ask.Key); err != nil {
+		if readyAt, err = k.Want(ctx, ask.Key, ask.Within); err != nil {
 			return Admitted{}, err
 		}
 	}
@@ -237,12 +249,14 @@
 func (k *Keeper) Missing(adapter site.Adapter) {
 	k.mu.Lock()
 	now := k.now()
-	p := k.slots.places[adapter]
-	if p != nil && now.Sub(p.readyAt) < time.Second {
+	first, loading := k.slots.Early(adapter, now.Add(earlyAgain), now)
+	if first {
 		k.times.TooEarly(k.slots.Recent(adapter))
 	}
-	k.synced = false
+	k.version++
+	k.synced = k.synced && loading
 	k.mu.Unlock()
+	k.log.Debug("adapter missing", "adapter", adapter.String(), "still_loading", loading)
 	k.nudge()
 }
 
@@ -379,13 +393,15 @@
 	}
 	k.mu.Lock()
 	sequence := k.slots.Sequence
+	free, transit, waiting := k.slots.Free(), k.slots.Transit(), len(k.waiting)
 	k.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	outcome, err := k.engines.Order(ctx, k.runner.Address, Order{
 		Load: load, Key: key, Sequence: sequence, Holder: k.holder, Token: token, Instance: k.runner.ID,
 	})
-	fields := []any{"load", load, "adapter", key.Adapter.String(), "version", key.Version, "sequence", sequence, "token", token, "outcome", outcome.String(), "took_ms", k.now().Sub(now).Milliseconds()}
+	fields := []any{"load", load, "adapter", key.Adapter.String(), "version", key.Version, "sequence", sequence, "token", token, "outcome", outcome.String(), "took_ms", k.now().Sub(now).Milliseconds(),
+		"free", free, "transit", transit, "waiting", waiting, "estimate_ms", k.times.Estimate(false, 0, 1).Milliseconds()}
 	if err != nil {
 		fields = append(fields, "error", err.Error())
 	}
@@ -486,7 +502,7 @@
 	took := k.estimate(recent)
 	k.mu.Unlock()
 	sent := k.now()
-	outcome := k.order(ctx, true, key)
+	outcome := k.orderLoad(ctx, key)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.now()
@@ -510,6 +526,24 @@
 	return k.resync(outcome)
 }
 
+// orderLoad orders a load and, if no answer comes, orders it once more for the
+// same sequence: of the two the runner takes at most one. A conflict then says
+// that it took the first.
+//
+// Without the second order all who wait for the runner would wait out the
+// timeout and a report, 0.6 s, for each answer that is lost.
+func (k *Keeper) orderLoad(ctx context.Context, key Key) Outcome {
+	outcome := k.order(ctx, true, key)
+	if outcome != OutcomeUnknown {
+		return outcome
+	}
+	outcome = k.order(ctx, true, key)
+	if outcome == OutcomeConflict {
+		return OutcomeAccepted
+	}
+	return outcome
+}
+
 // resync turns those who wait away and has the report read; the lock is held.
 func (k *Keeper) resync(outcome Outcome) time.Duration {
 	for _, w := range k.waiting {
--- a/internal/adapters/loadtime.go
+++ b/internal/adapters/loadtime.go
@@ -12,15 +12,18 @@
 	firstLoadTime   = 255 * time.Millisecond
 	firstReloadTime = 30 * time.Millisecond
 	// tooEarlyStep and inTimeStep move an estimate after a load that was not
-	// over in time and after one that was. At rest one load in 31 is met too
-	// early, which costs its request one more try.
-	tooEarlyStep = 1.15
+	// over in time and after one that was. At rest one load in ten is met too
+	// early, which costs its request one more try and 40 ms; an estimate that is
+	// too long costs each request the difference, and the runner its loads.
+	tooEarlyStep = 1.045
 	inTimeStep   = 0.995
 	// transitShare is the number of loads at a time, per runner, that the weight
 	// store serves at full speed: 8 with 9 runners, 16 with 18.
 	transitShare = 0.85
-	minReload    = 10 * time.Millisecond
-	maxLoad      = 3 * time.Second
+	// minLoad, minReload and maxLoad bound the estimates.
+	minLoad   = 100 * time.Millisecond
+	minReload = 10 * time.Millisecond
+	maxLoad   = 3 * time.Second
 )
 
 // LoadTimes estimates how long loads of adapters take. Runners do not tell
@@ -68,5 +71,5 @@
 		t.again = max(minReload, time.Duration(float64(t.again)*inTimeStep))
 		return
 	}
-	t.fresh = max(firstLoadTime, time.Duration(float64(t.fresh)*inTimeStep))
+	t.fresh = max(minLoad, time.Duration(float64(t.fresh)*inTimeStep))
 }
--- a/internal/adapters/slots.go
+++ b/internal/adapters/slots.go
@@ -36,7 +36,9 @@
 	// orderedAt is when the order that led to this phase was sent.
 	orderedAt time.Time
 	usedAt    time.Time
-	version   int64
+	// early says that a request has come before the load was over.
+	early   bool
+	version int64
 }
 
 // maxTransit is the number of adapters that may be on their way to one runner.
@@ -170,11 +172,29 @@
 	s.drop(adapter)
 }
 
-// Absent notes that the runner said it lacks an adapter.
-func (s *Slots) Absent(adapter site.Adapter) {
-	if p := s.places[adapter]; p != nil && p.phase == resident {
-		delete(s.places, adapter)
+// longestLoad is how long after its order a load may still be under way: the
+// weight store's rate divided among many loads, and an order that is carried
+// out some time after its answer.
+const longestLoad = 2 * time.Second
+
+// Early notes that a runner turned a request away although the adapter's load
+// was thought to be over. It gives false if the load was so long ago that the
+// adapter must be gone; else the adapter counts as on its way until again. The
+// first complaint about a load says so.
+func (s *Slots) Early(adapter site.Adapter, again, now time.Time) (first, loading bool) {
+	p := s.places[adapter]
+	if p == nil || p.phase == doubtful || p.phase == leaving || now.Sub(p.orderedAt) > longestLoad {
+		return false, false
 	}
+	first = !p.early
+	p.early = true
+	p.setLoading(again)
+	return first, true
+}
+
+func (p *place) setLoading(readyAt time.Time) {
+	p.phase = loading
+	p.readyAt = readyAt
 }
 
 func (s *Slots) drop(adapter site.Adapter) {
--- a/internal/entry/residency.go
+++ b/internal/entry/residency.go
@@ -37,6 +37,8 @@
 	// prompts.
 	Tokens     int   `json:"tokens,omitempty"`
 	PatienceMS int64 `json:"patience_ms,omitempty"`
+	// WithinMS is the time after which sending the request is of no use.
+	WithinMS int64 `json:"within_ms,omitempty"`
 }
 
 // WantResult tells in how many milliseconds the request may be sent.
@@ -47,7 +49,12 @@
 }
 
 func (p WantParams) admission() adapters.Admission {
-	return adapters.Admission{Key: p.key(), Tokens: p.Tokens, Patience: time.Duration(p.PatienceMS) * time.Millisecond}
+	return adapters.Admission{
+		Key:      p.key(),
+		Tokens:   p.Tokens,
+		Patience: time.Duration(p.PatienceMS) * time.Millisecond,
+		Within:   time.Duration(p.WithinMS) * time.Millisecond,
+	}
 }
 
 func (p WantParams) key() adapters.Key {
@@ -142,6 +149,7 @@
 	params := wantParams(runner.ID, ask.Key)
 	params.Tokens = ask.Tokens
 	params.PatienceMS = ask.Patience.Milliseconds()
+	params.WithinMS = ask.Within.Milliseconds()
 	if err := r.pool.CallLong(ctx, address, methodWant, params, &result); err != nil {
 		return adapters.Admitted{}, err
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -84,6 +84,14 @@
 	// earlyPause is the pause before a request that came before its adapter is
 	// sent again.
 	earlyPause = 30 * time.Millisecond
+	// Callers leave a stream after the longest of: callerSilence, callerTargets
+	// times the target latency and callerGaps times the target gap without an
+	// event, by the platform's pages.
+	callerSilence = 2 * time.Second
+	callerTargets = 4
+	callerGaps    = 8
+	// sendMargin is what the first event of a request that is sent takes.
+	sendMargin = 150 * time.Millisecond
 	// maxAsks bounds the runners whose owners one request asks.
 	maxAsks = 3
 	// patienceShare of the target latency may go for other prompts on one
@@ -247,7 +255,7 @@
 // waitUntil waits unless the request's time ends before.
 func (l *life) waitUntil(ctx context.Context, at time.Time) bool {
 	pause := at.Sub(l.s.Now())
-	if pause > l.left() {
+	if pause > l.startWithin() {
 		l.asks = maxAsks
 		return false
 	}
@@ -265,10 +273,11 @@
 	if (known || l.key.Name == "") && !l.s.Residency.Loadable(l.runner) {
 		return adapters.Admitted{At: readyAt}, true
 	}
-	asking, cancel := context.WithTimeout(ctx, askTimeout)
+	within := l.startWithin()
+	asking, cancel := context.WithTimeout(ctx, min(askTimeout, within))
 	defer cancel()
 	admitted, err := l.s.Residency.Admit(asking, l.runner, adapters.Admission{
-		Key: l.key, Tokens: l.request.PromptTokens, Patience: l.patience(),
+		Key: l.key, Tokens: l.request.PromptTokens, Patience: l.patience(), Within: within,
 	})
 	if err == nil {
 		return admitted, true
@@ -278,11 +287,22 @@
 	return adapters.Admitted{}, false
 }
 
+// startWithin is the time within which the request must be sent to be of use:
+// callers give a stream up that shows nothing for a time.
+func (l *life) startWithin() time.Duration {
+	left := l.left()
+	if l.route.Kind != site.Streaming {
+		return left
+	}
+	silence := max(callerSilence, callerTargets*l.route.TargetLatency, callerGaps*l.route.TargetGap)
+	return min(left, l.arrived.Add(silence-sendMargin).Sub(l.s.Now()))
+}
+
 // patience is how long the request waits for other prompts on one runner: a
 // part of its target while there are other runners, and then all of its time.
 func (l *life) patience() time.Duration {
 	if l.asks >= maxAsks {
-		return l.left()
+		return l.startWithin()
 	}
 	return l.route.TargetLatency / patienceShare
 }
