--- /dev/null
+++ b/internal/adapters/pacer_test.go
@@ -0,0 +1,58 @@
+package adapters
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var epoch = time.Unix(1000, 0)
+
+// The first prompt of a runner that has read none: its owner's clock is far
+// from the zero time, and a wait computed from there overflowed, so that every
+// request was refused.
+func TestPacerFirstPrompt(t *testing.T) {
+	var p Pacer
+	must.Eq(t, 0, p.Wait(epoch))
+	must.Eq(t, epoch, p.Admit(800, epoch))
+}
+
+// Thirty callers come at once for adapters on one runner. Sent at once, their
+// prompts are read in chunks of 2,048 tokens a step, and every running stream
+// pauses for more than its callers allow. Spaced, no window of five steps holds
+// more reading than the allowed pause of 250 ms has room for.
+func TestPacerSpreadsClump(t *testing.T) {
+	const (
+		prompts  = 30
+		tokens   = 826
+		stepMS   = 5.9
+		steps    = 5
+		allowed  = 250 * time.Millisecond
+		perMilli = 38.7
+	)
+	var p Pacer
+	var sent []time.Time
+	for range prompts {
+		sent = append(sent, p.Admit(tokens, epoch))
+	}
+	for i, from := range sent {
+		read := 0
+		for _, at := range sent[i:] {
+			if at.Sub(from) < allowed {
+				read += tokens
+			}
+		}
+		pause := time.Duration((steps*stepMS + float64(read)/perMilli) * float64(time.Millisecond))
+		must.LessEq(t, allowed, pause, must.Sprintf("window from prompt %d reads %d tokens", i, read))
+	}
+}
+
+// A prompt longer than the burst goes alone: it does not wait for ever, and the
+// next waits until it is read.
+func TestPacerLongPrompt(t *testing.T) {
+	var p Pacer
+	must.Eq(t, epoch, p.Admit(7000, epoch))
+	must.Eq(t, 200*time.Millisecond, p.Wait(epoch))
+	must.Eq(t, 0, p.Wait(epoch.Add(200*time.Millisecond)))
+}
--- /dev/null
+++ b/internal/adapters/slots_test.go
@@ -0,0 +1,117 @@
+package adapters
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func named(i int) site.Adapter { return site.Adapter{Model: "m", Name: fmt.Sprintf("a%d", i)} }
+
+func keyed(i int) Key { return Key{Adapter: named(i)} }
+
+func TestCapacity(t *testing.T) {
+	model := site.Model{Name: "m", WeightsMB: 65_500, AdapterMB: 40}
+	must.Eq(t, 30, Capacity(&site.Engine{WeightsMB: 68_000, AdapterSlots: 30}, model))
+	must.Eq(t, 12, Capacity(&site.Engine{WeightsMB: 66_000, AdapterSlots: 30}, model))
+	must.Eq(t, 0, Capacity(&site.Engine{WeightsMB: 60_000, AdapterSlots: 30}, model))
+}
+
+// An order to load gets no answer. The adapter may be there, so its place is
+// not free: a further load into it would crash the runner. Nor is it ready: a
+// request sent there would be turned away.
+func TestSlotsDoubtHoldsPlace(t *testing.T) {
+	s := NewSlots(1)
+	s.Doubt(keyed(1), epoch)
+	must.Eq(t, 0, s.Free())
+	_, ready := s.Ready(keyed(1))
+	must.False(t, ready)
+
+	s.Reported(5, nil, reportLag, epoch, epoch.Add(reportLag/2))
+	must.Eq(t, 0, s.Free(), must.Sprint("a report older than the order says nothing of it"))
+	s.Reported(5, nil, reportLag, epoch, epoch.Add(2*reportLag))
+	must.Eq(t, 1, s.Free())
+}
+
+// Three requests come before their adapter's load is over. Each complains. The
+// estimate may move once only; moved by each, it grew to 650 ms where 250 are
+// needed, and loads were ordered half as fast as the weight store allows.
+func TestSlotsOneComplaintALoad(t *testing.T) {
+	s := NewSlots(2)
+	s.Loading(keyed(1), epoch.Add(time.Millisecond), epoch)
+	now := epoch.Add(2 * time.Millisecond)
+	s.Settle(now)
+	again := now.Add(earlyAgain)
+	first, loading := s.Early(named(1), again, now)
+	must.True(t, first)
+	must.True(t, loading)
+	readyAt, ok := s.Ready(keyed(1))
+	must.True(t, ok)
+	must.Eq(t, again, readyAt)
+	first, loading = s.Early(named(1), again, now)
+	must.False(t, first)
+	must.True(t, loading)
+	_, loading = s.Early(named(1), again, epoch.Add(longestLoad+time.Second))
+	must.False(t, loading)
+}
+
+// A new version is announced while the old one lies on the runner. A request
+// for the new one must not be sent there as if it were ready.
+func TestSlotsOldVersionIsNotReady(t *testing.T) {
+	s := NewSlots(2)
+	s.Loading(Key{Adapter: named(1), Version: 2}, epoch, epoch)
+	_, ok := s.Ready(Key{Adapter: named(1), Version: 3})
+	must.False(t, ok)
+	_, ok = s.Ready(Key{Adapter: named(1), Version: 2})
+	must.True(t, ok)
+	_, ok = s.Ready(Key{Adapter: named(1)})
+	must.True(t, ok)
+}
+
+// Whatever is ordered, answered, lost and reported, the places that are thought
+// taken are at least those that are: a load beyond them crashes the runner.
+func TestSlotsNeverOverfull(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const capacity = 4
+		s := NewSlots(capacity)
+		now := epoch
+		truth := map[site.Adapter]bool{}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			s.Settle(now)
+			i := rapid.IntRange(0, 8).Draw(t, "adapter")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				if _, there := s.places[named(i)]; there || s.Free() < 1 {
+					continue
+				}
+				truth[named(i)] = true
+				if rapid.Bool().Draw(t, "answered") {
+					s.Loading(keyed(i), now, now)
+				} else {
+					s.Doubt(keyed(i), now)
+				}
+			case 1:
+				if victim, ok := s.Victim(now); ok {
+					s.Left(victim)
+					delete(truth, victim)
+				}
+			case 2:
+				var held []Held
+				for adapter := range truth {
+					held = append(held, Held{Key: Key{Adapter: adapter}})
+				}
+				s.Reported(s.Sequence, held, reportLag, now, now)
+			case 3:
+				s.Touch(named(i), now)
+			}
+			if len(truth) > capacity {
+				t.Fatalf("%d adapters on %d places", len(truth), capacity)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/directory/directory_test.go
@@ -0,0 +1,105 @@
+package directory
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/registry"
+	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+)
+
+type decoder struct{}
+
+func (decoder) Config(spec json.RawMessage) (*site.Config, error) {
+	var version int64
+	if err := json.Unmarshal(spec, &version); err != nil {
+		return nil, errors.Wrap(err, "test configuration")
+	}
+	return site.NewConfig(version, nil, nil, site.Limits{}), nil
+}
+
+func (decoder) Runner(name string, spec json.RawMessage) (*site.Runner, error) {
+	return &site.Runner{ID: name, Service: "s", Address: name + ":1", Leaving: string(spec) == "true"}, nil
+}
+
+func (decoder) AdapterVersion(spec json.RawMessage) (site.AdapterVersion, error) {
+	var version int64
+	err := json.Unmarshal(spec, &version)
+	return site.AdapterVersion{Adapter: site.Adapter{Model: "m", Name: "a"}, Version: version}, err
+}
+
+func newDirectory(now *time.Time) *Directory {
+	return New(decoder{}, func() time.Time { return *now }, hclog.NewNullLogger())
+}
+
+func spec(name, text string, revision uint64) registry.Record {
+	return registry.Record{Name: name, Revision: revision, Spec: json.RawMessage(text)}
+}
+
+// A configuration in force is followed by an older one under a newer revision,
+// or by one that cannot be read. The host keeps the newest it understood.
+func TestConfigNeverGoesBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newDirectory(&now)
+	d.Configs.Listed([]registry.Record{spec("main", "7", 1)}, 1)
+	d.Configs.Listed([]registry.Record{spec("main", "5", 2)}, 2)
+	must.Eq(t, 7, d.Snapshot().Config.Version)
+	d.Configs.Listed([]registry.Record{spec("main", `"?"`, 3)}, 3)
+	must.Eq(t, 7, d.Snapshot().Config.Version)
+	d.Configs.Listed(nil, 4)
+	must.Eq(t, 7, d.Snapshot().Config.Version)
+}
+
+// A runner's entry says that it is leaving, or is gone. It gets nothing new.
+func TestLeavingRunner(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newDirectory(&now)
+	d.Runners.Listed([]registry.Record{spec("a", "false", 1), spec("b", "false", 2)}, 2)
+	must.Len(t, 2, d.Snapshot().ByService["s"])
+	d.Runners.Changed([]registry.Change{{Record: spec("a", "true", 3)}}, 3)
+	must.Len(t, 1, d.Snapshot().ByService["s"])
+	d.Runners.Changed([]registry.Change{{Record: spec("b", "false", 4), Removed: true}}, 4)
+	must.SliceEmpty(t, d.Snapshot().ByService["s"])
+}
+
+// The store was away and the entries of living runners lapsed meanwhile. For a
+// moment the list is empty. Callers must not be refused for want of runners; an
+// entry that stays away is taken as gone.
+func TestLapsedRunnersAreBelievedForAMoment(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newDirectory(&now)
+	d.Runners.Listed([]registry.Record{spec("a", "false", 1), spec("b", "false", 2)}, 2)
+	d.OutageEnded()
+	d.Runners.Listed(nil, 5)
+	must.Len(t, 2, d.Snapshot().ByService["s"])
+	now = now.Add(time.Second)
+	d.Runners.Changed([]registry.Change{{Record: spec("a", "false", 6)}}, 6)
+	now = now.Add(lapseGrace)
+	d.Expire()
+	runners := d.Snapshot().ByService["s"]
+	must.Len(t, 1, runners)
+	must.Eq(t, "a", runners[0].ID)
+}
+
+// A watch's history was dropped without an outage. A runner that is missing
+// from the new list has left, and gets nothing more.
+func TestMissingWithoutOutageIsGone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newDirectory(&now)
+	d.Runners.Listed([]registry.Record{spec("a", "false", 1)}, 1)
+	d.Runners.Listed(nil, 9)
+	must.SliceEmpty(t, d.Snapshot().ByService["s"])
+}
+
+func TestVersionsOnlyGrow(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newDirectory(&now)
+	adapter := site.Adapter{Model: "m", Name: "a"}
+	d.Versions.Listed([]registry.Record{spec("m.a", "3", 1)}, 1)
+	d.Versions.Changed([]registry.Change{{Record: spec("m.a", "2", 2)}}, 2)
+	must.Eq(t, 3, d.Snapshot().Versions[adapter])
+}
--- /dev/null
+++ b/internal/registry/replica_test.go
@@ -0,0 +1,66 @@
+package registry
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func record(name string, revision uint64) Record { return Record{Name: name, Revision: revision} }
+
+// An answer that was overtaken arrives: a listing of revision 5 after one of 8.
+// Taking it would bring an old configuration back.
+func TestReplicaNeverGoesBack(t *testing.T) {
+	r := NewReplica()
+	r.Listed([]Record{record("a", 7)}, 8)
+	r.Listed([]Record{record("a", 3)}, 5)
+	got, _ := r.Get("a")
+	must.Eq(t, 7, got.Revision)
+	r.Changed([]Change{{Record: record("a", 6)}}, 9)
+	got, _ = r.Get("a")
+	must.Eq(t, 7, got.Revision)
+	must.Eq(t, 9, r.Revision())
+}
+
+// A peer's snapshot brought a record that was removed and made again. The watch
+// then tells of the old removal, which must not take the new record away.
+func TestReplicaOldRemoval(t *testing.T) {
+	r := NewReplica()
+	r.Listed([]Record{record("a", 9)}, 9)
+	r.Changed([]Change{{Record: record("a", 4), Removed: true}}, 9)
+	_, ok := r.Get("a")
+	must.True(t, ok)
+	r.Changed([]Change{{Record: record("a", 12), Removed: true}}, 12)
+	_, ok = r.Get("a")
+	must.False(t, ok)
+}
+
+// Two hosts hold the same records while their store revisions differ, since
+// other kinds changed. Compared by revision, they would fetch from each other
+// for ever.
+func TestReplicaDigest(t *testing.T) {
+	a, b := NewReplica(), NewReplica()
+	a.Listed([]Record{record("x", 1), record("y", 2)}, 2)
+	b.Listed([]Record{record("y", 2)}, 2)
+	b.Changed([]Change{{Record: record("x", 1)}}, 50)
+	must.Eq(t, a.Version().Digest, b.Version().Digest)
+	b.Changed([]Change{{Record: record("x", 51), Removed: true}}, 51)
+	must.NotEq(t, a.Version().Digest, b.Version().Digest)
+	a.Listed([]Record{record("y", 2)}, 60)
+	must.Eq(t, a.Version().Digest, b.Version().Digest)
+}
+
+func TestReplicaTellsChanges(t *testing.T) {
+	var told []Change
+	r := NewReplica()
+	r.OnChange = func(changes []Change, _ bool) { told = append(told, changes...) }
+	r.Listed([]Record{record("a", 1), record("b", 2)}, 2)
+	must.Len(t, 2, told)
+	told = nil
+	r.Listed([]Record{record("a", 1), record("c", 3)}, 3)
+	must.Len(t, 2, told, must.Sprint("one new and one gone; the one that stayed is not told"))
+	told = nil
+	r.Put(record("a", 5))
+	r.Changed([]Change{{Record: record("a", 5)}}, 5)
+	must.Len(t, 1, told, must.Sprint("the watch brings an own write again"))
+}
--- /dev/null
+++ b/internal/retrybudget/retrybudget_test.go
@@ -0,0 +1,75 @@
+package retrybudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+var (
+	epoch = time.Unix(1000, 0)
+	limit = Limit{Ratio: 0.2, Slack: 54, Window: 10 * time.Second}
+)
+
+// All targets of a service fail at once, and seven hosts send every request on
+// as often as they may. Over any window the further attempts of all hosts stay
+// within the deployment's bound, also when some hosts restart in it.
+func TestBudgetHoldsOverAllHosts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const hosts = 7
+		perSecond := rapid.IntRange(0, 200).Draw(t, "requests a second")
+		restart := rapid.IntRange(0, 300).Draw(t, "restart at tick")
+		budgets := make([]*Budget, hosts)
+		for i := range budgets {
+			budgets[i] = New(limit, epoch)
+		}
+		var requests, retries []time.Time
+		for tick := range 300 {
+			now := epoch.Add(time.Duration(tick) * 100 * time.Millisecond)
+			if tick == restart {
+				for i := range 3 {
+					budgets[i] = New(limit, now)
+				}
+			}
+			for n := range perSecond / 10 {
+				budgets[n%hosts].Request(now, hosts)
+				requests = append(requests, now)
+			}
+			for _, b := range budgets {
+				for b.Take(now, hosts) {
+					retries = append(retries, now)
+				}
+			}
+		}
+		for tick := range 200 {
+			from := epoch.Add(time.Duration(tick) * 100 * time.Millisecond)
+			bound := limit.Ratio*float64(within(requests, from)) + limit.Slack
+			if got := within(retries, from); float64(got) > bound {
+				t.Fatalf("%d further attempts within 10 s from %s, bound %.0f", got, from.Sub(epoch), bound)
+			}
+		}
+	})
+}
+
+func within(times []time.Time, from time.Time) int {
+	count := 0
+	for _, at := range times {
+		if !at.Before(from) && at.Before(from.Add(limit.Window)) {
+			count++
+		}
+	}
+	return count
+}
+
+// A deployment that allows no further attempts gets none.
+func TestNoBudget(t *testing.T) {
+	b := New(Limit{Window: time.Second}, epoch)
+	for i := range 100 {
+		now := epoch.Add(time.Duration(i) * time.Second)
+		b.Request(now, 1)
+		must.False(t, b.Take(now, 1))
+	}
+	must.Eq(t, 100, b.Denied())
+}
