--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -150,13 +150,16 @@
 }
 
 func (e *Entry) follow(platform Platform) {
-	for _, f := range []*registry.Follower{
-		{Store: platform.Store, Kind: platform.ConfigKind, Sink: e.directory.Configs, Wait: configWait, Pace: configPace, Log: e.log},
-		{Store: platform.Store, Kind: platform.RunnerKind, Sink: e.directory.Runners, Wait: runnerWait, Pace: runnerPace, Log: e.log, Outage: e.outageEnded},
-		{Store: platform.Store, Kind: platform.VersionKind, Sink: e.directory.Versions, Wait: versionWait, Pace: versionPace, Log: e.log},
-		{Store: platform.Store, Kind: mesh.Kind, Sink: e.mesh.Fleet(), Wait: fleetWait, Pace: fleetPace, Log: e.log},
-	} {
-		e.followers = append(e.followers, f)
+	follower := func(kind string, sink registry.Sink, wait, pace time.Duration) *registry.Follower {
+		return &registry.Follower{Store: platform.Store, Kind: kind, Sink: sink, Wait: wait, Pace: pace, Now: e.now, Log: e.log}
+	}
+	runners := follower(platform.RunnerKind, e.directory.Runners, runnerWait, runnerPace)
+	runners.Outage = e.outageEnded
+	e.followers = []*registry.Follower{
+		runners,
+		follower(platform.ConfigKind, e.directory.Configs, configWait, configPace),
+		follower(platform.VersionKind, e.directory.Versions, versionWait, versionPace),
+		follower(mesh.Kind, e.mesh.Fleet(), fleetWait, fleetPace),
 	}
 }
 
--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -5,7 +5,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cherrystage/cherrystage/internal/clock"
 	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -39,6 +38,7 @@
 	Store Store
 	Kind  string
 	Sink  Sink
+	Now   func() time.Time
 	Log   hclog.Logger
 
 	// Wait is how long a watch waits. A watch is not trusted alone: it may hear
@@ -52,18 +52,8 @@
 	// for a time; it may be nil.
 	Outage func(length time.Duration)
 
-	lost    atomic.Bool
-	lostAt  time.Time
-	contact atomic.Int64
-}
-
-// Contact gives the time of the store's last answer, zero before any.
-func (f *Follower) Contact() time.Time {
-	nano := f.contact.Load()
-	if nano == 0 {
-		return time.Time{}
-	}
-	return time.Unix(0, nano)
+	lost   atomic.Bool
+	lostAt time.Time
 }
 
 // Run lists, then watches, until the context ends.
@@ -71,10 +61,10 @@
 	pause := retryFirst
 	relist := true
 	for ctx.Err() == nil {
-		begun := clock.Now()
+		begun := f.Now()
 		err := f.step(ctx, relist)
 		if err == nil {
-			timing.Sleep(ctx, f.Pace-clock.Now().Sub(begun))
+			timing.Sleep(ctx, f.Pace-f.Now().Sub(begun))
 			relist = false
 			pause = retryFirst
 			continue
@@ -121,10 +111,9 @@
 }
 
 func (f *Follower) regained() {
-	f.contact.Store(clock.Now().UnixNano())
 	if f.lost.CompareAndSwap(true, false) {
 		if f.Outage != nil {
-			f.Outage(clock.Now().Sub(f.lostAt))
+			f.Outage(f.Now().Sub(f.lostAt))
 		}
 		f.Log.Info("dependency regained", "dependency", "store", "kind", f.Kind, "revision", f.Sink.Revision())
 	}
@@ -134,6 +123,6 @@
 	if ctx.Err() != nil || errors.Is(err, ErrHistoryGone) || !f.lost.CompareAndSwap(false, true) {
 		return
 	}
-	f.lostAt = clock.Now()
+	f.lostAt = f.Now()
 	f.Log.Warn("dependency lost", "dependency", "store", "kind", f.Kind, "revision", f.Sink.Revision(), "error", err.Error())
 }
