--- a/internal/adapters/keeper.go
+++ b/internal/adapters/keeper.go
@@ -78,6 +78,7 @@
 	// modelHeld says that the base model is there.
 	modelHeld bool
 	waiting   []*want
+	wanted    uint64
 	ahead     []Key
 	// refusing is why requests are turned away, until the runner's report is
 	// read again.
@@ -93,6 +94,11 @@
 	// askedAt is when somebody asked for it last, until when it is of use.
 	askedAt time.Time
 	until   time.Time
+	// target is when the adapter has to be there for its first asker to be
+	// served on time.
+	target time.Time
+	// number grows with each load that is wanted.
+	number uint64
 }
 
 func newKeeper(runner *site.Runner, spec Spec, deps keeperDeps) *Keeper {
@@ -127,10 +133,35 @@
 	log   hclog.Logger
 }
 
-// queueTime estimates how long a load at a place in the queue takes until it is
-// over; the lock is held.
-func (k *Keeper) queueTime(place int) time.Duration {
-	return time.Duration(place+1) * k.times.Estimate(false, 0, 1)
+// queueTime estimates how long a load takes until it is over, after those that
+// go before it; the lock is held.
+func (k *Keeper) queueTime(w *want, now time.Time) time.Duration {
+	total := k.loadTime(w.key)
+	inTime := !w.target.Before(now.Add(total))
+	for _, other := range k.waiting {
+		if other != w && k.before(other, w, inTime, now) {
+			total += k.loadTime(other.key)
+		}
+	}
+	return total
+}
+
+// loadTime gives the likely time of a load on an idle store; the lock is held.
+func (k *Keeper) loadTime(key Key) time.Duration {
+	return k.times.Estimate(k.slots.Recent(key.Adapter), 0, 1)
+}
+
+// before says whether a load goes before another one, which could be over in
+// time or not.
+func (k *Keeper) before(other, w *want, inTime bool, now time.Time) bool {
+	otherInTime := !other.target.Before(now.Add(k.loadTime(other.key)))
+	if otherInTime != inTime {
+		return otherInTime
+	}
+	if !other.target.Equal(w.target) {
+		return other.target.Before(w.target)
+	}
+	return other.number < w.number
 }
 
 // want asks for an adapter and tells from when it is there; the lock is held.
@@ -140,41 +171,49 @@
 		k.slots.Touch(ask.Key.Adapter, now)
 		return readyAt, nil
 	}
-	place, queued := k.queued(ask.Key)
-	took := k.queueTime(place)
+	w := k.queued(ask.Key)
+	known := w != nil
+	if !known {
+		k.wanted++
+		w = &want{key: ask.Key, target: now.Add(ask.Target), number: k.wanted}
+	}
+	took := k.queueTime(w, now)
 	if took > ask.Within {
 		return time.Time{}, ErrCrowded
 	}
-	if queued == nil {
+	if !known {
 		if k.slots.Free() < 1 && !k.slots.hasVictim(now) {
 			return time.Time{}, ErrNoRoom
 		}
-		queued = &want{key: ask.Key}
-		k.waiting = append(k.waiting, queued)
+		k.waiting = append(k.waiting, w)
 		k.nudge()
 	}
-	queued.askedAt = now
-	queued.until = now.Add(ask.Within)
+	w.askedAt = now
+	w.until = now.Add(ask.Within)
 	return now.Add(took), nil
 }
 
-func (k *Keeper) queued(key Key) (int, *want) {
-	for i, w := range k.waiting {
+func (k *Keeper) queued(key Key) *want {
+	for _, w := range k.waiting {
 		if w.key == key {
-			return i, w
+			return w
 		}
 	}
-	return len(k.waiting), nil
+	return nil
 }
 
 // Admission asks for the place of one request on a runner.
 type Admission struct {
 	Key Key
-	// Tokens is the length of the request's prompt.
-	Tokens int
+	// Tokens is the length of the request's prompt, Output the most tokens of its
+	// answer.
+	Tokens, Output int
 	// Patience is the longest wait for other prompts that the asker takes while
 	// it has another runner to go to.
 	Patience time.Duration
+	// Target is the time within which the request has to be sent to be on time;
+	// below zero if it is late already.
+	Target time.Duration
 	// Within is the time after which sending the request is of no use.
 	Within time.Duration
 	// Last: no other runner took the request.
@@ -227,9 +266,28 @@
 	if sendAt.Before(readyAt) {
 		sendAt = readyAt
 	}
+	k.slots.Begin(ask.Key.Adapter, sendAt.Add(longestRun(ask)))
 	return Admitted{At: sendAt}, nil
 }
 
+// slowToken is what a token of an answer takes at most, on a runner whose batch
+// is full and that reads prompts meanwhile; the usual is 6 to 8 ms.
+const slowToken = 12 * time.Millisecond
+
+// longestRun is how long an answer takes at most.
+func longestRun(ask Admission) time.Duration {
+	return readingTime(ask.Tokens) + time.Duration(ask.Output)*slowToken
+}
+
+// Ended notes that requests for adapters have ended.
+func (k *Keeper) Ended(adapters map[site.Adapter]int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for adapter, requests := range adapters {
+		k.slots.End(adapter, requests)
+	}
+}
+
 // busy says why the runner should get no more requests, if it should not.
 func (k *Keeper) busy(last bool, now time.Time) error {
 	view := k.load(k.runner.ID, now)
@@ -363,7 +421,7 @@
 // estimate gives the time of a load; the lock is held.
 func (k *Keeper) estimate(recent bool) time.Duration {
 	transit, runners := k.crowd()
-	return k.times.Estimate(recent, transit+1, runners)
+	return k.times.Estimate(recent, transit, runners)
 }
 
 // loadModel orders the base model and waits for it.
@@ -478,7 +536,7 @@
 func (k *Keeper) forgetOld(now time.Time) {
 	k.waiting = slices.DeleteFunc(k.waiting, func(w *want) bool {
 		_, there := k.slots.Ready(w.key)
-		return there || now.After(w.until) || now.Sub(w.askedAt) > k.queueTime(len(k.waiting))+staleWant
+		return there || now.After(w.until) || now.Sub(w.askedAt) > k.queueTime(w, now)+staleWant
 	})
 }
 
@@ -488,11 +546,22 @@
 	k.waiting = slices.DeleteFunc(k.waiting, func(w *want) bool { return w.key == key })
 }
 
+// firstWaiting gives the load to order next; the lock is held.
+//
+// More loads may be wanted than the weight store can do. In the order of their
+// coming all then wait for seconds and none is in time. Those that can still be
+// in time go first, the most urgent before the others, and the late ones take
+// what is left: as many as the store can do are on time.
 func (k *Keeper) firstWaiting() *want {
-	if len(k.waiting) == 0 {
-		return nil
+	var first *want
+	now := k.now()
+	for _, w := range k.waiting {
+		inTime := first != nil && !first.target.Before(now.Add(k.loadTime(first.key)))
+		if first == nil || k.before(w, first, inTime, now) {
+			first = w
+		}
 	}
-	return k.waiting[0]
+	return first
 }
 
 func (k *Keeper) loadAdapter(ctx context.Context, key Key) time.Duration {
--- /dev/null
+++ b/internal/adapters/keeper_test.go
@@ -0,0 +1,181 @@
+package adapters
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/board"
+	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/hashicorp/go-hclog"
+	"github.com/shoenig/test/must"
+)
+
+// keeperAt makes a keeper whose clock is set by the test and whose runner holds
+// the base model.
+func keeperAt(now *time.Time, capacity int, engines Engines) *Keeper {
+	k := newKeeper(&site.Runner{ID: "r", Address: "r:1", Slots: 64}, Spec{Model: site.Model{Name: "m"}, Capacity: capacity}, keeperDeps{
+		holder: "h", engines: engines, authority: always{}, times: NewLoadTimes(),
+		crowd: func() (int, int) { return 0, 9 },
+		load:  func(string, time.Time) board.View { return board.View{} },
+		share: func() float64 { return 0 },
+		now:   func() time.Time { return *now },
+		log:   hclog.NewNullLogger(),
+	})
+	k.synced, k.modelHeld = true, true
+	return k
+}
+
+type always struct{}
+
+func (always) MayOrder(string, time.Time) (uint64, bool) { return 1, true }
+
+// fakeEngine accepts orders as its answers say.
+type fakeEngine struct {
+	answers []Outcome
+	orders  []Order
+}
+
+func (f *fakeEngine) Order(_ context.Context, _ string, order Order) (Outcome, error) {
+	f.orders = append(f.orders, order)
+	if len(f.answers) == 0 {
+		return OutcomeAccepted, nil
+	}
+	answer := f.answers[0]
+	f.answers = f.answers[1:]
+	return answer, nil
+}
+
+func (f *fakeEngine) Report(context.Context, string) (Report, error) {
+	return Report{Models: []string{"m"}}, nil
+}
+
+func admission(i int, target time.Duration) Admission {
+	return Admission{Key: keyed(i), Tokens: 800, Output: 100, Patience: time.Second, Target: target, Within: 2 * time.Second}
+}
+
+// Loads are wanted twice as fast as the weight store can do them, for ten
+// seconds, as on a cold start. In the order of their coming, every caller waits
+// for two seconds and nobody is in time. Those that can be in time go first:
+// about half of the callers are, as many as the store can do.
+func TestLoadsThatCanBeInTimeGoFirst(t *testing.T) {
+	const (
+		every  = 125 * time.Millisecond
+		each   = 250 * time.Millisecond
+		target = 450 * time.Millisecond
+	)
+	now := epoch
+	k := keeperAt(&now, 1000, &fakeEngine{})
+	asked := map[Key]time.Time{}
+	inTime, next := 0, 0
+	free := epoch
+	for ; now.Before(epoch.Add(10 * time.Second)); now = now.Add(5 * time.Millisecond) {
+		if now.Sub(epoch) >= time.Duration(next)*every {
+			asked[keyed(next)] = now
+			_, _ = k.Admit(admission(next, target))
+			next++
+		}
+		if now.Before(free) || len(k.waiting) == 0 {
+			continue
+		}
+		w := k.firstWaiting()
+		k.drop(w.key)
+		k.slots.Loading(w.key, now.Add(each), now)
+		free = now.Add(each)
+		if free.Sub(asked[w.key]) <= target {
+			inTime++
+		}
+	}
+	must.GreaterEq(t, 35, inTime, must.Sprintf("of %d callers; the store can do 40", next))
+}
+
+// More loads are wanted than can be done before the callers leave. Who cannot
+// be served is told so at once and not after two seconds of waiting.
+func TestCrowdedRunnerRefusesAtOnce(t *testing.T) {
+	now := epoch
+	k := keeperAt(&now, 1000, &fakeEngine{})
+	refused := 0
+	for i := range 30 {
+		if _, err := k.Admit(admission(i, 0)); err != nil {
+			must.ErrorIs(t, err, ErrCrowded)
+			refused++
+		}
+	}
+	must.Between(t, 20, refused, 25)
+}
+
+// All places are in use by requests that run. A further adapter is refused at
+// once, so that its request goes to another runner; when a request has ended its
+// adapter makes way.
+func TestPlacesInUse(t *testing.T) {
+	now := epoch
+	k := keeperAt(&now, 1, &fakeEngine{})
+	k.slots.Loading(keyed(1), now, now)
+	now = now.Add(time.Second)
+	k.slots.Settle(now)
+	_, err := k.Admit(admission(1, time.Second))
+	must.NoError(t, err)
+	_, err = k.Admit(admission(2, time.Second))
+	must.ErrorIs(t, err, ErrNoRoom)
+	k.Ended(map[site.Adapter]int{named(1): 1})
+	admitted, err := k.Admit(admission(2, time.Second))
+	must.NoError(t, err)
+	must.True(t, admitted.Again)
+}
+
+// A host that was sent to an adapter dies with its requests, and never tells
+// their end. The place is free once they cannot run any more.
+func TestPlaceOfLostHost(t *testing.T) {
+	now := epoch
+	k := keeperAt(&now, 1, &fakeEngine{})
+	k.slots.Loading(keyed(1), now, now)
+	now = now.Add(time.Second)
+	k.slots.Settle(now)
+	_, err := k.Admit(admission(1, time.Second))
+	must.NoError(t, err)
+	now = now.Add(longestRun(admission(1, 0)) + time.Millisecond)
+	_, ok := k.slots.Victim(now)
+	must.True(t, ok)
+}
+
+// The answer to an order is lost, and the second order finds another sequence:
+// the first was carried out. The adapter counts as loading, the sequence as one
+// further.
+func TestLostAnswerCountsOnce(t *testing.T) {
+	now := epoch
+	engine := &fakeEngine{answers: []Outcome{OutcomeUnknown, OutcomeConflict}}
+	k := keeperAt(&now, 3, engine)
+	k.loadAdapter(context.Background(), keyed(1))
+	must.Len(t, 2, engine.orders)
+	must.Eq(t, engine.orders[0].Sequence, engine.orders[1].Sequence)
+	must.Eq(t, 1, k.slots.Sequence)
+	_, ok := k.slots.Ready(keyed(1))
+	must.True(t, ok)
+	must.True(t, k.synced)
+}
+
+// Both answers are lost. The place is in doubt and the report is read before
+// anything else is ordered.
+func TestNoAnswerAtAll(t *testing.T) {
+	now := epoch
+	k := keeperAt(&now, 1, &fakeEngine{answers: []Outcome{OutcomeUnknown, OutcomeUnknown}})
+	k.loadAdapter(context.Background(), keyed(1))
+	must.False(t, k.synced)
+	must.Eq(t, 0, k.slots.Free())
+}
+
+func TestLoadTimesLearn(t *testing.T) {
+	times := NewLoadTimes()
+	must.Eq(t, firstLoadTime, times.Estimate(false, 0, 9))
+	must.Eq(t, firstReloadTime, times.Estimate(true, 100, 9))
+	must.Greater(t, firstLoadTime, times.Estimate(false, 18, 9))
+	for range 20 {
+		times.TooEarly(false)
+	}
+	slow := times.Estimate(false, 0, 9)
+	must.Greater(t, 2*firstLoadTime, slow)
+	for range 1000 {
+		times.InTime(false)
+	}
+	must.Eq(t, minLoad, times.Estimate(false, 0, 9))
+}
--- a/internal/adapters/loadtime.go
+++ b/internal/adapters/loadtime.go
@@ -19,7 +19,7 @@
 	inTimeStep   = 0.995
 	// transitShare is the number of loads at a time, per runner, that the weight
 	// store serves at full speed: 8 with 9 runners, 16 with 18.
-	transitShare = 0.85
+	transitShare = 0.89
 	// minLoad, minReload and maxLoad bound the estimates.
 	minLoad   = 100 * time.Millisecond
 	minReload = 10 * time.Millisecond
@@ -40,8 +40,8 @@
 	return &LoadTimes{fresh: firstLoadTime, again: firstReloadTime}
 }
 
-// Estimate gives the likely time of a load, with so many adapters on their way
-// over all runners.
+// Estimate gives the likely time of a load, with so many other adapters on
+// their way over all runners.
 func (t *LoadTimes) Estimate(recent bool, transit, runners int) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/adapters/slots.go
+++ b/internal/adapters/slots.go
@@ -36,6 +36,10 @@
 	// orderedAt is when the order that led to this phase was sent.
 	orderedAt time.Time
 	usedAt    time.Time
+	// users counts the requests that were sent to it and have not ended; those of
+	// a host that is gone end at busyUntil at the latest.
+	users     int
+	busyUntil time.Time
 	// early says that a request has come before the load was over.
 	early   bool
 	version int64
@@ -44,10 +48,9 @@
 // maxTransit is the number of adapters that may be on their way to one runner.
 const maxTransit = 4
 
-// inUse is how long after its last use an adapter is not made to leave: the
-// typical answer takes two seconds, and one that is in use cannot leave before
-// its last answer ends, so its place would be lost without being free.
-const inUse = 2500 * time.Millisecond
+// leastStay is how long an adapter stays after its load, so that the requests
+// that waited for it find it.
+const leastStay = 500 * time.Millisecond
 
 // recentMost is how many adapters that left a runner are remembered. The engine
 // loads those it held recently ten times as fast; how many these are it does
@@ -116,21 +119,49 @@
 // free: a load beyond the places crashes the runner.
 func (s *Slots) Free() int { return s.capacity - len(s.places) }
 
-// Touch notes the use of an adapter.
+// Touch notes that somebody asks for an adapter.
 func (s *Slots) Touch(adapter site.Adapter, now time.Time) {
 	if p := s.places[adapter]; p != nil && now.After(p.usedAt) {
 		p.usedAt = now
 	}
 }
 
-// Victim gives the adapter that was not used for the longest time, if one was
-// idle for long enough.
+// Begin notes a request that is sent to an adapter and is over by a time.
+func (s *Slots) Begin(adapter site.Adapter, until time.Time) {
+	p := s.places[adapter]
+	if p == nil {
+		return
+	}
+	p.users++
+	if until.After(p.busyUntil) {
+		p.busyUntil = until
+	}
+}
+
+// End notes that requests for an adapter have ended.
+func (s *Slots) End(adapter site.Adapter, requests int) {
+	if p := s.places[adapter]; p != nil {
+		p.users = max(0, p.users-requests)
+	}
+}
+
+// idle says that no request is thought to use the adapter. An adapter in use
+// cannot leave before its last answer ends: until then its place would be lost
+// without being free, and new requests for it would be turned away.
+func (p *place) idle(now time.Time) bool {
+	if p.phase != resident || now.Sub(p.readyAt) < leastStay {
+		return false
+	}
+	return p.users == 0 || now.After(p.busyUntil)
+}
+
+// Victim gives the idle adapter that was not used for the longest time.
 func (s *Slots) Victim(now time.Time) (site.Adapter, bool) {
 	var victim site.Adapter
 	var oldest time.Time
 	found := false
 	for adapter, p := range s.places {
-		if p.phase != resident || now.Sub(p.usedAt) < inUse || now.Sub(p.readyAt) < inUse {
+		if !p.idle(now) {
 			continue
 		}
 		if !found || p.usedAt.Before(oldest) {
@@ -219,6 +250,10 @@
 	delete(s.recent, oldest)
 }
 
+// unknownUse is how long ago an adapter counts as used that was found on a
+// runner: it makes way before those whose use was seen.
+const unknownUse = time.Second
+
 // Held is an adapter in a runner's report.
 type Held struct {
 	Key
@@ -245,7 +280,7 @@
 func (s *Slots) report(h Held, incomingReadyAt, now time.Time) {
 	p := s.places[h.Adapter]
 	if p == nil {
-		p = &place{usedAt: now.Add(-inUse), version: h.Version, readyAt: now}
+		p = &place{usedAt: now.Add(-unknownUse), version: h.Version, readyAt: now.Add(-leastStay)}
 		s.places[h.Adapter] = p
 		if h.Incoming {
 			p.phase = loading
--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -38,12 +38,15 @@
 	Model   string `json:"model"`
 	Adapter string `json:"adapter,omitempty"`
 	Version int64  `json:"version,omitempty"`
-	// Tokens is the length of the prompt.
+	// Tokens is the length of the prompt, Output the most tokens of the answer.
 	Tokens int `json:"tokens,omitempty"`
+	Output int `json:"output,omitempty"`
 	// PatienceMS is the longest wait for other prompts, WithinMS the time after
 	// which sending the request is of no use.
 	PatienceMS int64 `json:"patience_ms,omitempty"`
 	WithinMS   int64 `json:"within_ms,omitempty"`
+	// TargetMS is the time within which the request has to be sent to be on time.
+	TargetMS int64 `json:"target_ms,omitempty"`
 	// Running is the number of the asker's requests on the runner.
 	Running int `json:"running,omitempty"`
 	// Last: no other runner took the request.
@@ -61,8 +64,10 @@
 	return adapters.Admission{
 		Key:      adapters.Key{Adapter: site.Adapter{Model: p.Model, Name: p.Adapter}, Version: p.Version},
 		Tokens:   p.Tokens,
+		Output:   p.Output,
 		Patience: time.Duration(p.PatienceMS) * time.Millisecond,
 		Within:   time.Duration(p.WithinMS) * time.Millisecond,
+		Target:   time.Duration(p.TargetMS) * time.Millisecond,
 		Last:     p.Last,
 	}
 }
@@ -79,8 +84,13 @@
 	Bad     int `json:"bad,omitempty"`
 	// Hard failures are those to connect at all.
 	Hard int `json:"hard,omitempty"`
+	// Ended counts the requests that have ended, by adapter.
+	Ended map[string]int `json:"ended,omitempty"`
 }
 
+// news says whether there is anything to tell beside the number of requests.
+func (t Told) news() bool { return t.Good+t.Bad+t.Hard+len(t.Ended) > 0 }
+
 // owners is how this host speaks to the owners of runners, itself included.
 type owners struct {
 	host  string
@@ -147,8 +157,8 @@
 	defer cancel()
 	var result AdmitResult
 	err = o.pool.Call(ctx, address, methodAdmit, AdmitParams{
-		Runner: runner.ID, Model: ask.Key.Model, Adapter: ask.Key.Name, Version: ask.Key.Version, Tokens: ask.Tokens,
-		PatienceMS: ask.Patience.Milliseconds(), WithinMS: ask.Within.Milliseconds(),
+		Runner: runner.ID, Model: ask.Key.Model, Adapter: ask.Key.Name, Version: ask.Key.Version, Tokens: ask.Tokens, Output: ask.Output,
+		PatienceMS: ask.Patience.Milliseconds(), WithinMS: ask.Within.Milliseconds(), TargetMS: ask.Target.Milliseconds(),
 		Running: o.board.Running(runner.ID), Last: ask.Last,
 	}, &result)
 	if err != nil {
@@ -250,6 +260,22 @@
 	}
 }
 
+// Ended implements serve.Owners.
+func (o *owners) Ended(runner *site.Runner, adapter site.Adapter) {
+	if keeper, ok := o.owner.Keeper(runner.ID); ok {
+		keeper.Ended(map[site.Adapter]int{adapter: 1})
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	told := o.outcomes[runner.ID]
+	if told.Ended == nil {
+		told.Ended = map[string]int{}
+	}
+	told.Ended[adapter.String()]++
+	o.outcomes[runner.ID] = told
+}
+
 // Outcome implements serve.Owners.
 func (o *owners) Outcome(runner string, good, hard bool) {
 	o.mu.Lock()
@@ -313,7 +339,7 @@
 	told := o.outcomes[runner]
 	last := o.told[runner]
 	again := running > 0 && now.Sub(last.at) >= tellAgain
-	if told == (Told{}) && running == last.running && !again {
+	if !told.news() && running == last.running && !again {
 		return Told{}, false
 	}
 	delete(o.outcomes, runner)
@@ -353,10 +379,23 @@
 	})
 }
 
+func (o *owners) takeEnded(runner string, ended map[string]int) {
+	keeper, ok := o.owner.Keeper(runner)
+	if !ok || len(ended) == 0 {
+		return
+	}
+	byAdapter := make(map[site.Adapter]int, len(ended))
+	for name, requests := range ended {
+		byAdapter[site.AdapterNamed(name)] = requests
+	}
+	keeper.Ended(byAdapter)
+}
+
 func (o *owners) takeTold(host string, params TellParams) {
 	now := o.now()
 	for runner, told := range params.Runners {
 		o.board.PeerOn(host, runner, told.Running, now)
+		o.takeEnded(runner, told.Ended)
 		for range told.Good {
 			o.board.Good(runner, now)
 		}
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -40,6 +40,9 @@
 	l.sends++
 	l.s.Board.Begin(runner.ID)
 	defer l.s.Board.End(runner.ID)
+	if l.key.Name != "" {
+		defer l.s.Owners.Ended(runner, l.key.Adapter)
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silence := l.watch(cancel)
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -82,7 +82,13 @@
 	for {
 		within := l.startWithin()
 		admitted, err := l.s.Owners.Admit(ctx, l.runner, adapters.Admission{
-			Key: l.key, Tokens: l.request.PromptTokens, Patience: l.route.TargetLatency / patienceShare, Within: within, Last: last,
+			Key:      l.key,
+			Tokens:   l.request.PromptTokens,
+			Output:   l.request.OutputTokens,
+			Patience: l.route.TargetLatency / patienceShare,
+			Target:   l.arrived.Add(l.route.TargetLatency - sendMargin).Sub(l.s.Now()),
+			Within:   within,
+			Last:     last,
 		})
 		if err != nil {
 			l.s.Log.Debug("not admitted", "id", l.request.ID, "runner", l.runner.ID, "adapter", l.key.String(), "last", last, "error", err.Error())
@@ -91,6 +97,9 @@
 		}
 		pause := admitted.At.Sub(l.s.Now())
 		if pause > within {
+			if !admitted.Again {
+				l.s.Owners.Ended(l.runner, l.key.Adapter)
+			}
 			return false
 		}
 		l.loaded = l.loaded || admitted.Again
@@ -99,6 +108,9 @@
 			sleep(ctx, pause)
 		}
 		if ctx.Err() != nil {
+			if !admitted.Again {
+				l.s.Owners.Ended(l.runner, l.key.Adapter)
+			}
 			return false
 		}
 		if !admitted.Again {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -25,6 +25,8 @@
 	// Admit asks the runner's owner when a request may be sent: once its adapter
 	// is there and the prompts before it are read.
 	Admit(ctx context.Context, runner *site.Runner, ask adapters.Admission) (adapters.Admitted, error)
+	// Ended notes that a request that was admitted for an adapter has ended.
+	Ended(runner *site.Runner, adapter site.Adapter)
 	// Missing notes that a runner lacks an adapter that was thought there.
 	Missing(runner *site.Runner, key adapters.Key)
 	// Outcome notes what became of a request; hard failures are those to
