--- a/internal/adapters/keeper.go
+++ b/internal/adapters/keeper.go
@@ -249,7 +249,7 @@
 	if ask.Last {
 		patience = ask.Within
 	}
-	if k.pacer.Wait(now) > patience {
+	if k.pacer.Wait(ask.Tokens, now) > patience {
 		return Admitted{}, ErrPressed
 	}
 	readyAt := now
--- a/internal/adapters/pacer.go
+++ b/internal/adapters/pacer.go
@@ -23,23 +23,25 @@
 	// in the long run.
 	readPerMS  = 38.7
 	pacedPerMS = 20
-	// burstTokens may come at once. With step the time of a step without
-	// prompts (5.9 ms), five steps then take at most
-	// (5 x step + burst/read) / (1 - paced/read) = 221 ms.
-	burstTokens = 3000
+	// burstTokens may come at once; a longer prompt goes alone. With step the
+	// time of a step without prompts (5.9 ms), five steps then take at most
+	// (5 x step + burst/read) / (1 - paced/read) = 248 ms.
+	burstTokens = 3500
 )
 
-// Wait gives how long a prompt has to wait, without admitting it.
-func (p *Pacer) Wait(now time.Time) time.Duration {
+// Wait gives how long a prompt has to wait, without admitting it: until it and
+// those before it fit into a burst, or until those before it are read.
+func (p *Pacer) Wait(tokens int, now time.Time) time.Duration {
 	if p.free.Before(now) {
 		return 0
 	}
-	return max(0, p.free.Sub(now)-readingTime(burstTokens))
+	room := max(0, readingTime(burstTokens)-readingTime(tokens))
+	return max(0, p.free.Sub(now)-room)
 }
 
 // Admit admits a prompt and gives when it may be sent.
 func (p *Pacer) Admit(tokens int, now time.Time) time.Time {
-	wait := p.Wait(now)
+	wait := p.Wait(tokens, now)
 	if p.free.Before(now) {
 		p.free = now
 	}
--- a/internal/adapters/pacer_test.go
+++ b/internal/adapters/pacer_test.go
@@ -14,7 +14,7 @@
 // request was refused.
 func TestPacerFirstPrompt(t *testing.T) {
 	var p Pacer
-	must.Eq(t, 0, p.Wait(epoch))
+	must.Eq(t, 0, p.Wait(800, epoch))
 	must.Eq(t, epoch, p.Admit(800, epoch))
 }
 
@@ -48,11 +48,14 @@
 	}
 }
 
-// A prompt longer than the burst goes alone: it does not wait for ever, and the
-// next waits until it is read.
+// A prompt longer than the burst goes alone: after those before it are read, and
+// before the next. Sent at once behind a burst, the two together made every
+// running stream pause for over 250 ms.
 func TestPacerLongPrompt(t *testing.T) {
 	var p Pacer
-	must.Eq(t, epoch, p.Admit(7000, epoch))
-	must.Eq(t, 200*time.Millisecond, p.Wait(epoch))
-	must.Eq(t, 0, p.Wait(epoch.Add(200*time.Millisecond)))
+	must.Eq(t, epoch, p.Admit(3000, epoch))
+	alone := epoch.Add(readingTime(3000))
+	must.Eq(t, alone, p.Admit(7000, epoch))
+	must.Eq(t, readingTime(10_000)-readingTime(burstTokens-800), p.Wait(800, epoch))
+	must.Eq(t, 0, p.Wait(800, epoch.Add(readingTime(10_000))))
 }
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -28,9 +28,12 @@
 }
 
 type entry struct {
-	own    int
-	peers  map[string]peerCount
-	health health
+	own int
+	// heardAt is when the runner last sent anything for this host's requests, or
+	// when the first of them began.
+	heardAt time.Time
+	peers   map[string]peerCount
+	health  health
 }
 
 type peerCount struct {
@@ -65,8 +68,31 @@
 }
 
 // Begin counts a request of this host on a runner.
-func (b *Board) Begin(runner string) {
-	b.with(runner, func(e *entry) { e.own++ })
+func (b *Board) Begin(runner string, now time.Time) {
+	b.with(runner, func(e *entry) {
+		if e.own == 0 {
+			e.heardAt = now
+		}
+		e.own++
+	})
+}
+
+// Heard notes that a runner sent something for one of this host's requests.
+func (b *Board) Heard(runner string, now time.Time) {
+	b.with(runner, func(e *entry) { e.heardAt = now })
+}
+
+// A runner that sends nothing for any of several requests has most likely gone
+// dark: running streams show an event every 50 ms, and 250 ms is the longest
+// pause that callers allow. Found by single requests, which may take twice their
+// target, a dark runner got new ones for over a second, and all were lost.
+const (
+	silentAfter    = 400 * time.Millisecond
+	silentRequests = 2
+)
+
+func (e *entry) silent(now time.Time) bool {
+	return e.own >= silentRequests && now.Sub(e.heardAt) > silentAfter
 }
 
 // End takes a request back that Begin counted.
@@ -123,7 +149,7 @@
 				view.Load += peer.running
 			}
 		}
-		view.Suspect = e.health.suspect(now)
+		view.Suspect = e.health.suspect(now) || e.silent(now)
 		view.Doubt = e.health.rate
 	})
 	return view
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -11,7 +11,7 @@
 
 func TestLoadOfAllHosts(t *testing.T) {
 	b := New()
-	b.Begin("r")
+	b.Begin("r", epoch)
 	b.PeerOn("p", "r", 4, epoch)
 	b.PeerOn("p", "s", 1, epoch)
 	must.Eq(t, View{Own: 1, Load: 5}, b.View("r", epoch))
@@ -89,3 +89,21 @@
 	must.True(t, b.View("s", epoch).Suspect)
 	must.False(t, b.View("s", epoch.Add(suspectFirst)).Suspect, must.Sprint("each host tries for itself"))
 }
+
+// A runner goes dark while three streams run on it. It is avoided as soon as
+// none of them shows anything for longer than any pause; a single request that
+// takes long says nothing yet.
+func TestDarkRunner(t *testing.T) {
+	b := New()
+	b.Begin("r", epoch)
+	must.False(t, b.View("r", epoch.Add(time.Second)).Suspect)
+	b.Begin("r", epoch)
+	b.Begin("r", epoch)
+	b.Heard("r", epoch.Add(time.Second))
+	must.False(t, b.View("r", epoch.Add(time.Second+silentAfter)).Suspect)
+	now := epoch.Add(time.Second + silentAfter + time.Millisecond)
+	must.True(t, b.View("r", now).Suspect)
+	must.MapContainsKey(t, b.Suspects(now), "r")
+	b.Heard("r", now)
+	must.False(t, b.View("r", now).Suspect)
+}
--- a/internal/board/health.go
+++ b/internal/board/health.go
@@ -72,8 +72,11 @@
 		s := &b.shards[i]
 		s.mu.Lock()
 		for runner, e := range s.entries {
-			if e.health.suspect(now) {
+			switch {
+			case e.health.suspect(now):
 				suspects[runner] = e.health.until.Sub(now)
+			case e.silent(now):
+				suspects[runner] = suspectFirst
 			}
 		}
 		s.mu.Unlock()
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -38,7 +38,7 @@
 func (l *life) attempt(ctx context.Context) *forward.Failure {
 	runner := l.runner
 	l.sends++
-	l.s.Board.Begin(runner.ID)
+	l.s.Board.Begin(runner.ID, l.s.Now())
 	defer l.s.Board.End(runner.ID)
 	if l.key.Name != "" {
 		defer l.s.Owners.Ended(runner, l.key.Adapter)
@@ -222,9 +222,11 @@
 	return nil
 }
 
-// noteGap keeps the longest pause between two writes of events.
+// noteGap notes that the runner sent events, and keeps the longest pause between
+// two writes.
 func (l *life) noteGap() {
 	now := l.s.Now()
+	l.s.Board.Heard(l.runner.ID, now)
 	if gap := now.Sub(l.wroteAt); !l.wroteAt.IsZero() && gap > l.gap {
 		l.gap = gap
 		l.gapEnd = now
