A stopping host's waiting requests are served or refused at once; a completion without a model gets 400

Cause: the only host of a deployment gave its runners away at SIGTERM and its own requests waited for loads that nobody would order. With successors, requests go on with them.

--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -316,6 +316,9 @@
 
 // admit fixes the adapter's version and checks that the caller may use it.
 func (a *API) admit(c echo.Context, snapshot *inventory.Snapshot, caller inventory.Caller, model string, raw []byte) (dispatch.Request, error) {
+	if model == "" {
+		return dispatch.Request{}, refuse(http.StatusBadRequest, codeBadRequest, "the field model is missing: it names the adapter, or ADAPTER@VERSION")
+	}
 	adapter, version, err := snapshot.Resolve(model)
 	if err != nil {
 		return dispatch.Request{}, refuse(http.StatusNotFound, codeUnknownModel, err.Error())
--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -83,6 +83,7 @@
 		{name: "not allowed", key: "farm-key", body: completion, status: 403, code: codeForbidden, verdict: "not-run"},
 		{name: "no such adapter", body: `{"model":"nothing"}`, status: 404, code: codeUnknownModel, verdict: "not-run"},
 		{name: "no such version", body: `{"model":"mooring-plan@9"}`, status: 404, code: codeUnknownModel, verdict: "not-run"},
+		{name: "no model", body: `{"prompt":"x"}`, status: 400, code: codeBadRequest, verdict: "not-run"},
 		{name: "not JSON", body: `{`, status: 400, code: codeBadRequest, verdict: "not-run"},
 		{name: "not an object", body: `[1]`, status: 400, code: codeBadRequest, verdict: "not-run"},
 		{name: "too large", body: `{"model":"` + strings.Repeat("x", 2000) + `"}`, status: 413, code: codeTooLarge, verdict: "not-run"},
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -81,13 +81,31 @@
 	cfg  Config
 	deps Deps
 	ids  sequence
+	// stopped ends once this host gives no more orders and its successors have
+	// had time to take over.
+	stopped context.Context
+	stop    context.CancelFunc
 }
 
 // New makes a dispatcher.
 func New(cfg Config, deps Deps) *Dispatcher {
-	return &Dispatcher{cfg: cfg, deps: deps}
+	d := &Dispatcher{cfg: cfg, deps: deps}
+	d.stopped, d.stop = context.WithCancel(context.Background())
+	return d
 }
 
+// successorTime is what a successor needs to take a runner over that was given
+// away: a heartbeat to learn of it and a conditional update.
+const successorTime = time.Second
+
+// HandedOver says that this host has given its runners away. Requests that wait
+// for a load go on with the successors; where there are none by then, they are
+// refused.
+//
+// Without it, requests that waited on the only host of a deployment when it was
+// told to stop got no answer until their limit of half a minute passed.
+func (d *Dispatcher) HandedOver() { time.AfterFunc(successorTime, d.stop) }
+
 // Request is an admitted caller's request.
 type Request struct {
 	ID       string
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -23,6 +23,7 @@
 	CodeDuplicate    = "duplicate_request"
 	CodeClaim        = "claim_unavailable"
 	CodeCallerGone   = "caller_gone"
+	CodeStopping     = "stopping"
 )
 
 // Times after which a refused caller should come again.
--- a/internal/dispatch/reserve.go
+++ b/internal/dispatch/reserve.go
@@ -94,6 +94,10 @@
 // means that knowledge was stale and another decision is due.
 func (d *Dispatcher) follow(ctx context.Context, req Request, decision routing.Decision, state *tries, deadline time.Time, trace *Trace) (bool, *Refusal) {
 	runner := decision.Runner
+	orphaned := decision.Action == routing.ActionNone || runner.Owner == d.cfg.Self.Host
+	if orphaned && d.stopped.Err() != nil {
+		return false, notRun(CodeStopping, "this host is stopping and no other gives the runner orders", 0)
+	}
 	if decision.Action == routing.ActionNone {
 		// Every runner has been tried or none is known: all may be tried again.
 		clear(state.avoided)
@@ -159,6 +163,9 @@
 func (d *Dispatcher) acquire(ctx context.Context, req Request, runner routing.Runner, wait time.Duration) (control.AcquireResult, error) {
 	params := control.AcquireParams{Runner: runner.ID, Model: req.Model, Priority: req.Priority, WaitMS: wait.Milliseconds()}
 	if runner.Owner == d.cfg.Self.Host {
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(d.stopped, cancel)()
 		return d.deps.Owner.Acquire(ctx, d.cfg.Self, params)
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+tellTimeout)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -164,6 +164,7 @@
 	n.releaseShares(ctx)
 	n.handDemand(ctx)
 	n.announce()
+	n.dispatcher.HandedOver()
 }
 
 // Shutdown ends this host's service without cutting a request off: it is not
