--- a/cmd/cherrystaged/platform.go
+++ b/cmd/cherrystaged/platform.go
@@ -70,7 +70,7 @@
 	defer out.Close(logPatience)
 	log := hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(cfg.LogLevel), JSONFormat: true, Output: out}).With("host", placed.Host)
 	log.Info("starting", "version", version, "data_centre", placed.DataCentre, "front", placed.Front, "store", placed.Store)
-	if err := runEntry(placed, out, log); err != nil {
+	if err := runEntry(entryConfig(placed, cfg.PeerKey), placed, out, log); err != nil {
 		log.Error("ended", "error", err.Error())
 		return exitFailure
 	}
@@ -78,8 +78,8 @@
 	return 0
 }
 
-func runEntry(placed platform.Settings, out *logging.Writer, log hclog.Logger) error {
-	e := entry.New(entryConfig(placed), entry.Platform{
+func runEntry(cfg entry.Config, placed platform.Settings, out *logging.Writer, log hclog.Logger) error {
+	e := entry.New(cfg, entry.Platform{
 		Store:       platform.NewStore(placed.Store, probedDialer.DialContext),
 		Decoder:     platform.Records{},
 		Dialect:     platform.Headers{},
@@ -107,12 +107,19 @@
 	return group.Run()
 }
 
-func entryConfig(placed platform.Settings) entry.Config {
+// defaultPeerKey serves deployments that set no key: their hosts' internal ports
+// are reached by nobody else. It must not depend on where a host runs.
+const defaultPeerKey = "cherrystage entry hosts"
+
+func entryConfig(placed platform.Settings, peerKey string) entry.Config {
+	if peerKey == "" {
+		peerKey = defaultPeerKey
+	}
 	return entry.Config{
 		Host:        placed.Host,
 		DataCentre:  placed.DataCentre,
 		PeerAddress: placed.Peers,
-		PeerKey:     []byte(placed.Store),
+		PeerKey:     []byte(peerKey),
 		OrderGap:    placed.Bounds.OrderLease,
 		Grace:       placed.Bounds.Grace,
 		Retries: retrybudget.Limit{
@@ -213,6 +220,6 @@
 		log.Error("settings not reloaded; the ones before stay in force", "error", err.Error())
 		return
 	}
-	e.Reconfigure(entryConfig(placed))
+	e.SetGrace(placed.Bounds.Grace)
 	log.Info("settings reloaded", "order_gap_ms", placed.Bounds.OrderLease.Milliseconds(), "grace_ms", placed.Bounds.Grace.Milliseconds())
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -298,10 +298,10 @@
 	e.log.Info("requests ended", "left", e.requests.Load(), "took_ms", e.now().Sub(begin).Milliseconds())
 }
 
-// Reconfigure takes over what may change while the process runs: the grace.
-// The gap between orders of two hosts and the part of the retry budget are
-// agreed between processes and hold for a process's life.
-func (e *Entry) Reconfigure(cfg Config) { e.grace.Store(int64(cfg.Grace)) }
+// SetGrace takes over the grace, which may change while the process runs. The
+// gap between orders of two hosts and the part of the retry budget are agreed
+// between processes and hold for a process's life.
+func (e *Entry) SetGrace(grace time.Duration) { e.grace.Store(int64(grace)) }
 
 // Vars gives the metrics.
 func (e *Entry) Vars() *expvar.Map {
