New versions are loaded where their requests will go, before they come

Cause: the first requests after an announcement waited for the load, which is foreseeable. The owner of a runner with the old version asks for it. The keeper's next step is a plan of its own.

--- a/internal/adapters/keeper.go
+++ b/internal/adapters/keeper.go
@@ -84,7 +84,6 @@
 	modelHeld bool
 	waiting   []*want
 	wanted    uint64
-	ahead     []Key
 	// refusing is why requests are turned away, until the runner's report is
 	// read again.
 	refusing error
@@ -198,6 +197,31 @@
 	return now.Add(took), nil
 }
 
+// aheadTarget is how late a load that nobody waits for may be: after every load
+// that somebody waits for and that can be in time.
+const aheadTarget = 2 * time.Second
+
+// Prefetch has an adapter loaded before anybody asks for it, if there is room.
+func (k *Keeper) Prefetch(key Key) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.now()
+	if _, there := k.slots.Ready(key); there || k.refusing != nil {
+		return
+	}
+	if _, err := k.want(Admission{Key: key, Target: aheadTarget, Within: 2 * aheadTarget}, now); err != nil {
+		k.log.Debug("not loaded ahead", "adapter", key.String(), "version", key.Version, "error", err.Error())
+	}
+}
+
+// Holds says whether any version of an adapter is on the runner.
+func (k *Keeper) Holds(adapter site.Adapter) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, ok := k.slots.places[adapter]
+	return ok
+}
+
 func (k *Keeper) queued(key Key) *want {
 	for _, w := range k.waiting {
 		if w.key == key {
@@ -328,15 +352,6 @@
 	k.nudge()
 }
 
-// Ahead sets the adapters that are loaded while places are free and nobody
-// waits.
-func (k *Keeper) Ahead(keys []Key) {
-	k.mu.Lock()
-	k.ahead = keys
-	k.mu.Unlock()
-	k.nudge()
-}
-
 // Transit gives the number of adapters on their way to the runner.
 func (k *Keeper) Transit() int { return int(k.transit.Load()) }
 
@@ -470,51 +485,75 @@
 	return outcome
 }
 
-// next serves who waits, then loads ahead, then makes room.
+// action is what a keeper does next.
+type action uint8
+
+const (
+	rest action = iota
+	loadIt
+	unloadIt
+	// dropIt: there is no room; whoever asks again is sent to another runner.
+	dropIt
+)
+
+// step is an action on an adapter, or a pause.
+type step struct {
+	action action
+	key    Key
+	pause  time.Duration
+}
+
+// next does the next thing and gives the pause after it.
 func (k *Keeper) next(ctx context.Context) time.Duration {
+	planned := k.plan()
+	switch planned.action {
+	case loadIt:
+		return k.loadAdapter(ctx, planned.key)
+	case unloadIt:
+		return k.unload(ctx, planned.key.Adapter)
+	case dropIt:
+		k.drop(planned.key)
+		return 0
+	default:
+		return planned.pause
+	}
+}
+
+// plan decides what comes next: the load that is wanted first, room for it, or
+// room for the next one.
+func (k *Keeper) plan() step {
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	now := k.now()
 	k.slots.Settle(now)
 	k.transit.Store(int32(k.slots.Transit()))
 	k.forgetOld(now)
 	w := k.firstWaiting()
-	key, load := Key{}, false
-	switch {
-	case w != nil:
-		key, load = w.key, true
-	case len(k.ahead) > 0 && k.slots.Free() > keptFree && k.slots.Transit() == 0:
-		key, load = k.ahead[0], true
-		k.ahead = k.ahead[1:]
-	}
-	if load && !k.mayLoad() {
-		k.mu.Unlock()
-		return transitPoll
-	}
-	if load {
-		if _, there := k.slots.Ready(key); there {
-			k.mu.Unlock()
-			return 0
-		}
+	if w == nil {
+		return k.planRoom(now)
 	}
-	_, replaces := k.slots.places[key.Adapter]
-	needRoom := (load && !replaces && k.slots.Free() < 1) || (!load && len(k.ahead) == 0 && k.slots.Free() < keptFree)
-	victim, found := site.Adapter{}, false
-	if needRoom {
-		victim, found = k.slots.Victim(now)
+	if !k.mayLoad() {
+		return step{pause: transitPoll}
 	}
-	k.mu.Unlock()
-	switch {
-	case needRoom && found:
-		return k.unload(ctx, victim)
-	case needRoom && load:
-		// Whoever asks again is sent to another runner.
-		k.drop(key)
-		return 0
-	case load:
-		return k.loadAdapter(ctx, key)
-	default:
-		return idlePass
+	if _, replaces := k.slots.places[w.key.Adapter]; replaces || k.slots.Free() > 0 {
+		return step{action: loadIt, key: w.key}
+	}
+	victim, found := k.slots.Victim(now)
+	if !found {
+		return step{action: dropIt, key: w.key}
+	}
+	return step{action: unloadIt, key: Key{Adapter: victim}}
+}
+
+func (k *Keeper) planRoom(now time.Time) step {
+	if k.slots.Free() >= keptFree {
+		return step{pause: idlePass}
+	}
+	victim, found := k.slots.Victim(now)
+	if !found {
+		return step{pause: idlePass}
 	}
+	return step{action: unloadIt, key: Key{Adapter: victim}}
 }
 
 // mayLoad says whether one more load may begin; the lock is held.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -110,6 +110,7 @@
 	pool := peer.NewPool(identity, cfg.PeerKey, peer.Dialer(dial), log)
 	e.directory = directory.New(platform.Decoder, now, log)
 	e.directory.OnRunner = func(runner *site.Runner, gone bool) { e.runnerChanged(runner, gone) }
+	e.directory.OnVersion = func(version site.AdapterVersion) { go e.loadAhead(version) }
 	e.board = board.New()
 	e.state = mesh.NewState(cfg.Host, mesh.Timing{Lease: mesh.UsualLease, OrderGap: cfg.OrderGap, Margin: mesh.UsualMargin}, now())
 	e.owners = newOwners(cfg.Host, e.state, pool, e.board, now, log)
@@ -216,6 +217,32 @@
 	}
 }
 
+// loadAhead has the new version of an adapter in use loaded where its requests
+// will go, before they come: the first of them would wait a quarter of a second.
+// The owner of a runner that holds the old version sees to it.
+func (e *Entry) loadAhead(version site.AdapterVersion) {
+	snapshot := e.directory.Snapshot()
+	key := adapters.Key{Adapter: version.Adapter, Version: version.Version}
+	for service, runners := range snapshot.ByService {
+		if !snapshot.IsEngine(service) || !e.holdsAny(runners, version.Adapter) {
+			continue
+		}
+		if order := serve.Ranked(key.PlacementKey(), serve.WithModel(runners, key.Model)); len(order) > 0 {
+			e.log.Info("new version loaded ahead", "adapter", key.String(), "version", key.Version, "runner", order[0].ID)
+			e.owners.prefetch(context.Background(), order[0], key)
+		}
+	}
+}
+
+func (e *Entry) holdsAny(runners []*site.Runner, adapter site.Adapter) bool {
+	for _, runner := range runners {
+		if keeper, ok := e.owner.Keeper(runner.ID); ok && keeper.Holds(adapter) {
+			return true
+		}
+	}
+	return false
+}
+
 func (e *Entry) serve(ctx context.Context, w http.ResponseWriter, route *site.Route, request *forward.Request, arrived time.Time) {
 	e.requests.Add(1)
 	defer e.requests.Add(-1)
--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -19,6 +19,7 @@
 	methodAdmit   = "runner.admit"
 	methodMissing = "runner.missing"
 	methodTell    = "runner.tell"
+	methodAhead   = "runner.prefetch"
 )
 
 const (
@@ -278,6 +279,30 @@
 	o.outcomes[runner.ID] = told
 }
 
+// prefetch has a runner load an adapter that nobody has asked for yet.
+func (o *owners) prefetch(ctx context.Context, runner *site.Runner, key adapters.Key) {
+	host, address, err := o.find(runner)
+	if err != nil {
+		return
+	}
+	if host == o.host {
+		o.prefetchHere(runner.ID, key)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	params := AdmitParams{Runner: runner.ID, Model: key.Model, Adapter: key.Name, Version: key.Version}
+	if err := o.pool.Call(ctx, address, methodAhead, params, nil); err != nil {
+		o.log.Debug("owner not asked to load ahead", "runner", runner.ID, "adapter", key.String(), "error", err.Error())
+	}
+}
+
+func (o *owners) prefetchHere(runner string, key adapters.Key) {
+	if keeper, ok := o.owner.Keeper(runner); ok {
+		keeper.Prefetch(key)
+	}
+}
+
 // Outcome implements serve.Owners.
 func (o *owners) Outcome(runner string, good, hard bool) {
 	o.mu.Lock()
@@ -376,6 +401,10 @@
 		o.missingHere(p.Runner, p.admission().Key.Adapter)
 		return struct{}{}, nil
 	})
+	peer.Handle(mux, methodAhead, func(_ context.Context, _ peer.Identity, p AdmitParams) (struct{}, error) {
+		o.prefetchHere(p.Runner, p.admission().Key)
+		return struct{}{}, nil
+	})
 	peer.Handle(mux, methodTell, func(_ context.Context, from peer.Identity, p TellParams) (struct{}, error) {
 		o.takeTold(from.Host, p)
 		return struct{}{}, nil
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -18,7 +18,7 @@
 		return l.placePlain(runners)
 	}
 	l.key = adapters.Key{Adapter: l.request.Adapter, Version: snapshot.Versions[l.request.Adapter]}
-	return l.placeOnEngine(ctx, l.ranked(withModel(runners, l.key.Model)))
+	return l.placeOnEngine(ctx, Ranked(l.placementKey(), WithModel(runners, l.key.Model)))
 }
 
 func (l *life) placePlain(runners []*site.Runner) bool {
@@ -119,7 +119,8 @@
 	}
 }
 
-func withModel(runners []*site.Runner, model string) []*site.Runner {
+// WithModel gives the runners that hold a base model.
+func WithModel(runners []*site.Runner, model string) []*site.Runner {
 	var found []*site.Runner
 	for _, runner := range runners {
 		if runner.Holds(model) {
@@ -129,24 +130,27 @@
 	return found
 }
 
-// ranked gives runners in the order in which the request tries them: that of
+// placementKey decides in which order the request tries the runners: that of
 // its adapter, or one of its own if any runner of the model serves it. A new
 // version counts as another adapter: it is loaded beside the old one, on a
 // runner where it does not have to wait until the answers of the old one end.
-func (l *life) ranked(runners []*site.Runner) []*site.Runner {
-	key := l.key.PlacementKey()
+func (l *life) placementKey() string {
 	if l.key.Name == "" {
-		key = l.request.ID
+		return l.request.ID
 	}
+	return l.key.PlacementKey()
+}
+
+// Ranked gives runners in the order for a key, the same on every host.
+func Ranked(key string, runners []*site.Runner) []*site.Runner {
 	byAddress := make(map[string]*site.Runner, len(runners))
 	addresses := make([]string, 0, len(runners))
 	for _, runner := range runners {
 		byAddress[runner.Address] = runner
 		addresses = append(addresses, runner.Address)
 	}
-	order := fleet.Rank(key, addresses)
 	sorted := make([]*site.Runner, 0, len(runners))
-	for _, address := range order {
+	for _, address := range fleet.Rank(key, addresses) {
 		sorted = append(sorted, byAddress[address])
 	}
 	return sorted
