A request walks over the runners that its adapter is spread over

And a caller that left while an owner was asked had the connection to that owner given up, for all requests.

--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -156,10 +156,12 @@
 	if host == o.host {
 		return o.admitHere(runner.ID, ask)
 	}
-	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	// A caller that leaves must not end the call: the connection, which other
+	// requests use, would be given up as one that does not answer.
+	asking, cancel := context.WithTimeout(context.WithoutCancel(ctx), ownerTimeout)
 	defer cancel()
 	var result AdmitResult
-	err = o.pool.Call(ctx, address, methodAdmit, AdmitParams{
+	err = o.pool.Call(asking, address, methodAdmit, AdmitParams{
 		Runner: runner.ID, Model: ask.Key.Model, Adapter: ask.Key.Name, Version: ask.Key.Version, Tokens: ask.Tokens, Output: ask.Output,
 		PatienceMS: ask.Patience.Milliseconds(), WithinMS: ask.Within.Milliseconds(), TargetMS: ask.Target.Milliseconds(),
 		Running: o.board.Running(runner.ID), Last: ask.Last,
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -57,7 +57,7 @@
 		return errors.Wrapf(err, "peer %s", address)
 	}
 	err = rpc.Call(ctx, method, params, result)
-	if err != nil && (errors.Is(err, jsonrpc2.ErrClosed) || (closeOnDeadline && ctx.Err() != nil)) {
+	if err != nil && (errors.Is(err, jsonrpc2.ErrClosed) || (closeOnDeadline && errors.Is(ctx.Err(), context.DeadlineExceeded))) {
 		l.drop(rpc)
 	}
 	return errors.Wrapf(err, "peer %s: %s", address, method)
--- /dev/null
+++ b/internal/placing/spread.go
@@ -0,0 +1,83 @@
+package placing
+
+import "sync"
+
+// Spreads learns over how many runners each adapter is spread, from where its
+// requests were admitted. It is safe for concurrent use.
+//
+// The load it answers: of 112 runners with 12 slots each, the most wanted adapter
+// keeps 25 busy. Asked one after the other, the first three were always full, and
+// a sixth of all requests was refused while half of the slots were free.
+type Spreads struct {
+	mu     sync.Mutex
+	widths map[string]float64
+}
+
+const (
+	// widen is the part of the way that a width goes towards where a request was
+	// admitted after refusals, narrow what it loses with each request that was
+	// admitted at once: some ten of these undo one refusal.
+	widen  = 0.5
+	narrow = 0.99
+	// single is the width from which on an adapter counts as lying on one runner.
+	single = 1.05
+	// maxSpreads bounds the adapters with a width; those beyond start anew.
+	maxSpreads = 4096
+)
+
+// NewSpreads makes spreads that know nothing: each adapter on one runner.
+func NewSpreads() *Spreads { return &Spreads{widths: map[string]float64{}} }
+
+func (s *Spreads) width(key string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(1, s.widths[key])
+}
+
+// Admitted notes that a request was admitted at a place in the adapter's order
+// of runners, after so many refusals.
+func (s *Spreads) Admitted(key string, place, refusals int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	width := max(1, s.widths[key])
+	switch {
+	case refusals == 0:
+		width *= narrow
+	case float64(place+1) > width:
+		width += widen * (float64(place+1) - width)
+	}
+	if width < single || len(s.widths) >= maxSpreads {
+		delete(s.widths, key)
+		return
+	}
+	s.widths[key] = width
+}
+
+// Walk is the order in which one request tries its adapter's runners.
+type Walk struct {
+	width  float64
+	places int
+	tried  map[int]bool
+}
+
+// Walk begins a request's walk over so many runners.
+func (s *Spreads) Walk(key string, places int) *Walk {
+	return &Walk{width: s.width(key), places: places, tried: map[int]bool{}}
+}
+
+// Next gives the next place to try, or false after the last. The first lies
+// among the runners that the adapter is spread over; after each refusal the
+// search goes twice as far. The draw is uniform in [0, 1).
+func (w *Walk) Next(draw float64) (int, bool) {
+	if len(w.tried) >= w.places {
+		return 0, false
+	}
+	reach := min(float64(w.places), w.width)
+	w.width = min(2*w.width, float64(w.places))
+	place := int(draw * reach)
+	for w.tried[place] {
+		place = (place + 1) % w.places
+	}
+	w.tried[place] = true
+	return place, true
+}
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
 	"github.com/cherrystage/cherrystage/internal/fleet"
@@ -48,27 +49,36 @@
 	return true
 }
 
-// placeOnEngine asks the owners of the adapter's first runners for a place, and
-// then once more, for any place at all.
+// placeOnEngine asks the owners of runners over which the adapter is spread for a
+// place, then those further on in its order, and at last some of them for any
+// place at all.
 func (l *life) placeOnEngine(ctx context.Context, runners []*site.Runner) bool {
-	asked := 0
+	key := l.placementKey()
 	for _, last := range []bool{false, true} {
-		for _, runner := range runners[:min(len(runners), maxAsks)] {
+		walk := l.s.spreads.Walk(key, len(runners))
+		asks := 0
+		for asks < limitOf(last) {
+			place, more := walk.Next(rand.Float64())
+			if !more {
+				break
+			}
+			runner := runners[place]
 			if l.tried[runner.ID] || (!last && l.s.Board.View(runner.ID, l.s.Now()).Suspect) {
 				continue
 			}
 			l.runner = runner
-			asked++
 			if l.admitted(ctx, last) {
+				l.s.spreads.Admitted(key, place, asks)
 				return true
 			}
+			asks++
 			if ctx.Err() != nil || l.startWithin() <= 0 {
 				l.giveUp(ctx)
 				return false
 			}
 		}
 	}
-	if asked == 0 {
+	if len(l.refusals) == 0 {
 		l.refuseOrFail(retrySoon, "no runner is left for the request")
 		return false
 	}
@@ -76,6 +86,13 @@
 	return false
 }
 
+func limitOf(last bool) int {
+	if last {
+		return maxLastAsks
+	}
+	return maxAsks
+}
+
 // admitted waits until the request may be sent to the runner, and gives false
 // if its owner does not admit it.
 func (l *life) admitted(ctx context.Context, last bool) bool {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -14,6 +14,7 @@
 	"github.com/cherrystage/cherrystage/internal/board"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
+	"github.com/cherrystage/cherrystage/internal/placing"
 	"github.com/cherrystage/cherrystage/internal/retrybudget"
 	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/cherrystage/cherrystage/internal/verdict"
@@ -55,13 +56,15 @@
 	Deps
 	Counters Counters
 
+	spreads *placing.Spreads
+
 	mu      sync.Mutex
 	budgets map[string]*retrybudget.Budget
 }
 
 // New makes a server.
 func New(deps Deps) *Server {
-	return &Server{Deps: deps, budgets: map[string]*retrybudget.Budget{}}
+	return &Server{Deps: deps, spreads: placing.NewSpreads(), budgets: map[string]*retrybudget.Budget{}}
 }
 
 func (s *Server) budget(service string) *retrybudget.Budget {
@@ -91,8 +94,10 @@
 	callerGaps    = 8
 	// sendMargin is what the first event of a request that is sent takes.
 	sendMargin = 150 * time.Millisecond
-	// maxAsks bounds the runners whose owners one request asks.
-	maxAsks = 3
+	// maxAsks bounds the owners that one request asks, some 3 ms each, and
+	// maxLastAsks those that it asks for any place at all.
+	maxAsks     = 6
+	maxLastAsks = 2
 	// patienceShare of the target latency may go for other prompts on one
 	// runner before the next is asked, which costs a fetch if the adapter does
 	// not lie there.
