--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -170,13 +170,22 @@
 // reject answers a request that goes no further. The connection is closed: what
 // follows on it may be the rest of what was not read.
 func (i *Ingress) reject(w http.ResponseWriter, r *http.Request, status int, reason string) {
-	i.Log.Info("request rejected", "method", r.Method, "host", r.Host, "path", r.URL.Path, "status", status, "reason", reason)
+	i.Log.Info("request rejected", "id", i.idOf(r), "method", r.Method, "host_header", r.Host, "path", r.URL.Path, "status", status, "reason", reason)
 	if status != http.StatusNotFound && status != http.StatusServiceUnavailable {
 		w.Header().Set("Connection", "close")
 	}
 	http.Error(w, reason, status)
 }
 
+// idOf gives the request's id for the log, where it has one.
+func (i *Ingress) idOf(r *http.Request) string {
+	ask, err := i.Dialect.Ask(r.Header)
+	if err != nil {
+		return ""
+	}
+	return ask.ID
+}
+
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		return name
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -151,7 +151,11 @@
 		own.Broken = false
 	}
 	own.Address, own.DataCentre, own.Incarnation = s.Address, s.DataCentre, s.Self.Incarnation
-	own.Witnesses, _ = s.State.Choose(s.Now())
+	// A process that has just started knows nobody yet; the witnesses that its
+	// record names are as good as ever.
+	if witnesses, _ := s.State.Choose(s.Now()); len(witnesses) > 0 {
+		own.Witnesses = witnesses
+	}
 	own.Renewals++
 	sent := s.Now()
 	record, err := s.writeOwn(ctx, name, own, current.Revision)
