Loads of base models keep to each host's part of the weight store's bound

Cause, by reading: nothing bounded them; all runners of a larger deployment that come back empty at once would break it.

--- a/cmd/cherrystaged/platform.go
+++ b/cmd/cherrystaged/platform.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/adapters"
 	"github.com/cherrystage/cherrystage/internal/clock"
 	"github.com/cherrystage/cherrystage/internal/entry"
 	"github.com/cherrystage/cherrystage/internal/logging"
@@ -127,6 +128,7 @@
 			Slack:  placed.Bounds.RetrySlack,
 			Window: placed.Bounds.RetryWindow,
 		},
+		Models: adapters.LoadLimit{Window: placed.Bounds.LoadWindow, Overshoot: placed.Bounds.LoadOvershoot},
 	}
 }
 
--- a/internal/adapters/engines.go
+++ b/internal/adapters/engines.go
@@ -78,4 +78,6 @@
 type Spec struct {
 	Model    site.Model
 	Capacity int
+	// LoadsPerSecond is the weight store's rate of base models.
+	LoadsPerSecond float64
 }
--- a/internal/adapters/keeper.go
+++ b/internal/adapters/keeper.go
@@ -72,6 +72,8 @@
 	crowd     func() (transit, runners int)
 	load      func(runner string, now time.Time) board.View
 	share     func() float64
+	models    *ModelLoads
+	hosts     func() int
 	now       func() time.Time
 	log       hclog.Logger
 
@@ -115,6 +117,8 @@
 		crowd:     deps.crowd,
 		load:      deps.load,
 		share:     deps.share,
+		models:    deps.models,
+		hosts:     deps.hosts,
 		now:       deps.now,
 		log:       deps.log.With("runner", runner.ID, "address", runner.Address),
 		spec:      spec,
@@ -133,8 +137,11 @@
 	// runners are on average.
 	load  func(runner string, now time.Time) board.View
 	share func() float64
-	now   func() time.Time
-	log   hclog.Logger
+	// models and hosts bound the loads of base models.
+	models *ModelLoads
+	hosts  func() int
+	now    func() time.Time
+	log    hclog.Logger
 }
 
 // queueTime estimates how long a load takes until it is over, after those that
@@ -446,6 +453,9 @@
 
 // loadModel orders the base model and waits for it.
 func (k *Keeper) loadModel(ctx context.Context) time.Duration {
+	if wait := k.models.Take(k.now(), k.spec.LoadsPerSecond, k.hosts()); wait > 0 {
+		return min(wait, modelPoll)
+	}
 	outcome := k.order(ctx, true, Key{Adapter: site.Adapter{Model: k.spec.Model.Name}})
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/adapters/keeper_test.go
+++ b/internal/adapters/keeper_test.go
@@ -16,11 +16,13 @@
 func keeperAt(now *time.Time, capacity int, engines Engines) *Keeper {
 	k := newKeeper(&site.Runner{ID: "r", Address: "r:1", Slots: 64}, Spec{Model: site.Model{Name: "m"}, Capacity: capacity}, keeperDeps{
 		holder: "h", engines: engines, authority: always{}, times: NewLoadTimes(),
-		crowd: func() (int, int) { return 0, 9 },
-		load:  func(string, time.Time) board.View { return board.View{} },
-		share: func() float64 { return 0 },
-		now:   func() time.Time { return *now },
-		log:   hclog.NewNullLogger(),
+		crowd:  func() (int, int) { return 0, 9 },
+		load:   func(string, time.Time) board.View { return board.View{} },
+		share:  func() float64 { return 0 },
+		models: NewModelLoads(LoadLimit{}),
+		hosts:  func() int { return 1 },
+		now:    func() time.Time { return *now },
+		log:    hclog.NewNullLogger(),
 	})
 	k.synced, k.modelHeld = true, true
 	return k
--- /dev/null
+++ b/internal/adapters/modelloads.go
@@ -0,0 +1,59 @@
+package adapters
+
+import (
+	"sync"
+	"time"
+)
+
+// LoadLimit is the weight store's bound on loads of base models, over all hosts
+// together: in each window, the store's rate over the window times Overshoot, and
+// a few more.
+type LoadLimit struct {
+	Window    time.Duration
+	Overshoot float64
+}
+
+const (
+	// extraLoads are allowed beyond the rate, by the platform's pages.
+	extraLoads = 3
+	// usedLoads is the part of the bound that hosts share. Half: a host that has
+	// saved its part up and goes on at its rate uses twice the part in a window.
+	usedLoads = 0.5
+)
+
+// ModelLoads keeps one host's part of the bound. It is safe for concurrent use.
+//
+// The load it answers: all runners come back empty at once. Each owner orders
+// the base model for each of its runners, and more loads begin than the weight
+// store allows.
+type ModelLoads struct {
+	limit LoadLimit
+
+	mu sync.Mutex
+	// next is when the loads that were taken are paid for.
+	next time.Time
+}
+
+// NewModelLoads makes a host's part.
+func NewModelLoads(limit LoadLimit) *ModelLoads { return &ModelLoads{limit: limit} }
+
+// Take takes one load, or gives how long to wait for it.
+func (m *ModelLoads) Take(now time.Time, perSecond float64, hosts int) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	window := m.limit.Window
+	if window <= 0 || perSecond <= 0 {
+		return 0
+	}
+	part := (perSecond*window.Seconds()*m.limit.Overshoot + extraLoads) * usedLoads / float64(max(1, hosts))
+	each := time.Duration(float64(window) / part)
+	burst := max(0, window-each)
+	if m.next.Before(now) {
+		m.next = now
+	}
+	if wait := m.next.Sub(now) - burst; wait > 0 {
+		return wait
+	}
+	m.next = m.next.Add(each)
+	return 0
+}
--- a/internal/adapters/owner.go
+++ b/internal/adapters/owner.go
@@ -44,8 +44,12 @@
 	Load func(runner string, now time.Time) board.View
 	// Share gives how full the runners are on average.
 	Share func() float64
-	Now   func() time.Time
-	Log   hclog.Logger
+	// Hosts gives the number of hosts, which share the bound on loads of base
+	// models.
+	Hosts  func() int
+	Models LoadLimit
+	Now    func() time.Time
+	Log    hclog.Logger
 }
 
 // NewOwner makes an owner of nothing.
@@ -56,7 +60,7 @@
 	}
 	o.deps = keeperDeps{
 		holder: deps.Host, engines: deps.Engines, authority: deps.Authority,
-		times: o.times, crowd: o.crowd, load: deps.Load, share: deps.Share, now: deps.Now, log: deps.Log,
+		times: o.times, crowd: o.crowd, load: deps.Load, share: deps.Share, models: NewModelLoads(deps.Models), hosts: deps.Hosts, now: deps.Now, log: deps.Log,
 	}
 	return o
 }
@@ -140,7 +144,7 @@
 		return
 	}
 	model := modelFor(runner, engine)
-	spec := Spec{Model: model, Capacity: Capacity(engine, model)}
+	spec := Spec{Model: model, Capacity: Capacity(engine, model), LoadsPerSecond: engine.LoadsPerSecond}
 	ctx, cancel := context.WithCancel(ctx)
 	keeper := newKeeper(runner, spec, o.deps)
 	o.keepers[runner.ID] = &running{Keeper: keeper, stop: cancel}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,6 +47,7 @@
 	OrderGap    time.Duration
 	Grace       time.Duration
 	Retries     retrybudget.Limit
+	Models      adapters.LoadLimit
 }
 
 // Dial opens connections.
@@ -117,7 +118,8 @@
 	told := &statuses{board: e.board, directory: e.directory, now: now, log: log, peers: map[string]heard{}}
 	e.owner = adapters.NewOwner(adapters.OwnerDeps{
 		Host: cfg.Host, Engines: platform.Engines, Authority: e.state,
-		Owns: e.owns, Crowd: told.crowd, Load: e.board.View, Share: told.share, Now: now, Log: log,
+		Owns: e.owns, Crowd: told.crowd, Load: e.board.View, Share: told.share,
+		Hosts: e.state.Size, Models: cfg.Models, Now: now, Log: log,
 	})
 	e.owners.owner = e.owner
 	told.owner = e.owner
