Fewer writes while hosts join; runners are claimed once membership has settled

Before: each host named its witnesses two or three times in its first seconds, and several hosts claimed one runner (88 failed claims on 88 hosts).

--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -22,6 +22,9 @@
 	// hosts of a deployment start within 300 ms of each other, and one that
 	// knows only itself would claim all runners.
 	settleTime = 1200 * time.Millisecond
+	// joinSettle is how long after a host joined runners are claimed: while hosts
+	// still join, several believe that they come first for a runner.
+	joinSettle = 600 * time.Millisecond
 	// deadRecordAge is how long the record of a dead host is kept.
 	deadRecordAge = 60 * time.Second
 )
@@ -129,6 +132,11 @@
 		s.register(ctx)
 		return
 	}
+	if s.Now().Sub(s.started) < settleTime {
+		// The others are not known yet, and nothing is owned that needs a lease:
+		// witnesses chosen now would be chosen anew, a write each time.
+		return
+	}
 	witnesses, others := s.State.Choose(s.Now())
 	if others || s.State.NeedsRenewal(s.Now()) {
 		s.renew(ctx, witnesses)
@@ -239,15 +247,18 @@
 	for _, dead := range s.State.Breakable(now) {
 		s.breakLease(ctx, dead)
 	}
+	for _, dead := range s.State.Dead(now, deadRecordAge) {
+		s.removeDead(ctx, dead)
+	}
 	if now.Sub(s.started) < settleTime {
 		return
 	}
+	if !s.State.Settled(now, joinSettle) {
+		return
+	}
 	for _, claim := range s.State.Claims(s.Addresses()) {
 		s.claim(ctx, claim)
 	}
-	for _, dead := range s.State.Dead(now, deadRecordAge) {
-		s.removeDead(ctx, dead)
-	}
 }
 
 func (s *Service) breakLease(ctx context.Context, dead Break) {
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -73,6 +73,8 @@
 	// record is in force.
 	witnesses []string
 	chosen    time.Time
+	// joined is when a host was first seen last.
+	joined time.Time
 }
 
 // peerSigns is what is known of one peer beside its record.
@@ -128,6 +130,9 @@
 		delete(s.members, host)
 		return
 	}
+	if _, known := s.members[host]; !known {
+		s.joined = now
+	}
 	s.members[host] = m
 	signs := s.signs(host)
 	if signs.revision != m.revision {
@@ -514,6 +519,13 @@
 	return claims
 }
 
+// Settled says that no host has joined for a time.
+func (s *State) Settled(now time.Time, since time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.joined) >= since
+}
+
 // Dead gives hosts whose lease was ended so long ago that their record is of no
 // use any more.
 func (s *State) Dead(now time.Time, after time.Duration) []Break {
