--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -25,6 +25,8 @@
 type Decoder interface {
 	Config(spec json.RawMessage) (*site.Config, error)
 	Runner(name string, spec json.RawMessage) (*site.Runner, error)
+	// StripRunner leaves out of a runner's entry what Runner does not read.
+	StripRunner(spec json.RawMessage) json.RawMessage
 	AdapterVersion(spec json.RawMessage) (site.AdapterVersion, error)
 }
 
@@ -89,6 +91,7 @@
 		lapsed:   map[string]time.Time{},
 		versions: map[site.Adapter]int64{},
 	}
+	d.Runners.Strip = decoder.StripRunner
 	d.Configs.OnChange = d.configChanged
 	d.Runners.OnChange = d.runnersChanged
 	d.Versions.OnChange = d.versionsChanged
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -26,6 +26,8 @@
 	return &site.Runner{ID: name, Service: "s", Address: name + ":1", Leaving: string(spec) == "true"}, nil
 }
 
+func (decoder) StripRunner(spec json.RawMessage) json.RawMessage { return spec }
+
 func (decoder) AdapterVersion(spec json.RawMessage) (site.AdapterVersion, error) {
 	var version int64
 	err := json.Unmarshal(spec, &version)
--- a/internal/mesh/beats.go
+++ b/internal/mesh/beats.go
@@ -13,8 +13,12 @@
 const (
 	// beatInterval is the time between heartbeats to a witness: three a second
 	// to five witnesses cost a host about half a percent of a core, however
-	// large the fleet is.
-	beatInterval = 300 * time.Millisecond
+	// large the fleet is. In a large fleet what they say matters less to each
+	// host, while their bytes are a third of all that goes between data centres;
+	// three in a lease still bear two losses.
+	beatInterval      = 300 * time.Millisecond
+	largeBeatInterval = 450 * time.Millisecond
+	largeFleet        = 20
 	// beatTimeout bounds a heartbeat; a connection that did not answer by then
 	// may have gone silent for good and is replaced.
 	beatTimeout = 400 * time.Millisecond
@@ -96,12 +100,19 @@
 			silent = err != nil
 			s.tellSilence(b.host, silent, err)
 		}
-		b.pause(ctx)
+		b.pause(ctx, s.interval())
 	}
 }
 
-func (b *beater) pause(ctx context.Context) {
-	timer := time.NewTimer(beatInterval)
+func (s *Service) interval() time.Duration {
+	if s.State.Size() > largeFleet {
+		return largeBeatInterval
+	}
+	return beatInterval
+}
+
+func (b *beater) pause(ctx context.Context, interval time.Duration) {
+	timer := time.NewTimer(interval)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"encoding/json"
 	"strconv"
 	"sync"
 
@@ -20,6 +21,14 @@
 	// OnChange is called after each change, outside the lock, with what changed;
 	// whole says that all records were replaced.
 	OnChange func(changed []Change, whole bool)
+	// Strip leaves out of a record what this layer does not use; it may be nil. A
+	// record that differs in nothing else has not changed: peers do not fetch it
+	// from each other.
+	//
+	// Runners' entries change with each adapter that comes or goes. Taken whole,
+	// sixty hosts fetched the list of 115 runners from each other every 0.8 s, over
+	// a hundred megabytes a minute between data centres.
+	Strip func(spec json.RawMessage) json.RawMessage
 
 	mu       sync.Mutex
 	revision uint64
@@ -51,20 +60,38 @@
 	return Version{Revision: r.revision, Digest: r.digest}
 }
 
-func digestOf(record Record) uint64 {
+// digestOf sums up what makes a record differ from another.
+func (r *Replica) digestOf(record Record) uint64 {
+	if r.Strip != nil {
+		return xxhash.Sum64String(record.Name + "\x00" + string(record.Spec))
+	}
 	return xxhash.Sum64String(record.Name + "\x00" + strconv.FormatUint(record.Revision, 10))
 }
 
+// strip gives a record as it is kept.
+func (r *Replica) strip(record Record) Record {
+	if r.Strip != nil {
+		record.Spec = r.Strip(record.Spec)
+	}
+	return record
+}
+
+// same says that a record is known already; the lock is held.
+func (r *Replica) same(record Record) bool {
+	known, ok := r.records[record.Name]
+	return ok && r.digestOf(known) == r.digestOf(record)
+}
+
 // set and unset keep the digest in step with the records; the lock is held.
 func (r *Replica) set(record Record) {
 	r.unset(record.Name)
 	r.records[record.Name] = record
-	r.digest ^= digestOf(record)
+	r.digest ^= r.digestOf(record)
 }
 
 func (r *Replica) unset(name string) {
 	if record, ok := r.records[name]; ok {
-		r.digest ^= digestOf(record)
+		r.digest ^= r.digestOf(record)
 		delete(r.records, name)
 	}
 }
@@ -85,11 +112,12 @@
 	listed := make(map[string]bool, len(records))
 	var changes []Change
 	for _, record := range records {
+		record = r.strip(record)
 		listed[record.Name] = true
-		if r.records[record.Name].Revision != record.Revision {
+		if !r.same(record) {
 			changes = append(changes, Change{Record: record})
-			r.set(record)
 		}
+		r.set(record)
 	}
 	for name, record := range r.records {
 		if !listed[name] {
@@ -111,10 +139,14 @@
 		}
 		if change.Removed {
 			r.unset(change.Name)
-		} else {
-			r.set(change.Record)
+			applied = append(applied, change)
+			continue
+		}
+		change.Record = r.strip(change.Record)
+		if !r.same(change.Record) {
+			applied = append(applied, change)
 		}
-		applied = append(applied, change)
+		r.set(change.Record)
 	}
 	r.revision = max(r.revision, revision)
 	r.mu.Unlock()
--- a/internal/registry/replica_test.go
+++ b/internal/registry/replica_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"encoding/json"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -64,3 +65,28 @@
 	r.Changed([]Change{{Record: record("a", 5)}}, 5)
 	must.Len(t, 1, told, must.Sprint("the watch brings an own write again"))
 }
+
+// A runner's entry changes with each adapter that comes or goes, which this layer
+// does not use. Nobody is told, and two hosts of which one has not seen the
+// change hold the same.
+func TestReplicaStrips(t *testing.T) {
+	state := func(name string, revision uint64, spec string) Record {
+		return Record{Name: name, Revision: revision, Spec: json.RawMessage(spec)}
+	}
+	told := 0
+	first := func(spec json.RawMessage) json.RawMessage { return spec[:1] }
+	a, b := NewReplica(), NewReplica()
+	a.Strip, b.Strip = first, first
+	a.OnChange = func(changes []Change, _ bool) { told += len(changes) }
+	a.Listed([]Record{state("r", 1, "Rxx")}, 1)
+	b.Listed([]Record{state("r", 1, "Rxx")}, 1)
+	must.Eq(t, 1, told)
+	a.Changed([]Change{{Record: state("r", 2, "Ryy")}}, 2)
+	must.Eq(t, 1, told)
+	must.Eq(t, b.Version().Digest, a.Version().Digest)
+	got, _ := a.Get("r")
+	must.Eq(t, 2, got.Revision)
+	a.Changed([]Change{{Record: state("r", 3, "Dyy")}}, 3)
+	must.Eq(t, 2, told)
+	must.NotEq(t, b.Version().Digest, a.Version().Digest)
+}
