--- a/internal/claims/claims.go
+++ b/internal/claims/claims.go
@@ -27,8 +27,14 @@
 type Objects interface {
 	Get(ctx context.Context, key string) (objectapi.Object, error)
 	Put(ctx context.Context, key string, value []byte, ifVersion objectapi.Version) (objectapi.Version, error)
+	List(ctx context.Context, prefix string) (objectapi.Listing, error)
+	Delete(ctx context.Context, key string, ifVersion objectapi.Version) error
 }
 
+// Retention is how long a claim is kept: a day covers every caller that repeats
+// a request, over all three shifts, and bounds what lies in the object API.
+const Retention = 24 * time.Hour
+
 // record is a stored claim. Ended is empty while the request may be under way;
 // it stays so if the claiming host dies.
 type record struct {
@@ -121,6 +127,34 @@
 	return nil, ErrUnavailable
 }
 
+// Sweep removes claims that are older than Retention and gives their number. A
+// claim that changed meanwhile stays: the removal is conditional.
+//
+// Claims are written for each once-only request. Never removed, they would fill
+// the object API and slow every listing.
+func (s *Store) Sweep(ctx context.Context, now time.Time) (int, error) {
+	listing, err := s.objects.List(ctx, keyPrefix)
+	if err != nil {
+		return 0, errors.Wrap(err, "list claims")
+	}
+	removed := 0
+	for _, object := range listing.Items {
+		var rec record
+		if err := json.Unmarshal(object.Value, &rec); err != nil {
+			return removed, errors.Wrapf(err, "decode claim %s", object.Key)
+		}
+		if now.Sub(rec.At) < Retention {
+			continue
+		}
+		err := s.objects.Delete(ctx, object.Key, object.Version)
+		if err != nil && !errors.Is(err, objectapi.ErrConflict) && !errors.Is(err, objectapi.ErrNotFound) {
+			return removed, errors.Wrapf(err, "remove claim %s", object.Key)
+		}
+		removed++
+	}
+	return removed, nil
+}
+
 func duplicate(earlier record) *DuplicateError {
 	// A claim without an end may be under way, or its host may have died: both may have run.
 	ended, err := verdict.Parse(earlier.Ended)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,6 +74,7 @@
 	loads      *loading.Service
 	demand     *demandKeeper
 	dispatcher *dispatch.Dispatcher
+	claims     *claims.Store
 	gate       *dispatch.Gate
 	metrics    *dispatch.Metrics
 	traces     *dispatch.Traces
@@ -188,11 +189,12 @@
 
 func (n *Node) makeDispatcher() {
 	weights := routing.PresetNamed(n.cfg.Loads.Preset)
+	n.claims = claims.NewStore(n.objects, n.cfg.Host)
 	n.placer = dispatch.NewPlacer(n.cfg.Host, n.table, n.members, n.pool, weights, n.cfg.Loads.Time)
 	n.dispatcher = dispatch.New(dispatch.Config{Self: n.self, MaxWait: n.cfg.Limits.MaxWait, Weights: weights}, dispatch.Deps{
 		Engines: n.engines, Services: plain.NewClient(n.engineDial(), n.cfg.Timing.FirstPieceTimeout),
 		Owner: n.controller, Peers: n.pool, Table: n.table, Hosts: n.hosts, Members: n.members, Holder: n.holder,
-		Claims: claims.NewStore(n.objects, n.cfg.Host), Gate: n.gate, Budget: n.budget, Breakers: dispatch.NewBreakers(),
+		Claims: n.claims, Gate: n.gate, Budget: n.budget, Breakers: dispatch.NewBreakers(),
 		Placer: n.placer, Demand: n.demand, Traces: n.traces, Metrics: n.metrics, Log: n.log.Named("dispatch"),
 	})
 	mux := peer.NewMux()
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -53,6 +53,7 @@
 	wg.Go(func() {
 		timing.Every(ctx, idleInterval, func() { n.dispatcher.GiveBackIdle(ctx, time.Now().Add(-pinIdle)) })
 	})
+	wg.Go(func() { timing.Every(ctx, sweepInterval, func() { n.sweepClaims(ctx) }) })
 	wg.Wait()
 	n.pool.Close()
 	n.server.Close()
@@ -155,6 +156,23 @@
 	}()
 }
 
+// sweepInterval is how often old claims are removed.
+const sweepInterval = 10 * time.Minute
+
+// sweepClaims removes old claims on one host of the fleet. Two that both believe
+// to be it do no harm: removals are conditional.
+func (n *Node) sweepClaims(ctx context.Context) {
+	if fleet.First("claims", n.candidates(time.Now())) != n.cfg.Host {
+		return
+	}
+	removed, err := n.claims.Sweep(ctx, time.Now())
+	if err != nil {
+		n.log.Warn("old claims not swept; tried again later", "removed", removed, "error", err)
+		return
+	}
+	n.log.Debug("old claims swept", "removed", removed)
+}
+
 const handOverTimeout = 10 * time.Second
 
 func (n *Node) handOver() {
