Log lines about another host name it as the peer

Cause: the field of the writing host was overwritten by the one a line is about, so on-call could not tell who had lost whom (seen in the incident's logs).

--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -68,7 +68,7 @@
 func (s *statuses) StatusFrom(host string, raw json.RawMessage) {
 	var told status
 	if err := json.Unmarshal(raw, &told); err != nil {
-		s.log.Warn("peer's status not understood", "host", host, "error", err.Error())
+		s.log.Warn("peer's status not understood", "peer", host, "error", err.Error())
 		return
 	}
 	now := s.now()
--- a/internal/mesh/beats.go
+++ b/internal/mesh/beats.go
@@ -123,10 +123,10 @@
 
 func (s *Service) tellSilence(host string, silent bool, err error) {
 	if silent {
-		s.Log.Warn("dependency lost", "dependency", "peer", "host", host, "error", err.Error())
+		s.Log.Warn("dependency lost", "dependency", "peer", "peer", host, "error", err.Error())
 		return
 	}
-	s.Log.Info("dependency regained", "dependency", "peer", "host", host)
+	s.Log.Info("dependency regained", "dependency", "peer", "peer", host)
 }
 
 func (s *Service) beat(ctx context.Context, host string) error {
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -270,12 +270,12 @@
 	dead.Record.Broken = true
 	record, err := s.Store.Update(ctx, Kind, hostName(dead.Host), dead.Record, dead.Revision)
 	if err != nil {
-		s.Log.Info("lease not broken", "host", dead.Host, "revision", dead.Revision, "error", err.Error())
+		s.Log.Info("lease not broken", "peer", dead.Host, "revision", dead.Revision, "error", err.Error())
 		s.refresh(ctx, hostName(dead.Host), err)
 		return
 	}
 	s.fleet.Put(record)
-	s.Log.Warn("lease broken: the host was silent for too long", "host", dead.Host, "epoch", dead.Record.Epoch, "revision", record.Revision)
+	s.Log.Warn("lease broken: the host was silent for too long", "peer", dead.Host, "epoch", dead.Record.Epoch, "revision", record.Revision)
 }
 
 // agreed asks the other witnesses for their votes.
@@ -298,7 +298,7 @@
 		}
 	}
 	if votes > 0 {
-		s.Log.Info("lease not broken: too few witnesses agree", "host", dead.Host, "missing", votes)
+		s.Log.Info("lease not broken: too few witnesses agree", "peer", dead.Host, "missing", votes)
 	}
 	return votes <= 0
 }
@@ -316,7 +316,7 @@
 
 func (s *Service) vote(_ context.Context, from peer.Identity, params VoteParams) (VoteAnswer, error) {
 	agreed := s.State.Vote(params.Host, params.Revision, s.Now())
-	s.Log.Info("vote on a lease", "host", params.Host, "asked_by", from.Host, "agreed", agreed)
+	s.Log.Info("vote on a lease", "peer", params.Host, "asked_by", from.Host, "agreed", agreed)
 	return VoteAnswer{Agreed: agreed}, nil
 }
 
@@ -356,8 +356,8 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if err := s.Store.Delete(ctx, Kind, hostName(dead.Host), dead.Revision); err != nil {
-		s.Log.Debug("record of a dead host not removed", "host", dead.Host, "error", err.Error())
+		s.Log.Debug("record of a dead host not removed", "peer", dead.Host, "error", err.Error())
 		return
 	}
-	s.Log.Info("record of a dead host removed", "host", dead.Host)
+	s.Log.Info("record of a dead host removed", "peer", dead.Host)
 }
