--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -169,12 +169,12 @@
 	}
 	runners := follower(platform.RunnerKind, e.directory.Runners, runnerRhythm)
 	runners.Outage = e.outageEnded
-	e.followers = []*registry.Follower{
-		runners,
-		follower(platform.ConfigKind, e.directory.Configs, configRhythm),
-		follower(platform.VersionKind, e.directory.Versions, versionRhythm),
-		follower(mesh.Kind, e.mesh.Fleet(), fleetRhythm),
+	versions := follower(platform.VersionKind, e.directory.Versions, versionRhythm)
+	fleet := follower(mesh.Kind, e.mesh.Fleet(), fleetRhythm)
+	for _, later := range []*registry.Follower{runners, versions, fleet} {
+		later.Hold = func() bool { return e.directory.Configs.Revision() == 0 }
 	}
+	e.followers = []*registry.Follower{follower(platform.ConfigKind, e.directory.Configs, configRhythm), runners, versions, fleet}
 }
 
 // shortOutage is an outage of the store after which no runner's entry can have
--- a/internal/mesh/beats.go
+++ b/internal/mesh/beats.go
@@ -214,5 +214,9 @@
 	if s.State.Watcher(kind) {
 		return 0
 	}
-	return limit - s.spread.age(kind)
+	due := limit - s.spread.age(kind)
+	if s.spread.silence() > heardLately {
+		return due
+	}
+	return due + s.stagger(kind)
 }
--- a/internal/mesh/join.go
+++ b/internal/mesh/join.go
@@ -87,6 +87,19 @@
 	heardLately = 1200 * time.Millisecond
 )
 
+// stagger puts a host's call to the store off where others that it hears will call
+// as well, in a large fleet by up to its patience: the first of them to get an
+// answer tells the others. All at once, 88 hosts made 350 calls and most of them
+// five more before their pauses had grown.
+func (s *Service) stagger(kind string) time.Duration {
+	size := s.State.Size()
+	if size <= patientFleet {
+		return 0
+	}
+	longest := s.Patience(kind) * time.Duration(size-patientFleet) / time.Duration(size)
+	return time.Duration(float64(longest) * s.spread.lot(kind, s.Self.Host))
+}
+
 // Patience gives the longest pause after a failed call to the store for a kind of
 // record.
 func (s *Service) Patience(kind string) time.Duration {
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -157,15 +157,14 @@
 }
 
 func (s *Service) register(ctx context.Context) {
-	name := hostName(s.Self.Host)
-	current, err := s.Store.Get(ctx, Kind, name)
-	if err != nil && !registry.NotFound(err) {
-		s.Log.Debug("own record not read", "error", err.Error())
-		s.pauseStore()
+	if s.fleet.Revision() == 0 {
+		// Whether there is a record of an earlier life is not known yet.
 		return
 	}
+	name := hostName(s.Self.Host)
 	own := HostRecord{Epoch: 1}
-	if _, m, ok := decodeHost(current); ok && err == nil {
+	current, _ := s.fleet.Get(name)
+	if _, m, ok := decodeHost(current); ok {
 		own = m.HostRecord
 	}
 	if own.Broken {
@@ -183,6 +182,7 @@
 	record, err := s.writeOwn(ctx, name, own, current.Revision)
 	if err != nil {
 		s.Log.Debug("registration failed", "error", err.Error())
+		s.refresh(ctx, name, err)
 		s.pauseStore()
 		return
 	}
@@ -227,6 +227,7 @@
 	case errors.Is(err, objectapi.ErrAnswerLost):
 		s.State.Doubt()
 		s.Log.Info("lease renewed or not: no answer", "error", err.Error())
+		s.pauseStore()
 		s.reread(ctx)
 	default:
 		s.Log.Debug("lease not renewed", "error", err.Error())
@@ -276,10 +277,13 @@
 	for _, dead := range s.State.Dead(now, deadRecordAge) {
 		s.removeDead(ctx, dead)
 	}
-	if now.Sub(s.started) < settleTime {
+	if now.Sub(s.started) < settleTime || !s.State.Settled(now, joinSettle) {
 		return
 	}
-	if !s.State.Settled(now, joinSettle) {
+	if !s.spread.since(Kind, s.started.Add(joinSettle)) {
+		// What was listed at the start lacks the hosts that started a moment later.
+		// Two hosts then claim each runner: 80 of 192 claims were in vain, and each
+		// cost a call more to see why.
 		return
 	}
 	for _, claim := range s.State.Claims(s.Runners()) {
@@ -371,11 +375,14 @@
 		return
 	}
 	record, err := s.Store.Get(ctx, Kind, name)
-	if err != nil {
+	switch {
+	case err == nil:
+		s.fleet.Put(record)
+	case registry.NotFound(err):
+		s.fleet.Changed([]registry.Change{{Record: registry.Record{Name: name}, Removed: true}}, 0)
+	default:
 		s.Log.Debug("record not read", "record", name, "error", err.Error())
-		return
 	}
-	s.fleet.Put(record)
 }
 
 func (s *Service) removeDead(ctx context.Context, dead Break) {
--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +58,10 @@
 	// Patience gives the longest pause after a failed call while other hosts look
 	// after this kind of record as well; it may be nil.
 	Patience func() time.Duration
+	// Hold says that the first listing is of no use yet; it may be nil. Hosts that
+	// all start while the store is down then ask for one kind of record and not
+	// for each.
+	Hold func() bool
 	// Confirmed is called after each answer; it may be nil.
 	Confirmed func()
 	// Outage is called when the store answers again after it was out of reach
@@ -69,6 +74,7 @@
 
 // Run lists, then watches, until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	f.hold(ctx)
 	pause := retryFirst
 	relist := true
 	for ctx.Err() == nil {
@@ -91,11 +97,30 @@
 		if errors.Is(err, ErrHistoryGone) {
 			continue
 		}
-		f.pause(ctx, pause)
-		pause = min(2*pause, f.longestPause())
+		f.pause(ctx, f.spread(pause))
+		pause = min(2*pause, retryMost)
 	}
 }
 
+// holdStep is how often it is looked whether the first listing may begin.
+const holdStep = 10 * time.Millisecond
+
+func (f *Follower) hold(ctx context.Context) {
+	for ctx.Err() == nil && f.Hold != nil && f.Hold() && f.Sink.Revision() == 0 {
+		timing.Sleep(ctx, holdStep)
+	}
+}
+
+// spread gives the pause after a failed call. Where other hosts ask as well it is
+// long from the first time on, and differs from host to host.
+func (f *Follower) spread(pause time.Duration) time.Duration {
+	longest := f.longestPause()
+	if longest <= retryMost {
+		return pause
+	}
+	return longest/2 + rand.N(longest/2)
+}
+
 // pause waits after a failed call, as long as other hosts make up for it.
 func (f *Follower) pause(ctx context.Context, pause time.Duration) {
 	begun := f.Now()
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -60,11 +60,18 @@
 		Instance:       l.runner.ID,
 		Left:           l.left(),
 		AdapterVersion: l.key.Version,
-		Urgency:        min(9, max(0, l.route.Priority)),
+		Urgency:        evenUrgency,
 		ResumeAfter:    l.last,
 	}
 }
 
+// evenUrgency is that of every request. An engine stops a running request for a
+// more urgent one and reads its prompt again later: with the routes' own
+// priorities a batch of 12 lost 300 to 1,100 running streams a day to requests
+// that take a tenth of their time, each of which then paused beyond what its
+// caller allows. Who goes first is decided before a request is sent.
+const evenUrgency = 5
+
 var errSilent = errors.New("no answer within the time for one runner")
 
 // watch counts silence against the runner, and ends the attempt of a request
