--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -133,9 +133,8 @@
 	// Own is the number of this host's requests on the runner, Load that of all
 	// hosts together.
 	Own, Load int
-	// Suspect says that the runner should be avoided; Doubt is how strongly.
+	// Suspect says that the runner should be avoided.
 	Suspect bool
-	Doubt   float64
 }
 
 // View gives the state of a runner.
@@ -150,7 +149,6 @@
 			}
 		}
 		view.Suspect = e.health.suspect(now) || e.silent(now)
-		view.Doubt = e.health.rate
 	})
 	return view
 }
--- /dev/null
+++ b/internal/entry/calls.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/adapters"
+	"github.com/cherrystage/cherrystage/internal/peer"
+	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/pkg/errors"
+)
+
+// Methods that a runner's owner serves.
+const (
+	methodAdmit   = "runner.admit"
+	methodMissing = "runner.missing"
+	methodPlaced  = "runner.placed"
+	methodTell    = "runner.tell"
+	methodAhead   = "runner.prefetch"
+)
+
+// AdmitParams asks a runner's owner for the place of a request.
+type AdmitParams struct {
+	Runner  string `json:"runner"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter,omitempty"`
+	Version int64  `json:"version,omitempty"`
+	// Tokens is the length of the prompt, Output the most tokens of the answer.
+	Tokens int `json:"tokens,omitempty"`
+	Output int `json:"output,omitempty"`
+	// PatienceMS is the longest wait for other prompts, WithinMS the time after
+	// which sending the request is of no use.
+	PatienceMS int64 `json:"patience_ms,omitempty"`
+	WithinMS   int64 `json:"within_ms,omitempty"`
+	// TargetMS is the time within which the request has to be sent to be on time.
+	TargetMS int64 `json:"target_ms,omitempty"`
+	// Running is the number of the asker's requests on the runner.
+	Running int `json:"running,omitempty"`
+	// Last: no other runner took the request. The others are those of
+	// adapters.Admission.
+	Last   bool `json:"last,omitempty"`
+	Home   bool `json:"home,omitempty"`
+	Anew   bool `json:"anew,omitempty"`
+	Waited bool `json:"waited,omitempty"`
+}
+
+// AdmitResult tells in how many milliseconds the request may be sent.
+type AdmitResult struct {
+	ReadyMS int64 `json:"ready_ms"`
+	// Again: the adapter is on its way; ask again once it is there.
+	Again bool `json:"again,omitempty"`
+	// Refusal is set where the request is not admitted. Elsewhere are other
+	// runners with the adapter.
+	Refusal   adapters.Refusal `json:"refusal,omitempty"`
+	Elsewhere []string         `json:"elsewhere,omitempty"`
+}
+
+// PlacedParams tells the owner of an adapter's home on which other runner the
+// adapter was placed.
+type PlacedParams struct {
+	Home    string `json:"home"`
+	Model   string `json:"model"`
+	Adapter string `json:"adapter"`
+	Version int64  `json:"version,omitempty"`
+	Runner  string `json:"runner"`
+}
+
+func (p PlacedParams) key() adapters.Key {
+	return adapters.Key{Adapter: site.Adapter{Model: p.Model, Name: p.Adapter}, Version: p.Version}
+}
+
+func (p AdmitParams) admission() adapters.Admission {
+	return adapters.Admission{
+		Key:      adapters.Key{Adapter: site.Adapter{Model: p.Model, Name: p.Adapter}, Version: p.Version},
+		Tokens:   p.Tokens,
+		Output:   p.Output,
+		Patience: time.Duration(p.PatienceMS) * time.Millisecond,
+		Within:   time.Duration(p.WithinMS) * time.Millisecond,
+		Target:   time.Duration(p.TargetMS) * time.Millisecond,
+		Last:     p.Last,
+		Home:     p.Home,
+		Anew:     p.Anew,
+		Waited:   p.Waited,
+	}
+}
+
+func (r AdmitResult) refusal() error {
+	if len(r.Elsewhere) == 0 {
+		return r.Refusal
+	}
+	return &adapters.ReplicatedError{Refusal: r.Refusal, Runners: r.Elsewhere}
+}
+
+func refused(err error) (AdmitResult, bool) {
+	var replicated *adapters.ReplicatedError
+	if errors.As(err, &replicated) {
+		return AdmitResult{Refusal: replicated.Refusal, Elsewhere: replicated.Runners}, true
+	}
+	var refusal adapters.Refusal
+	if errors.As(err, &refusal) {
+		return AdmitResult{Refusal: refusal}, true
+	}
+	return AdmitResult{}, false
+}
+
+// register adds the methods that peers call.
+func (o *owners) register(mux *peer.Mux) {
+	peer.Handle(mux, methodAdmit, func(_ context.Context, from peer.Identity, p AdmitParams) (AdmitResult, error) {
+		admitted, err := o.admitHere(p.Runner, p.admission())
+		if result, ok := refused(err); ok {
+			return result, nil
+		}
+		if !admitted.Again {
+			o.board.PeerOn(from.Host, p.Runner, p.Running+1, o.now())
+		}
+		return AdmitResult{ReadyMS: max(0, admitted.At.Sub(o.now()).Milliseconds()), Again: admitted.Again}, nil
+	})
+	peer.Handle(mux, methodMissing, func(_ context.Context, _ peer.Identity, p AdmitParams) (struct{}, error) {
+		o.missingHere(p.Runner, p.admission().Key.Adapter)
+		return struct{}{}, nil
+	})
+	peer.Handle(mux, methodPlaced, func(_ context.Context, _ peer.Identity, p PlacedParams) (struct{}, error) {
+		o.placedHere(p)
+		return struct{}{}, nil
+	})
+	peer.Handle(mux, methodAhead, func(_ context.Context, _ peer.Identity, p AdmitParams) (struct{}, error) {
+		o.prefetchHere(p.Runner, p.admission().Key)
+		return struct{}{}, nil
+	})
+	peer.Handle(mux, methodTell, func(_ context.Context, from peer.Identity, p TellParams) (struct{}, error) {
+		o.takeTold(from.Host, p)
+		return struct{}{}, nil
+	})
+}
--- /dev/null
+++ b/internal/entry/telling.go
@@ -0,0 +1,134 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/site"
+)
+
+// TellParams tells an owner what became of requests on its runners.
+type TellParams struct {
+	Runners map[string]Told `json:"runners"`
+}
+
+// Told is what a host tells of one runner.
+type Told struct {
+	Running int `json:"running"`
+	Good    int `json:"good,omitempty"`
+	Bad     int `json:"bad,omitempty"`
+	// Hard failures are those to connect at all.
+	Hard int `json:"hard,omitempty"`
+	// Ended counts the requests that have ended, by adapter.
+	Ended map[string]int `json:"ended,omitempty"`
+}
+
+// news says whether there is anything to tell beside the number of requests.
+func (t Told) news() bool { return t.Good+t.Bad+t.Hard+len(t.Ended) > 0 }
+
+// tolled is what was last told of a runner.
+type tolled struct {
+	running int
+	at      time.Time
+}
+
+// Outcome implements serve.Owners.
+func (o *owners) Outcome(runner string, good, hard bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	told := o.outcomes[runner]
+	switch {
+	case good:
+		told.Good++
+	case hard:
+		told.Hard++
+	default:
+		told.Bad++
+	}
+	o.outcomes[runner] = told
+}
+
+const (
+	// tellInterval is how often owners are told what became of requests.
+	tellInterval = 200 * time.Millisecond
+	// tellAgain is how often a number that did not change is told again, so that
+	// it does not count as that of a host that is gone.
+	tellAgain = time.Second
+)
+
+// tell tells the owners what has changed on their runners.
+func (o *owners) tell(ctx context.Context, runners map[string]*site.Runner) {
+	own := o.board.Own()
+	byOwner := map[string]TellParams{}
+	for id, runner := range runners {
+		told, changed := o.changed(id, own[id])
+		if !changed {
+			continue
+		}
+		_, address, err := o.find(runner)
+		if err != nil || address == "" {
+			continue
+		}
+		if byOwner[address].Runners == nil {
+			byOwner[address] = TellParams{Runners: map[string]Told{}}
+		}
+		byOwner[address].Runners[id] = told
+	}
+	for address, params := range byOwner {
+		go o.tellOne(ctx, address, params)
+	}
+}
+
+func (o *owners) tellOne(ctx context.Context, address string, params TellParams) {
+	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+	defer cancel()
+	if err := o.pool.Call(ctx, address, methodTell, params, nil); err != nil {
+		o.log.Debug("owner not told of its runners", "address", address, "error", err.Error())
+	}
+}
+
+// changed gives what has to be told of a runner.
+func (o *owners) changed(runner string, running int) (Told, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.now()
+	told := o.outcomes[runner]
+	last := o.told[runner]
+	again := running > 0 && now.Sub(last.at) >= tellAgain
+	if !told.news() && running == last.running && !again {
+		return Told{}, false
+	}
+	delete(o.outcomes, runner)
+	o.told[runner] = tolled{running: running, at: now}
+	told.Running = running
+	return told, true
+}
+
+func (o *owners) takeEnded(runner string, ended map[string]int) {
+	keeper, ok := o.owner.Keeper(runner)
+	if !ok || len(ended) == 0 {
+		return
+	}
+	byAdapter := make(map[site.Adapter]int, len(ended))
+	for name, requests := range ended {
+		byAdapter[site.AdapterNamed(name)] = requests
+	}
+	keeper.Ended(byAdapter)
+}
+
+func (o *owners) takeTold(host string, params TellParams) {
+	now := o.now()
+	for runner, told := range params.Runners {
+		o.board.PeerOn(host, runner, told.Running, now)
+		o.takeEnded(runner, told.Ended)
+		for range told.Good {
+			o.board.Good(runner, now)
+		}
+		for range told.Bad {
+			o.board.Bad(runner, false, now)
+		}
+		if told.Hard > 0 {
+			o.board.Bad(runner, true, now)
+		}
+	}
+}
