Hosts are asked in turn by a process that knows nobody

A process drew the host to ask anew each time; of two seeds, one of them gone, it drew the gone one three times in a row once in eight. Not load: the test runs in virtual time. Each candidate now comes in turn from a drawn first one.

--- a/internal/mesh/join.go
+++ b/internal/mesh/join.go
@@ -42,7 +42,13 @@
 	if len(candidates) == 0 {
 		return
 	}
-	address := candidates[rand.IntN(len(candidates))]
+	if s.asks == 0 {
+		s.asks = rand.IntN(len(candidates))
+	}
+	// In turn: drawn anew each time, a host that is gone was asked three times in a
+	// row by one process in eight, which then did not serve for a second more.
+	address := candidates[s.asks%len(candidates)]
+	s.asks++
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	var answer KnownResult
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -55,9 +55,10 @@
 	mu      sync.Mutex
 	beating map[string]*beater
 	kick    chan struct{}
-	// askedAt is when a host was last asked out of turn; it and storeAgain, until
-	// when the store is left alone after a failure, are Run's.
+	// askedAt is when a host was last asked out of turn, asks how often; they and
+	// storeAgain, until when the store is left alone after a failure, are Run's.
 	askedAt    time.Time
+	asks       int
 	storeAgain time.Time
 	storePause time.Duration
 }
