Runners' lifetimes by instance and start; entries of another writer name no runner

Change: a runner's ID is its instance with its start; directory, board, owners, replicas and keepers are kept under it, so that all beliefs of a lifetime end together. The start comes from the entry, or from the report that the owner reads (behind a cut from the store the entry tells nothing); an earlier start never replaces a later one. Orders without an answer are kept beyond the keeper: where the new count comes by their sequence a place stays free for them. Two entries at one address: only the later gets work.

--- a/internal/adapters/engines.go
+++ b/internal/adapters/engines.go
@@ -17,7 +17,7 @@
 	// Holder is the host that gives the order, Token its fencing token.
 	Holder string
 	Token  uint64
-	// Instance is the lifetime of the runner that the order is meant for.
+	// Instance is the runner that the order is meant for.
 	Instance string
 }
 
@@ -52,6 +52,8 @@
 // milliseconds ago.
 type Report struct {
 	Sequence int64
+	// Born is the start of the process that tells, as in site.Runner.
+	Born int64
 	// Busy says that a model is being loaded or unloaded.
 	Busy     bool
 	Models   []string
--- a/internal/adapters/keeper.go
+++ b/internal/adapters/keeper.go
@@ -98,8 +98,10 @@
 	// Models and Hosts bound the loads of base models.
 	Models *ModelLoads
 	Hosts  func() int
-	Now    func() time.Time
-	Log    hclog.Logger
+	// Restarted is told that a runner has started again under its instance.
+	Restarted func(instance string, born int64)
+	Now       func() time.Time
+	Log       hclog.Logger
 }
 
 // NewKeeper makes a keeper that has read nothing of its runner yet.
@@ -194,6 +196,9 @@
 		k.refuse(ErrSilent)
 		return syncPause
 	}
+	if report.Born != 0 && report.Born != k.runner.Born {
+		return k.otherLifetime(report.Born)
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := k.Now()
@@ -216,6 +221,17 @@
 	return 0
 }
 
+// otherLifetime passes over a report of another lifetime than the keeper's. One of
+// a later lifetime ends what is believed of this one; an earlier one is late.
+func (k *Keeper) otherLifetime(born int64) time.Duration {
+	k.log.Info("report of another lifetime", "born", born, "keeper_born", k.runner.Born)
+	k.refuse(ErrSilent)
+	if born > k.runner.Born {
+		k.Restarted(k.runner.Instance, born)
+	}
+	return syncPause
+}
+
 // estimate gives the time of a load that begins now; the lock is held.
 func (k *Keeper) estimate(recent bool) time.Duration {
 	return k.Times.Estimate(recent, k.Crowd().withOneMore())
--- a/internal/adapters/keeper_test.go
+++ b/internal/adapters/keeper_test.go
@@ -14,7 +14,7 @@
 // keeperAt makes a keeper whose clock is set by the test and whose runner holds
 // the base model.
 func keeperAt(now *time.Time, capacity int, engines Engines) *Keeper {
-	k := NewKeeper(&site.Runner{ID: "r", Address: "r:1", Slots: 64}, Spec{Model: site.Model{Name: "m"}, Capacity: capacity}, KeeperDeps{
+	k := NewKeeper(&site.Runner{ID: "r", Instance: "r", Address: "r:1", Slots: 64}, Spec{Model: site.Model{Name: "m"}, Capacity: capacity}, KeeperDeps{
 		Holder: "h", Engines: engines, Authority: always{}, Times: NewLoadTimes(),
 		Crowd:  func() Crowd { return Crowd{Full: 8} },
 		Load:   func(string, time.Time) board.View { return board.View{} },
--- /dev/null
+++ b/internal/adapters/late.go
@@ -0,0 +1,85 @@
+package adapters
+
+import "time"
+
+// lateOrder is how long after it was sent an order without an answer may still be
+// carried out; twelve seconds are the longest that runners were seen to take.
+const lateOrder = 13 * time.Second
+
+// LateOrders are the orders without an answer that a runner may still carry out, by
+// the sequence that they were given for.
+//
+// The failure they guard against: a runner loses answers, crashes and starts again
+// under its instance. Its orders are counted anew, and a load that was given to the
+// lifetime before is carried out once the count comes by the sequence that it was
+// given for. If all places are taken by then, the runner crashes: it was ordered to
+// hold more than it can. Within one lifetime this cannot be, since the sequence only
+// grows and an order that was overtaken is void.
+type LateOrders map[int64]lateLoad
+
+// lateLoad is the latest order of one sequence.
+type lateLoad struct {
+	load  bool
+	until time.Time
+}
+
+// note keeps an order that has no answer yet. Once it has one, settled takes it back
+// and leaves those that were given for the sequence before.
+func (l LateOrders) note(sequence int64, load bool, now time.Time) (settled func()) {
+	before, noted := l[sequence]
+	l[sequence] = lateLoad{load: load || before.load, until: now.Add(lateOrder)}
+	return func() {
+		if noted {
+			l[sequence] = before
+			return
+		}
+		delete(l, sequence)
+	}
+}
+
+// merge adds other orders.
+func (l LateOrders) merge(others LateOrders) {
+	for sequence, order := range others {
+		order.load = order.load || l[sequence].load
+		l[sequence] = order
+	}
+}
+
+// expire drops the orders that are not carried out any more.
+func (l LateOrders) expire(now time.Time) {
+	for sequence, order := range l {
+		if now.After(order.until) {
+			delete(l, sequence)
+		}
+	}
+}
+
+// ahead is how many orders ahead places are kept free: an order to load needs the
+// room that the sequence after it calls for, and making room takes an order as well.
+const ahead = 2
+
+// places gives how many places have to be kept free at a sequence.
+func (l LateOrders) places(sequence int64) int {
+	most := 0
+	for next := sequence; next <= sequence+ahead; next++ {
+		most = max(most, l.from(next))
+	}
+	return most
+}
+
+// from gives how many places late orders may take before the owner notices: the
+// loads of the sequences that follow on each other. The owner's first order after
+// one of them finds another sequence.
+func (l LateOrders) from(sequence int64) int {
+	loads := 0
+	for {
+		order, ok := l[sequence]
+		if !ok {
+			return loads
+		}
+		if order.load {
+			loads++
+		}
+		sequence++
+	}
+}
--- a/internal/adapters/orders.go
+++ b/internal/adapters/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/site"
@@ -18,11 +19,13 @@
 	sequence := k.slots.Sequence
 	free, waiting := k.slots.Free(), len(k.waiting)
 	transit, fetched := k.slots.Transit()
+	// Noted before it is sent: the keeper may be stopped while it waits for the answer.
+	settled := k.slots.Unanswered.note(sequence, load, now)
 	k.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	outcome, err := k.Engines.Order(ctx, k.runner.Address, Order{
-		Load: load, Key: key, Sequence: sequence, Holder: k.Holder, Token: token, Instance: k.runner.ID,
+		Load: load, Key: key, Sequence: sequence, Holder: k.Holder, Token: token, Instance: k.runner.Instance,
 	})
 	fields := []any{"load", load, "adapter", key.Adapter.String(), "version", key.Version, "sequence", sequence, "token", token, "outcome", outcome.String(), "took_ms", k.Now().Sub(now).Milliseconds(),
 		"free", free, "transit", transit, "fetched", fetched, "reload", load && k.isRecent(key), "waiting", waiting, "estimate_ms", k.Times.Estimate(false, Crowd{}).Milliseconds()}
@@ -30,9 +33,24 @@
 		fields = append(fields, "error", err.Error())
 	}
 	k.log.Info("order", fields...)
+	if outcome != OutcomeUnknown {
+		k.mu.Lock()
+		settled()
+		k.mu.Unlock()
+	}
 	return outcome
 }
 
+// unanswered gives the orders that may still be carried out in a later lifetime.
+func (k *Keeper) unanswered(now time.Time) LateOrders {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	late := maps.Clone(k.slots.Inherited)
+	late.merge(k.slots.Unanswered)
+	late.expire(now)
+	return late
+}
+
 func (k *Keeper) loadAdapter(ctx context.Context, key Key) time.Duration {
 	k.mu.Lock()
 	recent := k.slots.Recent(key)
--- a/internal/adapters/owner.go
+++ b/internal/adapters/owner.go
@@ -27,6 +27,9 @@
 
 	mu      sync.Mutex
 	keepers map[string]*running
+	// late are orders without an answer that earlier keepers gave, by the runner's
+	// instance.
+	late map[string]LateOrders
 }
 
 type running struct {
@@ -52,19 +55,21 @@
 	// models.
 	Hosts  func() int
 	Models LoadLimit
-	Now    func() time.Time
-	Log    hclog.Logger
+	// Restarted is told that a runner has started again under its instance.
+	Restarted func(instance string, born int64)
+	Now       func() time.Time
+	Log       hclog.Logger
 }
 
 // NewOwner makes an owner of nothing.
 func NewOwner(deps OwnerDeps) *Owner {
 	o := &Owner{
 		host: deps.Host, owns: deps.Owns, elsewhere: deps.Crowd,
-		now: deps.Now, log: deps.Log, times: NewLoadTimes(), keepers: map[string]*running{},
+		now: deps.Now, log: deps.Log, times: NewLoadTimes(), keepers: map[string]*running{}, late: map[string]LateOrders{},
 	}
 	o.deps = KeeperDeps{
 		Holder: deps.Host, Engines: deps.Engines, Authority: deps.Authority, Times: o.times, Crowd: o.crowd, Load: deps.Load,
-		Share: deps.Share, Models: NewModelLoads(deps.Models), Hosts: deps.Hosts, Now: deps.Now, Log: deps.Log,
+		Share: deps.Share, Models: NewModelLoads(deps.Models), Hosts: deps.Hosts, Restarted: deps.Restarted, Now: deps.Now, Log: deps.Log,
 	}
 	return o
 }
@@ -117,12 +122,28 @@
 	return keeper.Keeper, true
 }
 
+// Current gives the keeper of a runner's present lifetime, whichever lifetime the
+// asker knows of. A host whose list of runners is behind, for the runner or the host
+// is cut off from the store, would else find no owner until the cut heals.
+func (o *Owner) Current(id string) (*Keeper, bool) {
+	if keeper, ok := o.Keeper(id); ok {
+		return keeper, true
+	}
+	instance := site.InstanceOf(id)
+	for _, keeper := range o.all() {
+		if keeper.runner.Instance == instance {
+			return keeper, true
+		}
+	}
+	return nil, false
+}
+
 // Reconcile starts and stops keepers, so that there is one for each owned
 // runner that may receive work.
 func (o *Owner) Reconcile(ctx context.Context, config *site.Config, byService map[string][]*site.Runner) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	wanted := map[string]bool{}
+	wanted := map[string]owned{}
 	for name, runners := range byService {
 		service := config.Services[name]
 		if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
@@ -130,21 +151,45 @@
 		}
 		o.fullShare.Store(math.Float64bits(FullShare(service.Engine.LoadsPerSecond, len(runners))))
 		for _, runner := range runners {
-			if !o.owns(runner.Address) {
-				continue
+			if o.owns(runner.Address) {
+				wanted[runner.ID] = owned{runner: runner, engine: service.Engine}
 			}
-			wanted[runner.ID] = true
-			o.start(ctx, runner, service.Engine)
 		}
 	}
 	for id, keeper := range o.keepers {
-		if !wanted[id] {
-			keeper.stop()
-			delete(o.keepers, id)
+		if _, ok := wanted[id]; !ok {
+			o.end(id, keeper)
+		}
+	}
+	for id, w := range wanted {
+		if o.keepers[id] == nil {
+			o.start(ctx, w.runner, w.engine)
 		}
 	}
 }
 
+// owned is a runner that needs a keeper.
+type owned struct {
+	runner *site.Runner
+	engine *site.Engine
+}
+
+// end stops a keeper; the lock is held. Its orders without an answer are kept, for
+// the runner may start again under its instance while they are carried out.
+func (o *Owner) end(id string, keeper *running) {
+	keeper.stop()
+	delete(o.keepers, id)
+	for instance, late := range o.late {
+		late.expire(o.now())
+		if len(late) == 0 {
+			delete(o.late, instance)
+		}
+	}
+	if late := keeper.unanswered(o.now()); len(late) > 0 {
+		o.late[keeper.runner.Instance] = late
+	}
+}
+
 // Gone notes that a runner's lifetime has ended: no adapter lies there any more.
 func (o *Owner) Gone(runner string) {
 	for _, keeper := range o.all() {
@@ -153,13 +198,14 @@
 }
 
 func (o *Owner) start(ctx context.Context, runner *site.Runner, engine *site.Engine) {
-	if o.keepers[runner.ID] != nil {
-		return
-	}
 	model := modelFor(runner, engine)
 	spec := Spec{Model: model, Capacity: Capacity(engine, model), LoadsPerSecond: engine.LoadsPerSecond}
 	ctx, cancel := context.WithCancel(ctx)
 	keeper := NewKeeper(runner, spec, o.deps)
+	if late := o.late[runner.Instance]; late != nil {
+		keeper.slots.Inherited = late
+		delete(o.late, runner.Instance)
+	}
 	o.keepers[runner.ID] = &running{Keeper: keeper, stop: cancel}
 	o.log.Info("orders begin", "runner", runner.ID, "address", runner.Address, "model", model.Name, "places", spec.Capacity)
 	go keeper.Run(ctx)
--- a/internal/adapters/slots.go
+++ b/internal/adapters/slots.go
@@ -71,11 +71,14 @@
 	clock    uint64
 	// Sequence is the number of orders that the runner has accepted.
 	Sequence int64
+	// Unanswered are orders of this lifetime without an answer, Inherited those of
+	// earlier ones, which may still be carried out in this one.
+	Unanswered, Inherited LateOrders
 }
 
 // NewSlots makes the places of a runner that holds nothing.
 func NewSlots(capacity int) *Slots {
-	return &Slots{capacity: capacity, places: map[site.Adapter]*place{}, recent: map[Key]uint64{}}
+	return &Slots{capacity: capacity, places: map[site.Adapter]*place{}, recent: map[Key]uint64{}, Unanswered: LateOrders{}, Inherited: LateOrders{}}
 }
 
 // Capacity gives the number of adapters that fit on a runner.
@@ -88,8 +91,11 @@
 	return max(0, capacity)
 }
 
-// Settle turns loads whose time has passed into residents.
+// Settle turns loads whose time has passed into residents and drops the orders
+// that are not carried out any more.
 func (s *Slots) Settle(now time.Time) {
+	s.Unanswered.expire(now)
+	s.Inherited.expire(now)
 	for _, p := range s.places {
 		if p.phase == loading && !now.Before(p.readyAt) {
 			p.phase = resident
@@ -149,8 +155,11 @@
 }
 
 // Free gives the number of places that hold nothing. A place in doubt is not
-// free: a load beyond the places crashes the runner.
-func (s *Slots) Free() int { return s.capacity - len(s.places) }
+// free, and neither is one that a late order may take: a load beyond the places
+// crashes the runner.
+func (s *Slots) Free() int {
+	return s.capacity - len(s.places) - s.Inherited.places(s.Sequence)
+}
 
 // Touch notes that somebody asks for an adapter.
 func (s *Slots) Touch(adapter site.Adapter, now time.Time) {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -34,10 +34,10 @@
 type Snapshot struct {
 	// Config is nil until a configuration is known.
 	Config *site.Config
-	// Runners by their identifier, leaving ones included.
+	// Runners by the ID of their lifetime, leaving ones included.
 	Runners map[string]*site.Runner
 	// ByService holds the runners of a service that may receive work, sorted by
-	// address.
+	// address. There is one at an address.
 	ByService map[string][]*site.Runner
 	Versions  map[site.Adapter]int64
 	// RunnersKnown says that the store's list of runners was read once.
@@ -68,9 +68,11 @@
 	OnRunner  func(changed *site.Runner, gone bool)
 	OnVersion func(version site.AdapterVersion)
 
-	mu         sync.Mutex
-	config     *site.Config
-	runners    map[string]*site.Runner
+	mu     sync.Mutex
+	config *site.Config
+	// runners by their instance; those that lapsed in an outage are believed until
+	// a time.
+	runners    map[string]listed
 	lapsed     map[string]time.Time
 	versions   map[site.Adapter]int64
 	known      bool
@@ -78,6 +80,13 @@
 	snapshot   atomic.Pointer[Snapshot]
 }
 
+// listed is a runner as the store lists it.
+type listed struct {
+	*site.Runner
+	// revision is that of the runner's entry.
+	revision uint64
+}
+
 // New makes an empty directory.
 func New(decoder Decoder, now func() time.Time, log hclog.Logger) *Directory {
 	d := &Directory{
@@ -87,7 +96,7 @@
 		Configs:  registry.NewReplica(),
 		Runners:  registry.NewReplica(),
 		Versions: registry.NewReplica(),
-		runners:  map[string]*site.Runner{},
+		runners:  map[string]listed{},
 		lapsed:   map[string]time.Time{},
 		versions: map[site.Adapter]int64{},
 	}
@@ -159,30 +168,63 @@
 	}
 	runner, err := d.decoder.Runner(change.Name, change.Spec)
 	if err != nil {
-		d.log.Error("runner's entry not understood", "runner", change.Name, "error", err.Error())
+		d.log.Error("runner's entry not understood", "runner", change.Name, "revision", change.Revision, "error", err.Error())
+		d.remove(change.Name, "its entry is not understood")
 		return
 	}
 	delete(d.lapsed, change.Name)
-	before := d.runners[change.Name]
-	d.runners[change.Name] = runner
-	if before == nil || before.Leaving != runner.Leaving {
-		d.log.Info("runner listed", "runner", runner.ID, "service", runner.Service, "address", runner.Address, "data_centre", runner.DataCentre, "leaving", runner.Leaving, "revision", change.Revision)
+	d.list(runner, change.Revision)
+}
+
+// list takes a runner's word on itself over.
+func (d *Directory) list(runner *site.Runner, revision uint64) {
+	before, known := d.runners[runner.Instance]
+	if known && runner.Born == 0 && before.Born != 0 {
+		runner = runner.Aged(before.Born)
+	}
+	if known && runner.Born < before.Born {
+		// A write of the lifetime before that the store carried out late. Taken, all
+		// hosts would go back to a process that is no more.
+		d.log.Info("entry of an earlier lifetime passed over", "runner", runner.ID, "instead_of", before.ID, "revision", revision)
+		return
+	}
+	if known && before.ID != runner.ID {
+		d.remove(runner.Instance, "it started again")
+	}
+	d.runners[runner.Instance] = listed{Runner: runner, revision: revision}
+	if !known || before.ID != runner.ID || before.Leaving != runner.Leaving {
+		d.log.Info("runner listed", "runner", runner.ID, "service", runner.Service, "address", runner.Address, "data_centre", runner.DataCentre, "leaving", runner.Leaving, "revision", revision)
 	}
 	if d.OnRunner != nil {
 		d.OnRunner(runner, false)
 	}
 }
 
-func (d *Directory) remove(id, reason string) {
-	runner := d.runners[id]
-	if runner == nil {
+// Restarted notes that a runner has started again under its instance, by its own
+// word and before its entry says so. Behind a cut from the store its entry stays as
+// it was, and this host would wait for adapters of the lifetime before.
+func (d *Directory) Restarted(instance string, born int64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known, ok := d.runners[instance]
+	if !ok || born <= known.Born {
 		return
 	}
-	delete(d.runners, id)
-	delete(d.lapsed, id)
-	d.log.Info("runner gone", "runner", id, "service", runner.Service, "reason", reason)
+	d.list(known.Aged(born), known.revision)
+	d.publish()
+}
+
+// remove gives a runner up, by its instance.
+func (d *Directory) remove(instance, reason string) {
+	runner, ok := d.runners[instance]
+	if !ok {
+		return
+	}
+	delete(d.runners, instance)
+	delete(d.lapsed, instance)
+	d.log.Info("runner gone", "runner", runner.ID, "service", runner.Service, "reason", reason)
 	if d.OnRunner != nil {
-		d.OnRunner(runner, true)
+		d.OnRunner(runner.Runner, true)
 	}
 }
 
@@ -192,12 +234,12 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	changed := false
-	for id, until := range d.lapsed {
+	for instance, until := range d.lapsed {
 		if now.Before(until) {
 			continue
 		}
-		d.remove(id, "still missing after the grace that follows an outage of the store")
-		delete(d.lapsed, id)
+		d.remove(instance, "still missing after the grace that follows an outage of the store")
+		delete(d.lapsed, instance)
 		changed = true
 	}
 	if changed {
@@ -242,10 +284,11 @@
 		Versions:     make(map[site.Adapter]int64, len(d.versions)),
 		RunnersKnown: d.known,
 	}
-	for id, runner := range d.runners {
-		next.Runners[id] = runner
-		if !runner.Leaving {
-			next.ByService[runner.Service] = append(next.ByService[runner.Service], runner)
+	newest := d.newestAt()
+	for _, runner := range d.runners {
+		next.Runners[runner.ID] = runner.Runner
+		if !runner.Leaving && newest[runner.Address].Instance == runner.Instance {
+			next.ByService[runner.Service] = append(next.ByService[runner.Service], runner.Runner)
 		}
 	}
 	for _, runners := range next.ByService {
@@ -256,3 +299,30 @@
 	}
 	d.snapshot.Store(next)
 }
+
+// newestAt gives the runner that was listed last at each address; the lock is
+// held. A process that crashed and started again under another instance stands
+// beside its former entry until that lapses; sent there, requests would be turned
+// away for seconds.
+func (d *Directory) newestAt() map[string]listed {
+	newest := make(map[string]listed, len(d.runners))
+	for _, runner := range d.runners {
+		other, ok := newest[runner.Address]
+		if !ok || runner.after(other) {
+			newest[runner.Address] = runner
+		}
+	}
+	return newest
+}
+
+// after says that a runner took an address over from another one. Where the starts
+// are not told, the entry written last is the later one.
+func (l listed) after(other listed) bool {
+	if l.Born != other.Born && l.Born != 0 && other.Born != 0 {
+		return l.Born > other.Born
+	}
+	if l.revision != other.revision {
+		return l.revision > other.revision
+	}
+	return l.Instance > other.Instance
+}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"strconv"
 	"testing"
 	"time"
 
@@ -23,7 +24,17 @@
 }
 
 func (decoder) Runner(name string, spec json.RawMessage) (*site.Runner, error) {
-	return &site.Runner{ID: name, Service: "s", Address: name + ":1", Leaving: string(spec) == "true"}, nil
+	if leaving, err := strconv.ParseBool(string(spec)); err == nil {
+		return &site.Runner{ID: name, Instance: name, Service: "s", Address: name + ":1", Leaving: leaving}, nil
+	}
+	var told struct {
+		Born    int64
+		Address string
+	}
+	if err := json.Unmarshal(spec, &told); err != nil {
+		return nil, errors.Wrap(err, "test runner")
+	}
+	return &site.Runner{ID: site.Lifetime(name, told.Born), Instance: name, Born: told.Born, Service: "s", Address: told.Address}, nil
 }
 
 func (decoder) StripRunner(spec json.RawMessage) json.RawMessage { return spec }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -121,7 +121,7 @@
 	e.owner = adapters.NewOwner(adapters.OwnerDeps{
 		Host: cfg.Host, Engines: platform.Engines, Authority: e.state,
 		Owns: e.owns, Crowd: told.crowd, Load: e.board.View, Share: told.share,
-		Hosts: e.state.Size, Models: cfg.Models, Now: now, Log: log,
+		Hosts: e.state.Size, Models: cfg.Models, Restarted: e.directory.Restarted, Now: now, Log: log,
 	})
 	e.owners.owner = e.owner
 	told.owner = e.owner
--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -132,7 +132,7 @@
 }
 
 func (o *owners) admitHere(runner string, ask adapters.Admission) (adapters.Admitted, error) {
-	keeper, ok := o.owner.Keeper(runner)
+	keeper, ok := o.owner.Current(runner)
 	if !ok {
 		return adapters.Admitted{}, adapters.ErrNotOwner
 	}
@@ -185,7 +185,7 @@
 }
 
 func (o *owners) missingHere(runner string, adapter site.Adapter) {
-	if keeper, ok := o.owner.Keeper(runner); ok {
+	if keeper, ok := o.owner.Current(runner); ok {
 		keeper.Missing(adapter)
 	}
 }
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -162,7 +162,8 @@
 
 func (w *world) addEngine(address, centre string) {
 	w.lives++
-	runner := &site.Runner{ID: fmt.Sprintf("i%d", w.lives), Address: address, DataCentre: centre, Slots: w.cfg.Engines.Slots}
+	id := fmt.Sprintf("i%d", w.lives)
+	runner := &site.Runner{ID: id, Instance: id, Address: address, DataCentre: centre, Slots: w.cfg.Engines.Slots}
 	e := newEngine(w, w.cfg.Engines, runner)
 	w.engines = append(w.engines, e)
 	w.byAddress[address] = e
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -36,7 +36,7 @@
 
 // Send is what an attempt's headers tell the runner.
 type Send struct {
-	// Instance is the lifetime of the runner that the request is meant for.
+	// Instance is the runner that the request is meant for.
 	Instance string
 	// Left is the time after which the answer is of no use.
 	Left time.Duration
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -57,7 +57,7 @@
 
 func (l *life) send() forward.Send {
 	return forward.Send{
-		Instance:       l.runner.ID,
+		Instance:       l.runner.Instance,
 		Left:           l.left(),
 		AdapterVersion: l.key.Version,
 		Urgency:        evenUrgency,
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -5,6 +5,7 @@
 package site
 
 import (
+	"strconv"
 	"strings"
 	"time"
 )
@@ -174,10 +175,18 @@
 	return best, best != nil
 }
 
-// Runner is a target as it describes itself. ID names one lifetime of its
-// process; Address stays over restarts and may later belong to another runner.
+// Runner is a target as it describes itself. Address stays over restarts and may
+// later belong to another runner.
 type Runner struct {
-	ID         string
+	// ID names one lifetime of the runner's process: what is believed of a lifetime
+	// is kept under its ID and ends with it.
+	ID string
+	// Instance is the name under which the runner is listed and that requests and
+	// orders carry. A process that starts again may do so under the same one.
+	Instance string
+	// Born is the start of the process in milliseconds since 1970, 0 where it does
+	// not tell.
+	Born       int64
 	Service    string
 	Address    string
 	DataCentre string
@@ -188,6 +197,34 @@
 	Models []string
 }
 
+// lifetimeMark stands between an instance and its start.
+const lifetimeMark = "~"
+
+// Lifetime gives the ID of a lifetime. A runner that started again under its
+// instance holds and knows nothing of before; kept under the instance alone, the
+// adapters, the orders' sequence and the load of the lifetime before would be taken
+// for those of the new one.
+func Lifetime(instance string, born int64) string {
+	if born == 0 {
+		return instance
+	}
+	return instance + lifetimeMark + strconv.FormatInt(born, 10)
+}
+
+// InstanceOf gives the instance of a lifetime by its ID.
+func InstanceOf(lifetime string) string {
+	instance, _, _ := strings.Cut(lifetime, lifetimeMark)
+	return instance
+}
+
+// Aged gives the runner with its start, where its description does not tell it.
+func (r *Runner) Aged(born int64) *Runner {
+	aged := *r
+	aged.ID = Lifetime(r.Instance, born)
+	aged.Born = born
+	return &aged
+}
+
 // Holds says whether the runner named the base model.
 func (r *Runner) Holds(model string) bool {
 	for _, held := range r.Models {
