cherryctl analyze: why requests were not served on time, from hosts' logs

Request lines tell the route's targets. Ruled out: a library for tables: cherryctl's tables are text/tabwriter throughout.

--- a/cmd/cherryctl/main.go
+++ b/cmd/cherryctl/main.go
@@ -63,6 +63,7 @@
 		{"wait", "wait until a revision is in force on every live host", &waitCommand{}},
 		{"status", "show hosts, runners, loads and requests", &statusCommand{}},
 		{"explain", "show why a request went where it went", &explainCommand{}},
+		{"analyze", "sum up from hosts' logs why requests were not served on time", &analyzeCommand{}},
 		{"audit", "show who changed what, and when", &auditCommand{}},
 		{"drain", "make an entry host give its work away", &drainCommand{}},
 		{"digest", "read a key on standard input and show its digest", &digestCommand{}},
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -96,6 +96,7 @@
 	fields := []any{
 		"id", l.request.ID, "route", l.route.Name, "kind", l.route.Kind.String(), "status", l.status, "complete", l.finished,
 		"sends", l.sends, "may_have_run", l.mayRun, "ms", now.Sub(l.arrived).Milliseconds(),
+		"target_ms", l.route.TargetLatency.Milliseconds(), "target_gap_ms", l.route.TargetGap.Milliseconds(),
 		"left_ms", l.deadline.Sub(now).Milliseconds(), "config", snapshot.Config.Version,
 		"config_age_ms", configAge.Milliseconds(), "runners_age_ms", runnersAge.Milliseconds(),
 	}
