--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -194,7 +194,7 @@
 		}
 		target := millis(r.kind.TargetMS)
 		admitted, err := k.Admit(adapters.Admission{
-			Key: r.key, Tokens: r.prompt, Output: r.output, Patience: target / patienceShare,
+			Key: r.key, Tokens: r.prompt, Output: r.output, Likely: r.output, Patience: target / patienceShare,
 			Target: r.arrived.Add(target - sendMargin).Sub(w.clock.now), Within: r.within(), Last: r.last,
 			Home: r.step.Home && r.key.Name != "" && w.policy == Product, Anew: r.step.Anew, Waited: r.waited,
 		})
