A request that waits for a runner looks whether the runner is still there

Cause, by its logs: all hosts knew 0.5 s after the word; the requests had been admitted before, for a time 1.6 s ahead, after the prompts of others, and nothing looked again before the send. Change: a waiting request looks every 100 ms and searches on at once.

--- a/internal/serve/search.go
+++ b/internal/serve/search.go
@@ -105,10 +105,9 @@
 			l.s.Owners.Placed(home, l.key, l.runner)
 		}
 		l.loaded = l.loaded || admitted.Again
-		l.pause(ctx, pause)
-		if ctx.Err() != nil {
+		if err := l.pause(ctx, pause); err != nil {
 			l.unused(admitted)
-			return ctx.Err()
+			return err
 		}
 		if !admitted.Again {
 			return nil
@@ -117,14 +116,45 @@
 	}
 }
 
-var errTooLate = errors.New("the runner is free too late for the request")
+var (
+	errTooLate = errors.New("the runner is free too late for the request")
+	errLeaving = errors.New("the runner left while the request waited for it")
+)
 
-func (l *life) pause(ctx context.Context, pause time.Duration) {
-	if pause <= 0 {
-		return
+// leavingCheck is how often a request that waits for a runner looks whether it is
+// still there.
+const leavingCheck = 100 * time.Millisecond
+
+// pause waits for the runner, and gives an error once it is of no use to.
+//
+// A request may be admitted for a time up to seconds ahead, after the prompts before
+// it. The runner left meanwhile, all hosts knew, and the request was sent to it more
+// than two seconds after the runner had said so. Looked at while it waits, it goes to
+// another runner at once.
+func (l *life) pause(ctx context.Context, pause time.Duration) error {
+	end := l.s.Now().Add(max(0, pause))
+	for {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if !l.usable() {
+			return errLeaving
+		}
+		left := end.Sub(l.s.Now())
+		if left <= 0 {
+			return nil
+		}
+		step := min(left, leavingCheck)
+		l.waited += step
+		sleep(ctx, step)
 	}
-	l.waited += pause
-	sleep(ctx, pause)
+}
+
+// usable says whether the chosen runner may still get new work. One that started
+// again has another ID.
+func (l *life) usable() bool {
+	runner, ok := l.s.Directory.Snapshot().Runners[l.runner.ID]
+	return ok && !runner.Leaving
 }
 
 // unused gives a place back that the request was admitted to.
