--- /dev/null
+++ b/internal/mesh/breaking.go
@@ -0,0 +1,120 @@
+package mesh
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/fleet"
+)
+
+// Vote says whether this host agrees that the lease of a peer, in the record of
+// a revision, is broken. From then on it does not promise to keep it.
+func (s *State) Vote(host string, revision uint64, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	signs := s.signs(host)
+	silence := s.timing.silence()
+	if now.Sub(signs.heard) < silence || now.Sub(s.started) < silence || signs.revision > revision {
+		return false
+	}
+	signs.voted = revision
+	return true
+}
+
+// Break is a peer whose lease should be ended.
+type Break struct {
+	Host     string
+	Record   HostRecord
+	Revision uint64
+	// Witnesses are those whose votes are needed beside this host's.
+	Witnesses []Peer
+	// Votes is how many of them must agree.
+	Votes int
+}
+
+// Breakable gives the peers that should be declared dead, as far as this host
+// can tell: it is one of the peer's witnesses and has not heard it, and the
+// peer's record was not renewed, for so long that the peer has stopped giving
+// orders and that the gap has passed since. A majority of the witnesses must
+// vote so too. The write must be conditional on the revision: a renewal that
+// came meanwhile makes it fail.
+func (s *State) Breakable(now time.Time) []Break {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	silence := s.timing.silence()
+	if now.Sub(s.started) < silence {
+		return nil
+	}
+	var breaks []Break
+	for host, m := range s.members {
+		if host == s.self || m.Broken || now.Sub(s.signs(host).changed) < silence {
+			continue
+		}
+		if b, ok := s.breakable(host, m, now); ok {
+			breaks = append(breaks, b)
+		}
+	}
+	return breaks
+}
+
+func (s *State) breakable(host string, m member, now time.Time) (Break, bool) {
+	b := Break{Host: host, Record: m.HostRecord, Revision: m.revision, Votes: majority(len(m.Witnesses))}
+	if len(m.Witnesses) == 0 {
+		b.Votes = 0
+	}
+	own := slices.Index(m.Witnesses, s.self)
+	if own >= 0 {
+		// The first witness begins; the others follow if it does not.
+		patience := s.timing.silence() + time.Duration(own)*s.timing.Margin
+		if now.Sub(s.signs(host).heard) < patience {
+			return b, false
+		}
+	} else if fleet.First(host, s.inForceBut(host)) != s.self {
+		return b, false
+	}
+	for _, witness := range m.Witnesses {
+		b.count(s, witness, now)
+	}
+	if own < 0 && b.Votes > 0 {
+		// Only a host without living witnesses is broken by another.
+		return b, false
+	}
+	return b, true
+}
+
+// count adds one witness: its vote is asked for, or counts as given where its
+// own lease has been broken for long enough.
+func (b *Break) count(s *State, witness string, now time.Time) {
+	m, ok := s.members[witness]
+	switch {
+	case witness == s.self:
+		b.Votes--
+		s.signs(b.Host).voted = b.Revision
+	case !ok || m.Broken:
+		// It promised only while its own lease was valid, so its last promise is
+		// as old as the gap, and over after a lease more.
+		if !ok || now.Sub(s.signs(witness).changed) > s.timing.Lease {
+			b.Votes--
+		}
+	default:
+		b.Witnesses = append(b.Witnesses, Peer{Host: witness, Address: m.Address})
+	}
+}
+
+func (s *State) inForceBut(host string) []string {
+	return slices.DeleteFunc(s.inForce(), func(other string) bool { return other == host })
+}
+
+// Dead gives hosts whose lease was ended so long ago that their record is of no
+// use any more.
+func (s *State) Dead(now time.Time, after time.Duration) []Break {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var dead []Break
+	for host, m := range s.members {
+		if m.Broken && host != s.self && now.Sub(s.signs(host).changed) > after && fleet.First(host, s.inForce()) == s.self {
+			dead = append(dead, Break{Host: host, Record: m.HostRecord, Revision: m.revision})
+		}
+	}
+	return dead
+}
--- /dev/null
+++ b/internal/mesh/witnesses.go
@@ -0,0 +1,130 @@
+package mesh
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/fleet"
+)
+
+// TakeBeat notes a peer's heartbeat and says whether this host promises to keep
+// the peer's lease.
+//
+// A host whose own lease is over does not promise: its lease may be broken
+// without its knowledge, and a broken witness counts as one that agrees to break.
+// One that has agreed to break this lease does not promise either, until a newer
+// record shows that the lease was kept.
+func (s *State) TakeBeat(host string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	signs := s.signs(host)
+	signs.heard = now
+	voted := signs.voted != 0 && signs.voted == signs.revision
+	return !voted && now.Before(s.validUntil())
+}
+
+// Promised notes a peer's promise in answer to a heartbeat sent at a time.
+func (s *State) Promised(host string, sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if signs := s.signs(host); sent.After(signs.promised) {
+		signs.promised = sent
+	}
+}
+
+// Peer is another host.
+type Peer struct {
+	Host    string
+	Address string
+}
+
+// Witnesses gives the hosts that heartbeats go to.
+func (s *State) Witnesses() []Peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var peers []Peer
+	for _, host := range s.witnesses {
+		if m, ok := s.members[host]; ok {
+			peers = append(peers, Peer{Host: host, Address: m.Address})
+		}
+	}
+	return peers
+}
+
+// majorityPromised gives the time from which a majority of the witnesses has
+// promised; zero without witnesses.
+func (s *State) majorityPromised() time.Time {
+	if len(s.witnesses) == 0 {
+		return time.Time{}
+	}
+	times := make([]time.Time, 0, len(s.witnesses))
+	for _, host := range s.witnesses {
+		times = append(times, s.signs(host).promised)
+	}
+	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
+	return times[majority(len(times))-1]
+}
+
+func majority(of int) int { return of/2 + 1 }
+
+// NeedsRenewal says whether the lease should be renewed in the store, since the
+// promises of a majority are missing.
+func (s *State) NeedsRenewal(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epoch == 0 {
+		return false
+	}
+	third := s.timing.Lease / 3
+	return now.Sub(s.majorityPromised()) > 3*third/2 && now.Sub(s.renewed) > third
+}
+
+// Choose gives the witnesses that the own record should name, and whether they
+// are others than those it names. The own data centre is not preferred: a lease
+// should not hang on one.
+func (s *State) Choose(now time.Time) ([]string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.witnesses) > 0 && now.Sub(s.chosen) < rechoose {
+		return s.witnesses, false
+	}
+	wanted := s.wanted(now)
+	if slices.Equal(wanted, s.witnesses) {
+		return wanted, false
+	}
+	s.chosen = now
+	return wanted, true
+}
+
+// wanted keeps the witnesses that answer and fills up with others.
+func (s *State) wanted(now time.Time) []string {
+	var wanted []string
+	for _, host := range s.witnesses {
+		if m, ok := s.members[host]; ok && !m.Broken && now.Sub(s.signs(host).promised) < witnessSilence {
+			wanted = append(wanted, host)
+		}
+	}
+	var others []string
+	for _, host := range s.inForce() {
+		if host != s.self && !slices.Contains(wanted, host) {
+			others = append(others, host)
+		}
+	}
+	others = fleet.Rank("witness."+s.self, others)
+	// Hosts that were silent as witnesses come last.
+	slices.SortStableFunc(others, func(a, b string) int { return s.silent(a) - s.silent(b) })
+	for _, host := range others {
+		if len(wanted) < maxWitnesses {
+			wanted = append(wanted, host)
+		}
+	}
+	slices.Sort(wanted)
+	return wanted
+}
+
+func (s *State) silent(host string) int {
+	if slices.Contains(s.witnesses, host) {
+		return 1
+	}
+	return 0
+}
