--- a/internal/serve/search.go
+++ b/internal/serve/search.go
@@ -107,6 +107,7 @@
 		l.loaded = l.loaded || admitted.Again
 		if err := l.pause(ctx, pause); err != nil {
 			l.unused(admitted)
+			l.refusals = append(l.refusals, err.Error())
 			return err
 		}
 		if !admitted.Again {
@@ -125,12 +126,12 @@
 // still there.
 const leavingCheck = 100 * time.Millisecond
 
-// pause waits for the runner, and gives an error once it is of no use to.
+// pause waits until the runner is due, and gives an error once waiting is of no use.
 //
 // A request may be admitted for a time up to seconds ahead, after the prompts before
-// it. The runner left meanwhile, all hosts knew, and the request was sent to it more
-// than two seconds after the runner had said so. Looked at while it waits, it goes to
-// another runner at once.
+// it. If its runner left meanwhile it was sent all the same, more than two seconds
+// after all hosts knew. Since the runner is looked up while the request waits, it goes
+// to another one within leavingCheck.
 func (l *life) pause(ctx context.Context, pause time.Duration) error {
 	end := l.s.Now().Add(max(0, pause))
 	for {
