Membership is worked out once a change, not several times a second for each host

Cause: each host looks five times a second at leases that may be broken. For every host whose record it does not witness (nearly all) it sorted all hosts and hashed them against that host before it looked whether any witness was left: N x N log N. Watchers, fleet size and owners sorted and hashed all hosts at each look as well.

Rules of breaking are unchanged: votes are counted by the same conditions.

--- a/internal/mesh/breaking.go
+++ b/internal/mesh/breaking.go
@@ -58,53 +58,63 @@
 }
 
 func (s *State) breakable(host string, m member, now time.Time) (Break, bool) {
-	b := Break{Host: host, Record: m.HostRecord, Revision: m.revision, Votes: majority(len(m.Witnesses))}
-	if len(m.Witnesses) == 0 {
-		b.Votes = 0
-	}
 	own := slices.Index(m.Witnesses, s.self)
 	if own >= 0 {
 		// The first witness begins; the others follow if it does not.
 		patience := s.timing.silence() + time.Duration(own)*s.timing.Margin
 		if now.Sub(s.signs(host).heard) < patience {
-			return b, false
+			return Break{}, false
 		}
-	} else if fleet.First(host, s.inForceBut(host)) != s.self {
-		return b, false
+	} else if !s.unwitnessed(m, now) || fleet.First(host, s.inForce().but(host)) != s.self {
+		return Break{}, false
 	}
+	b := Break{Host: host, Record: m.HostRecord, Revision: m.revision, Votes: neededVotes(m)}
 	for _, witness := range m.Witnesses {
 		b.count(s, witness, now)
 	}
-	if own < 0 && b.Votes > 0 {
-		// Only a host without living witnesses is broken by another.
-		return b, false
-	}
 	return b, true
 }
 
-// count adds one witness: its vote is asked for, or counts as given where its
-// own lease has been broken for long enough.
-func (b *Break) count(s *State, witness string, now time.Time) {
+func neededVotes(m member) int {
+	if len(m.Witnesses) == 0 {
+		return 0
+	}
+	return majority(len(m.Witnesses))
+}
+
+// unwitnessed says that no living witness's vote is needed to break a lease. Only
+// then may a host break it that is no witness.
+func (s *State) unwitnessed(m member, now time.Time) bool {
+	missing := neededVotes(m)
+	for _, witness := range m.Witnesses {
+		if s.gone(witness, now) {
+			missing--
+		}
+	}
+	return missing <= 0
+}
+
+// gone says that a witness's own lease has been broken for long enough. It promised
+// only while that was valid, so its last promise is as old as the gap, and over after
+// a lease more.
+func (s *State) gone(witness string, now time.Time) bool {
 	m, ok := s.members[witness]
+	return !ok || m.Broken && now.Sub(s.signs(witness).changed) > s.timing.Lease
+}
+
+// count adds one witness: its vote is asked for, or counts as given where it is gone.
+func (b *Break) count(s *State, witness string, now time.Time) {
 	switch {
 	case witness == s.self:
 		b.Votes--
 		s.signs(b.Host).voted = b.Revision
-	case !ok || m.Broken:
-		// It promised only while its own lease was valid, so its last promise is
-		// as old as the gap, and over after a lease more.
-		if !ok || now.Sub(s.signs(witness).changed) > s.timing.Lease {
-			b.Votes--
-		}
-	default:
-		b.Witnesses = append(b.Witnesses, Peer{Host: witness, Address: m.Address})
+	case s.gone(witness, now):
+		b.Votes--
+	case !s.members[witness].Broken:
+		b.Witnesses = append(b.Witnesses, Peer{Host: witness, Address: s.members[witness].Address})
 	}
 }
 
-func (s *State) inForceBut(host string) []string {
-	return slices.DeleteFunc(s.inForce(), func(other string) bool { return other == host })
-}
-
 // Dead gives hosts whose lease was ended so long ago that their record is of no
 // use any more.
 func (s *State) Dead(now time.Time, after time.Duration) []Break {
@@ -112,7 +122,7 @@
 	defer s.mu.Unlock()
 	var dead []Break
 	for host, m := range s.members {
-		if m.Broken && host != s.self && now.Sub(s.signs(host).changed) > after && fleet.First(host, s.inForce()) == s.self {
+		if m.Broken && host != s.self && now.Sub(s.signs(host).changed) > after && fleet.First(host, s.inForce().hosts) == s.self {
 			dead = append(dead, Break{Host: host, Record: m.HostRecord, Revision: m.revision})
 		}
 	}
--- a/internal/mesh/claims.go
+++ b/internal/mesh/claims.go
@@ -1,7 +1,6 @@
 package mesh
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/fleet"
@@ -40,7 +39,7 @@
 		if found && s.holds(o) {
 			continue
 		}
-		if fleet.First(address, s.near(runner.DataCentre)) != s.self {
+		if fleet.First(address, s.inForce().near(runner.DataCentre)) != s.self {
 			continue
 		}
 		claims = append(claims, Claim{Address: address, Name: name, Revision: o.revision, Record: OwnerRecord{Host: s.self, Epoch: s.epoch}})
@@ -48,16 +47,6 @@
 	return claims
 }
 
-// near gives the hosts in force of a data centre, or all if it has none.
-func (s *State) near(centre string) []string {
-	hosts := s.inForce()
-	near := slices.DeleteFunc(slices.Clone(hosts), func(host string) bool { return s.members[host].DataCentre != centre })
-	if len(near) == 0 {
-		return hosts
-	}
-	return near
-}
-
 // Settled says that no host has joined for a time.
 func (s *State) Settled(now time.Time, since time.Duration) bool {
 	s.mu.Lock()
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -10,11 +10,9 @@
 
 import (
 	"slices"
-	"sort"
 	"sync"
 	"time"
 
-	"github.com/cherrystage/cherrystage/internal/fleet"
 	"github.com/cherrystage/cherrystage/internal/registry"
 )
 
@@ -75,6 +73,8 @@
 	chosen    time.Time
 	// joined is when a host was first seen last.
 	joined time.Time
+	// membership is worked out from members when it is next asked for.
+	membership *membership
 }
 
 // peerSigns is what is known of one peer beside its record.
@@ -126,14 +126,19 @@
 }
 
 func (s *State) applyHost(host string, m member, removed bool, now time.Time) {
+	before, known := s.members[host]
 	if removed {
 		delete(s.members, host)
+		s.membership = nil
 		return
 	}
-	if _, known := s.members[host]; !known {
+	if !known {
 		s.joined = now
 	}
 	s.members[host] = m
+	if !known || before.Broken != m.Broken || before.DataCentre != m.DataCentre {
+		s.membership = nil
+	}
 	signs := s.signs(host)
 	if signs.revision != m.revision {
 		signs.revision = m.revision
@@ -196,22 +201,15 @@
 func (s *State) Members() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.inForce()
-}
-
-func (s *State) inForce() []string {
-	hosts := make([]string, 0, len(s.members))
-	for host, m := range s.members {
-		if !m.Broken {
-			hosts = append(hosts, host)
-		}
-	}
-	sort.Strings(hosts)
-	return hosts
+	return slices.Clone(s.inForce().hosts)
 }
 
 // Size gives the number of hosts, this one included.
-func (s *State) Size() int { return max(1, len(s.Members())) }
+func (s *State) Size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(1, len(s.inForce().hosts))
+}
 
 // ValidUntil gives the time up to which no other host can give orders to this
 // host's runners.
@@ -271,10 +269,5 @@
 func (s *State) Watcher(kind string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ranked := fleet.Rank("watch."+kind, s.inForce())
-	return slices.Contains(ranked[:min(len(ranked), watchers)], s.self)
+	return slices.Contains(s.inForce().watchersOf(kind), s.self)
 }
-
-// watchers is the number of hosts that watch a kind of record: one may be dead,
-// cut off or deaf without the others noticing a delay.
-const watchers = 2
--- a/internal/mesh/witnesses.go
+++ b/internal/mesh/witnesses.go
@@ -104,8 +104,12 @@
 			wanted = append(wanted, host)
 		}
 	}
+	if len(wanted) >= maxWitnesses {
+		slices.Sort(wanted)
+		return wanted
+	}
 	var others []string
-	for _, host := range s.inForce() {
+	for _, host := range s.inForce().hosts {
 		if host != s.self && !slices.Contains(wanted, host) {
 			others = append(others, host)
 		}
