A request that waited for more than a second takes the adapter's new version

A version named meanwhile was known to the host after up to 3.5 s, so it could begin on the old one more than five seconds after.

Now each look of a waiting request (every 100 ms) asks whether the version is still the newest; after a second of waiting one that is not is placed anew. Ruled out: doing so at once, which has an adapter loaded a second time for requests a moment from their turn.

--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -19,6 +19,7 @@
 		return l.placePlain(runners)
 	}
 	l.key = adapters.Key{Adapter: l.request.Adapter, Version: snapshot.Versions[l.request.Adapter]}
+	l.keyAt = l.s.Now()
 	return l.placeOnEngine(ctx, Ranked(l.placementKey(), WithModel(runners, l.key.Model)))
 }
 
--- a/internal/serve/search.go
+++ b/internal/serve/search.go
@@ -37,6 +37,9 @@
 			l.giveUp(ctx)
 			return false
 		}
+		if errors.Is(err, errSuperseded) {
+			return l.place(ctx)
+		}
 		noteRefusal(search, runners, err)
 	}
 	if len(l.refusals) == 0 {
@@ -120,6 +123,8 @@
 var (
 	errTooLate = errors.New("the runner is free too late for the request")
 	errLeaving = errors.New("the runner left while the request waited for it")
+	// errSuperseded sends a request to the search for a place again.
+	errSuperseded = errors.New("a newer version of the adapter was named while the request waited")
 )
 
 // leavingCheck is how often a request that waits for a runner looks whether it is
@@ -141,6 +146,9 @@
 		if !l.usable() {
 			return errLeaving
 		}
+		if l.superseded() {
+			return errSuperseded
+		}
 		left := end.Sub(l.s.Now())
 		if left <= 0 {
 			return nil
@@ -158,6 +166,25 @@
 	return ok && !runner.Leaving
 }
 
+// versionHold is how long a request keeps the version that it was placed with. A new
+// one has to serve all within five seconds, and a host hears of it within three and a
+// half; a shorter hold would have requests loaded for twice.
+const versionHold = time.Second
+
+// superseded says that the request has waited for so long that it must not begin on
+// its version any more.
+//
+// A request may wait for seconds for its adapter at a crowded store, or for the prompts
+// before it. It would begin on a version that no other caller gets any more. Since it
+// is looked at until the request is sent, it begins at most versionHold after its host
+// knew better.
+func (l *life) superseded() bool {
+	if l.key.Name == "" || l.s.Now().Sub(l.keyAt) < versionHold {
+		return false
+	}
+	return l.s.Directory.Snapshot().Versions[l.key.Adapter] > l.key.Version
+}
+
 // unused gives a place back that the request was admitted to.
 func (l *life) unused(admitted adapters.Admitted) {
 	if !admitted.Again {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -137,11 +137,13 @@
 	deadline time.Time
 	budget   *retrybudget.Budget
 
-	tried   map[string]bool
-	sends   int
-	mayRun  int
-	runner  *site.Runner
-	key     adapters.Key
+	tried  map[string]bool
+	sends  int
+	mayRun int
+	runner *site.Runner
+	key    adapters.Key
+	// keyAt is when the adapter's version was chosen.
+	keyAt   time.Time
 	failure *forward.Failure
 	started bool
 	// callerGone says that the answer could not be written.
