First listings of runners and versions come from the store's cheap copy

Cause: hosts that start together make two thirds of all calls to the store: in virtual time, 100 hosts before 38 engines, 400 of 737 calls in their first second are listings of four kinds. Configuration and hosts are still read as they are: a host that starts must not go back to an older configuration, nor miss its own lease.

Ruled out: asking peers first, which at a restart of all makes each wait for others that start as well.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -179,6 +179,11 @@
 	runners := follower(platform.RunnerKind, e.directory.Runners, runnerRhythm)
 	runners.Outage = e.outageEnded
 	versions := follower(platform.VersionKind, e.directory.Versions, versionRhythm)
+	for kind, later := range map[string]*registry.Follower{platform.RunnerKind: runners, platform.VersionKind: versions} {
+		// A runner or a version that a host learns of a moment late costs a request one
+		// more try; a configuration or a host that it learns of late may cost more.
+		later.Copied = func() { e.mesh.Copied(kind) }
+	}
 	fleet := follower(mesh.Kind, e.mesh.Fleet(), fleetRhythm)
 	for _, later := range []*registry.Follower{runners, versions, fleet} {
 		later.Hold = func() bool { return e.directory.Configs.Revision() == 0 }
@@ -365,6 +370,7 @@
 		vars.Set(name, expvar.Func(func() any { return value() }))
 	}
 	vars.Set("first_byte_ms", &counters.FirstByte)
+	vars.Set("runners_known", expvar.Func(func() any { return len(e.directory.Snapshot().Runners) }))
 	vars.Set("hosts_in_force", expvar.Func(func() any { return e.state.Size() }))
 	vars.Set("adapters_in_transit", expvar.Func(func() any { transit, _ := e.owner.Transit(); return transit }))
 	return vars
--- a/internal/mesh/beats.go
+++ b/internal/mesh/beats.go
@@ -208,6 +208,9 @@
 // Confirmed notes that the store itself said that a kind's replica is complete.
 func (s *Service) Confirmed(kind string) { s.spread.confirmed(kind) }
 
+// Copied notes that a kind's replica was listed from a copy of the store.
+func (s *Service) Copied(kind string) { s.spread.copied(kind) }
+
 // Age gives how old what is known of a kind of record may be.
 func (s *Service) Age(kind string) time.Duration { return s.spread.age(kind) }
 
@@ -218,7 +221,7 @@
 	if s.State.Watcher(kind) {
 		return 0
 	}
-	due := limit - s.spread.age(kind)
+	due := limit - s.spread.patienceAge(kind)
 	if s.spread.silence() > heardLately {
 		return due
 	}
--- a/internal/mesh/spread.go
+++ b/internal/mesh/spread.go
@@ -27,15 +27,17 @@
 	kinds map[string]*registry.Replica
 	now   func() time.Time
 
-	mu       sync.Mutex
-	at       map[string]time.Time
+	mu sync.Mutex
+	at map[string]time.Time
+	// copiedAt is when a kind was listed from a copy of the store.
+	copiedAt map[string]time.Time
 	fetching map[string]bool
 	// heardAt is when another host last told what it knows.
 	heardAt time.Time
 }
 
 func newSpread(kinds map[string]*registry.Replica, now func() time.Time) *spread {
-	return &spread{kinds: kinds, now: now, at: map[string]time.Time{}, fetching: map[string]bool{}}
+	return &spread{kinds: kinds, now: now, at: map[string]time.Time{}, copiedAt: map[string]time.Time{}, fetching: map[string]bool{}}
 }
 
 func (s *spread) confirmed(kind string) {
@@ -44,6 +46,24 @@
 	s.at[kind] = s.now()
 }
 
+func (s *spread) copied(kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copiedAt[kind] = s.now()
+}
+
+// patienceAge is the age by which a host turns to the store itself: a listing from a
+// copy counts as new, for the hosts that watch tell what it lacks.
+func (s *spread) patienceAge(kind string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	age := s.ageOf(kind)
+	if at, ok := s.copiedAt[kind]; ok {
+		age = min(age, s.now().Sub(at))
+	}
+	return age
+}
+
 func (s *spread) age(kind string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -62,7 +62,14 @@
 	// all start while the store is down then ask for one kind of record and not
 	// for each.
 	Hold func() bool
-	// Confirmed is called after each answer; it may be nil.
+	// Copied is set where the first listing may come from a copy of the store that is
+	// some seconds behind, and is called after it. Others, or the next watch, tell what
+	// has changed since.
+	//
+	// The load it answers: hundreds of hosts start in the same second and list each
+	// kind of record, two thirds of all that they ever ask of the store.
+	Copied func()
+	// Confirmed is called after each answer that is not from a copy; it may be nil.
 	Confirmed func()
 	// Outage is called when the store answers again after it was out of reach
 	// for a time; it may be nil.
@@ -76,7 +83,7 @@
 func (f *Follower) Run(ctx context.Context) {
 	f.hold(ctx)
 	pause := retryFirst
-	relist := true
+	relist := !f.copied(ctx)
 	for ctx.Err() == nil {
 		if !relist && f.Due != nil {
 			if due := f.Due(); due > 0 {
@@ -142,6 +149,23 @@
 	return f.Patience()
 }
 
+// copied takes the first listing from a copy, and says whether it was had.
+func (f *Follower) copied(ctx context.Context) bool {
+	if f.Copied == nil || ctx.Err() != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	records, revision, err := f.Store.ListStale(ctx, f.Kind)
+	if err != nil || revision == 0 {
+		f.Log.Debug("no listing from a copy", "kind", f.Kind, "revision", revision, "error", err)
+		return false
+	}
+	f.Sink.Listed(records, revision)
+	f.Copied()
+	return true
+}
+
 func (f *Follower) step(ctx context.Context, relist bool) error {
 	if relist {
 		return f.list(ctx)
--- a/internal/registry/follow_test.go
+++ b/internal/registry/follow_test.go
@@ -81,3 +81,67 @@
 	must.Eq(t, 1, quiet)
 	must.GreaterEq(t, quiet+15, store.calls)
 }
+
+// copyStore has a copy that is behind, or away.
+type copyStore struct {
+	Store
+	behind    uint64
+	away      bool
+	lists     int
+	watchedAt uint64
+}
+
+func (c *copyStore) List(context.Context, string) ([]Record, uint64, error) {
+	c.lists++
+	return []Record{record("a", 1), record("b", 9)}, 10, nil
+}
+
+func (c *copyStore) ListStale(context.Context, string) ([]Record, uint64, error) {
+	if c.away {
+		return nil, 0, &objectapi.Error{Op: "list", Cause: objectapi.ErrUnavailable}
+	}
+	return []Record{record("a", 1)}, c.behind, nil
+}
+
+func (c *copyStore) Watch(_ context.Context, _ string, since uint64, wait time.Duration) ([]Change, uint64, error) {
+	if since < 9 {
+		c.watchedAt = since
+		return []Change{{Record: record("b", 9)}}, 10, nil
+	}
+	time.Sleep(wait)
+	return nil, since, nil
+}
+
+// A host starts and takes its first listing from a copy that is behind. What is missing
+// comes with its first watch, which begins where the copy ends. Where the copy is away or
+// knows nothing, the store itself is listed as ever.
+func TestFirstListingFromACopy(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		store copyStore
+		lists int
+	}{
+		{name: "behind", store: copyStore{behind: 5}},
+		{name: "away", store: copyStore{away: true}, lists: 1},
+		{name: "knows nothing", store: copyStore{}, lists: 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				replica := NewReplica()
+				copied, confirmed := 0, 0
+				follower := &Follower{
+					Store: &test.store, Kind: "k", Sink: replica, Wait: time.Second, Now: time.Now, Log: hclog.NewNullLogger(),
+					Copied: func() { copied++ }, Confirmed: func() { confirmed++ },
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+				defer cancel()
+				follower.Run(ctx)
+				_, there := replica.Get("b")
+				must.True(t, there)
+				must.Eq(t, test.lists, test.store.lists)
+				must.Eq(t, 1-test.lists, copied)
+				must.Positive(t, confirmed)
+			})
+		})
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -37,6 +37,9 @@
 type Store interface {
 	// List gives all records of a kind and the store's revision.
 	List(ctx context.Context, kind string) ([]Record, uint64, error)
+	// ListStale is List at a tenth of the price, from a copy that may be some seconds
+	// behind.
+	ListStale(ctx context.Context, kind string) ([]Record, uint64, error)
 	// Watch waits for changes after a revision, up to a time.
 	Watch(ctx context.Context, kind string, since uint64, wait time.Duration) ([]Change, uint64, error)
 	// Get reads one record.
