Survivors of a great loss keep their leases; calls to silent hosts keep their deadlines

Three faults, found by asking what is left when all hosts but one are lost for good:

- The votes on each dead host's lease were asked for one host after the other, each up to a second for witnesses that are silent too, in the loop that renews the own lease.
- Calls to one peer waited behind a lock for whoever was connecting to it, beyond their own deadline: a request's quarter of a second behind a vote's second.
- A record's removal that came without its content (a read that found nothing) left the host in the membership.

What is left: if a majority of a host's witnesses is lost for good together with it, its lease is never ended by the others, since they cannot tell the dead from a part that is cut off and goes on by its own promises.

--- /dev/null
+++ b/internal/mesh/breaktry.go
@@ -0,0 +1,133 @@
+package mesh
+
+import (
+	"context"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/peer"
+)
+
+// breakTry is the try to end one dead host's lease.
+type breakTry struct {
+	running bool
+	// again is when it may be tried again, pause how long after the last try.
+	again time.Time
+	pause time.Duration
+}
+
+const (
+	// breakPause is the pause after a try to end a lease that too few witnesses agreed
+	// to, and longestBreakPause what it grows to, doubled each time. Witnesses that are
+	// back or whose own lease is ended make it succeed; they take seconds to.
+	breakPause        = 500 * time.Millisecond
+	longestBreakPause = 10 * time.Second
+)
+
+// tryBreak begins to end a dead host's lease, unless that is under way or was tried a
+// moment ago.
+//
+// The failure it answers: many hosts fall silent at once. The votes on each of them
+// wait a second for witnesses that are silent too. Asked for one after the other, they
+// kept the survivors from renewing their own leases, so these lapsed as well, and all
+// runners were without an owner. Asked for side by side and seldom, they keep nobody
+// from anything.
+func (s *Service) tryBreak(ctx context.Context, dead Break) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	try := s.breaking[dead.Host]
+	if try == nil {
+		try = &breakTry{pause: breakPause}
+		s.breaking[dead.Host] = try
+	}
+	if try.running || s.Now().Before(try.again) {
+		return
+	}
+	try.running = true
+	go func() {
+		s.breakLease(ctx, dead)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		try.running = false
+		try.again = s.Now().Add(try.pause)
+		try.pause = min(2*try.pause, longestBreakPause)
+	}()
+}
+
+// forgetBreaks drops the tries for hosts that are no longer to be broken.
+func (s *Service) forgetBreaks(dead []Break) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	still := make(map[string]bool, len(dead))
+	for _, b := range dead {
+		still[b.Host] = true
+	}
+	for host, try := range s.breaking {
+		if !still[host] && !try.running {
+			delete(s.breaking, host)
+		}
+	}
+}
+
+// breakLease ends a dead host's lease if enough witnesses agree.
+func (s *Service) breakLease(ctx context.Context, dead Break) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if !s.agreed(ctx, dead) {
+		return
+	}
+	dead.Record.Broken = true
+	record, err := s.Store.Update(ctx, Kind, hostName(dead.Host), dead.Record, dead.Revision)
+	if err != nil {
+		s.Log.Info("lease not broken", "peer", dead.Host, "revision", dead.Revision, "error", err.Error())
+		s.refresh(ctx, hostName(dead.Host), err)
+		return
+	}
+	s.fleet.Put(record)
+	s.Log.Warn("lease broken: the host was silent for too long", "peer", dead.Host, "epoch", dead.Record.Epoch, "revision", record.Revision)
+}
+
+// agreed asks the other witnesses for their votes.
+func (s *Service) agreed(ctx context.Context, dead Break) bool {
+	if dead.Votes > len(dead.Witnesses) {
+		s.Log.Info("lease not broken: too few witnesses are left", "peer", dead.Host, "witnesses", len(dead.Witnesses), "needed", dead.Votes)
+		return false
+	}
+	answers := make(chan bool, len(dead.Witnesses))
+	for _, witness := range dead.Witnesses {
+		go func() {
+			var answer VoteAnswer
+			err := s.Pool.Call(ctx, witness.Address, methodVote, VoteParams{Host: dead.Host, Revision: dead.Revision}, &answer)
+			answers <- err == nil && answer.Agreed
+		}()
+	}
+	votes := dead.Votes
+	for range dead.Witnesses {
+		if votes <= 0 {
+			break
+		}
+		if <-answers {
+			votes--
+		}
+	}
+	if votes > 0 {
+		s.Log.Info("lease not broken: too few witnesses agree", "peer", dead.Host, "missing", votes)
+	}
+	return votes <= 0
+}
+
+// VoteParams asks a witness whether a lease should be broken.
+type VoteParams struct {
+	Host     string `json:"host"`
+	Revision uint64 `json:"revision"`
+}
+
+// VoteAnswer is a witness's vote.
+type VoteAnswer struct {
+	Agreed bool `json:"agreed"`
+}
+
+func (s *Service) vote(_ context.Context, from peer.Identity, params VoteParams) (VoteAnswer, error) {
+	agreed := s.State.Vote(params.Host, params.Revision, s.Now())
+	s.Log.Info("vote on a lease", "peer", params.Host, "asked_by", from.Host, "agreed", agreed)
+	return VoteAnswer{Agreed: agreed}, nil
+}
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -52,9 +52,10 @@
 	started time.Time
 	spread  *spread
 
-	mu      sync.Mutex
-	beating map[string]*beater
-	kick    chan struct{}
+	mu       sync.Mutex
+	beating  map[string]*beater
+	breaking map[string]*breakTry
+	kick     chan struct{}
 	// askedAt is when a host was last asked out of turn, asks how often; they and
 	// storeAgain, until when the store is left alone after a failure, are Run's.
 	askedAt    time.Time
@@ -84,7 +85,7 @@
 
 // NewService makes a service.
 func NewService(deps Deps) *Service {
-	s := &Service{Deps: deps, started: deps.Now(), beating: map[string]*beater{}, kick: make(chan struct{}, 1)}
+	s := &Service{Deps: deps, started: deps.Now(), beating: map[string]*beater{}, breaking: map[string]*breakTry{}, kick: make(chan struct{}, 1)}
 	s.fleet = registry.NewReplica()
 	s.Kinds[Kind] = s.fleet
 	s.spread = newSpread(s.Kinds, deps.Now)
@@ -272,9 +273,11 @@
 // takeOver ends the leases of dead peers and claims runners without an owner.
 func (s *Service) takeOver(ctx context.Context) {
 	now := s.Now()
-	for _, dead := range s.State.Breakable(now) {
-		s.breakLease(ctx, dead)
+	breakable := s.State.Breakable(now)
+	for _, dead := range breakable {
+		s.tryBreak(ctx, dead)
 	}
+	s.forgetBreaks(breakable)
 	for _, dead := range s.State.Dead(now, deadRecordAge) {
 		s.removeDead(ctx, dead)
 	}
@@ -292,65 +295,6 @@
 	}
 }
 
-func (s *Service) breakLease(ctx context.Context, dead Break) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if !s.agreed(ctx, dead) {
-		return
-	}
-	dead.Record.Broken = true
-	record, err := s.Store.Update(ctx, Kind, hostName(dead.Host), dead.Record, dead.Revision)
-	if err != nil {
-		s.Log.Info("lease not broken", "peer", dead.Host, "revision", dead.Revision, "error", err.Error())
-		s.refresh(ctx, hostName(dead.Host), err)
-		return
-	}
-	s.fleet.Put(record)
-	s.Log.Warn("lease broken: the host was silent for too long", "peer", dead.Host, "epoch", dead.Record.Epoch, "revision", record.Revision)
-}
-
-// agreed asks the other witnesses for their votes.
-func (s *Service) agreed(ctx context.Context, dead Break) bool {
-	answers := make(chan bool, len(dead.Witnesses))
-	for _, witness := range dead.Witnesses {
-		go func() {
-			var answer VoteAnswer
-			err := s.Pool.Call(ctx, witness.Address, methodVote, VoteParams{Host: dead.Host, Revision: dead.Revision}, &answer)
-			answers <- err == nil && answer.Agreed
-		}()
-	}
-	votes := dead.Votes
-	for range dead.Witnesses {
-		if votes <= 0 {
-			break
-		}
-		if <-answers {
-			votes--
-		}
-	}
-	if votes > 0 {
-		s.Log.Info("lease not broken: too few witnesses agree", "peer", dead.Host, "missing", votes)
-	}
-	return votes <= 0
-}
-
-// VoteParams asks a witness whether a lease should be broken.
-type VoteParams struct {
-	Host     string `json:"host"`
-	Revision uint64 `json:"revision"`
-}
-
-// VoteAnswer is a witness's vote.
-type VoteAnswer struct {
-	Agreed bool `json:"agreed"`
-}
-
-func (s *Service) vote(_ context.Context, from peer.Identity, params VoteParams) (VoteAnswer, error) {
-	agreed := s.State.Vote(params.Host, params.Revision, s.Now())
-	s.Log.Info("vote on a lease", "peer", params.Host, "asked_by", from.Host, "agreed", agreed)
-	return VoteAnswer{Agreed: agreed}, nil
-}
-
 func (s *Service) claim(ctx context.Context, claim Claim) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -10,6 +10,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -112,26 +113,31 @@
 }
 
 func (s *State) apply(change registry.Change, now time.Time) {
+	if change.Removed {
+		s.remove(change.Name)
+		return
+	}
 	if host, m, ok := decodeHost(change.Record); ok {
-		s.applyHost(host, m, change.Removed, now)
+		s.applyHost(host, m, now)
 		return
 	}
 	if name, o, ok := decodeOwner(change.Record); ok {
-		if change.Removed {
-			delete(s.owners, name)
-			return
-		}
 		s.owners[name] = o
 	}
 }
 
-func (s *State) applyHost(host string, m member, removed bool, now time.Time) {
-	before, known := s.members[host]
-	if removed {
+// remove drops a record by its name alone: who learns that a record is gone may not
+// know what it said.
+func (s *State) remove(name string) {
+	delete(s.owners, name)
+	if host, ok := strings.CutPrefix(name, hostPrefix); ok {
 		delete(s.members, host)
 		s.membership = nil
-		return
 	}
+}
+
+func (s *State) applyHost(host string, m member, now time.Time) {
+	before, known := s.members[host]
 	if !known {
 		s.joined = now
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -136,3 +137,25 @@
 		}
 	})
 }
+
+// A host loses power. One call is patient and tries to reach it for a second; others
+// come a moment later with 100 ms each. Each is back when its own time is over: a
+// request that waited for the patient one's end would come too late for another runner.
+func TestCallsToASilentHostKeepTheirOwnDeadlines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := func(ctx context.Context, _, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		pool := NewPool(Identity{"a", "1"}, nil, silent, hclog.NewNullLogger())
+		go func() { _, _ = call(pool, "echo", echoParams{}, time.Second) }()
+		time.Sleep(10 * time.Millisecond)
+		begin := time.Now()
+		for range 3 {
+			_, err := call(pool, "echo", echoParams{}, 100*time.Millisecond)
+			must.ErrorIs(t, err, context.DeadlineExceeded)
+		}
+		must.Eq(t, 300*time.Millisecond, time.Since(begin))
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -27,6 +27,9 @@
 
 // link is the connection to one address.
 type link struct {
+	// connecting holds a token while a connection is made.
+	connecting chan struct{}
+
 	mu   sync.Mutex
 	rpc  *jsonrpc2.Conn
 	peer Identity
@@ -68,19 +71,30 @@
 	defer p.mu.Unlock()
 	l := p.peers[address]
 	if l == nil {
-		l = &link{}
+		l = &link{connecting: make(chan struct{}, 1)}
 		p.peers[address] = l
 	}
 	return l
 }
 
-// connect gives the link's connection, making one where there is none. The
-// link's lock is held meanwhile: callers of one peer wait for one handshake.
+// connect gives the link's connection, making one where there is none. Callers of one
+// peer wait for one handshake, each as long as its own deadline allows.
+//
+// The failure it answers: a host loses power. A vote on its lease tries to reach it for
+// a second, and the requests that ask the host for a place meanwhile have a quarter of
+// that. Behind a lock they waited out the vote's time and only then went on.
 func (l *link) connect(ctx context.Context, p *Pool, address string) (*jsonrpc2.Conn, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.rpc != nil {
-		return l.rpc, nil
+	if rpc := l.current(); rpc != nil {
+		return rpc, nil
+	}
+	select {
+	case l.connecting <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	defer func() { <-l.connecting }()
+	if rpc := l.current(); rpc != nil {
+		return rpc, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
@@ -94,12 +108,21 @@
 		_ = rpc.Close()
 		return nil, err
 	}
+	l.mu.Lock()
 	l.rpc = rpc
 	l.peer = peer
+	l.mu.Unlock()
 	go l.watch(rpc)
 	return rpc, nil
 }
 
+// current gives the connection if there is one.
+func (l *link) current() *jsonrpc2.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rpc
+}
+
 func (l *link) watch(rpc *jsonrpc2.Conn) {
 	<-rpc.DisconnectNotify()
 	l.drop(rpc)
@@ -119,10 +142,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, l := range p.peers {
-		l.mu.Lock()
-		rpc := l.rpc
-		l.mu.Unlock()
-		if rpc != nil {
+		if rpc := l.current(); rpc != nil {
 			l.drop(rpc)
 		}
 	}
