--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -123,7 +123,9 @@
 		return struct{}{}, nil
 	})
 	peer.Handle(mux, methodPlaced, func(_ context.Context, _ peer.Identity, p PlacedParams) (struct{}, error) {
-		o.placedHere(p)
+		if err := o.placedHere(p); err != nil {
+			return struct{}{}, peer.Refuse(err)
+		}
 		return struct{}{}, nil
 	})
 	peer.Handle(mux, methodAhead, func(_ context.Context, _ peer.Identity, p AdmitParams) (struct{}, error) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -277,7 +277,7 @@
 	go e.mesh.Run(ctx)
 	go timing.Every(ctx, tellInterval, func() { e.owners.tell(ctx, e.directory.Snapshot().Runners) })
 	rehome := newRehome(e.owner, e.owners)
-	go timing.Every(ctx, rehomeInterval, func() { rehome.run(e.directory.Snapshot()) })
+	go timing.Every(ctx, rehomeInterval, func() { rehome.run(ctx, e.directory.Snapshot()) })
 	for ctx.Err() == nil {
 		e.directory.Expire()
 		snapshot := e.directory.Snapshot()
--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -192,28 +192,36 @@
 
 // Placed implements serve.Owners.
 func (o *owners) Placed(home *site.Runner, key adapters.Key, runner *site.Runner) {
+	go func() { _ = o.tellHome(context.Background(), home, key, runner) }()
+}
+
+// tellHome tells an adapter's home that the adapter lies on another runner. An error
+// says that the home does not know it.
+func (o *owners) tellHome(ctx context.Context, home *site.Runner, key adapters.Key, runner *site.Runner) error {
+	params := PlacedParams{Home: home.ID, Model: key.Model, Adapter: key.Name, Version: key.Version, Runner: runner.ID}
 	host, address, err := o.find(home)
-	if err != nil {
-		return
+	switch {
+	case err != nil:
+	case host == o.host:
+		err = o.placedHere(params)
+	default:
+		ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
+		defer cancel()
+		err = o.pool.Call(ctx, address, methodPlaced, params, nil)
 	}
-	params := PlacedParams{Home: home.ID, Model: key.Model, Adapter: key.Name, Version: key.Version, Runner: runner.ID}
-	if host == o.host {
-		o.placedHere(params)
-		return
+	if err != nil {
+		o.log.Debug("home not told of a placed adapter", "home", home.ID, "runner", runner.ID, "adapter", key.String(), "error", err.Error())
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), ownerTimeout)
-		defer cancel()
-		if err := o.pool.Call(ctx, address, methodPlaced, params, nil); err != nil {
-			o.log.Debug("home not told of a placed adapter", "home", home.ID, "runner", runner.ID, "adapter", key.String(), "error", err.Error())
-		}
-	}()
+	return err
 }
 
-func (o *owners) placedHere(params PlacedParams) {
-	if keeper, ok := o.owner.Keeper(params.Home); ok {
-		keeper.Placed(params.key(), params.Runner)
+func (o *owners) placedHere(params PlacedParams) error {
+	keeper, ok := o.owner.Keeper(params.Home)
+	if !ok {
+		return adapters.ErrNotOwner
 	}
+	keeper.Placed(params.key(), params.Runner)
+	return nil
 }
 
 // Ended implements serve.Owners.
--- a/internal/entry/rehome.go
+++ b/internal/entry/rehome.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
@@ -20,7 +21,8 @@
 // crash, and homes know nothing of what lies on the other runners. Each adapter
 // that is asked for is then fetched once more, just when the weight store is busy
 // with what the crash has cost. After a total loss a hundred of 300 copies came
-// from this.
+// from this. A home that could not be told, since nobody owns it yet, is told again:
+// a runner is listed some tenths of a second before it has an owner.
 type rehome struct {
 	owner  *adapters.Owner
 	owners *owners
@@ -33,7 +35,7 @@
 }
 
 // run tells the homes that do not know yet.
-func (r *rehome) run(snapshot *directory.Snapshot) {
+func (r *rehome) run(ctx context.Context, snapshot *directory.Snapshot) {
 	if snapshot.Config == nil {
 		return
 	}
@@ -48,13 +50,13 @@
 		}
 		for _, runner := range runners {
 			if keeper, ok := r.owner.Keeper(runner.ID); ok {
-				r.tell(runner, keeper.Holding(snapshot.Versions), runners)
+				r.tell(ctx, runner, keeper.Holding(snapshot.Versions), runners)
 			}
 		}
 	}
 }
 
-func (r *rehome) tell(runner *site.Runner, held []adapters.Key, runners []*site.Runner) {
+func (r *rehome) tell(ctx context.Context, runner *site.Runner, held []adapters.Key, runners []*site.Runner) {
 	before := r.told[runner.ID]
 	now := make(map[adapters.Key]string, len(held))
 	for _, key := range held {
@@ -62,9 +64,9 @@
 		if home == nil {
 			continue
 		}
-		now[key] = home.ID
-		if home.ID != runner.ID && before[key] != home.ID {
-			r.owners.Placed(home, key, runner)
+		known := home.ID == runner.ID || before[key] == home.ID || r.owners.tellHome(ctx, home, key, runner) == nil
+		if known {
+			now[key] = home.ID
 		}
 	}
 	r.told[runner.ID] = now
