Ends of requests are kept for an owner that cannot be told; tests where the code decides

Cause, found while writing the tests: what became of a host's requests was taken out before it was known whether the runner's owner could be reached, and a call that failed lost it. The owner then took the adapters' places for used until their longest answers would be over, after each owner's silence of a second.

--- a/internal/entry/telling.go
+++ b/internal/entry/telling.go
@@ -62,17 +62,19 @@
 	tellAgain = time.Second
 )
 
-// tell tells the owners what has changed on their runners.
+// tell tells the owners what has changed on their runners. What an owner cannot be told
+// is kept: without the word that requests have ended, it takes the places of their
+// adapters for used until the longest of them would be over.
 func (o *owners) tell(ctx context.Context, runners map[string]*site.Runner) {
 	own := o.board.Own()
 	byOwner := map[string]TellParams{}
 	for id, runner := range runners {
-		told, changed := o.changed(id, own[id])
-		if !changed {
+		_, address, err := o.find(runner)
+		if err != nil {
 			continue
 		}
-		_, address, err := o.find(runner)
-		if err != nil || address == "" {
+		told, changed := o.changed(id, own[id])
+		if !changed || address == "" {
 			continue
 		}
 		if byOwner[address].Runners == nil {
@@ -90,6 +92,28 @@
 	defer cancel()
 	if err := o.pool.Call(ctx, address, methodTell, params, nil); err != nil {
 		o.log.Debug("owner not told of its runners", "address", address, "error", err.Error())
+		o.keep(params)
+	}
+}
+
+// keep takes back what an owner was not told.
+func (o *owners) keep(params TellParams) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for runner, told := range params.Runners {
+		kept := o.outcomes[runner]
+		kept.Good += told.Good
+		kept.Bad += told.Bad
+		kept.Hard += told.Hard
+		if kept.Ended == nil {
+			kept.Ended = told.Ended
+		} else {
+			for adapter, requests := range told.Ended {
+				kept.Ended[adapter] += requests
+			}
+		}
+		o.outcomes[runner] = kept
+		delete(o.told, runner)
 	}
 }
 
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,109 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/verdict"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+)
+
+// What a runner answers decides whether its answer is passed on and whether the request
+// has run. A wrong "not run" has a request run twice; a wrong success gives a caller
+// somebody else's answer, or half of one.
+func TestAnswersAreJudged(t *testing.T) {
+	request := &Request{Ask: Ask{ID: "q"}}
+	whole := Told{ID: "q", Stamped: true}
+	for name, test := range map[string]struct {
+		status  int
+		told    Told
+		header  http.Header
+		passed  bool
+		reason  Reason
+		verdict verdict.Verdict
+	}{
+		"a whole success":                       {status: 200, told: whole, passed: true},
+		"the runner's own failure":              {status: 500, told: whole, passed: true},
+		"another request's answer":              {status: 200, told: Told{ID: "p", Stamped: true}, reason: ReasonForeign, verdict: verdict.MayHaveRun},
+		"a success without a mark":              {status: 200, told: Told{ID: "q"}, reason: ReasonForeign, verdict: verdict.MayHaveRun},
+		"a success without its request":         {status: 200, told: Told{Stamped: true}, reason: ReasonForeign, verdict: verdict.MayHaveRun},
+		"an encoded success":                    {status: 200, told: whole, header: http.Header{"Content-Encoding": {"gzip"}}, reason: ReasonForeign, verdict: verdict.MayHaveRun},
+		"full, and says that it has not run it": {status: 503, told: Told{ID: "q", NotRun: true}, reason: ReasonRefused, verdict: verdict.NotRun},
+		"another runner has the address":        {status: 421, told: Told{ID: "q", Misdirected: true}, reason: ReasonAbsent, verdict: verdict.NotRun},
+		"503 without the word":                  {status: 503, told: Told{ID: "q"}, reason: ReasonBroken, verdict: verdict.MayHaveRun},
+		"429 without the word":                  {status: 429, told: Told{ID: "q"}, reason: ReasonBroken, verdict: verdict.MayHaveRun},
+		"408 without the word":                  {status: 408, told: whole, reason: ReasonBroken, verdict: verdict.MayHaveRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if test.header == nil {
+				test.header = http.Header{}
+			}
+			failure := judge(request, &http.Response{StatusCode: test.status, Header: test.header}, test.told)
+			if test.passed {
+				must.Nil(t, failure)
+				return
+			}
+			must.Eq(t, test.reason, failure.Reason)
+			must.Eq(t, test.verdict, failure.Verdict)
+		})
+	}
+}
+
+// Headers of one connection do not go on: a caller could name another header there and
+// have this layer drop it, or keep a runner's connection from being used again.
+func TestHeadersOfOneConnectionStay(t *testing.T) {
+	kept := endToEnd(http.Header{
+		"Connection": {"X-Private, close"}, "X-Private": {"1"}, "Te": {"trailers"}, "Transfer-Encoding": {"chunked"}, "Content-Length": {"3"}, "X-Kept": {"1"},
+	})
+	must.Eq(t, http.Header{"X-Kept": {"1"}}, kept)
+}
+
+// plain reads and writes no headers of its own.
+type plain struct{}
+
+func (plain) Ask(http.Header) (Ask, error)            { return Ask{}, nil }
+func (plain) Set(_, _ http.Header, _ Ask, _ Send)     {}
+func (plain) Told(_ int, header http.Header) (t Told) { return Told{ID: header.Get("Id")} }
+
+// A runner cannot be reached, or breaks off after it has the request. Only the first has
+// certainly not run it.
+func TestVerdictsOfConnections(t *testing.T) {
+	for name, test := range map[string]struct {
+		dial    func(ctx context.Context, network, address string) (net.Conn, error)
+		reason  Reason
+		verdict verdict.Verdict
+	}{
+		"no connection": {
+			dial:   func(context.Context, string, string) (net.Conn, error) { return nil, errors.New("refused") },
+			reason: ReasonConnect, verdict: verdict.NotRun,
+		},
+		"a connection that breaks": {
+			dial: func(context.Context, string, string) (net.Conn, error) {
+				near, far := net.Pipe()
+				go func() {
+					_, _ = far.Read(make([]byte, 1))
+					_ = far.Close()
+				}()
+				return near, nil
+			},
+			reason: ReasonBroken, verdict: verdict.MayHaveRun,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			client := NewClient(plain{}, test.dial)
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			request := &Request{Method: http.MethodGet, Host: "h", Target: "/x", Header: http.Header{}, Body: []byte(strings.Repeat("x", 10))}
+			answer, failure := client.Do(ctx, "r:80", request, Send{})
+			must.Nil(t, answer)
+			must.Eq(t, test.reason, failure.Reason)
+			must.Eq(t, test.verdict, failure.Verdict)
+			must.Eq(t, 1, client.Dialed())
+		})
+	}
+}
--- /dev/null
+++ b/internal/site/site_test.go
@@ -0,0 +1,59 @@
+package site
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// A path belongs to the route with the longest prefix, whatever the order in which the
+// configuration lists them; a host name's case does not matter.
+func TestLongestPrefixWins(t *testing.T) {
+	config := NewConfig(1, []*Route{
+		{Name: "all", Host: "A.example", Prefix: "/"},
+		{Name: "deep", Host: "a.example", Prefix: "/x/y/"},
+		{Name: "x", Host: "a.example", Prefix: "/x/"},
+	}, nil, Limits{})
+	for path, want := range map[string]string{"/": "all", "/xy": "all", "/x/1": "x", "/x/y/1": "deep"} {
+		route, ok := config.Match("a.EXAMPLE", path)
+		must.True(t, ok)
+		must.Eq(t, want, route.Name, must.Sprint(path))
+	}
+	_, ok := config.Match("b.example", "/")
+	must.False(t, ok)
+}
+
+// A route that is split sends to each service its share, and never to one without any.
+func TestPickByWeight(t *testing.T) {
+	route := &Route{Targets: []Target{{Service: "a", Weight: 1}, {Service: "none"}, {Service: "b", Weight: 3}}}
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[route.Pick(float64(i)/1000)]++
+	}
+	must.Eq(t, map[string]int{"a": 250, "b": 750}, counts)
+	must.Eq(t, "", (&Route{}).Pick(0.5))
+	must.Eq(t, "b", route.Pick(1), must.Sprint("a draw at the end"))
+}
+
+// A stream runs twice only where it may be resumed; nothing else that is not idempotent
+// ever does.
+func TestWhatMayRepeat(t *testing.T) {
+	must.False(t, (&Route{}).MayRepeat())
+	must.False(t, (&Route{Resumable: true}).MayRepeat())
+	must.True(t, (&Route{Kind: Idempotent}).MayRepeat())
+	must.False(t, (&Route{Kind: Streaming}).MayRepeat())
+	must.True(t, (&Route{Kind: Streaming, Resumable: true}).MayRepeat())
+}
+
+// A lifetime's ID leads back to the instance that requests and orders carry.
+func TestLifetimes(t *testing.T) {
+	must.Eq(t, "i-1", Lifetime("i-1", 0))
+	must.NotEq(t, Lifetime("i-1", 7), Lifetime("i-1", 8))
+	must.Eq(t, "i-1", InstanceOf(Lifetime("i-1", 7)))
+	must.Eq(t, "i-1", InstanceOf("i-1"))
+	aged := (&Runner{ID: "i-1", Instance: "i-1"}).Aged(9)
+	must.Eq(t, Lifetime("i-1", 9), aged.ID)
+	must.Eq(t, "i-1", aged.Instance)
+	named := AdapterNamed(Adapter{Model: "m", Name: "a/b"}.String())
+	must.Eq(t, Adapter{Model: "m", Name: "a/b"}, named)
+}
