--- a/internal/adapters/reading.go
+++ b/internal/adapters/reading.go
@@ -8,7 +8,7 @@
 // The load it answers: runners of one service differ in speed. Prompts that are handed
 // out as fast as most runners read them pile up on a slower one, and its running
 // streams pause for longer than callers allow: on runners a third slower than the
-// others 12 to 19 in 100 streams did, 2 in 100 on the others.
+// others 12 in 100 of 2,100 streams did, 2 in 100 of 4,200 on the others (one busy day).
 type Reading struct {
 	// perToken is in nanoseconds; answers counts what it was learnt from.
 	perToken float64
--- a/internal/mesh/breaking.go
+++ b/internal/mesh/breaking.go
@@ -65,7 +65,7 @@
 		if now.Sub(s.signs(host).heard) < patience {
 			return Break{}, false
 		}
-	} else if !s.unwitnessed(m, now) || fleet.First(host, s.inForce().but(host)) != s.self {
+	} else if !s.unwitnessed(m, now) || fleet.First(host, s.inForce().without(host)) != s.self {
 		return Break{}, false
 	}
 	b := Break{Host: host, Record: m.HostRecord, Revision: m.revision, Votes: neededVotes(m)}
--- a/internal/mesh/membership.go
+++ b/internal/mesh/membership.go
@@ -50,8 +50,8 @@
 	return m.hosts
 }
 
-// but gives the hosts without one of them.
-func (m *membership) but(host string) []string {
+// without gives the hosts but one.
+func (m *membership) without(host string) []string {
 	return slices.DeleteFunc(slices.Clone(m.hosts), func(other string) bool { return other == host })
 }
 
