The test of replicas that never go back asks for removed records too

The test keeps its checks and asks besides that a record which is gone does not come back and the revision stays; it fails without the safeguard again.

--- a/internal/registry/replica_test.go
+++ b/internal/registry/replica_test.go
@@ -12,13 +12,16 @@
 func record(name string, revision uint64) Record { return Record{Name: name, Revision: revision} }
 
 // An answer that was overtaken arrives: a listing of revision 5 after one of 8.
-// Taking it would bring an old configuration back.
+// Taking it would bring an old configuration back, and a record that is gone since.
 func TestReplicaNeverGoesBack(t *testing.T) {
 	r := NewReplica()
 	r.Listed([]Record{record("a", 7)}, 8)
-	r.Listed([]Record{record("a", 3)}, 5)
+	r.Listed([]Record{record("a", 3), record("gone", 4)}, 5)
 	got, _ := r.Get("a")
 	must.Eq(t, 7, got.Revision)
+	_, back := r.Get("gone")
+	must.False(t, back)
+	must.Eq(t, 8, r.Revision())
 	r.Changed([]Change{{Record: record("a", 6)}}, 9)
 	got, _ = r.Get("a")
 	must.Eq(t, 7, got.Revision)
