--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -91,6 +91,8 @@
 	Target string
 	Header http.Header
 	Body   []byte
+	// From is the address that the request came from.
+	From string
 }
 
 // Answer is a runner's answer whose headers have arrived. Its body must be
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -129,6 +129,7 @@
 		Target: targetOf(r),
 		Header: r.Header,
 		Body:   body,
+		From:   hostName(r.RemoteAddr),
 	}
 	i.Serve(r.Context(), w, route, request, arrived)
 }
--- /dev/null
+++ b/internal/quarantine/fingerprint_test.go
@@ -0,0 +1,35 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// Requests are the same if all of their content is, and no part runs into the next.
+func TestFingerprint(t *testing.T) {
+	content := Content{Method: "POST", Host: "a.example", Target: "/live/x?y=1", Adapter: "base/a1", Body: []byte("prompt")}
+	same := content
+	must.Eq(t, content.Fingerprint(), same.Fingerprint())
+	for _, other := range []Content{
+		{Method: "GET", Host: "a.example", Target: "/live/x?y=1", Adapter: "base/a1", Body: []byte("prompt")},
+		{Method: "POST", Host: "b.example", Target: "/live/x?y=1", Adapter: "base/a1", Body: []byte("prompt")},
+		{Method: "POST", Host: "a.example", Target: "/live/x?y=2", Adapter: "base/a1", Body: []byte("prompt")},
+		{Method: "POST", Host: "a.example", Target: "/live/x?y=1", Adapter: "base/a2", Body: []byte("prompt")},
+		{Method: "POST", Host: "a.example", Target: "/live/x?y=1", Adapter: "base/a1", Body: []byte("prompts")},
+		{Method: "POST", Host: "a.example/live", Target: "/x?y=1", Adapter: "base/a1", Body: []byte("prompt")},
+	} {
+		must.NotEq(t, content.Fingerprint(), other.Fingerprint())
+	}
+}
+
+func TestFingerprintAsText(t *testing.T) {
+	encoded, err := json.Marshal(Fingerprint(0xab))
+	must.NoError(t, err)
+	must.Eq(t, `"00000000000000ab"`, string(encoded))
+	var decoded Fingerprint
+	must.NoError(t, json.Unmarshal(encoded, &decoded))
+	must.Eq(t, Fingerprint(0xab), decoded)
+	must.Error(t, json.Unmarshal([]byte(`"no number"`), &decoded))
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -15,6 +15,7 @@
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/placing"
+	"github.com/cherrystage/cherrystage/internal/quarantine"
 	"github.com/cherrystage/cherrystage/internal/retrybudget"
 	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/cherrystage/cherrystage/internal/verdict"
@@ -140,6 +141,8 @@
 	arrived  time.Time
 	deadline time.Time
 	budget   *retrybudget.Budget
+	// content tells the request from all others that do not ask for the same.
+	content quarantine.Fingerprint
 
 	tried  map[string]bool
 	sends  int
@@ -182,6 +185,7 @@
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, route *site.Route, request *forward.Request, arrived time.Time) {
 	l := &life{s: s, w: w, route: route, request: request, arrived: arrived, tried: map[string]bool{}}
 	l.deadline = arrived.Add(patience(route, request))
+	l.content = contentOf(request).Fingerprint()
 	snapshot := s.Directory.Snapshot()
 	name := route.Pick(rand.Float64())
 	l.service = snapshot.Config.Services[name]
@@ -200,6 +204,14 @@
 	}
 }
 
+func contentOf(request *forward.Request) quarantine.Content {
+	content := quarantine.Content{Method: request.Method, Host: request.Host, Target: request.Target, Body: request.Body}
+	if request.Adapter != (site.Adapter{}) {
+		content.Adapter = request.Adapter.String()
+	}
+	return content
+}
+
 func patience(route *site.Route, request *forward.Request) time.Duration {
 	switch {
 	case request.Patience == 0:
@@ -265,7 +277,7 @@
 		l.giveUp(ctx)
 		return false
 	}
-	l.s.Log.Info("attempt failed", "id", l.request.ID, "runner", l.runner.ID, "send", l.sends, "reason", string(l.failure.Reason),
+	l.s.Log.Info("attempt failed", "id", l.request.ID, "content", l.content.String(), "runner", l.runner.ID, "send", l.sends, "reason", string(l.failure.Reason),
 		"verdict", l.failure.Verdict.String(), "cause", l.failure.Error(), "left_ms", l.left().Milliseconds())
 	if l.failure.Verdict == verdict.NotRun {
 		return l.againNotRun(ctx)
