Requests that end the runners that begin them are kept from further runners

Cause: hosts knew requests by their ids and each by itself, so a request that ends its runner, sent again under a new id through another host, was a new request each time. Class: a decision that needs what the fleet saw of a content was made from what one host sees of one id. Mended in the design: a request's content has a fingerprint; answers that break off are reported to three hosts that count for the fleet, by rendezvous hashing; three ends of runners accuse the content, the word goes by the heartbeats there are, a host that answered it whole clears it, and after 0.8 s all keep it from their runners, with 503 and the time to come back, or 502 where it may have run. It lasts in the store, for hosts that start; without the store hosts tell each other. Ruled out: deciding by ends alone (a popular request runs beside each end; it is cleared), waiting for the runner's entry to go (3.6 s, later than the bound), sending every cut answer to all hosts. Found on the way: a place that a request was admitted to was not given back where its retry budget was spent.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -32,8 +32,10 @@
 	// heardAt is when the runner last sent anything for this host's requests, or
 	// when the first of them began.
 	heardAt time.Time
-	peers   map[string]peerCount
-	health  health
+	// answeredSent is when the last request was sent that the runner answered.
+	answeredSent time.Time
+	peers        map[string]peerCount
+	health       health
 }
 
 type peerCount struct {
@@ -82,6 +84,23 @@
 	b.with(runner, func(e *entry) { e.heardAt = now })
 }
 
+// Answered notes that a runner answered a request that was sent at a time.
+func (b *Board) Answered(runner string, sent time.Time) {
+	b.with(runner, func(e *entry) {
+		if sent.After(e.answeredSent) {
+			e.answeredSent = sent
+		}
+	})
+}
+
+// AnsweredSince says whether a runner answered a request that was sent after a moment, so
+// that it lived then.
+func (b *Board) AnsweredSince(runner string, moment time.Time) bool {
+	var since bool
+	b.with(runner, func(e *entry) { since = e.answeredSent.After(moment) })
+	return since
+}
+
 // A runner that sends nothing for any of several requests has most likely gone
 // dark: running streams show an event every 50 ms, and 250 ms is the longest
 // pause that callers allow. Found by single requests, which may take twice their
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -67,6 +67,7 @@
 	mesh      *mesh.Service
 	owner     *adapters.Owner
 	owners    *owners
+	suspects  *suspects
 	server    *serve.Server
 	client    *forward.Client
 	callers   *http.Server
@@ -117,7 +118,11 @@
 	e.board = board.New()
 	e.state = mesh.NewState(cfg.Host, mesh.Timing{Lease: mesh.UsualLease, OrderGap: cfg.OrderGap, Margin: mesh.UsualMargin}, now())
 	e.owners = newOwners(cfg.Host, e.state, pool, e.board, now, log)
-	told := &statuses{board: e.board, directory: e.directory, now: now, log: log, peers: map[string]heard{}}
+	e.suspects = newSuspects(cfg.Host, e.state, pool, platform.Store, e.board, now, log)
+	told := &statuses{
+		board: e.board, directory: e.directory, now: now, log: log, peers: map[string]heard{},
+		quarantined: e.suspects.quarantine.Digest, quarantinedAt: e.suspects.heard,
+	}
 	e.owner = adapters.NewOwner(adapters.OwnerDeps{
 		Host: cfg.Host, Engines: platform.Engines, Authority: e.state,
 		Owns: e.owns, Crowd: told.crowd, Load: e.board.View, Share: told.share, Reading: told.reading,
@@ -132,17 +137,19 @@
 			platform.RunnerKind:  e.directory.Runners,
 			platform.VersionKind: e.directory.Versions,
 		},
-		Pool: pool, Statuses: told, Runners: e.engines, Now: now, Log: log,
+		Pool: pool, Statuses: told, Runners: e.engines, Other: e.suspects.recorded, Now: now, Log: log,
 	})
+	e.suspects.spread, e.suspects.records = e.mesh.Spread, e.mesh.Fleet()
 	e.follow(platform)
 	mux := peer.NewMux()
 	e.mesh.Register(mux)
 	e.owners.register(mux)
+	e.suspects.register(mux)
 	e.peers = peer.NewServer(identity, cfg.PeerKey, mux, log)
 	e.client = forward.NewClient(platform.Dialect, dial)
 	e.server = serve.New(serve.Deps{
 		DataCentre: cfg.DataCentre, Directory: e.directory, Board: e.board, Owners: e.owners,
-		Client: e.client, Limit: cfg.Retries, Ages: func() (config, runners time.Duration) {
+		Client: e.client, Quarantine: e.suspects.quarantine, Limit: cfg.Retries, Ages: func() (config, runners time.Duration) {
 			return e.mesh.Age(platform.ConfigKind), e.mesh.Age(platform.RunnerKind)
 		}, Hosts: e.sharers, Now: now, Log: log,
 	})
@@ -275,6 +282,7 @@
 		go follower.Run(ctx)
 	}
 	go e.mesh.Run(ctx)
+	go e.suspects.run(ctx)
 	go timing.Every(ctx, tellInterval, func() { e.owners.tell(ctx, e.directory.Snapshot().Runners) })
 	rehome := newRehome(e.owner, e.owners)
 	go timing.Every(ctx, rehomeInterval, func() { rehome.run(ctx, e.directory.Snapshot()) })
@@ -365,12 +373,14 @@
 		"requests_failed":    counters.Failed.Load,
 		"requests_left":      counters.Left.Load,
 		"retries_denied":     counters.RetriesDenied.Load,
+		"quarantine_refused": counters.Quarantined.Load,
 		"connections_dialed": e.client.Dialed,
 	} {
 		vars.Set(name, expvar.Func(func() any { return value() }))
 	}
 	vars.Set("first_byte_ms", &counters.FirstByte)
 	vars.Set("runners_known", expvar.Func(func() any { return len(e.directory.Snapshot().Runners) }))
+	vars.Set("quarantine_size", expvar.Func(func() any { return e.suspects.quarantine.Size() }))
 	vars.Set("hosts_in_force", expvar.Func(func() any { return e.state.Size() }))
 	vars.Set("adapters_in_transit", expvar.Func(func() any { transit, _ := e.owner.Transit(); return transit }))
 	return vars
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -28,6 +28,9 @@
 	Slots   int `json:"slots,omitempty"`
 	// ReadingNS are the nanoseconds that each of these takes for a token of a prompt.
 	ReadingNS []int64 `json:"reading_ns,omitempty"`
+	// Quarantine is the digest of what the sender knows of requests that end runners, 0
+	// where that is nothing.
+	Quarantine uint64 `json:"quarantine,omitempty"`
 }
 
 // statusLife is how long what a peer told holds.
@@ -38,8 +41,11 @@
 	board     *board.Board
 	owner     *adapters.Owner
 	directory *directory.Directory
-	now       func() time.Time
-	log       hclog.Logger
+	// quarantined gives this host's digest; quarantinedAt takes over a peer's.
+	quarantined   func() uint64
+	quarantinedAt func(host string, digest uint64)
+	now           func() time.Time
+	log           hclog.Logger
 
 	mu    sync.Mutex
 	peers map[string]heard
@@ -67,6 +73,7 @@
 	for _, perToken := range s.owner.Readings() {
 		told.ReadingNS = append(told.ReadingNS, int64(perToken))
 	}
+	told.Quarantine = s.quarantined()
 	return told
 }
 
@@ -77,6 +84,7 @@
 		s.log.Warn("peer's status not understood", "peer", host, "error", err.Error())
 		return
 	}
+	s.quarantinedAt(host, told.Quarantine)
 	now := s.now()
 	for runner, running := range told.Running {
 		s.board.PeerOn(host, runner, running, now)
--- a/internal/entry/status_test.go
+++ b/internal/entry/status_test.go
@@ -14,7 +14,7 @@
 func newStatuses(now *time.Time) *statuses {
 	clock := func() time.Time { return *now }
 	return &statuses{
-		board: board.New(), now: clock, log: hclog.NewNullLogger(), peers: map[string]heard{},
+		board: board.New(), now: clock, log: hclog.NewNullLogger(), peers: map[string]heard{}, quarantinedAt: func(string, uint64) {},
 		owner: adapters.NewOwner(adapters.OwnerDeps{Now: clock, Log: hclog.NewNullLogger()}),
 	}
 }
--- /dev/null
+++ b/internal/entry/suspects.go
@@ -0,0 +1,319 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/board"
+	"github.com/cherrystage/cherrystage/internal/fleet"
+	"github.com/cherrystage/cherrystage/internal/mesh"
+	"github.com/cherrystage/cherrystage/internal/peer"
+	"github.com/cherrystage/cherrystage/internal/quarantine"
+	"github.com/cherrystage/cherrystage/internal/registry"
+	"github.com/hashicorp/go-hclog"
+)
+
+const (
+	// counters is the number of hosts that count the ends of runners under a request. Any
+	// of them suffices: two may be lost with what they counted.
+	counters = 3
+	// suspectInterval is how often cuts are looked at while some wait.
+	suspectInterval = 100 * time.Millisecond
+	// recordInterval is how often lasting records are looked at while there is anything
+	// to keep.
+	recordInterval = time.Second
+	// reportTimeout bounds a report. A packet that is lost on the way is sent again in
+	// some 250 ms, and a report that fails is not repeated.
+	reportTimeout = time.Second
+	// suspectsAgain is how long the same digest of a peer is not asked about again.
+	suspectsAgain = time.Second
+)
+
+// Methods by which hosts tell each other of requests that end runners.
+const (
+	methodCuts     = "quarantine.cuts"
+	methodSuspects = "quarantine.list"
+)
+
+// CutsParams reports answers that broke off.
+type CutsParams struct {
+	Cuts []CutParams `json:"cuts"`
+}
+
+// CutParams is one answer that broke off.
+type CutParams struct {
+	Content quarantine.Fingerprint `json:"content"`
+	Runner  string                 `json:"runner"`
+	AgeMS   int64                  `json:"age_ms"`
+}
+
+// SuspectsResult tells what a host knows of requests that end runners.
+type SuspectsResult struct {
+	Entries []quarantine.Entry `json:"entries"`
+}
+
+// suspectPrefix begins the names of lasting records of requests that are kept from
+// runners. They share the kind of hosts and owners.
+const suspectPrefix = "content."
+
+// SuspectRecord is a lasting record. The content's fingerprint is its name.
+type SuspectRecord struct {
+	Round int `json:"round"`
+}
+
+// suspects is how this host and its peers tell each other of requests that end runners.
+type suspects struct {
+	host       string
+	quarantine *quarantine.Quarantine
+	mesh       *mesh.State
+	pool       *peer.Pool
+	store      registry.Store
+	board      *board.Board
+	now        func() time.Time
+	log        hclog.Logger
+	// spread has heartbeats sent at once.
+	spread func()
+	// records holds the lasting records.
+	records *registry.Replica
+
+	mu sync.Mutex
+	// asked says which digest of a peer was asked about, and when.
+	asked map[string]askedDigest
+	// told is the digest that was last spread.
+	told uint64
+}
+
+type askedDigest struct {
+	digest uint64
+	at     time.Time
+}
+
+func newSuspects(host string, state *mesh.State, pool *peer.Pool, store registry.Store, b *board.Board, now func() time.Time, log hclog.Logger) *suspects {
+	return &suspects{
+		host: host, quarantine: quarantine.New(), mesh: state, pool: pool, store: store, board: b, now: now, log: log,
+		asked: map[string]askedDigest{},
+	}
+}
+
+func (s *suspects) register(mux *peer.Mux) {
+	peer.Handle(mux, methodCuts, func(_ context.Context, from peer.Identity, p CutsParams) (struct{}, error) {
+		now := s.now()
+		for _, cut := range p.Cuts {
+			at := now.Add(-time.Duration(cut.AgeMS) * time.Millisecond)
+			s.count(quarantine.Cut{Content: cut.Content, Runner: cut.Runner, At: at}, from.Host)
+		}
+		return struct{}{}, nil
+	})
+	peer.Handle(mux, methodSuspects, func(context.Context, peer.Identity, struct{}) (SuspectsResult, error) {
+		return SuspectsResult{Entries: s.quarantine.Entries(s.now())}, nil
+	})
+}
+
+// run reports, tells and records until the context ends. It sleeps while there is nothing
+// to do.
+func (s *suspects) run(ctx context.Context) {
+	var recordedAt time.Time
+	for ctx.Err() == nil {
+		s.report(ctx)
+		s.tell()
+		if s.now().Sub(recordedAt) >= recordInterval {
+			recordedAt = s.now()
+			s.quarantine.Forget(s.now())
+			s.record(ctx)
+		}
+		s.wait(ctx)
+	}
+}
+
+func (s *suspects) wait(ctx context.Context) {
+	var due <-chan time.Time
+	switch {
+	case s.quarantine.Pending():
+		due = time.After(suspectInterval)
+	case s.quarantine.Size() > 0:
+		due = time.After(recordInterval)
+	}
+	select {
+	case <-ctx.Done():
+	case <-due:
+	case <-s.quarantine.Woken():
+	}
+}
+
+// report reports the answers that broke off to the hosts that count for the whole fleet,
+// and counts them here too: a host that is cut off from the others has only its own.
+func (s *suspects) report(ctx context.Context) {
+	now := s.now()
+	due, dropped := s.quarantine.Due(now, s.board.AnsweredSince)
+	if dropped > 0 {
+		s.log.Warn("answers that broke off not counted: too many at once", "dropped", dropped)
+	}
+	byHost := map[string]CutsParams{}
+	for _, cut := range due {
+		s.count(cut, s.host)
+		for _, host := range s.counters(cut.Content) {
+			if host == s.host {
+				continue
+			}
+			params := byHost[host]
+			params.Cuts = append(params.Cuts, CutParams{Content: cut.Content, Runner: cut.Runner, AgeMS: now.Sub(cut.At).Milliseconds()})
+			byHost[host] = params
+		}
+	}
+	for host, params := range byHost {
+		go s.reportTo(ctx, host, params)
+	}
+}
+
+// counters gives the hosts that count the ends under a request.
+func (s *suspects) counters(content quarantine.Fingerprint) []string {
+	ranked := fleet.Rank(suspectPrefix+content.String(), s.mesh.Members())
+	return ranked[:min(counters, len(ranked))]
+}
+
+func (s *suspects) reportTo(ctx context.Context, host string, params CutsParams) {
+	address, ok := s.mesh.AddressOf(host)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if err := s.pool.Call(ctx, address, methodCuts, params, nil); err != nil {
+		s.log.Info("answers that broke off not reported", "peer", host, "cuts", len(params.Cuts), "error", err.Error())
+	}
+}
+
+// count counts an answer that broke off.
+func (s *suspects) count(cut quarantine.Cut, from string) {
+	ends, accused := s.quarantine.Count(cut, s.now())
+	if ends > 1 || accused {
+		s.log.Info("runners end under a request", "content", cut.Content.String(), "ends", ends, "runner", cut.Runner, "reported_by", from,
+			"age_ms", s.now().Sub(cut.At).Milliseconds(), "accused", accused)
+	}
+}
+
+// tell has heartbeats sent at once if anything changed that others should know.
+func (s *suspects) tell() {
+	digest := s.quarantine.Digest()
+	s.mu.Lock()
+	changed := digest != s.told
+	s.told = digest
+	s.mu.Unlock()
+	if changed {
+		s.spread()
+	}
+}
+
+// heard asks a peer for what it knows if that is not what this host knows.
+func (s *suspects) heard(host string, digest uint64) {
+	if digest == 0 || digest == s.quarantine.Digest() {
+		return
+	}
+	now := s.now()
+	s.mu.Lock()
+	asked := s.asked[host]
+	again := asked.digest == digest && now.Sub(asked.at) < suspectsAgain
+	if !again {
+		s.asked[host] = askedDigest{digest: digest, at: now}
+	}
+	s.mu.Unlock()
+	if !again {
+		go s.ask(host)
+	}
+}
+
+func (s *suspects) ask(host string) {
+	address, ok := s.mesh.AddressOf(host)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	var result SuspectsResult
+	if err := s.pool.Call(ctx, address, methodSuspects, struct{}{}, &result); err != nil {
+		s.log.Info("peer not asked for requests that end runners", "peer", host, "error", err.Error())
+		return
+	}
+	for _, news := range s.quarantine.Merge(result.Entries, s.now()) {
+		s.logNews(news, host)
+	}
+}
+
+func (s *suspects) logNews(news quarantine.Entry, from string) {
+	message := "request kept from runners"
+	if news.Cleared {
+		message = "request cleared: it was answered whole"
+	}
+	s.log.Info(message, "content", news.Content.String(), "round", news.Round, "age_ms", news.AgeMS, "first_end_ms_ago", news.FirstMS, "from", from)
+}
+
+// recorded takes over lasting records.
+func (s *suspects) recorded(changes []registry.Change) {
+	for _, change := range changes {
+		name, ok := strings.CutPrefix(change.Name, suspectPrefix)
+		if !ok || change.Removed {
+			continue
+		}
+		var content quarantine.Fingerprint
+		var record SuspectRecord
+		if err := content.UnmarshalText([]byte(name)); err != nil {
+			s.log.Warn("record of a request not understood", "record", change.Name, "error", err.Error())
+			continue
+		}
+		if err := json.Unmarshal(change.Spec, &record); err != nil || record.Round < 1 {
+			s.log.Warn("record of a request not understood", "record", change.Name, "spec", string(change.Spec))
+			continue
+		}
+		if s.quarantine.Recorded(content, record.Round, s.now()) {
+			s.log.Info("request kept from runners", "content", content.String(), "round", record.Round, "from", "a record in the store")
+		}
+	}
+}
+
+// record keeps the lasting records as they should be. For each request the first of the
+// hosts that count for it does, so a host that is lost is stood in for once its lease ends.
+func (s *suspects) record(ctx context.Context) {
+	if s.quarantine.Size() == 0 {
+		return
+	}
+	lasting := s.quarantine.Lasting(s.now())
+	for _, e := range s.quarantine.Entries(s.now()) {
+		if first := s.counters(e.Content); len(first) == 0 || first[0] != s.host {
+			continue
+		}
+		round, wanted := lasting[e.Content]
+		known, exists := s.records.Get(suspectPrefix + e.Content.String())
+		switch {
+		case wanted && !exists:
+			s.create(ctx, e.Content, round)
+		case !wanted && exists:
+			s.remove(ctx, known)
+		}
+	}
+}
+
+func (s *suspects) create(ctx context.Context, content quarantine.Fingerprint, round int) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	record, err := s.store.Create(ctx, mesh.Kind, suspectPrefix+content.String(), SuspectRecord{Round: round})
+	if err != nil {
+		s.log.Info("request's record not written", "content", content.String(), "error", err.Error())
+		return
+	}
+	s.records.Put(record)
+	s.log.Info("request's record written", "content", content.String(), "round", round, "revision", record.Revision)
+}
+
+func (s *suspects) remove(ctx context.Context, record registry.Record) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	if err := s.store.Delete(ctx, mesh.Kind, record.Name, record.Revision); err != nil && !registry.NotFound(err) {
+		s.log.Info("request's record not removed", "record", record.Name, "error", err.Error())
+		return
+	}
+	s.records.Changed([]registry.Change{{Record: registry.Record{Name: record.Name}, Removed: true}}, 0)
+	s.log.Info("request's record removed", "record", record.Name)
+}
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/site"
@@ -113,6 +114,24 @@
 	Cause   error
 	// Told is set where an answer came.
 	Told Told
+	// CutOff says that the connection ended before the whole answer was there, as it does
+	// when the runner's process ends.
+	CutOff bool
+}
+
+// BrokenOff gives the failure of an answer whose body ended before it was whole.
+func BrokenOff(told Told, cause error) *Failure {
+	return &Failure{Verdict: verdict.MayHaveRun, Reason: ReasonBroken, Told: told, Cause: cause, CutOff: ended(cause)}
+}
+
+// ended says whether an error is that of a connection that the other side ended.
+func ended(err error) bool {
+	for _, end := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
 }
 
 // Reason classifies failures.
@@ -229,7 +248,7 @@
 }
 
 func failure(ctx context.Context, err error, connected bool) *Failure {
-	result := &Failure{Verdict: verdict.MayHaveRun, Reason: ReasonBroken, Cause: err}
+	result := &Failure{Verdict: verdict.MayHaveRun, Reason: ReasonBroken, Cause: err, CutOff: connected && ended(err)}
 	if !connected {
 		result.Verdict = verdict.NotRun
 		result.Reason = ReasonConnect
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -58,6 +58,17 @@
 	revision uint64
 }
 
+// otherRecords gives the changes of records that are neither a host's nor an owner's.
+func otherRecords(changes []registry.Change) []registry.Change {
+	var other []registry.Change
+	for _, change := range changes {
+		if !strings.HasPrefix(change.Name, hostPrefix) && !strings.HasPrefix(change.Name, ownerPrefix) {
+			other = append(other, change)
+		}
+	}
+	return other
+}
+
 func decodeHost(record registry.Record) (string, member, bool) {
 	name, ok := strings.CutPrefix(record.Name, hostPrefix)
 	if !ok {
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -79,8 +79,11 @@
 	Statuses Statuses
 	// Runners gives the runners that need an owner.
 	Runners func() []Runner
-	Now     func() time.Time
-	Log     hclog.Logger
+	// Other takes changes of records that are neither a host's nor an owner's. They share
+	// the kind, so that no further watch is needed for what seldom changes.
+	Other func(changes []registry.Change)
+	Now   func() time.Time
+	Log   hclog.Logger
 }
 
 // NewService makes a service.
@@ -91,6 +94,9 @@
 	s.spread = newSpread(s.Kinds, deps.Now)
 	s.fleet.OnChange = func(changes []registry.Change, _ bool) {
 		s.State.Apply(changes, s.Now())
+		if other := otherRecords(changes); len(other) > 0 && s.Other != nil {
+			s.Other(other)
+		}
 		s.wake()
 	}
 	return s
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -14,8 +14,8 @@
 
 // Counters count what became of requests.
 type Counters struct {
-	Served, Refused, Failed, Left, RetriesDenied, Attempts, Loads atomic.Int64
-	FirstByte                                                     Histogram
+	Served, Refused, Failed, Left, RetriesDenied, Quarantined atomic.Int64
+	FirstByte                                                 Histogram
 }
 
 // refuseOrFail ends a request that goes to no further runner: refused if none
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/forward"
+	"github.com/cherrystage/cherrystage/internal/quarantine"
 	"github.com/cherrystage/cherrystage/internal/verdict"
 	"github.com/pkg/errors"
 )
@@ -50,12 +51,26 @@
 	defer silence.Stop()
 	answer, failure := l.s.Client.Do(ctx, runner.Address, l.request, l.send())
 	if failure == nil {
+		l.s.Board.Answered(runner.ID, l.sentAt)
 		failure = l.pass(answer, silence)
 	}
 	l.judge(ctx, failure)
+	l.noteEnd(ctx, failure)
 	return failure
 }
 
+// noteEnd tells the quarantine how the request ended: whole, or cut off while nobody here
+// wanted it to end.
+func (l *life) noteEnd(ctx context.Context, failure *forward.Failure) {
+	now := l.s.Now()
+	switch {
+	case failure == nil && l.finished && l.status/100 == 2:
+		l.s.Quarantine.Completed(l.content, now)
+	case failure != nil && failure.CutOff && ctx.Err() == nil:
+		l.s.Quarantine.CutOff(quarantine.Cut{Content: l.content, Runner: l.runner.ID, At: now})
+	}
+}
+
 func (l *life) send() forward.Send {
 	return forward.Send{
 		Instance:       l.runner.Instance,
@@ -142,7 +157,7 @@
 func (l *life) passWhole(answer *forward.Answer) *forward.Failure {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes))
 	if err != nil {
-		return &forward.Failure{Verdict: verdict.MayHaveRun, Reason: forward.ReasonBroken, Cause: err, Told: answer.Told}
+		return forward.BrokenOff(answer.Told, err)
 	}
 	if l.started {
 		// A resumed stream got something else than events.
@@ -197,7 +212,7 @@
 			if err == nil || err == io.EOF {
 				err = errors.New("the stream ended within an event")
 			}
-			return &forward.Failure{Verdict: verdict.MayHaveRun, Reason: forward.ReasonBroken, Cause: err, Told: answer.Told}
+			return forward.BrokenOff(answer.Told, err)
 		}
 	}
 }
--- a/internal/serve/search.go
+++ b/internal/serve/search.go
@@ -40,6 +40,9 @@
 		if errors.Is(err, errSuperseded) {
 			return l.place(ctx)
 		}
+		if errors.Is(err, errKept) && l.keptFromRunners() {
+			return false
+		}
 		noteRefusal(search, runners, err)
 	}
 	if len(l.refusals) == 0 {
@@ -126,6 +129,8 @@
 	errLeaving = errors.New("the runner left while the request waited for it")
 	// errSuperseded sends a request to the search for a place again.
 	errSuperseded = errors.New("a newer version of the adapter was named while the request waited")
+	// errKept ends the wait of a request that is kept from runners since.
+	errKept = errors.New("runners have ended under the request while it waited")
 )
 
 // leavingCheck is how often a request that waits for a runner looks whether it is
@@ -150,6 +155,9 @@
 		if l.superseded() {
 			return errSuperseded
 		}
+		if _, held := l.s.Quarantine.Held(l.content, l.s.Now()); held {
+			return errKept
+		}
 		left := end.Sub(l.s.Now())
 		if left <= 0 {
 			return nil
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -49,6 +49,8 @@
 	Board      *board.Board
 	Owners     Owners
 	Client     *forward.Client
+	// Quarantine keeps requests that end runners away from them.
+	Quarantine *quarantine.Quarantine
 	Limit      retrybudget.Limit
 	// Ages gives how old the configuration and the list of runners may be.
 	Ages func() (config, runners time.Duration)
@@ -232,10 +234,16 @@
 			l.giveUp(ctx)
 			return
 		}
-		if !l.place(ctx) {
+		if l.keptFromRunners() || !l.place(ctx) {
+			return
+		}
+		// Word may have come while the request waited for its place.
+		if l.keptFromRunners() {
+			l.giveBack()
 			return
 		}
 		if l.sends > 0 && !l.budget.Take(l.s.Now(), l.s.Hosts()) {
+			l.giveBack()
 			l.s.Counters.RetriesDenied.Add(1)
 			l.fail("the retry budget is spent")
 			return
@@ -250,6 +258,26 @@
 	}
 }
 
+// keptFromRunners answers a request under which runners have ended. It says when a runner
+// may be tried again, which is minutes away.
+func (l *life) keptFromRunners() bool {
+	left, held := l.s.Quarantine.Held(l.content, l.s.Now())
+	if !held {
+		return false
+	}
+	l.s.Counters.Quarantined.Add(1)
+	l.refuseOrFail(left, "runners have ended under this request")
+	return true
+}
+
+// giveBack gives back the place that the request was admitted to and will not use. A place
+// that nobody gives back counts as used until the longest of its requests would be over.
+func (l *life) giveBack() {
+	if l.key.Name != "" {
+		l.s.Owners.Ended(l.runner, l.key.Adapter)
+	}
+}
+
 // startWithin is the time within which the request must be sent to be of use:
 // callers give a stream up that shows nothing for a time.
 func (l *life) startWithin() time.Duration {
--- a/internal/serve/world_test.go
+++ b/internal/serve/world_test.go
@@ -15,6 +15,7 @@
 	"github.com/cherrystage/cherrystage/internal/board"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
+	"github.com/cherrystage/cherrystage/internal/quarantine"
 	"github.com/cherrystage/cherrystage/internal/registry"
 	"github.com/cherrystage/cherrystage/internal/retrybudget"
 	"github.com/cherrystage/cherrystage/internal/site"
@@ -128,7 +129,7 @@
 			defer func() { _ = server.Close() }()
 		}
 		w.server = New(Deps{
-			Directory: w.directory, Board: board.New(), Owners: w.owners,
+			Directory: w.directory, Board: board.New(), Owners: w.owners, Quarantine: quarantine.New(),
 			Client: forward.NewClient(headers{}, net.Host("host").Dial),
 			Limit:  retrybudget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 			Ages:   func() (config, runners time.Duration) { return 0, 0 },
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -54,8 +54,8 @@
 		return nil, refused
 	}
 	near, far := net.Pipe()
-	client := &memConn{Conn: near, network: h.network, ends: [2]string{h.host, target}, closed: make(chan struct{})}
-	server := &memConn{Conn: far, network: h.network, ends: [2]string{h.host, target}, closed: make(chan struct{})}
+	client := &memConn{Conn: near, network: h.network, owner: h.host, ends: [2]string{h.host, target}, closed: make(chan struct{})}
+	server := &memConn{Conn: far, network: h.network, owner: target, ends: [2]string{h.host, target}, closed: make(chan struct{})}
 	h.network.add(client, server)
 	select {
 	case listener.incoming <- server:
@@ -95,7 +95,20 @@
 	n.each(a, b, func(conn *memConn) { _ = conn.Close() })
 }
 
-// Mend undoes Cut.
+// End ends a host's process: its own ends of connections are closed, so that the other
+// ends read their end, and none can be made until Mend(host, "*").
+func (n *Network) End(host string) {
+	n.mu.Lock()
+	n.cut[[2]string{host, "*"}] = true
+	n.mu.Unlock()
+	n.each(host, "*", func(conn *memConn) {
+		if conn.owner == host {
+			_ = conn.Close()
+		}
+	})
+}
+
+// Mend undoes Cut and End.
 func (n *Network) Mend(a, b string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -168,6 +181,7 @@
 type memConn struct {
 	net.Conn
 	network *Network
+	owner   string
 	ends    [2]string
 	once    sync.Once
 	closed  chan struct{}
