--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -26,6 +26,19 @@
 	must.MapEmpty(t, b.Own())
 }
 
+// A runner's connections break off, some since it ended and some for other reasons. An
+// answer to what was sent before says nothing of it; one to what was sent later says that
+// the runner lives.
+func TestAnswerShowsThatARunnerLives(t *testing.T) {
+	b := New()
+	b.Answered("r", epoch)
+	b.Answered("r", epoch.Add(-time.Second))
+	must.False(t, b.AnsweredSince("r", epoch))
+	must.True(t, b.AnsweredSince("r", epoch.Add(-time.Millisecond)))
+	b.Forget("r")
+	must.False(t, b.AnsweredSince("r", epoch.Add(-time.Millisecond)))
+}
+
 // A runner fails two fifths of its requests while its health page is good. It
 // is avoided after some requests, tried again after a while, and trusted once
 // it serves.
--- a/internal/entry/owners_test.go
+++ b/internal/entry/owners_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -34,6 +35,13 @@
 	do()
 }
 
+// all gives what the owner was told.
+func (r *remote) all() []Told {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.told)
+}
+
 var far = &site.Runner{ID: "i-r", Instance: "i-r", Address: "r:80", Service: "llm", Slots: 12}
 
 // withOwner runs a test of a host "a" that asks the owner "b" of a runner.
@@ -138,17 +146,17 @@
 		o.tell(context.Background(), runners)
 		time.Sleep(ownerTimeout + time.Millisecond)
 		o.Ended(far, adapter)
-		must.SliceEmpty(t, owner.told)
+		must.SliceEmpty(t, owner.all())
 
 		owner.with(func() { owner.silent = false })
 		o.tell(context.Background(), runners)
 		time.Sleep(time.Millisecond)
-		must.Len(t, 1, owner.told)
-		must.Eq(t, map[string]int{"m/a": 2}, owner.told[0].Ended)
-		must.Eq(t, 1, owner.told[0].Good)
+		must.Len(t, 1, owner.all())
+		must.Eq(t, map[string]int{"m/a": 2}, owner.all()[0].Ended)
+		must.Eq(t, 1, owner.all()[0].Good)
 		o.tell(context.Background(), runners)
 		time.Sleep(time.Millisecond)
-		must.Len(t, 1, owner.told, must.Sprint("nothing is told twice"))
+		must.Len(t, 1, owner.all(), must.Sprint("nothing is told twice"))
 	})
 }
 
@@ -162,11 +170,11 @@
 			o.tell(context.Background(), runners)
 			time.Sleep(tellInterval)
 		}
-		must.Len(t, 3, owner.told)
-		must.Eq(t, 1, owner.told[2].Running)
+		must.Len(t, 3, owner.all())
+		must.Eq(t, 1, owner.all()[2].Running)
 		o.board.End(far.ID)
 		o.tell(context.Background(), runners)
 		time.Sleep(time.Millisecond)
-		must.Eq(t, 0, owner.told[3].Running)
+		must.Eq(t, 0, owner.all()[3].Running)
 	})
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -54,6 +56,22 @@
 	}
 }
 
+// A runner's process ends in the middle of an answer, and its connections end with it.
+// Failures that have other causes say nothing of that: a runner that answers nonsense
+// lives, and what this host ends itself was not cut off.
+func TestAnswersThatAreCutOff(t *testing.T) {
+	reset := &net.OpError{Op: "read", Err: syscall.ECONNRESET}
+	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, reset, errors.Wrap(reset, "read")} {
+		must.True(t, BrokenOff(Told{}, cause).CutOff, must.Sprint(cause))
+		must.True(t, failure(t.Context(), cause, true).CutOff, must.Sprint(cause))
+		must.False(t, failure(t.Context(), cause, false).CutOff, must.Sprint("the request was not sent: ", cause))
+	}
+	for _, cause := range []error{errors.New("malformed HTTP response"), context.DeadlineExceeded} {
+		must.False(t, BrokenOff(Told{}, cause).CutOff, must.Sprint(cause))
+		must.False(t, failure(t.Context(), cause, true).CutOff, must.Sprint(cause))
+	}
+}
+
 // Headers of one connection do not go on: a caller could name another header there and
 // have this layer drop it, or keep a runner's connection from being used again.
 func TestHeadersOfOneConnectionStay(t *testing.T) {
