--- a/internal/serve/world_test.go
+++ b/internal/serve/world_test.go
@@ -75,6 +75,8 @@
 	mu      sync.Mutex
 	answers []func(runner *site.Runner, ask adapters.Admission) (adapters.Admitted, error)
 	asked   []adapters.Admission
+	// ended counts the places that were given back.
+	ended int
 }
 
 func (o *owners) Admit(_ context.Context, runner *site.Runner, ask adapters.Admission) (adapters.Admitted, error) {
@@ -89,8 +91,13 @@
 	return answer(runner, ask)
 }
 
+func (o *owners) Ended(*site.Runner, site.Adapter) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ended++
+}
+
 func (*owners) Placed(*site.Runner, adapters.Key, *site.Runner) {}
-func (*owners) Ended(*site.Runner, site.Adapter)                {}
 func (*owners) Began(*site.Runner, int, time.Duration)          {}
 func (*owners) Host(*site.Runner) string                        { return "" }
 func (*owners) Missing(*site.Runner, adapters.Key)              {}
@@ -106,6 +113,8 @@
 	// sent gives the versions that requests reached runners with.
 	mu   sync.Mutex
 	sent []string
+	// answer answers in the runners' place where it is set.
+	answer http.HandlerFunc
 }
 
 // inWorld runs a test with so many runners of one model.
@@ -155,6 +164,10 @@
 	w.mu.Lock()
 	w.sent = append(w.sent, r.Header.Get(versionHeader))
 	w.mu.Unlock()
+	if w.answer != nil {
+		w.answer(rw, r)
+		return
+	}
 	rw.Header().Set("Id", r.Header.Get("Id"))
 	rw.Header().Set(stampHeader, "s")
 	rw.Header().Set("Content-Type", eventStream)
