One peer is asked at a time; a list is joined at once; standard terms

Cause: as many peers were asked at once as offered news, up to ten at the target size, and joining a full list worked out what explains what for each of 256 entries (2.7 ms each, benchmark). Now one question at a time, at most ten rounds of heartbeats out of turn a second, and one pass. Names follow those of circuit breakers (half open) in place of a court's. Ruled out: deltas, since lists have a few entries. Tests of quarantine, entry, serve (race detector) and platform green.

--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"strings"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/board"
@@ -28,8 +28,12 @@
 	// reportTimeout bounds a report. A packet that is lost on the way is sent again in
 	// some 250 ms, and a report that fails is not repeated.
 	reportTimeout = time.Second
-	// suspectsAgain is how long the same digest of a peer is not asked about again.
-	suspectsAgain = time.Second
+	// askTimeout bounds a question to a peer. The next heartbeat brings the next question,
+	// to another peer if this one is gone.
+	askTimeout = 400 * time.Millisecond
+	// spreadInterval is the least time between two rounds of heartbeats out of turn, five
+	// messages each, however much there is to tell.
+	spreadInterval = 100 * time.Millisecond
 )
 
 // Methods by which hosts tell each other of requests that end runners.
@@ -92,22 +96,17 @@
 	// records holds the lasting records.
 	records *registry.Replica
 
-	mu sync.Mutex
-	// asked says which digest of a peer was asked about, and when.
-	asked map[string]askedDigest
-	// told is the digest that was last spread.
-	told uint64
-}
+	// told is the digest that was last spread, and when. They are run's.
+	told   uint64
+	toldAt time.Time
 
-type askedDigest struct {
-	digest uint64
-	at     time.Time
+	// asking says that a peer is being asked.
+	asking atomic.Bool
 }
 
 func newSuspects(host string, state *mesh.State, pool *peer.Pool, store registry.Store, b *board.Board, now func() time.Time, log hclog.Logger) *suspects {
 	return &suspects{
 		host: host, quarantine: quarantine.New(), mesh: state, pool: pool, store: store, board: b, now: now, log: log,
-		asked: map[string]askedDigest{},
 	}
 }
 
@@ -143,6 +142,8 @@
 func (s *suspects) wait(ctx context.Context) {
 	var due <-chan time.Time
 	switch {
+	case s.untold():
+		due = time.After(spreadInterval)
 	case s.quarantine.Pending():
 		due = time.After(suspectInterval)
 	case s.quarantine.Size() > 0:
@@ -201,40 +202,35 @@
 // count counts an answer that broke off.
 func (s *suspects) count(cut quarantine.Cut, from string) {
 	counted := s.quarantine.Count(cut, s.now())
-	if counted.Ends > 1 || counted.Accused {
+	if counted.Ends > 1 || counted.Suspected {
 		s.log.Info("runners end under a request", "content", cut.Content.String(), "ends", counted.Ends, "runner", cut.Runner, "reported_by", from,
-			"age_ms", s.now().Sub(cut.At).Milliseconds(), "lasted_ms", cut.Lasted.Milliseconds(), "accused", counted.Accused)
+			"age_ms", s.now().Sub(cut.At).Milliseconds(), "lasted_ms", cut.Lasted.Milliseconds(), "suspected", counted.Suspected)
 	}
 }
 
-// tell has heartbeats sent at once if anything changed that others should know.
+// untold says that something changed that others should know.
+func (s *suspects) untold() bool { return s.quarantine.Digest() != s.told }
+
+// tell has heartbeats sent at once if something changed that others should know.
 func (s *suspects) tell() {
-	digest := s.quarantine.Digest()
-	s.mu.Lock()
-	changed := digest != s.told
-	s.told = digest
-	s.mu.Unlock()
-	if changed {
-		s.spread()
+	now := s.now()
+	if !s.untold() || now.Sub(s.toldAt) < spreadInterval {
+		return
 	}
+	s.told, s.toldAt = s.quarantine.Digest(), now
+	s.spread()
 }
 
-// heard asks a peer for what it knows if that is not what this host knows.
+// heard asks a peer for what it knows if that is not what this host knows. One peer is
+// asked at a time: all who have the news offer it at once, and say the same.
 func (s *suspects) heard(host string, digest uint64) {
-	if digest == 0 || digest == s.quarantine.Digest() {
+	if digest == 0 || digest == s.quarantine.Digest() || !s.asking.CompareAndSwap(false, true) {
 		return
 	}
-	now := s.now()
-	s.mu.Lock()
-	asked := s.asked[host]
-	again := asked.digest == digest && now.Sub(asked.at) < suspectsAgain
-	if !again {
-		s.asked[host] = askedDigest{digest: digest, at: now}
-	}
-	s.mu.Unlock()
-	if !again {
-		go s.ask(host)
-	}
+	go func() {
+		defer s.asking.Store(false)
+		s.ask(host)
+	}()
 }
 
 func (s *suspects) ask(host string) {
@@ -242,7 +238,7 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	var result SuspectsResult
 	if err := s.pool.Call(ctx, address, methodSuspects, struct{}{}, &result); err != nil {
--- a/internal/quarantine/completions.go
+++ b/internal/quarantine/completions.go
@@ -7,7 +7,7 @@
 
 const (
 	// memory is how long ends of runners count against a request, and how long a whole
-	// answer to it speaks for it. A request that ends a runner less often than each five
+	// answer to it is remembered. A request that ends a runner less often than each five
 	// minutes costs its fleet less than ordinary failures do.
 	memory = 10 * time.Minute
 	// completionShards keep requests on different cores from waiting for one lock.
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -43,7 +43,7 @@
 	return e.runner == other.runner && e.at.Sub(other.at).Abs() < sameEnd
 }
 
-// evidence is what speaks against a request.
+// evidence is what was seen of the ends of runners under a request.
 type evidence struct {
 	// ends are those of runners under it, in the order in which they were told.
 	ends []end
@@ -51,7 +51,7 @@
 	lasted time.Duration
 }
 
-// with gives the evidence with more of it.
+// with joins two pieces of evidence.
 func (v evidence) with(more evidence) evidence {
 	sum := evidence{ends: slices.Clone(v.ends), lasted: max(v.lasted, more.lasted)}
 	for _, e := range more.ends {
@@ -62,11 +62,20 @@
 	return sum
 }
 
-// beside counts the ends that are not among others.
-func (v evidence) beside(others []end) int {
+// endsByRunner are ends by the ID of their runner.
+type endsByRunner map[string][]end
+
+func (b endsByRunner) add(ends []end) {
+	for _, e := range ends {
+		b[e.runner] = append(b[e.runner], e)
+	}
+}
+
+// without counts the ends that are not among these.
+func (b endsByRunner) without(ends []end) int {
 	count := 0
-	for _, e := range v.ends {
-		if !slices.ContainsFunc(others, e.same) {
+	for _, e := range ends {
+		if !slices.ContainsFunc(b[e.runner], e.same) {
 			count++
 		}
 	}
@@ -95,17 +104,17 @@
 	return first
 }
 
-// of gives what a cut says against its request.
+// of gives the evidence of one cut.
 func of(cut Cut) evidence {
 	return evidence{ends: []end{{runner: cut.Runner, at: cut.At}}, lasted: cut.Lasted}
 }
 
-// ledger keeps what speaks against requests that are not accused yet. It is not safe for
+// ledger keeps the evidence on requests that are not suspected yet. It is not safe for
 // concurrent use.
 type ledger map[Fingerprint]evidence
 
-// count takes a cut into account and gives all that speaks against its request. Without
-// room it gives nothing.
+// count takes a cut into account and gives all evidence on its request, none if there
+// is no room for another request.
 func (l ledger) count(cut Cut, now time.Time) evidence {
 	known, ok := l[cut.Content]
 	if !ok && len(l) >= maxSuspects {
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -11,18 +11,18 @@
 )
 
 const (
-	// hearing is how long a request that was just accused is still sent, so that a host
-	// where it was answered whole can say so first. Word takes some 0.3 s through a fleet;
-	// with it all hosts agree within two of the platform's three seconds.
-	hearing = 800 * time.Millisecond
-	// sentence is how long a request is kept from the runners, and probation how long
-	// after that a single further end suffices. Runners are mended by people, which takes
+	// confirmWait is how long a request that was just suspected is still sent, so that a host
+	// where it was answered whole can say so first. News takes 0.4 s through 195 hosts; with
+	// it all hosts agree within two of the platform's three seconds.
+	confirmWait = 800 * time.Millisecond
+	// holdTime is how long a request is kept from the runners, and halfOpenTime how long
+	// after that a single further end suffices. Engines are mended by people, which takes
 	// longer than minutes; a try each ten minutes costs a runner and the answers on it.
-	sentence  = 10 * time.Minute
-	probation = 10 * time.Minute
-	// immunity is how long a request that was cleared is not accused again.
-	immunity = time.Minute
-	// completedBefore is how long before the first end a whole answer still speaks for a
+	holdTime     = 10 * time.Minute
+	halfOpenTime = 10 * time.Minute
+	// clearedTime is how long a request that was cleared is not suspected again.
+	clearedTime = time.Minute
+	// completedBefore is how long before the first end a whole answer still clears a
 	// request: one that runners have just served does not end them. Three runners that
 	// are lost at one moment leave a popular request no time for an answer in between.
 	completedBefore = 10 * time.Second
@@ -33,14 +33,15 @@
 	maxEntries = 256
 )
 
-// Entry is what hosts tell each other of a request that was accused.
+// Entry is what hosts tell each other of a request that was suspected.
 type Entry struct {
 	Content Fingerprint `json:"content"`
-	// Round counts the accusations. The word on a later one replaces that on an earlier.
+	// Round counts how often the request became suspect. What is told of a later round
+	// replaces what was told of an earlier one.
 	Round int `json:"round"`
 	// Cleared says that the request was answered whole after all.
 	Cleared bool `json:"cleared,omitempty"`
-	// AgeMS is how long ago the request was accused or cleared.
+	// AgeMS is how long ago the request was suspected or cleared.
 	AgeMS int64 `json:"age_ms"`
 	// Ends are the ends of runners under it, LastedMS the longest time that one of these
 	// had had it.
@@ -63,7 +64,7 @@
 }
 
 // begin gives when the first end was, or, where a lasting record does not tell, when the
-// request was accused.
+// request was suspected.
 func (e entry) begin() time.Time {
 	if first := e.first(); !first.IsZero() {
 		return first
@@ -74,24 +75,24 @@
 // held says for how long the request is still kept from runners, if it is.
 func (e entry) held(now time.Time) (time.Duration, bool) {
 	age := now.Sub(e.at)
-	if e.cleared || age >= sentence {
+	if e.cleared || age >= holdTime {
 		return 0, false
 	}
-	// After a first round others have been heard already.
-	if e.round == 1 && age < hearing {
+	// In a later round the others had their time to clear it in the first.
+	if e.round == 1 && age < confirmWait {
 		return 0, false
 	}
-	return sentence - age, true
+	return holdTime - age, true
 }
 
-// onProbation says that one more end suffices.
-func (e entry) onProbation(now time.Time) bool { return !e.cleared && now.Sub(e.at) >= sentence }
+// halfOpen says that one more end suffices.
+func (e entry) halfOpen(now time.Time) bool { return !e.cleared && now.Sub(e.at) >= holdTime }
 
 func (e entry) over(now time.Time) bool {
 	if e.cleared {
-		return now.Sub(e.at) >= immunity
+		return now.Sub(e.at) >= clearedTime
 	}
-	return now.Sub(e.at) >= sentence+probation
+	return now.Sub(e.at) >= holdTime+halfOpenTime
 }
 
 // merged gives what is known after a peer told of the same request. Hosts may hear in any
@@ -136,10 +137,10 @@
 	return e
 }
 
-// list is what is known of accused requests. It is not changed once it is made.
+// list is what is known of suspected requests. It is not changed once it is made.
 type list struct {
 	entries map[Fingerprint]entry
-	// explained are the accused requests whose ends others explain.
+	// explained are the suspected requests whose ends others explain.
 	explained map[Fingerprint]bool
 	// digest is the same for lists that say the same, 0 for an empty one.
 	digest uint64
@@ -153,33 +154,33 @@
 	return l
 }
 
-// explained gives the accused requests that others explain.
+// explained gives the suspected requests that others explain.
 //
 // A request that runs wherever another ends the runner has the same ends against it, and
-// both would be kept away; kept away, it could no longer show that it does no harm. So of
+// both would be kept away; then it could no longer be answered whole and cleared. So of
 // requests with the same ends only the likeliest cause is kept: that with most ends, and
 // then the one that runners never had for long, since it ends the runner that begins it.
 // If that is the wrong one, the other has an end of its own next, and the two change places.
 func explained(entries map[Fingerprint]entry) map[Fingerprint]bool {
-	var accused []Fingerprint
+	var suspected []Fingerprint
 	for content, e := range entries {
 		if !e.cleared {
-			accused = append(accused, content)
+			suspected = append(suspected, content)
 		}
 	}
-	slices.SortFunc(accused, func(a, b Fingerprint) int {
+	slices.SortFunc(suspected, func(a, b Fingerprint) int {
 		x, y := entries[a], entries[b]
 		return cmp.Or(len(y.ends)-len(x.ends), cmp.Compare(x.lasted, y.lasted), cmp.Compare(a, b))
 	})
 	found := map[Fingerprint]bool{}
-	var known []end
-	for _, content := range accused {
+	known := endsByRunner{}
+	for _, content := range suspected {
 		e := entries[content]
-		if own := e.beside(known); own < len(e.ends) && own < ownEndsToHold {
+		if own := known.without(e.ends); own < len(e.ends) && own < ownEndsToHold {
 			found[content] = true
 			continue
 		}
-		known = append(known, e.ends...)
+		known.add(e.ends)
 	}
 	return found
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,8 +21,8 @@
 // argument and does no I/O. It is safe for concurrent use.
 //
 // Each host reports the answers that broke off to a few hosts that count for the whole
-// fleet. These accuse a request under which three runners have ended. The word goes to all
-// hosts; one that has answered the request whole clears it, and otherwise all keep it from
+// fleet. To these a request under which three runners have ended is suspect, and they tell
+// all hosts. One that has answered the request whole clears it; otherwise all keep it from
 // their runners. So a popular request that happened to run beside the ends stays served.
 type Quarantine struct {
 	completions completions
@@ -60,18 +61,18 @@
 // Completed notes that a request was answered whole. That clears it.
 func (q *Quarantine) Completed(content Fingerprint, now time.Time) {
 	q.completions.note(content, now)
-	if !q.accused(content) {
+	if !q.suspected(content) {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if e := q.list.Load().entries[content]; q.accused(content) {
+	if e := q.list.Load().entries[content]; q.suspected(content) {
 		e.cleared, e.at = true, now
 		q.set(content, e)
 	}
 }
 
-func (q *Quarantine) accused(content Fingerprint) bool {
+func (q *Quarantine) suspected(content Fingerprint) bool {
 	e, ok := q.list.Load().entries[content]
 	return ok && !e.cleared
 }
@@ -128,8 +129,8 @@
 type Counted struct {
 	// Ends is the number of ends of runners under the request.
 	Ends int
-	// Accused says that this one was the last that it took.
-	Accused bool
+	// Suspected says that this one was the last that it took.
+	Suspected bool
 }
 
 // Count counts a cut that this host or a peer reported.
@@ -139,14 +140,14 @@
 	known, listed := q.list.Load().entries[cut.Content]
 	switch {
 	case !listed || known.over(now):
-		against := q.ledger.count(cut, now)
-		accused := len(against.ends) >= endsToHold && q.accuse(cut.Content, 1, against, now)
-		return Counted{Ends: len(against.ends), Accused: accused}
+		seen := q.ledger.count(cut, now)
+		suspected := len(seen.ends) >= endsToHold && q.suspect(cut.Content, 1, seen, now)
+		return Counted{Ends: len(seen.ends), Suspected: suspected}
 	case known.cleared:
 		return Counted{}
-	case known.onProbation(now):
-		since := of(cut).since(known.at.Add(sentence))
-		return Counted{Ends: len(since.ends), Accused: len(since.ends) > 0 && q.accuse(cut.Content, known.round+1, since, now)}
+	case known.halfOpen(now):
+		since := of(cut).since(known.at.Add(holdTime))
+		return Counted{Ends: len(since.ends), Suspected: len(since.ends) > 0 && q.suspect(cut.Content, known.round+1, since, now)}
 	default:
 		more := known
 		more.evidence = known.with(of(cut))
@@ -157,14 +158,14 @@
 	}
 }
 
-// accuse adds an entry, unless the request is known to be served or there is no room; the
+// suspect adds an entry, unless the request is known to be served or there is no room; the
 // lock is held.
-func (q *Quarantine) accuse(content Fingerprint, round int, against evidence, now time.Time) bool {
+func (q *Quarantine) suspect(content Fingerprint, round int, seen evidence, now time.Time) bool {
 	l := q.list.Load()
 	if _, listed := l.entries[content]; !listed && l.full() {
 		return false
 	}
-	e := entry{round: round, at: now, evidence: against}
+	e := entry{round: round, at: now, evidence: seen}
 	e.cleared = q.served(content, e)
 	q.set(content, e)
 	return !e.cleared
@@ -180,22 +181,27 @@
 func (q *Quarantine) Merge(told []Entry, now time.Time) (news []Entry) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	entries := maps.Clone(q.list.Load().entries)
 	for _, one := range told {
 		e := heard(one, now)
-		l := q.list.Load()
-		known, listed := l.entries[one.Content]
+		known, listed := entries[one.Content]
 		if listed {
 			e = known.merged(e)
 		}
-		if e.over(now) || !listed && l.full() || listed && !e.differs(known) {
+		if e.over(now) || !listed && len(entries) >= maxEntries || listed && !e.differs(known) {
 			continue
 		}
 		if !e.cleared && q.served(one.Content, e) {
 			e.cleared, e.at = true, now
 		}
-		q.set(one.Content, e)
+		entries[one.Content] = e
+		delete(q.ledger, one.Content)
 		news = append(news, e.told(one.Content, now))
 	}
+	if len(news) > 0 {
+		q.list.Store(newList(entries))
+		q.wake()
+	}
 	return news
 }
 
@@ -205,7 +211,7 @@
 	if _, listed := q.list.Load().entries[content]; listed {
 		return false
 	}
-	return len(q.Merge([]Entry{{Content: content, Round: round, AgeMS: hearing.Milliseconds()}}, now)) > 0
+	return len(q.Merge([]Entry{{Content: content, Round: round, AgeMS: confirmWait.Milliseconds()}}, now)) > 0
 }
 
 // Entries gives what to tell a peer, without what is over.
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -27,21 +27,21 @@
 }
 
 // A request ends one runner after the other. It is kept from the others once three have
-// ended and nobody has spoken for it, for ten minutes, and one further end suffices then.
+// ended and nobody has answered it whole, for ten minutes, and one further end suffices then.
 func TestHeldAfterThreeEnds(t *testing.T) {
 	q := New()
 	endsUnder(q, 1, 2, 0)
 	must.False(t, held(q, 1, 5*time.Second))
-	must.Eq(t, Counted{Ends: 3, Accused: true}, q.Count(Cut{Content: 1, Runner: "r2", At: after(2 * time.Second)}, after(2*time.Second)))
-	must.False(t, held(q, 1, 2*time.Second+hearing-1), must.Sprint("the others are heard first"))
-	must.True(t, held(q, 1, 2*time.Second+hearing))
+	must.Eq(t, Counted{Ends: 3, Suspected: true}, q.Count(Cut{Content: 1, Runner: "r2", At: after(2 * time.Second)}, after(2*time.Second)))
+	must.False(t, held(q, 1, 2*time.Second+confirmWait-1), must.Sprint("the others may clear it first"))
+	must.True(t, held(q, 1, 2*time.Second+confirmWait))
 	left, _ := q.Held(1, after(time.Minute))
-	must.Eq(t, sentence-58*time.Second, left)
+	must.Eq(t, holdTime-58*time.Second, left)
 
-	released := 2*time.Second + sentence
+	released := 2*time.Second + holdTime
 	must.False(t, held(q, 1, released))
 	must.MapEmpty(t, q.Lasting(after(released)))
-	must.True(t, q.Count(Cut{Content: 1, Runner: "r9", At: after(released + time.Second)}, after(released+time.Second)).Accused)
+	must.True(t, q.Count(Cut{Content: 1, Runner: "r9", At: after(released + time.Second)}, after(released+time.Second)).Suspected)
 	must.True(t, held(q, 1, released+time.Second), must.Sprint("at once"))
 }
 
@@ -78,11 +78,11 @@
 	must.False(t, held(counting, 1, time.Minute))
 	must.Eq(t, counting.Digest(), serving.Digest())
 	endsUnder(counting, 1, 3, 10*time.Second)
-	must.False(t, held(counting, 1, time.Minute), must.Sprint("not accused again so soon"))
+	must.False(t, held(counting, 1, time.Minute), must.Sprint("not suspected again so soon"))
 }
 
 // Three runners are lost at one moment, and with them all that ran there. What was served
-// shortly before is not accused for it, on the host that served it and on the others.
+// shortly before is not suspect for it, on the host that served it and on the others.
 func TestRunnersLostTogether(t *testing.T) {
 	counting, serving := New(), New()
 	serving.Completed(1, begin)
@@ -147,14 +147,14 @@
 	for i := range q.completions.shards {
 		must.LessEq(t, 2*completionsPerShard, len(q.completions.shards[i].young)+len(q.completions.shards[i].old))
 	}
-	q.Forget(after(sentence + probation + time.Second))
+	q.Forget(after(holdTime + halfOpenTime + time.Second))
 	must.Eq(t, 0, q.Size())
 	must.MapEmpty(t, q.ledger)
 }
 
 // Two requests run side by side wherever a runner ends, and neither is ever answered: by
 // the ends alone, each may be the cause. Kept away both, the harmless one could no longer
-// show that it is. The one that runners never had for long is kept; if that is the wrong
+// be answered and cleared. The one that runners never had for long is kept; if that is the wrong
 // one, the other has an end of its own, and the two change places. Both are kept if both
 // end runners by themselves.
 func TestRequestsThatRunSideBySide(t *testing.T) {
@@ -181,17 +181,17 @@
 	must.True(t, held(wrong, slow, 6*time.Second))
 	must.False(t, held(wrong, quick, 6*time.Second))
 
-	guilty := both()
+	two := both()
 	for i := range 2 {
 		at := after(time.Duration(5+i) * time.Second)
-		guilty.Count(Cut{Content: slow, Runner: fmt.Sprintf("s%d", i), At: at, Lasted: time.Second}, at)
+		two.Count(Cut{Content: slow, Runner: fmt.Sprintf("s%d", i), At: at, Lasted: time.Second}, at)
 	}
 	for i := range 2 {
 		at := after(time.Duration(8+i) * time.Second)
-		guilty.Count(Cut{Content: quick, Runner: fmt.Sprintf("q%d", i), At: at, Lasted: time.Second}, at)
+		two.Count(Cut{Content: quick, Runner: fmt.Sprintf("q%d", i), At: at, Lasted: time.Second}, at)
 	}
-	must.True(t, held(guilty, slow, time.Minute))
-	must.True(t, held(guilty, quick, time.Minute))
+	must.True(t, held(two, slow, time.Minute))
+	must.True(t, held(two, quick, time.Minute))
 }
 
 // A host that starts reads that a request is kept from runners. It keeps to that at once.
@@ -203,7 +203,7 @@
 	must.Eq(t, 2, q.Lasting(begin)[1])
 }
 
-// Hosts hear of accusations, of further rounds and that a request was cleared in any order
+// Hosts hear of suspicions, of further rounds and that a request was cleared in any order
 // and more than once. They end up with the same list.
 func TestHostsAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -246,3 +246,18 @@
 		content.Fingerprint()
 	}
 }
+
+// BenchmarkFullList is what a host pays for one change of a list that is full: 2.7 ms.
+func BenchmarkFullList(b *testing.B) {
+	entries := map[Fingerprint]entry{}
+	for i := range maxEntries {
+		e := entry{round: 1, at: begin}
+		for j := range maxEnds {
+			e.ends = append(e.ends, end{runner: fmt.Sprintf("i-%d-%d", i/2, j), at: begin})
+		}
+		entries[Fingerprint(i)] = e
+	}
+	for b.Loop() {
+		newList(entries)
+	}
+}
--- a/internal/serve/quarantine_test.go
+++ b/internal/serve/quarantine_test.go
@@ -31,7 +31,7 @@
 	}
 }
 
-// hold has the request kept from runners, after another host's word.
+// hold has the request kept from runners, as another host told.
 func (w *world) hold() {
 	w.server.Quarantine.Merge([]quarantine.Entry{{Content: contentOf(w.request()).Fingerprint(), Round: 2}}, time.Now())
 }
@@ -42,7 +42,7 @@
 // A request waits at its runner's owner for a second while hosts agree to keep it from
 // runners. Its caller hears so within a tenth of a second and not when its turn comes, and
 // no runner gets it.
-func TestWordComesWhileARequestWaits(t *testing.T) {
+func TestRequestIsKeptWhileItWaits(t *testing.T) {
 	inWorld(t, 2, func(w *world) {
 		w.owners.answers = append(w.owners.answers, later(time.Second, false))
 		time.AfterFunc(300*time.Millisecond, w.hold)
@@ -55,9 +55,9 @@
 	})
 }
 
-// Word comes after the first of two runners has ended under a request. It may have run, so
+// Hosts agree on a request after the first of two runners has ended under it. It may have run, so
 // its caller must not be told that it has not, and the second runner does not get it.
-func TestWordComesAfterARunnersEnd(t *testing.T) {
+func TestRequestIsKeptAfterARunnersEnd(t *testing.T) {
 	inWorld(t, 2, func(w *world) {
 		w.answer = func(http.ResponseWriter, *http.Request) {
 			w.hold()
@@ -83,8 +83,8 @@
 	})
 }
 
-// Answers that break off are told with their content and runner, those that come whole
-// speak for their request.
+// Answers that break off are told with their content and runner; one that comes whole
+// clears its request.
 func TestEndsOfAnswersAreTold(t *testing.T) {
 	inWorld(t, 2, func(w *world) {
 		w.answer = breakOff
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -237,7 +237,7 @@
 		if l.keptFromRunners() || !l.place(ctx) {
 			return
 		}
-		// Word may have come while the request waited for its place.
+		// The hosts may have agreed on it while it waited for its place.
 		if l.keptFromRunners() {
 			l.giveBack()
 			return
