--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -29,7 +29,7 @@
 	// ownEndsToHold is the number of ends of its own for which a request is kept from
 	// runners if others explain the rest. One may be chance.
 	ownEndsToHold = 2
-	// maxEntries bounds the list, 120 KB as it goes between hosts if all are in doubt.
+	// maxEntries bounds the list, 150 KB as it goes between hosts if all have eight ends.
 	maxEntries = 256
 )
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -260,6 +260,11 @@
 
 // keptFromRunners answers a request under which runners have ended. It says when a runner
 // may be tried again, which is minutes away.
+//
+// Sent again under a new ID each time, such a request ended 27 runners within 17 s, one
+// after the other, and cut off all that ran beside it. Since each host asks before each
+// send, only the sends of the 1.3 s in which the hosts agree follow the third end: at most
+// three in a fleet that was tested with one each 0.8 s, against 11 to 16.
 func (l *life) keptFromRunners() bool {
 	left, held := l.s.Quarantine.Held(l.content, l.s.Now())
 	if !held {
@@ -271,7 +276,8 @@
 }
 
 // giveBack gives back the place that the request was admitted to and will not use. A place
-// that nobody gives back counts as used until the longest of its requests would be over.
+// that nobody gives back counts as used until the longest of its requests would be over,
+// and other adapters are refused for it.
 func (l *life) giveBack() {
 	if l.key.Name != "" {
 		l.s.Owners.Ended(l.runner, l.key.Adapter)
