--- /dev/null
+++ b/internal/ingress/ingress_test.go
@@ -0,0 +1,217 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/directory"
+	"github.com/cherrystage/cherrystage/internal/forward"
+	"github.com/cherrystage/cherrystage/internal/registry"
+	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/cherrystage/cherrystage/internal/standin"
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+)
+
+// dialect reads a request's ID and its caller's patience.
+type dialect struct{}
+
+func (dialect) Ask(header http.Header) (forward.Ask, error) {
+	ask := forward.Ask{ID: header.Get("Id")}
+	if ask.ID == "" {
+		return ask, errors.New("no ID")
+	}
+	if text := header.Get("Patience"); text != "" {
+		patience, err := time.ParseDuration(text)
+		if err != nil {
+			return ask, errors.Wrap(err, "patience")
+		}
+		ask.Patience = patience
+	}
+	return ask, nil
+}
+
+func (dialect) Set(_, _ http.Header, _ forward.Ask, _ forward.Send) {}
+func (dialect) Told(int, http.Header) forward.Told                  { return forward.Told{} }
+
+// decoder knows one configuration.
+type decoder struct{ config *site.Config }
+
+func (d decoder) Config(json.RawMessage) (*site.Config, error) { return d.config, nil }
+func (decoder) Runner(string, json.RawMessage) (*site.Runner, error) {
+	return nil, errors.New("no runners")
+}
+func (decoder) StripRunner(spec json.RawMessage) json.RawMessage { return spec }
+func (decoder) AdapterVersion(json.RawMessage) (site.AdapterVersion, error) {
+	return site.AdapterVersion{}, errors.New("no versions")
+}
+
+const maxBody = 100
+
+// entrance is an ingress in memory and virtual time, before a route /a/ of the host h.
+type entrance struct {
+	t        *testing.T
+	net      *standin.Network
+	closing  bool
+	refusing bool
+	served   []*forward.Request
+}
+
+func inEntrance(t *testing.T, configured bool, run func(e *entrance)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		e := &entrance{t: t, net: standin.NewNetwork()}
+		defer func() {
+			e.net.Close()
+			// The server waits for a moment before it closes a connection.
+			time.Sleep(time.Second)
+			synctest.Wait()
+		}()
+		route := &site.Route{Name: "a", Host: "h", Prefix: "/a/", Kind: site.Idempotent}
+		config := site.NewConfig(1, []*site.Route{route}, nil, site.Limits{MaxBodyBytes: maxBody})
+		known := directory.New(decoder{config: config}, time.Now, hclog.NewNullLogger())
+		if configured {
+			known.Configs.Changed([]registry.Change{{Record: registry.Record{Name: "main", Revision: 1}}}, 1)
+		}
+		server := (&Ingress{
+			Dialect: dialect{}, Directory: known, Now: time.Now, Log: hclog.NewNullLogger(),
+			Serve: func(_ context.Context, w http.ResponseWriter, _ *site.Route, request *forward.Request, _ time.Time) {
+				e.served = append(e.served, request)
+				_, _ = io.WriteString(w, "served")
+			},
+			Closing: func() bool { return e.closing }, Refusing: func() bool { return e.refusing },
+		}).Server()
+		listener, err := e.net.Host("entry").Listen("80")
+		must.NoError(t, err)
+		go func() { _ = server.Serve(Listener(listener)) }()
+		defer func() { _ = server.Close() }()
+		run(e)
+	})
+}
+
+// send writes bytes on a new connection and reads one answer.
+func (e *entrance) send(text string) *http.Response {
+	e.t.Helper()
+	conn, err := e.net.Host("caller").Dial(e.t.Context(), "tcp", "entry:80")
+	must.NoError(e.t, err)
+	return e.sendOn(conn, text)
+}
+
+func (e *entrance) sendOn(conn net.Conn, text string) *http.Response {
+	e.t.Helper()
+	go func() { _, _ = io.WriteString(conn, text) }()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(e.t, err)
+	body, err := io.ReadAll(response.Body)
+	must.NoError(e.t, err)
+	response.Body = io.NopCloser(strings.NewReader(string(body)))
+	return response
+}
+
+// post is a request for a path with a body of a length.
+func post(path string, length int) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: q\r\nContent-Length: %d\r\n\r\n%s", path, length, strings.Repeat("x", length))
+}
+
+// A request is handed on as its caller sent it: path and query to the letter, the body
+// whole, and where it came from.
+func TestRequestIsHandedOnAsItCame(t *testing.T) {
+	inEntrance(t, true, func(e *entrance) {
+		response := e.send("POST /a/b%20c/../d?x=1%2b2&x=3 HTTP/1.1\r\nHost: h:8080\r\nId: q\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+		must.Eq(t, http.StatusOK, response.StatusCode)
+		must.Len(t, 1, e.served)
+		request := e.served[0]
+		must.Eq(t, "/a/b%20c/../d?x=1%2b2&x=3", request.Target)
+		must.Eq(t, "abcde", string(request.Body))
+		must.Eq(t, "q", request.ID)
+		must.Eq(t, "caller", request.From)
+	})
+}
+
+// What cannot be served ends at the entrance, with the status that says why. What may be
+// asked again says so; a connection on which unread bytes may follow is closed.
+func TestRequestsThatEndAtTheEntrance(t *testing.T) {
+	for name, test := range map[string]struct {
+		text   string
+		status int
+		closed bool
+	}{
+		"no route":            {text: post("/b/x", 0), status: http.StatusNotFound},
+		"no ID":               {text: "GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n", status: http.StatusBadRequest, closed: true},
+		"patience not a time": {text: "GET /a/x HTTP/1.1\r\nHost: h\r\nId: q\r\nPatience: soon\r\n\r\n", status: http.StatusBadRequest, closed: true},
+		"two lengths":         {text: "POST /a/x HTTP/1.1\r\nHost: h\r\nId: q\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", status: http.StatusBadRequest, closed: true},
+		"body over the limit": {text: post("/a/x", maxBody+1), status: http.StatusRequestEntityTooLarge, closed: true},
+		"chunks over the limit": {text: "POST /a/x HTTP/1.1\r\nHost: h\r\nId: q\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + strings.Repeat("x", maxBody+1) + "\r\n0\r\n\r\n",
+			status: http.StatusRequestEntityTooLarge, closed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inEntrance(t, true, func(e *entrance) {
+				response := e.send(test.text)
+				must.Eq(t, test.status, response.StatusCode)
+				must.Eq(t, test.closed, response.Close)
+				must.SliceEmpty(t, e.served)
+			})
+		})
+	}
+}
+
+// A host without a configuration knows no route. Told 404, callers would believe that the
+// route is gone; they are told to come back.
+func TestNothingIsDeniedWithoutAConfiguration(t *testing.T) {
+	inEntrance(t, false, func(e *entrance) {
+		response := e.send(post("/a/x", 0))
+		must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+		must.Eq(t, unknownRetry, response.Header.Get("Retry-After"))
+	})
+}
+
+// A caller sends half of its body and no more. It is told that the request has not run,
+// once its own patience is over and not later.
+func TestBodyThatStops(t *testing.T) {
+	inEntrance(t, true, func(e *entrance) {
+		begin := time.Now()
+		response := e.send("POST /a/x HTTP/1.1\r\nHost: h\r\nId: q\r\nPatience: 2s\r\nContent-Length: 50\r\n\r\nhalf")
+		must.Eq(t, http.StatusRequestTimeout, response.StatusCode)
+		must.Eq(t, 2*time.Second, time.Since(begin))
+		must.SliceEmpty(t, e.served)
+	})
+}
+
+// A host that stops first serves what still comes and closes the connections behind it,
+// then refuses what comes on those that are open, since it could not end it in time.
+func TestHostThatStops(t *testing.T) {
+	inEntrance(t, true, func(e *entrance) {
+		e.closing = true
+		response := e.send(post("/a/x", 3))
+		must.Eq(t, http.StatusOK, response.StatusCode)
+		must.True(t, response.Close)
+		e.refusing = true
+		response = e.send(post("/a/x", 3))
+		must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+		must.Eq(t, leavingRetry, response.Header.Get("Retry-After"))
+		must.Len(t, 1, e.served)
+	})
+}
+
+// Requests follow each other on one connection. What was kept of the first must not be
+// taken for the framing of the second.
+func TestFramingOfFollowingRequests(t *testing.T) {
+	inEntrance(t, true, func(e *entrance) {
+		conn, err := e.net.Host("caller").Dial(e.t.Context(), "tcp", "entry:80")
+		must.NoError(t, err)
+		must.Eq(t, http.StatusOK, e.sendOn(conn, post("/a/x", 5)).StatusCode)
+		chunked := "POST /a/x HTTP/1.1\r\nHost: h\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+		must.Eq(t, http.StatusOK, e.sendOn(conn, chunked).StatusCode)
+		must.Eq(t, "abc", string(e.served[1].Body))
+	})
+}
