Callers' keys are known by their digests, by one type for all interfaces

An inventory's digest in capitals was accepted and never matched. Now: credential.Digest, Bearer and Holders; inventory, callerapi, adminapi and settings use them. The key itself is held only while its header is read.

--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -4,17 +4,15 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"encoding/json"
 	"expvar"
 	"net/http"
 	"net/http/pprof"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/configlog"
+	"github.com/cherrystage/cherrystage/internal/credential"
 	"github.com/cherrystage/cherrystage/internal/dispatch"
 	"github.com/cherrystage/cherrystage/internal/inventory"
 	"github.com/cherrystage/cherrystage/internal/objectapi"
@@ -24,7 +22,6 @@
 )
 
 const (
-	bearerPrefix    = "Bearer "
 	maxChangeBytes  = 64 << 20
 	defaultAudit    = 50
 	maxAudit        = 1000
@@ -100,11 +97,11 @@
 	publisher Publisher
 	auditor   Auditor
 	node      Node
-	operators map[string]string
+	operators credential.Holders
 }
 
 // New makes the API; operators gives names by the digests of their keys.
-func New(publisher Publisher, auditor Auditor, node Node, operators map[string]string) *API {
+func New(publisher Publisher, auditor Auditor, node Node, operators credential.Holders) *API {
 	return &API{publisher: publisher, auditor: auditor, node: node, operators: operators}
 }
 
@@ -133,9 +130,8 @@
 // authorize finds which operator calls.
 func (a *API) authorize(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		key, _ := strings.CutPrefix(c.Request().Header.Get("Authorization"), bearerPrefix)
-		digest := sha256.Sum256([]byte(key))
-		operator, ok := a.operators[hex.EncodeToString(digest[:])]
+		key, _ := credential.Bearer(c.Request().Header["Authorization"])
+		operator, ok := a.operators.Holder(key)
 		if !ok {
 			return &apiError{status: http.StatusUnauthorized, body: ErrorResult{Code: CodeUnauthorized, Message: "no operator has this key", Verdict: verdict.NotRun}}
 		}
--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/configlog"
+	"github.com/cherrystage/cherrystage/internal/credential"
 	"github.com/cherrystage/cherrystage/internal/dispatch"
 	"github.com/cherrystage/cherrystage/internal/inventory"
 	"github.com/cherrystage/cherrystage/internal/objectapi"
@@ -105,7 +106,7 @@
 	if key != "-" {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
-	api := New(node, node, node, map[string]string{standalone.Digest(standalone.OperatorKey): "kim"})
+	api := New(node, node, node, credential.Holders{credential.Of(standalone.OperatorKey): "kim"})
 	recorder := httptest.NewRecorder()
 	api.Handler().ServeHTTP(recorder, req)
 	return recorder
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/credential"
 	"github.com/cherrystage/cherrystage/internal/dispatch"
 	"github.com/cherrystage/cherrystage/internal/engine"
 	"github.com/cherrystage/cherrystage/internal/inventory"
@@ -44,7 +45,6 @@
 
 const (
 	maxKeyLength = 256
-	bearerPrefix = "Bearer "
 )
 
 // Dispatcher serves requests.
@@ -139,7 +139,7 @@
 
 // caller finds who sends the request.
 func (a *API) caller(c echo.Context, snapshot *inventory.Snapshot) (inventory.Caller, error) {
-	key, found := strings.CutPrefix(c.Request().Header.Get("Authorization"), bearerPrefix)
+	key, found := credential.Bearer(c.Request().Header["Authorization"])
 	if !found {
 		return inventory.Caller{}, refuse(http.StatusUnauthorized, codeUnauthorized, "no bearer key")
 	}
--- a/internal/inventory/document.go
+++ b/internal/inventory/document.go
@@ -6,10 +6,10 @@
 package inventory
 
 import (
-	"encoding/hex"
 	"regexp"
 	"strings"
 
+	"github.com/cherrystage/cherrystage/internal/credential"
 	"github.com/pkg/errors"
 )
 
@@ -19,7 +19,6 @@
 	MinVersions   = 1
 	MaxVersions   = 64
 	MaxPriority   = 9
-	digestLength  = 32
 	// AnyCaller in a list of callers lets every known caller in.
 	AnyCaller = "*"
 )
@@ -123,8 +122,8 @@
 	if err := checkName("caller", c.Name); err != nil {
 		return err
 	}
-	if raw, err := hex.DecodeString(c.KeyDigest); err != nil || len(raw) != digestLength {
-		return errors.Errorf("caller %s: key_digest is not a SHA-256 digest in hexadecimal", c.Name)
+	if _, err := credential.Parse(c.KeyDigest); err != nil {
+		return errors.Wrapf(err, "caller %s: key_digest", c.Name)
 	}
 	if c.Priority < 0 || c.Priority > MaxPriority {
 		return errors.Errorf("caller %s: priority %d is not within 0 to %d", c.Name, c.Priority, MaxPriority)
@@ -135,6 +134,15 @@
 	return nil
 }
 
+// digest gives the digest of the caller's key; Check has seen that there is one.
+func (c Caller) digest() credential.Digest {
+	digest, err := credential.Parse(c.KeyDigest)
+	if err != nil {
+		return credential.Digest{}
+	}
+	return digest
+}
+
 // Check says what is wrong with a service.
 func (s Service) Check() error { return checkName("service", s.Name) }
 
--- a/internal/inventory/snapshot.go
+++ b/internal/inventory/snapshot.go
@@ -1,12 +1,12 @@
 package inventory
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
+	"maps"
 	"sort"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cherrystage/cherrystage/internal/credential"
 	"github.com/pkg/errors"
 )
 
@@ -31,7 +31,7 @@
 	shards   [shardCount][]record
 	count    int
 	callers  map[string]Caller
-	byDigest map[string]string
+	byDigest credential.Holders
 	services map[string]Service
 	rules    []Rule
 	profiles *interner
@@ -41,7 +41,7 @@
 func Empty() *Snapshot {
 	return &Snapshot{
 		callers:  map[string]Caller{},
-		byDigest: map[string]string{},
+		byDigest: credential.Holders{},
 		services: map[string]Service{},
 		profiles: &interner{kept: map[string]*profile{}},
 	}
@@ -76,7 +76,7 @@
 	next := *s
 	next.revision = revision
 	next.callers = copyMap(s.callers)
-	next.byDigest = copyMap(s.byDigest)
+	next.byDigest = maps.Clone(s.byDigest)
 	next.services = copyMap(s.services)
 	next.rules = append([]Rule(nil), s.rules...)
 	return &next
@@ -99,7 +99,7 @@
 	case op.PutCaller != nil:
 		s.forgetDigest(op.PutCaller.Name)
 		s.callers[op.PutCaller.Name] = *op.PutCaller
-		s.byDigest[op.PutCaller.KeyDigest] = op.PutCaller.Name
+		s.byDigest[op.PutCaller.digest()] = op.PutCaller.Name
 	case op.DeleteCaller != "":
 		if _, ok := s.callers[op.DeleteCaller]; !ok {
 			return errors.Errorf("no caller %q", op.DeleteCaller)
@@ -122,7 +122,7 @@
 }
 
 func (s *Snapshot) forgetDigest(caller string) {
-	old := s.callers[caller].KeyDigest
+	old := s.callers[caller].digest()
 	if s.byDigest[old] == caller {
 		delete(s.byDigest, old)
 	}
@@ -254,10 +254,9 @@
 	return Document{Adapters: s.Adapters(), Callers: s.Callers(), Services: s.Services(), Rules: s.Rules()}
 }
 
-// CallerByKey finds the caller that a bearer key belongs to.
-func (s *Snapshot) CallerByKey(key string) (Caller, bool) {
-	digest := sha256.Sum256([]byte(key))
-	name, ok := s.byDigest[hex.EncodeToString(digest[:])]
+// CallerByKey finds the caller that a bearer key belongs to, by its digest.
+func (s *Snapshot) CallerByKey(key credential.Digest) (Caller, bool) {
+	name, ok := s.byDigest.Holder(key)
 	return s.callers[name], ok
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -3,12 +3,12 @@
 package settings
 
 import (
-	"encoding/hex"
 	"net"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/credential"
 	"github.com/pkg/errors"
 )
 
@@ -81,7 +81,6 @@
 
 const (
 	minKeyLength    = 16
-	digestBytes     = 32
 	maxRetryBudget  = 1
 	minLeaseBeats   = 4
 	longestInterval = 24 * time.Hour
@@ -150,8 +149,8 @@
 	}
 	for _, pair := range s.OperatorKeys {
 		name, digest, found := strings.Cut(pair, "=")
-		raw, err := hex.DecodeString(digest)
-		if !found || name == "" || err != nil || len(raw) != digestBytes {
+		_, err := credential.Parse(digest)
+		if !found || name == "" || err != nil {
 			return errors.Errorf("--operator %q: want NAME=DIGEST with a SHA-256 digest in hexadecimal", name)
 		}
 	}
@@ -226,11 +225,12 @@
 }
 
 // OperatorByDigest gives the operators' names by the digests of their keys.
-func (s *Settings) OperatorByDigest() map[string]string {
-	byDigest := map[string]string{}
+func (s *Settings) OperatorByDigest() credential.Holders {
+	byDigest := credential.Holders{}
 	for _, pair := range s.OperatorKeys {
-		if name, digest, found := strings.Cut(pair, "="); found {
-			byDigest[strings.ToLower(digest)] = name
+		name, text, _ := strings.Cut(pair, "=")
+		if digest, err := credential.Parse(text); err == nil {
+			byDigest[digest] = name
 		}
 	}
 	return byDigest
--- a/internal/standalone/standalone.go
+++ b/internal/standalone/standalone.go
@@ -4,11 +4,10 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/configlog"
+	"github.com/cherrystage/cherrystage/internal/credential"
 	"github.com/cherrystage/cherrystage/internal/inventory"
 	"github.com/cherrystage/cherrystage/internal/objectapi"
 	"github.com/cherrystage/cherrystage/internal/settings"
@@ -46,10 +45,7 @@
 }
 
 // Digest gives the digest of a key as settings and inventories hold it.
-func Digest(key string) string {
-	digest := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(digest[:])
-}
+func Digest(key string) string { return credential.Of(key).String() }
 
 func applySample(ctx context.Context, url string) error {
 	publisher := configlog.NewPublisher(objectapi.NewClient(url, nil))
