Callers show a key of a workspace; runners get its name and never the key

Now: site.Workspaces knows keys by digest; ingress answers 401 before the body is read and reads its rest after the answer, 503 without a configuration as before; the adapter removes the caller's key and workspace and sets the one found. Of two workspaces with a key the first listed holds it, with an error line; a list that is empty lets nobody in, one that is missing asks for no key; what runs when its key goes ends as it began. Numbers of tokens are read once, bounded and without overflow. Ruled out: http.Error for the 401, which drops the length, so that the answer was whole only after the body was read (10 s in the test).

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -142,7 +142,11 @@
 	}
 	d.config = config
 	d.publish()
-	d.log.Info("configuration in force", "version", config.Version, "revision", revision, "routes", config.Len())
+	d.log.Info("configuration in force", "version", config.Version, "revision", revision, "routes", config.Len(),
+		"keys_needed", config.Workspaces != nil, "workspaces", len(config.Workspaces.Names()))
+	if config.Workspaces != nil && len(config.Workspaces.Shared) > 0 {
+		d.log.Error("a key stands at two workspaces; the first one listed holds it", "version", config.Version, "workspaces", config.Workspaces.Shared)
+	}
 }
 
 func (d *Directory) runnersChanged(changes []registry.Change, whole bool) {
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/credential"
 	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/cherrystage/cherrystage/internal/verdict"
 	"github.com/pkg/errors"
@@ -29,6 +30,11 @@
 	Adapter      site.Adapter
 	PromptTokens int
 	OutputTokens int
+	// Counted is what the caller's numbers of tokens come to.
+	Counted Counted
+	// Key is the digest of the caller's bearer key, Keyed whether there is one.
+	Key   credential.Digest
+	Keyed bool
 	// LikelyTokens is the caller's estimate of the answer's length, 0 if it has none.
 	LikelyTokens int
 	// Patience is how long the caller waits for the answer; 0 if it does not say.
@@ -37,6 +43,24 @@
 	ResumeAfter string
 }
 
+// Counted is the number of tokens of a request, of its prompt and its answer together,
+// as its caller tells it.
+type Counted struct {
+	Tokens int64
+	// Told says that the caller tells numbers, Bad what is wrong with them.
+	Told bool
+	Bad  error
+}
+
+// Caller is whose request it is.
+type Caller struct {
+	// Checked says that callers' keys count here: the runner gets no key, and the
+	// workspace that this host found in place of one that the caller names.
+	Checked bool
+	// Workspace is nil on public routes and where keys do not count.
+	Workspace *site.Workspace
+}
+
 // Send is what an attempt's headers tell the runner.
 type Send struct {
 	// Instance is the runner that the request is meant for.
@@ -50,6 +74,8 @@
 	Urgency int
 	// ResumeAfter is the last event that the caller already has.
 	ResumeAfter string
+	// Caller is whose request it is.
+	Caller Caller
 }
 
 // Load is what a runner says of its load in an answer.
@@ -93,7 +119,16 @@
 	Header http.Header
 	Body   []byte
 	// From is the address that the request came from.
-	From string
+	From   string
+	Caller Caller
+}
+
+// WorkspaceName gives the name of the request's workspace, empty where it has none.
+func (r *Request) WorkspaceName() string {
+	if r.Caller.Workspace == nil {
+		return ""
+	}
+	return r.Caller.Workspace.Name
 }
 
 // Answer is a runner's answer whose headers have arrived. Its body must be
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -117,6 +118,11 @@
 		i.reject(w, r, http.StatusNotFound, "no route")
 		return
 	}
+	caller, known := callerOf(config, route, ask)
+	if !known {
+		i.unauthorized(w, r)
+		return
+	}
 	body, status := i.read(w, r, config, ask)
 	if status != 0 {
 		i.reject(w, r, status, "body not read")
@@ -130,10 +136,45 @@
 		Header: r.Header,
 		Body:   body,
 		From:   hostName(r.RemoteAddr),
+		Caller: caller,
 	}
 	i.Serve(r.Context(), w, route, request, arrived)
 }
 
+// callerOf finds whose request it is by the configuration in force. It is not known
+// where the route wants a key and no workspace holds the one that came.
+func callerOf(config *site.Config, route *site.Route, ask forward.Ask) (forward.Caller, bool) {
+	caller := forward.Caller{Checked: config.Workspaces != nil}
+	if !caller.Checked {
+		return caller, true
+	}
+	if ask.Keyed {
+		caller.Workspace, _ = config.Workspaces.ByKey(ask.Key)
+	}
+	return caller, caller.Workspace != nil || route.Public
+}
+
+// unauthorized answers a request without a key in force. Its body is not waited for:
+// net/http would read it before the answer, and a caller that sends slowly would hold
+// the connection for nothing. What is left of it is read after the answer, so that the
+// next request on the connection begins where it should.
+func (i *Ingress) unauthorized(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	if err := control.EnableFullDuplex(); err != nil {
+		i.Log.Debug("the answer waits for the request's body", "error", err.Error())
+	}
+	w.Header().Set("WWW-Authenticate", "Bearer")
+	i.reject(w, r, http.StatusUnauthorized, "no key in force came with the request")
+	if err := control.Flush(); err != nil {
+		return
+	}
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, defaultBodyBytes)); err != nil {
+		i.Log.Debug("the rest of a rejected request was not read", "error", err.Error())
+	}
+}
+
 // read reads the body and gives the status to reject the request with, or 0.
 func (i *Ingress) read(w http.ResponseWriter, r *http.Request, config *site.Config, ask forward.Ask) ([]byte, int) {
 	if r.Body == nil || r.Body == http.NoBody {
@@ -168,14 +209,23 @@
 	}
 }
 
-// reject answers a request that goes no further. The connection is closed: what
-// follows on it may be the rest of what was not read.
+// reject answers a request that goes no further. Where its framing or its body is in
+// doubt the connection is closed: what follows on it may be the rest of what was not read.
 func (i *Ingress) reject(w http.ResponseWriter, r *http.Request, status int, reason string) {
 	i.Log.Info("request rejected", "id", i.idOf(r), "method", r.Method, "host_header", r.Host, "path", r.URL.Path, "status", status, "reason", reason)
-	if status != http.StatusNotFound && status != http.StatusServiceUnavailable {
+	switch status {
+	case http.StatusNotFound, http.StatusServiceUnavailable, http.StatusUnauthorized:
+	default:
 		w.Header().Set("Connection", "close")
 	}
-	http.Error(w, reason, status)
+	body := reason + "\n"
+	header := w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("X-Content-Type-Options", "nosniff")
+	// With its length the answer is whole once it is flushed.
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, body)
 }
 
 // idOf gives the request's id for the log, where it has one.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/credential"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/registry"
@@ -31,6 +32,7 @@
 	if ask.ID == "" {
 		return ask, errors.New("no ID")
 	}
+	ask.Key, ask.Keyed = credential.Bearer(header["Authorization"])
 	if text := header.Get("Patience"); text != "" {
 		patience, err := time.ParseDuration(text)
 		if err != nil {
@@ -68,6 +70,24 @@
 }
 
 func inEntrance(t *testing.T, configured bool, run func(e *entrance)) {
+	t.Helper()
+	var config *site.Config
+	if configured {
+		config = configWith(nil)
+	}
+	inEntranceOf(t, config, run)
+}
+
+// configWith is a configuration with the routes /a/ and, for everybody, /open/ of the host h.
+func configWith(workspaces *site.Workspaces) *site.Config {
+	route := &site.Route{Name: "a", Host: "h", Prefix: "/a/", Kind: site.Idempotent}
+	open := &site.Route{Name: "open", Host: "h", Prefix: "/open/", Kind: site.Idempotent, Public: true}
+	config := site.NewConfig(1, []*site.Route{route, open}, nil, site.Limits{MaxBodyBytes: maxBody})
+	config.Workspaces = workspaces
+	return config
+}
+
+func inEntranceOf(t *testing.T, config *site.Config, run func(e *entrance)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		e := &entrance{t: t, net: standin.NewNetwork()}
@@ -77,10 +97,8 @@
 			time.Sleep(time.Second)
 			synctest.Wait()
 		}()
-		route := &site.Route{Name: "a", Host: "h", Prefix: "/a/", Kind: site.Idempotent}
-		config := site.NewConfig(1, []*site.Route{route}, nil, site.Limits{MaxBodyBytes: maxBody})
 		known := directory.New(decoder{config: config}, time.Now, hclog.NewNullLogger())
-		if configured {
+		if config != nil {
 			known.Configs.Changed([]registry.Change{{Record: registry.Record{Name: "main", Revision: 1}}}, 1)
 		}
 		server := (&Ingress{
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -100,6 +100,9 @@
 		"left_ms", l.deadline.Sub(now).Milliseconds(), "config", snapshot.Config.Version,
 		"config_age_ms", configAge.Milliseconds(), "runners_age_ms", runnersAge.Milliseconds(),
 	}
+	if workspace := l.request.WorkspaceName(); workspace != "" {
+		fields = append(fields, "workspace", workspace)
+	}
 	if l.runner != nil {
 		view := l.s.Board.View(l.runner.ID, now)
 		fields = append(fields, "runner", l.runner.ID, "runner_load", view.Load, "runner_suspect", view.Suspect, "owner", l.s.Owners.Host(l.runner))
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -78,6 +78,7 @@
 		AdapterVersion: l.key.Version,
 		Urgency:        evenUrgency,
 		ResumeAfter:    l.last,
+		Caller:         l.request.Caller,
 	}
 }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -57,7 +57,9 @@
 	MaxAttempts int
 	// Resumable streams may be continued by another runner.
 	Resumable bool
-	Targets   []Target
+	// Public routes take requests without a key.
+	Public  bool
+	Targets []Target
 }
 
 // MayRepeat says whether a request may run more than once.
@@ -134,8 +136,10 @@
 	Version  int64
 	Services map[string]*Service
 	Limits   Limits
-	byHost   map[string][]*Route
-	routes   int
+	// Workspaces is nil where callers need no key.
+	Workspaces *Workspaces
+	byHost     map[string][]*Route
+	routes     int
 }
 
 // NewConfig makes a configuration.
