--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -35,11 +35,11 @@
 	now   func() time.Time
 	log   hclog.Logger
 
+	resting resting
+
 	mu sync.Mutex
 	// known are adapters that lay on a runner when its owner last said so.
 	known map[string]map[site.Adapter]known
-	// resting are hosts that did not answer, until they are asked again.
-	resting map[string]time.Time
 	// outcomes of requests since they were last told, by runner.
 	outcomes map[string]Told
 	told     map[string]tolled
@@ -53,7 +53,7 @@
 func newOwners(host string, state *mesh.State, pool *peer.Pool, b *board.Board, now func() time.Time, log hclog.Logger) *owners {
 	return &owners{
 		host: host, mesh: state, pool: pool, board: b, now: now, log: log,
-		known: map[string]map[site.Adapter]known{}, resting: map[string]time.Time{},
+		known:    map[string]map[site.Adapter]known{},
 		outcomes: map[string]Told{}, told: map[string]tolled{},
 	}
 }
@@ -110,11 +110,8 @@
 	if host == o.host {
 		return host, "", nil
 	}
-	o.mu.Lock()
-	resting := o.now().Before(o.resting[host])
-	o.mu.Unlock()
 	address, ok = o.mesh.AddressOf(host)
-	if !ok || resting {
+	if !ok || o.resting.rests(host, o.now()) {
 		return "", "", errUnreachable
 	}
 	return host, address, nil
@@ -128,12 +125,11 @@
 
 // failed notes that a host does not answer.
 func (o *owners) failed(host string, err error) error {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.now().After(o.resting[host]) {
+	now := o.now()
+	if !o.resting.rests(host, now) {
 		o.log.Warn("owner does not answer", "owner", host, "rest_ms", ownerRest.Milliseconds(), "error", err.Error())
 	}
-	o.resting[host] = o.now().Add(ownerRest)
+	o.resting.rest(host, now.Add(ownerRest))
 	return errUnreachable
 }
 
