--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -22,15 +22,10 @@
 	at       time.Time
 }
 
-// newBucket makes the bucket of a part that nobody has granted anything of since a
-// moment. One that began full would have a fleet that starts anew spend the burst twice.
-func newBucket(limit Limit, since, now time.Time) *bucket {
-	b := &bucket{at: now}
-	if passed := now.Sub(since); passed > 0 {
-		b.level = min(limit.Burst, limit.Rate*passed.Seconds())
-	}
-	return b
-}
+// newBucket makes the bucket of a part that nobody else grants anything of from a moment
+// on, which may be ahead. One that began full would have a fleet that starts anew spend the
+// burst twice; one that filled before the moment would do so beside the host before it.
+func newBucket(since time.Time) *bucket { return &bucket{at: since} }
 
 // refill adds what the time since the last call brought. A limit that was lowered takes
 // effect here.
--- a/internal/quota/counter.go
+++ b/internal/quota/counter.go
@@ -61,7 +61,7 @@
 	id := partID{workspace: ask.Workspace, part: ask.Part}
 	part := shard.parts[id]
 	if part == nil || part.epoch != right.Epoch {
-		part = &counted{bucket: newBucket(limit, right.Since, now), epoch: right.Epoch}
+		part = &counted{bucket: newBucket(right.Since), epoch: right.Epoch}
 		shard.parts[id] = part
 	}
 	return part.take(ask, limit, now)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -202,7 +202,7 @@
 func newShares(q site.Quota, hosts int) *shares {
 	s := &shares{limit: Limit{Rate: q.Rate / float64(hosts), Burst: q.Burst / float64(hosts)}}
 	for range hosts {
-		s.buckets = append(s.buckets, newBucket(s.limit, epoch.Add(-time.Minute), epoch))
+		s.buckets = append(s.buckets, newBucket(epoch.Add(-time.Minute)))
 	}
 	return s
 }
@@ -270,6 +270,17 @@
 	must.Eq(t, 100, answer.Level)
 }
 
+// A host that has just joined is asked before the others all know of it. What it counts
+// begins to fill once they do, and not when it was first asked: until then the host before
+// it counts too.
+func TestPartThatIsAskedForTooEarlyStaysEmpty(t *testing.T) {
+	c := NewCounter()
+	limit, right := Limit{Rate: 1000, Burst: 1000}, Right{Since: epoch.Add(time.Second), Epoch: 1}
+	must.Eq(t, 0, c.Answer(Ask{Workspace: name, Cost: 100}, limit, right, epoch).Granted)
+	must.Eq(t, 0, c.Answer(Ask{Workspace: name, Cost: 100}, limit, right, epoch.Add(time.Second)).Level)
+	must.Eq(t, 100, c.Answer(Ask{Workspace: name, Cost: 100}, limit, right, epoch.Add(1100*time.Millisecond)).Granted)
+}
+
 // A limit is lowered to a tenth. What the bucket held under the higher one is not
 // granted any more.
 func TestLoweredLimit(t *testing.T) {
@@ -342,7 +353,7 @@
 		}
 		rng := rand.New(rand.NewPCG(seed, 1))
 		limit := Limit{Rate: rate, Burst: burst}
-		b := newBucket(limit, epoch.Add(-time.Hour), epoch)
+		b := newBucket(epoch.Add(-time.Hour))
 		now, granted, largest := epoch, 0.0, 0.0
 		for range 200 {
 			now = now.Add(time.Duration(rng.Int64N(int64(time.Second))))
