--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -381,8 +381,6 @@
 		"retries_denied":     counters.RetriesDenied.Load,
 		"quarantine_refused": counters.Quarantined.Load,
 		"quota_refused":      counters.OverQuota.Load,
-		"quota_unknown":      e.quotas.unknown.Load,
-		"quota_asks_granted": e.quotas.granted.Load,
 		"connections_dialed": e.client.Dialed,
 	} {
 		vars.Set(name, expvar.Func(func() any { return value() }))
@@ -390,6 +388,7 @@
 	vars.Set("first_byte_ms", &counters.FirstByte)
 	vars.Set("runners_known", expvar.Func(func() any { return len(e.directory.Snapshot().Runners) }))
 	vars.Set("quarantine_size", expvar.Func(func() any { return e.suspects.quarantine.Size() }))
+	vars.Set("workspaces", expvar.Func(func() any { return e.quotas.use() }))
 	vars.Set("quota_parts_counted", expvar.Func(func() any { return e.quotas.counter.Size() }))
 	vars.Set("hosts_in_force", expvar.Func(func() any { return e.state.Size() }))
 	vars.Set("adapters_in_transit", expvar.Func(func() any { transit, _ := e.owner.Transit(); return transit }))
--- a/internal/entry/quotas.go
+++ b/internal/entry/quotas.go
@@ -73,8 +73,7 @@
 	turn atomic.Uint32
 	// keptAt is when hosts had last joined or left as the counter last followed them.
 	keptAt time.Time
-
-	granted, refused, unknown atomic.Int64
+	usages quota.Usages
 }
 
 func newQuotas(host string, state *mesh.State, pool *peer.Pool, known *directory.Directory, tolerance quota.Tolerance, now func() time.Time, log hclog.Logger) *quotas {
@@ -124,11 +123,24 @@
 
 // Charge implements serve.Quotas.
 func (q *quotas) Charge(ctx context.Context, workspace *site.Workspace, cost float64, target time.Duration) serve.Charge {
-	charge := serve.Charge{Workspace: workspace.Name, Cost: cost}
 	if !workspace.Quota.Bounded() {
-		charge.Outcome = serve.ChargeFree
-		return charge
+		return serve.Charge{Outcome: serve.ChargeFree, Workspace: workspace.Name}
 	}
+	charge := q.charge(ctx, workspace, cost, target)
+	switch charge.Outcome {
+	case serve.ChargeGranted:
+		q.usages.Note(workspace.Name, quota.Usage{Charged: 1, Units: cost})
+	case serve.ChargeRefused:
+		q.usages.Note(workspace.Name, quota.Usage{Refused: 1})
+	case serve.ChargeUnknown:
+		q.usages.Note(workspace.Name, quota.Usage{Unknown: 1})
+	case serve.ChargeFree:
+	}
+	return charge
+}
+
+func (q *quotas) charge(ctx context.Context, workspace *site.Workspace, cost float64, target time.Duration) serve.Charge {
+	charge := serve.Charge{Workspace: workspace.Name, Cost: cost}
 	patience := min(max(leastPatience, target/targetShare), mostPatience)
 	until := q.now().Add(patience)
 	for {
@@ -137,7 +149,6 @@
 			return charge
 		}
 		if wait, refused := q.allowances.Refused(workspace.Name, cost, q.now()); refused {
-			q.refused.Add(1)
 			charge.Outcome, charge.Wait, charge.CountedBy = serve.ChargeRefused, wait, "a refusal of all parts a moment ago"
 			return charge
 		}
@@ -145,7 +156,6 @@
 			return charge
 		}
 		if ctx.Err() != nil || q.now().After(until) {
-			q.unknown.Add(1)
 			charge.Outcome, charge.Wait = serve.ChargeUnknown, quotaUnknownRetry
 			return charge
 		}
@@ -169,7 +179,6 @@
 		answered++
 		charge.CountedBy, charge.Level, charge.Age = by, answer.Level, q.now().Sub(sent)
 		if answer.Granted > 0 {
-			q.granted.Add(1)
 			q.allowances.Used(workspace.Name, charge.Cost, q.now())
 			q.allowances.Granted(workspace.Name, ask.Part, answer.Granted-charge.Cost, q.now())
 			charge.Outcome, charge.Part = serve.ChargeGranted, ask.Part
@@ -182,7 +191,6 @@
 	if answered == 0 {
 		return false
 	}
-	q.refused.Add(1)
 	q.allowances.RefuseUntil(workspace.Name, charge.Wait, workspace.Quota.Rate, q.now())
 	charge.Outcome = serve.ChargeRefused
 	return true
@@ -256,6 +264,7 @@
 func (q *quotas) GiveBack(charge serve.Charge) {
 	if charge.Outcome == serve.ChargeGranted {
 		q.allowances.Granted(charge.Workspace, charge.Part, charge.Cost, q.now())
+		q.usages.Note(charge.Workspace, quota.Usage{Returned: charge.Cost})
 	}
 }
 
@@ -290,3 +299,29 @@
 		q.log.Debug("units not given back", "workspace", back.Workspace, "part", back.Part, "units", back.Back, "peer", host, "error", err.Error())
 	}
 }
+
+// WorkspaceUse is what the metrics tell of a workspace at one host.
+type WorkspaceUse struct {
+	// Rate and Burst are the quota in force, in units a second and in units.
+	Rate     float64 `json:"rate"`
+	Burst    float64 `json:"burst"`
+	InTokens bool    `json:"in_tokens"`
+	quota.Usage
+}
+
+// use gives the workspaces that sent requests to this host, with their quotas in force.
+func (q *quotas) use() map[string]WorkspaceUse {
+	var workspaces *site.Workspaces
+	if config := q.directory.Snapshot().Config; config != nil {
+		workspaces = config.Workspaces
+	}
+	use := map[string]WorkspaceUse{}
+	for name, usage := range q.usages.All() {
+		one := WorkspaceUse{Usage: usage}
+		if workspace, ok := workspaces.ByName(name); ok {
+			one.Rate, one.Burst, one.InTokens = workspace.Quota.Rate, workspace.Quota.Burst, workspace.Quota.InTokens
+		}
+		use[name] = one
+	}
+	return use
+}
--- /dev/null
+++ b/internal/quota/usage.go
@@ -0,0 +1,62 @@
+package quota
+
+import (
+	"maps"
+	"sync"
+)
+
+const (
+	// maxUsages bounds the workspaces that a host counts apart; further ones are counted
+	// together as otherWorkspaces.
+	maxUsages       = 1024
+	otherWorkspaces = "(others)"
+)
+
+// Usage is what one host did for a workspace since its process started.
+type Usage struct {
+	// Requests that were charged, refused for the quota, and refused since no host that
+	// counts answered.
+	Charged int64 `json:"charged"`
+	Refused int64 `json:"refused"`
+	Unknown int64 `json:"unknown"`
+	// Units were charged, and Returned given back since the request did not run.
+	Units    float64 `json:"units"`
+	Returned float64 `json:"returned"`
+}
+
+// Add adds what another host did.
+func (u *Usage) Add(other Usage) {
+	u.Charged += other.Charged
+	u.Refused += other.Refused
+	u.Unknown += other.Unknown
+	u.Units += other.Units
+	u.Returned += other.Returned
+}
+
+// Usages counts by workspace. It is safe for concurrent use.
+type Usages struct {
+	mu sync.Mutex
+	by map[string]Usage
+}
+
+// Note adds to a workspace's usage.
+func (u *Usages) Note(workspace string, more Usage) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.by == nil {
+		u.by = map[string]Usage{}
+	}
+	if _, known := u.by[workspace]; !known && len(u.by) >= maxUsages {
+		workspace = otherWorkspaces
+	}
+	one := u.by[workspace]
+	one.Add(more)
+	u.by[workspace] = one
+}
+
+// All gives the usage of each workspace.
+func (u *Usages) All() map[string]Usage {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return maps.Clone(u.by)
+}
