--- a/cmd/cherryctl/analyze.go
+++ b/cmd/cherryctl/analyze.go
@@ -11,8 +11,9 @@
 )
 
 type analyzeCommand struct {
-	Kind string `long:"kind" description:"only requests of this kind: streaming, idempotent, non-idempotent"`
-	Args struct {
+	Kind      string `long:"kind" description:"only requests of this kind: streaming, idempotent, non-idempotent"`
+	Workspace string `long:"workspace" description:"only requests of this workspace"`
+	Args      struct {
 		Files []string `positional-arg-name:"FILE" description:"logs of hosts; standard input if none"`
 	} `positional-args:"yes"`
 }
@@ -29,7 +30,7 @@
 	if len(requests) == 0 {
 		return errors.New("no line tells of a request; the hosts log them at level info")
 	}
-	rows := losses.Table(requests, c.Kind)
+	rows := losses.Table(requests, losses.Filter{Kind: c.Kind, Workspace: c.Workspace})
 	return show(rows, func(w *tabwriter.Writer) {
 		row(w, "CAUSE", "REQUESTS", "SHARE", "TOOK", "WAITED", "MOST AT", "EXAMPLE")
 		for _, r := range rows {
--- a/cmd/cherryctl/main.go
+++ b/cmd/cherryctl/main.go
@@ -65,6 +65,7 @@
 		{"explain", "show why a request went where it went", &explainCommand{}},
 		{"analyze", "sum up from hosts' logs why requests were not served on time", &analyzeCommand{}},
 		{"trace", "show what hosts logged of one request, and which logs say more", &traceCommand{}},
+		{"quotas", "show from hosts' metrics what workspaces used of their quotas", &quotasCommand{}},
 		{"audit", "show who changed what, and when", &auditCommand{}},
 		{"drain", "make an entry host give its work away", &drainCommand{}},
 		{"digest", "read a key on standard input and show its digest", &digestCommand{}},
--- /dev/null
+++ b/cmd/cherryctl/quotas.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/hostmetrics"
+)
+
+// metricsTimeout bounds the reading of all hosts' metrics.
+const metricsTimeout = 5 * time.Second
+
+type quotasCommand struct {
+	Args struct {
+		URLs []string `positional-arg-name:"URL" description:"metrics pages of hosts, for example http://10.1.0.4:7399/metrics" required:"1"`
+	} `positional-args:"yes"`
+}
+
+// Execute sums up over hosts what workspaces used of their quotas.
+func (c *quotasCommand) Execute([]string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), metricsTimeout)
+	defer cancel()
+	rows, err := hostmetrics.Workspaces(ctx, c.Args.URLs)
+	if err != nil {
+		return err
+	}
+	return show(rows, func(w *tabwriter.Writer) {
+		row(w, "WORKSPACE", "RATE", "BURST", "UNIT", "CHARGED", "REFUSED", "UNKNOWN", "UNITS", "RETURNED", "HOSTS")
+		for _, r := range rows {
+			unit := "requests"
+			if r.InTokens {
+				unit = "tokens"
+			}
+			row(w, r.Name, fmt.Sprintf("%.0f/s", r.Rate), fmt.Sprintf("%.0f", r.Burst), unit, r.Charged, r.Refused, r.Unknown,
+				fmt.Sprintf("%.0f", r.Units), fmt.Sprintf("%.0f", r.Returned), r.Hosts)
+		}
+	})
+}
--- a/cmd/cherryctl/trace.go
+++ b/cmd/cherryctl/trace.go
@@ -37,9 +37,9 @@
 	}
 	found := traced{Lines: lines, Hosts: losses.HostsToRead(lines)}
 	return show(found, func(w *tabwriter.Writer) {
-		row(w, "TIME", "HOST", "LINE", "RUNNER", "WHY")
+		row(w, "TIME", "HOST", "LINE", "WORKSPACE", "RUNNER", "WHY")
 		for _, l := range found.Lines {
-			row(w, l.At.Format("15:04:05.000"), l.Host, l.Message, orDash(l.Runner), orDash(l.Word()))
+			row(w, l.At.Format("15:04:05.000"), l.Host, l.Message, orDash(l.Workspace), orDash(l.Runner), orDash(l.Word()))
 		}
 		row(w, "")
 		row(w, "READ", "SINCE")
--- a/internal/entry/quotas.go
+++ b/internal/entry/quotas.go
@@ -300,24 +300,15 @@
 	}
 }
 
-// WorkspaceUse is what the metrics tell of a workspace at one host.
-type WorkspaceUse struct {
-	// Rate and Burst are the quota in force, in units a second and in units.
-	Rate     float64 `json:"rate"`
-	Burst    float64 `json:"burst"`
-	InTokens bool    `json:"in_tokens"`
-	quota.Usage
-}
-
 // use gives the workspaces that sent requests to this host, with their quotas in force.
-func (q *quotas) use() map[string]WorkspaceUse {
+func (q *quotas) use() map[string]quota.WorkspaceUse {
 	var workspaces *site.Workspaces
 	if config := q.directory.Snapshot().Config; config != nil {
 		workspaces = config.Workspaces
 	}
-	use := map[string]WorkspaceUse{}
+	use := map[string]quota.WorkspaceUse{}
 	for name, usage := range q.usages.All() {
-		one := WorkspaceUse{Usage: usage}
+		one := quota.WorkspaceUse{Usage: usage}
 		if workspace, ok := workspaces.ByName(name); ok {
 			one.Rate, one.Burst, one.InTokens = workspace.Quota.Rate, workspace.Quota.Burst, workspace.Quota.InTokens
 		}
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -49,6 +49,7 @@
 	At          time.Time `json:"@timestamp"`
 	ID          string    `json:"id"`
 	Kind        string    `json:"kind"`
+	Workspace   string    `json:"workspace"`
 	Route       string    `json:"route"`
 	Status      int       `json:"status"`
 	Complete    bool      `json:"complete"`
@@ -69,7 +70,7 @@
 	switch {
 	case r.Status == statusLeft:
 		return CallerLeft
-	case r.Status == http.StatusServiceUnavailable:
+	case r.Status == http.StatusServiceUnavailable, r.Status == http.StatusTooManyRequests:
 		return Refused + Cause(r.refusal())
 	case r.Status >= http.StatusInternalServerError && r.Answered == "" && r.Reason == "":
 		return RunnerFailed
@@ -161,13 +162,22 @@
 	return requests, unread, errors.Wrap(lines.Err(), "read logs")
 }
 
-// Table sums requests up by cause, the most frequent first. Kind narrows it to one
-// kind of request where it is not empty.
-func Table(requests []Request, kind string) []Row {
+// Filter narrows requests down; what is empty matches all.
+type Filter struct {
+	Kind      string
+	Workspace string
+}
+
+func (f Filter) takes(r Request) bool {
+	return (f.Kind == "" || f.Kind == r.Kind) && (f.Workspace == "" || f.Workspace == r.Workspace)
+}
+
+// Table sums requests up by cause, the most frequent first.
+func Table(requests []Request, filter Filter) []Row {
 	byCause := map[Cause][]Request{}
 	total := 0
 	for _, request := range requests {
-		if kind != "" && request.Kind != kind {
+		if !filter.takes(request) {
 			continue
 		}
 		total++
--- a/internal/losses/trace.go
+++ b/internal/losses/trace.go
@@ -24,9 +24,13 @@
 	Owner    string `json:"owner"`
 	Asked    string `json:"asked"`
 	Answered string `json:"answered"`
-	Cause    string `json:"cause"`
-	Reason   string `json:"reason"`
-	Error    string `json:"error"`
+	// Workspace is whose request it is, CountedBy the host that counted for its quota, or
+	// a word on why none was asked.
+	Workspace string `json:"workspace"`
+	CountedBy string `json:"counted_by"`
+	Cause     string `json:"cause"`
+	Reason    string `json:"reason"`
+	Error     string `json:"error"`
 }
 
 // Word is why the line's decision went as it did, empty where it does not say.
@@ -67,8 +71,8 @@
 }
 
 // HostsToRead names the hosts that decided on a request: the one that served it, the
-// owner of its last runner, and the owners that did not admit it. Of a fleet of
-// hundreds these are mostly two or three.
+// owner of its last runner, the one that counted for its quota, and the owners that did not
+// admit it. Of a fleet of hundreds these are mostly two to four.
 func HostsToRead(lines []TraceLine) []HostToRead {
 	var hosts []HostToRead
 	add := func(host, why string) {
@@ -83,6 +87,11 @@
 	for _, line := range lines {
 		add(line.Owner, "it gives "+line.Runner+" its orders, the last runner")
 	}
+	for _, line := range lines {
+		if !strings.Contains(line.CountedBy, " ") {
+			add(line.CountedBy, "it counted for the quota of "+line.Workspace)
+		}
+	}
 	for _, line := range lines {
 		for _, asked := range strings.Split(line.Asked, "; ") {
 			runner, host, _ := strings.Cut(asked, "@")
--- a/internal/losses/trace_test.go
+++ b/internal/losses/trace_test.go
@@ -28,3 +28,17 @@
 		{Host: "h7", Why: "it did not admit the request to r1"},
 	}, HostsToRead(lines))
 }
+
+// A request was refused for its workspace's quota. The host that counted has more to say;
+// a refusal that no host was asked for names none.
+func TestHostThatCountedIsToRead(t *testing.T) {
+	lines, err := Trace(strings.NewReader(`{"@message":"request","host":"h4","id":"q","workspace":"harbour","counted_by":"h6","answered":"the workspace has used its quota up"}
+{"@message":"request","host":"h5","id":"r","workspace":"harbour","counted_by":"a refusal of all parts a moment ago"}`), "q")
+	must.NoError(t, err)
+	must.Eq(t, "harbour", lines[0].Workspace)
+	must.Eq(t, []HostToRead{
+		{Host: "h4", Why: "it served the request"},
+		{Host: "h6", Why: "it counted for the quota of harbour"},
+	}, HostsToRead(lines))
+	must.Eq(t, []HostToRead{{Host: "h5", Why: "it served the request"}}, HostsToRead([]TraceLine{{Host: "h5", CountedBy: "a refusal of all parts a moment ago"}}))
+}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -27,8 +27,7 @@
 // burst twice; one that filled before the moment would do so beside the host before it.
 func newBucket(since time.Time) *bucket { return &bucket{at: since} }
 
-// refill adds what the time since the last call brought. A limit that was lowered takes
-// effect here.
+// refill adds what the time since the last call brought.
 func (b *bucket) refill(limit Limit, now time.Time) {
 	if passed := now.Sub(b.at); passed > 0 {
 		brought := limit.Rate * passed.Seconds()
@@ -36,13 +35,13 @@
 		b.promised = max(0, b.promised-brought)
 		b.at = now
 	}
-	b.level = min(b.level, limit.Burst)
 }
 
 // take answers an ask. A request that costs more than the bucket can hold is granted once
 // it is full; what it takes beyond that is paid back by those after it.
 func (b *bucket) take(ask Ask, limit Limit, now time.Time) Answer {
 	b.refill(limit, now)
+	// What a bucket held under a limit that was lowered since is not granted any more.
 	b.level = min(limit.Burst, b.level+ask.Back)
 	if ask.Cost == 0 {
 		return Answer{Level: b.level}
--- a/internal/quota/usage.go
+++ b/internal/quota/usage.go
@@ -24,6 +24,15 @@
 	Returned float64 `json:"returned"`
 }
 
+// WorkspaceUse is what a host's metrics tell of a workspace.
+type WorkspaceUse struct {
+	// Rate and Burst are the quota in force, in units a second and in units.
+	Rate     float64 `json:"rate"`
+	Burst    float64 `json:"burst"`
+	InTokens bool    `json:"in_tokens"`
+	Usage
+}
+
 // Add adds what another host did.
 func (u *Usage) Add(other Usage) {
 	u.Charged += other.Charged
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -225,7 +225,7 @@
 func (r *Replica) mergeParts(snapshot Snapshot, base Version) ([]Change, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if snapshot.Revision < r.revision || base != (Version{Revision: r.revision, Digest: r.digest}) {
+	if r.movedOn(snapshot, base) {
 		return nil, false
 	}
 	return r.replaceParts(snapshot.Records, snapshot.Revision, func(part int) bool { return slices.Contains(snapshot.Parts, part) }), true
@@ -262,7 +262,7 @@
 // differences; the digests tell, and the parts that differ have to be fetched.
 func (r *Replica) MergeSince(snapshot Snapshot, base Version) (complete bool) {
 	r.mu.Lock()
-	if snapshot.Revision < r.revision || base != (Version{Revision: r.revision, Digest: r.digest}) {
+	if r.movedOn(snapshot, base) {
 		r.mu.Unlock()
 		return true
 	}
@@ -274,6 +274,12 @@
 	return complete
 }
 
+// movedOn says that a peer's answer to a version comes too late: the replica has changed
+// since, and what the peer left out may no longer be the same; the lock is held.
+func (r *Replica) movedOn(snapshot Snapshot, base Version) bool {
+	return snapshot.Revision < r.revision || base != (Version{Revision: r.revision, Digest: r.digest})
+}
+
 // apply takes differences over and gives what they changed; the lock is held.
 func (r *Replica) apply(snapshot Snapshot) []Change {
 	var changes []Change
