--- a/internal/entry/quotas.go
+++ b/internal/entry/quotas.go
@@ -140,7 +140,7 @@
 }
 
 func (q *quotas) charge(ctx context.Context, workspace *site.Workspace, cost float64, target time.Duration) serve.Charge {
-	charge := serve.Charge{Workspace: workspace.Name, Cost: cost}
+	charge := serve.Charge{Workspace: workspace.Name, Cost: cost, Window: q.tolerance.Window}
 	patience := min(max(leastPatience, target/targetShare), mostPatience)
 	until := q.now().Add(patience)
 	for {
--- a/internal/serve/charge.go
+++ b/internal/serve/charge.go
@@ -45,6 +45,8 @@
 	CountedBy string
 	Level     float64
 	Age       time.Duration
+	// Window is that in which the quota is judged.
+	Window time.Duration
 }
 
 // charge charges the request to its workspace before anything else is spent on it, and
@@ -94,10 +96,10 @@
 	if workspace == nil {
 		return nil
 	}
-	fields := []any{"workspace", workspace.Name}
+	fields := []any{"workspace", workspace.Name, "priority", workspace.RankOf(l.route)}
 	if l.charge.Outcome == ChargeFree {
 		return fields
 	}
-	return append(fields, "cost", l.charge.Cost, "quota_rate", workspace.Quota.Rate, "quota_burst", workspace.Quota.Burst, "in_tokens", workspace.Quota.InTokens,
+	return append(fields, "cost", l.charge.Cost, "quota_rate", workspace.Quota.Rate, "quota_burst", workspace.Quota.Burst, "in_tokens", workspace.Quota.InTokens, "quota_window_ms", l.charge.Window.Milliseconds(),
 		"quota_part", l.charge.Part, "counted_by", l.charge.CountedBy, "quota_level", l.charge.Level, "quota_age_ms", l.charge.Age.Milliseconds())
 }
