--- a/internal/entry/quotas.go
+++ b/internal/entry/quotas.go
@@ -27,6 +27,9 @@
 	mostPatience  = 100 * time.Millisecond
 	leastPatience = 30 * time.Millisecond
 	targetShare   = 4
+	// mostWait bounds how long a request waits for units that come soon; targetShare of
+	// its target latency does too.
+	mostWait = 200 * time.Millisecond
 	// quotaRest is how long a host that did not answer is passed over while others count.
 	quotaRest = 500 * time.Millisecond
 	// askAgain is the pause before all parts are asked once more, where none is counted
@@ -139,36 +142,51 @@
 	return charge
 }
 
+// charge asks until it has an answer that stands. A request whose units come within a share
+// of its target latency waits for them.
+//
+// After a loss of all hosts buckets begin empty: of the requests of the first second a fifth
+// were refused that a quarter of their time later would have had their units, and came back
+// over a new connection.
 func (q *quotas) charge(ctx context.Context, workspace *site.Workspace, cost float64, target time.Duration) serve.Charge {
 	charge := serve.Charge{Workspace: workspace.Name, Cost: cost, Window: q.tolerance.Window}
-	patience := min(max(leastPatience, target/targetShare), mostPatience)
-	until := q.now().Add(patience)
+	until := q.now().Add(min(target/targetShare, mostWait))
 	for {
-		if part, ok := q.allowances.Spend(workspace.Name, cost, q.now()); ok {
-			charge.Outcome, charge.Part, charge.CountedBy = serve.ChargeGranted, part, "units granted before"
+		q.try(ctx, workspace, target, &charge)
+		pause := charge.Wait
+		switch {
+		case charge.Outcome == serve.ChargeGranted || ctx.Err() != nil:
 			return charge
+		case charge.Outcome == serve.ChargeUnknown:
+			pause = askAgain
 		}
-		if wait, refused := q.allowances.Refused(workspace.Name, cost, q.now()); refused {
-			charge.Outcome, charge.Wait, charge.CountedBy = serve.ChargeRefused, wait, "a refusal of all parts a moment ago"
+		if q.now().Add(pause).After(until) {
 			return charge
 		}
-		if q.askAll(ctx, workspace, patience, &charge) {
-			return charge
-		}
-		if ctx.Err() != nil || q.now().After(until) {
-			charge.Outcome, charge.Wait = serve.ChargeUnknown, quotaUnknownRetry
-			return charge
-		}
-		timing.Sleep(ctx, askAgain)
+		timing.Sleep(ctx, pause)
+	}
+}
+
+// try charges once: from what the host was granted before, or by asking.
+func (q *quotas) try(ctx context.Context, workspace *site.Workspace, target time.Duration, charge *serve.Charge) {
+	now := q.now()
+	if part, ok := q.allowances.Spend(workspace.Name, charge.Cost, now); ok {
+		charge.Outcome, charge.Part, charge.CountedBy = serve.ChargeGranted, part, "units granted before"
+		return
+	}
+	if wait, refused := q.allowances.Refused(workspace.Name, charge.Cost, now); refused {
+		charge.Outcome, charge.Wait, charge.CountedBy = serve.ChargeRefused, wait, "a refusal of all parts a moment ago"
+		return
 	}
+	q.askAll(ctx, workspace, min(max(leastPatience, target/targetShare), mostPatience), charge)
 }
 
-// askAll asks for the units part by part, and says whether it has an answer: all parts
-// that are counted refuse, or one of them grants.
-func (q *quotas) askAll(ctx context.Context, workspace *site.Workspace, patience time.Duration, charge *serve.Charge) bool {
+// askAll asks for the units part by part: until one grants them, or all that are counted
+// refuse.
+func (q *quotas) askAll(ctx context.Context, workspace *site.Workspace, patience time.Duration, charge *serve.Charge) {
 	ask := quota.Ask{Workspace: workspace.Name, Cost: charge.Cost, Ahead: q.allowances.Ahead(workspace.Name, q.now())}
 	begin := int(q.turn.Add(1))
-	answered := 0
+	charge.Outcome, charge.Wait = serve.ChargeUnknown, quotaUnknownRetry
 	for i := range quota.Parts {
 		ask.Part = (begin + i) % quota.Parts
 		sent := q.now()
@@ -176,24 +194,20 @@
 		if err != nil {
 			continue
 		}
-		answered++
 		charge.CountedBy, charge.Level, charge.Age = by, answer.Level, q.now().Sub(sent)
 		if answer.Granted > 0 {
 			q.allowances.Used(workspace.Name, charge.Cost, q.now())
 			q.allowances.Granted(workspace.Name, ask.Part, answer.Granted-charge.Cost, q.now())
 			charge.Outcome, charge.Part = serve.ChargeGranted, ask.Part
-			return true
+			return
 		}
-		if charge.Wait == 0 || answer.Wait < charge.Wait {
-			charge.Wait = answer.Wait
+		if charge.Outcome == serve.ChargeUnknown || answer.Wait < charge.Wait {
+			charge.Outcome, charge.Wait = serve.ChargeRefused, answer.Wait
 		}
 	}
-	if answered == 0 {
-		return false
+	if charge.Outcome == serve.ChargeRefused {
+		q.allowances.RefuseUntil(workspace.Name, charge.Wait, workspace.Quota.Rate, q.now())
 	}
-	q.allowances.RefuseUntil(workspace.Name, charge.Wait, workspace.Quota.Rate, q.now())
-	charge.Outcome = serve.ChargeRefused
-	return true
 }
 
 // ask asks the host that counts a part, and gives its name.
