--- a/cmd/cherrystaged/platform.go
+++ b/cmd/cherrystaged/platform.go
@@ -37,6 +37,10 @@
 	// platformGCPercent lets the heap grow to twice what lives: memory is
 	// plentiful beside processor time on the platform's hosts.
 	platformGCPercent = 200
+	// memoryShare of the memory at which the platform ends the process is what the heap
+	// is kept to. A host that watches for a large fleet reads lists of megabytes in a
+	// moment; left to grow to twice what lives, its heap came near the limit.
+	memoryShare = 0.5
 )
 
 // probedDialer finds connections that went silent for good within two seconds:
@@ -68,6 +72,9 @@
 		fmt.Fprintln(os.Stderr, "cherrystaged:", err)
 		return exitUsage
 	}
+	if placed.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(placed.MemoryBytes)))
+	}
 	out := logging.NewWriter(os.Stdout)
 	defer out.Close(logPatience)
 	log := hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(cfg.LogLevel), JSONFormat: true, Output: out}).With("host", placed.Host)
