--- a/internal/entry/quotas.go
+++ b/internal/entry/quotas.go
@@ -145,9 +145,8 @@
 // charge asks until it has an answer that stands. A request whose units come within a share
 // of its target latency waits for them.
 //
-// After a loss of all hosts buckets begin empty: of the requests of the first second a fifth
-// were refused that a quarter of their time later would have had their units, and came back
-// over a new connection.
+// After a loss of all hosts buckets begin empty. Callers far below their quotas were sent
+// away in the first second, although their units came a moment later.
 func (q *quotas) charge(ctx context.Context, workspace *site.Workspace, cost float64, target time.Duration) serve.Charge {
 	charge := serve.Charge{Workspace: workspace.Name, Cost: cost, Window: q.tolerance.Window}
 	until := q.now().Add(min(target/targetShare, mostWait))
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -292,8 +292,8 @@
 	}
 	if !s.spread.since(Kind, s.started.Add(joinSettle)) {
 		// What was listed at the start lacks the hosts that started a moment later.
-		// Two hosts then claim each runner: 80 of 192 claims were in vain, and each
-		// cost a call more to see why.
+		// Two hosts would claim each runner, and one of them read the record to see why
+		// it could not.
 		return
 	}
 	for _, claim := range s.State.Claims(s.Runners()) {
--- a/internal/mesh/spread.go
+++ b/internal/mesh/spread.go
@@ -118,9 +118,8 @@
 // lacking gives what a peer lacks of what this host knows: kinds of which it knows
 // less, and those of which it knows the same for longer.
 //
-// Of what heartbeats say in a fleet at rest nearly all is known. Together with witnesses
-// that are near, leaving it out saved 0.029 of 0.166 GB between the five data centres of
-// 195 hosts on a calm day.
+// Of what heartbeats say in a fleet at rest nearly all is known; told each time, it is the
+// larger part of what goes between data centres.
 func (s *spread) lacking(theirs map[string]Known) map[string]Known {
 	lacking := map[string]Known{}
 	for kind, own := range s.known() {
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -26,10 +26,8 @@
 }
 
 // partCount is the number of parts into which records are dealt out by their name,
-// each with a digest of its own. A peer that lacks a change gets the records of the
-// parts that differ: with 1,000 runners a change of one costs 5 KB and not the whole
-// list of 300 KB, which each of 100 hosts fetched several times a second while
-// runners were claimed, and could not serve for it.
+// each with a digest of its own. A peer that does not know what changed since its
+// revision gets the records of the parts that differ, and not the whole list.
 const partCount = 64
 
 func partOf(name string) int { return int(xxhash.Sum64String(name) % partCount) }
@@ -45,9 +43,8 @@
 	// record that differs in nothing else has not changed: peers do not fetch it
 	// from each other.
 	//
-	// Runners' entries change with each adapter that comes or goes. Taken whole,
-	// sixty hosts fetched the list of 115 runners from each other every 0.8 s, over
-	// a hundred megabytes a minute between data centres.
+	// Runners' entries change with each adapter that comes or goes. Taken whole, all
+	// hosts would fetch from each other what none of them uses, without an end.
 	Strip func(spec json.RawMessage) json.RawMessage
 
 	mu       sync.Mutex
@@ -154,7 +151,7 @@
 //
 // What this host has written itself may be newer than a listing that was begun before,
 // or than what a peer knows. Replaced by it, the host would take its own lease or claim
-// for gone: 31 of 67 claims of a fleet that started were made a second time.
+// for gone, and write it a second time.
 func (r *Replica) replaceParts(records []Record, revision uint64, replaced func(part int) bool) []Change {
 	listed := make(map[string]bool, len(records))
 	var changes []Change
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -24,10 +24,10 @@
 	// was full and refills gives twice its size within one window.
 	usedSlack = 0.4
 	// saved is for how long the part of the requests that was not spent is kept.
-	// Within one window the attempts of window + saved may then be made, 0.17 of
-	// the requests and not 0.14. Without it a host of a fleet of 88 could save up
-	// a single attempt, and after a total loss 490 requests whose adapter was not
-	// there in time were refused while the budget of the fleet was hardly used.
+	// Within one window the attempts of window + saved may then be made, which the
+	// unused ratio covers. Without it a host of a large fleet could save up a single
+	// attempt, and after a total loss requests whose adapter was not there in time
+	// would be refused while the budget of the fleet is hardly used.
 	saved = 2 * time.Second
 )
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -82,9 +82,8 @@
 // budget gives a service's retry budget, which fills from the process's start on.
 //
 // A host of a large fleet gets a request for a plain service in a second, and its
-// part of the slack fills one token in ten. From the first request on, its callers
-// met the service's failures without a second try for that long. Few second tries
-// succeed where a request fails by itself: 31 of 118 on a busy day.
+// part of the slack fills one token in ten. Filled from the first request on, its
+// callers would meet the service's failures without a second try for that long.
 func (s *Server) budget(service string) *retrybudget.Budget {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -266,10 +265,9 @@
 // keptFromRunners answers a request under which runners have ended. It says when a runner
 // may be tried again, which is minutes away.
 //
-// Sent again under a new ID each time, such a request ended 19 runners within 16 s, one
-// after the other, and cut off all that ran beside it. Since each host asks before each
-// send, only the sends of the 1.3 s in which the hosts agree follow the third end: at most
-// three in a fleet that was tested with one each 0.8 s, against 11 to 16.
+// Sent again under a new ID each time, such a request ends one runner after the other, and
+// cuts off all that runs beside it. Since each host asks before each send, only the sends
+// of the moment in which the hosts agree follow the third end.
 func (l *life) keptFromRunners() bool {
 	left, held := l.s.Quarantine.Held(l.content, l.s.Now())
 	if !held {
