--- a/internal/ingress/keys_test.go
+++ b/internal/ingress/keys_test.go
@@ -94,3 +94,16 @@
 		must.Eq(t, "/a/y", e.served[0].Target)
 	})
 }
+
+// A caller without a key asks whether to send its body (Expect: 100-continue), and does not
+// send it after the 401. Waited for, its next request would be taken for that body; it is
+// told to use another connection.
+func TestCallerThatAsksBeforeItSendsItsBody(t *testing.T) {
+	inEntranceOf(t, configWith(harbour()), func(e *entrance) {
+		begin := time.Now()
+		response := e.send("POST /a/x HTTP/1.1\r\nHost: h\r\nId: q\r\nExpect: 100-continue\r\nContent-Length: 5\r\n\r\n")
+		must.Eq(t, http.StatusUnauthorized, response.StatusCode)
+		must.True(t, response.Close)
+		must.Less(t, 100*time.Millisecond, time.Since(begin))
+	})
+}
