--- a/internal/serve/charge.go
+++ b/internal/serve/charge.go
@@ -49,7 +49,7 @@
 	Window time.Duration
 }
 
-// charge charges the request to its workspace before anything else is spent on it, and
+// chargeWorkspace charges the request to its workspace before anything else is spent on it, and
 // answers it where that fails. Further attempts are not charged again.
 func (l *life) chargeWorkspace(ctx context.Context) bool {
 	workspace := l.request.Caller.Workspace
