Hosts keep and pass on the configuration without keys

Cause: hosts pass the configuration on as the store gives it, with every workspace's keys in it, over each link between hosts. Ruled out: the parsed configuration in place of the record, which every other reader of records would have to know.

--- a/internal/credential/credential.go
+++ b/internal/credential/credential.go
@@ -36,6 +36,19 @@
 // String gives the digest in hexadecimal.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
+// MarshalText and UnmarshalText are String and Parse for encoders.
+func (d Digest) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Digest) UnmarshalText(text []byte) error {
+	digest, err := Parse(string(text))
+	if err != nil {
+		return err
+	}
+	*d = digest
+	return nil
+}
+
 // Bearer reads the key of an Authorization header and gives its digest. A header
 // that is missing, stands twice or names no bearer key has none.
 func Bearer(values []string) (Digest, bool) {
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -24,6 +24,9 @@
 // Decoder reads the platform's records.
 type Decoder interface {
 	Config(spec json.RawMessage) (*site.Config, error)
+	// StripConfig replaces callers' keys in a configuration by their digests. What it gave
+	// before it gives again, and Config reads either.
+	StripConfig(spec json.RawMessage) json.RawMessage
 	Runner(name string, spec json.RawMessage) (*site.Runner, error)
 	// StripRunner leaves out of a runner's entry what Runner does not read.
 	StripRunner(spec json.RawMessage) json.RawMessage
@@ -100,6 +103,7 @@
 		lapsed:   map[string]time.Time{},
 		versions: map[site.Adapter]int64{},
 	}
+	d.Configs.Strip = decoder.StripConfig
 	d.Runners.Strip = decoder.StripRunner
 	d.Configs.OnChange = d.configChanged
 	d.Runners.OnChange = d.runnersChanged
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -38,6 +38,7 @@
 }
 
 func (decoder) StripRunner(spec json.RawMessage) json.RawMessage { return spec }
+func (decoder) StripConfig(spec json.RawMessage) json.RawMessage { return spec }
 
 func (decoder) AdapterVersion(spec json.RawMessage) (site.AdapterVersion, error) {
 	var version int64
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -54,6 +54,7 @@
 	return nil, errors.New("no runners")
 }
 func (decoder) StripRunner(spec json.RawMessage) json.RawMessage { return spec }
+func (decoder) StripConfig(spec json.RawMessage) json.RawMessage { return spec }
 func (decoder) AdapterVersion(json.RawMessage) (site.AdapterVersion, error) {
 	return site.AdapterVersion{}, errors.New("no versions")
 }
--- a/internal/serve/world_test.go
+++ b/internal/serve/world_test.go
@@ -48,6 +48,7 @@
 }
 
 func (records) StripRunner(spec json.RawMessage) json.RawMessage { return spec }
+func (records) StripConfig(spec json.RawMessage) json.RawMessage { return spec }
 
 func (records) AdapterVersion(spec json.RawMessage) (site.AdapterVersion, error) {
 	var version site.AdapterVersion
