--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -16,11 +17,13 @@
 	listeners map[string]*memListener
 	conns     map[*memConn]struct{}
 	cut       map[[2]string]bool
+	// Links bound what hosts send and get.
+	Links *Links
 }
 
 // NewNetwork makes a network without hosts.
 func NewNetwork() *Network {
-	return &Network{listeners: map[string]*memListener{}, conns: map[*memConn]struct{}{}, cut: map[[2]string]bool{}}
+	return &Network{listeners: map[string]*memListener{}, conns: map[*memConn]struct{}{}, cut: map[[2]string]bool{}, Links: NewLinks(time.Now)}
 }
 
 // HostNet is the network as one host uses it.
@@ -188,6 +191,15 @@
 
 	mu     sync.Mutex
 	silent bool
+	// queue is what waits for a link; travelling says that it is being delivered.
+	queue      []travelling
+	travelling bool
+}
+
+// travelling is a piece on its way.
+type travelling struct {
+	data    []byte
+	arrives time.Time
 }
 
 func (c *memConn) between(a, b string) bool {
@@ -210,9 +222,24 @@
 }
 
 func (c *memConn) Write(data []byte) (int, error) {
+	sent := 0
+	for {
+		next := data[sent:min(len(data), sent+piece)]
+		n, err := c.writePiece(next)
+		sent += n
+		if err != nil || sent == len(data) {
+			return sent, err
+		}
+	}
+}
+
+func (c *memConn) writePiece(data []byte) (int, error) {
 	if c.isSilent() {
 		return len(data), nil
 	}
+	if c.travel(data) {
+		return len(data), nil
+	}
 	n, err := c.Conn.Write(data)
 	if err != nil && c.isSilent() {
 		return len(data), nil
@@ -220,6 +247,54 @@
 	return n, err
 }
 
+// travel queues what has to wait for a link, and says whether it did. The writer goes on:
+// a sender's buffers take what its link does not.
+func (c *memConn) travel(data []byte) bool {
+	to := c.ends[0]
+	if to == c.owner {
+		to = c.ends[1]
+	}
+	takes := c.network.Links.Take(c.owner, to, len(data))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if takes <= 0 && !c.travelling {
+		return false
+	}
+	c.queue = append(c.queue, travelling{data: bytes.Clone(data), arrives: time.Now().Add(takes)})
+	if !c.travelling {
+		c.travelling = true
+		go c.deliver()
+	}
+	return true
+}
+
+// deliver hands on what has passed the links, in order, until nothing is under way.
+func (c *memConn) deliver() {
+	for {
+		c.mu.Lock()
+		if len(c.queue) == 0 {
+			c.travelling = false
+			c.mu.Unlock()
+			return
+		}
+		next := c.queue[0]
+		c.queue = c.queue[1:]
+		c.mu.Unlock()
+		arrived := time.NewTimer(time.Until(next.arrives))
+		select {
+		case <-arrived.C:
+		case <-c.closed:
+			arrived.Stop()
+		}
+		if c.isSilent() {
+			continue
+		}
+		if _, err := c.Conn.Write(next.data); err != nil {
+			continue
+		}
+	}
+}
+
 func (c *memConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
 	if c.isSilent() && (n > 0 || err == nil) {
