--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -130,18 +130,19 @@
 		if change.Removed {
 			continue
 		}
+		begun := d.now()
 		config, err := d.decoder.Config(change.Spec)
 		if err != nil {
 			d.log.Error("configuration not understood; the one before stays in force", "revision", change.Revision, "error", err.Error())
 			continue
 		}
-		d.takeConfig(config, change.Revision)
+		d.takeConfig(config, change.Revision, len(change.Spec), begun)
 	}
 }
 
 // takeConfig puts a configuration in force unless it is older than the one that
 // is: a host must never go back within its life.
-func (d *Directory) takeConfig(config *site.Config, revision uint64) {
+func (d *Directory) takeConfig(config *site.Config, revision uint64, bytes int, begun time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.config != nil && config.Version <= d.config.Version {
@@ -149,7 +150,7 @@
 	}
 	d.config = config
 	d.publish()
-	d.log.Info("configuration in force", "version", config.Version, "revision", revision, "routes", config.Len(),
+	d.log.Info("configuration in force", "version", config.Version, "revision", revision, "routes", config.Len(), "bytes", bytes, "read_ms", d.now().Sub(begun).Milliseconds(),
 		"keys_needed", config.Workspaces != nil, "workspaces", len(config.Workspaces.Names()))
 	if config.Workspaces != nil && len(config.Workspaces.Shared) > 0 {
 		d.log.Error("a key stands at two workspaces; the first one listed holds it", "version", config.Version, "workspaces", config.Workspaces.Shared)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -163,6 +163,7 @@
 	})
 	e.callers = (&ingress.Ingress{
 		Dialect: platform.Dialect, Directory: e.directory, Serve: e.serve, Now: now, Log: log, Closing: e.stopping.Load, Refusing: e.refusing.Load,
+		ConfigAge: func() time.Duration { return e.mesh.Age(platform.ConfigKind) },
 	}).Server()
 	return e
 }
@@ -176,6 +177,14 @@
 	return e.state.Size()
 }
 
+// configVersion gives the version of the configuration in force, 0 without one.
+func (e *Entry) configVersion() int64 {
+	if config := e.directory.Snapshot().Config; config != nil {
+		return config.Version
+	}
+	return 0
+}
+
 func newIncarnation() string {
 	var raw [8]byte
 	_, _ = rand.Read(raw[:])
@@ -397,6 +406,8 @@
 	vars.Set("workspaces", expvar.Func(func() any { return e.quotas.use() }))
 	vars.Set("quota_parts_counted", expvar.Func(func() any { return e.quotas.counting.counter.Size() }))
 	vars.Set("runners_limited", expvar.Func(func() any { return e.board.Limited() }))
+	vars.Set("config_version", expvar.Func(func() any { return e.configVersion() }))
+	vars.Set("knowledge", expvar.Func(func() any { return e.mesh.Knowledge() }))
 	vars.Set("hosts_in_force", expvar.Func(func() any { return e.state.Size() }))
 	vars.Set("adapters_in_transit", expvar.Func(func() any { transit, _ := e.owner.Transit(); return transit }))
 	return vars
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -52,6 +52,8 @@
 	Serve     Serve
 	Now       func() time.Time
 	Log       hclog.Logger
+	// ConfigAge gives how old what the host knows of the configuration may be.
+	ConfigAge func() time.Duration
 	// Closing says that connections should be closed after their answer.
 	Closing func() bool
 	// Refusing says that no request is begun any more.
@@ -115,12 +117,12 @@
 	}
 	route, ok := config.Match(hostName(r.Host), pathOf(r))
 	if !ok {
-		i.reject(w, r, http.StatusNotFound, "no route")
+		i.reject(w, r, http.StatusNotFound, "no route", i.judged(config)...)
 		return
 	}
 	caller, known := callerOf(config, route, ask)
 	if !known {
-		i.unauthorized(w, r)
+		i.unauthorized(w, r, config)
 		return
 	}
 	body, status := i.read(w, r, config, ask)
@@ -158,13 +160,13 @@
 // net/http would read it before the answer, and a caller that sends slowly would hold
 // the connection for nothing. What is left of it is read after the answer, so that the
 // next request on the connection begins where it should.
-func (i *Ingress) unauthorized(w http.ResponseWriter, r *http.Request) {
+func (i *Ingress) unauthorized(w http.ResponseWriter, r *http.Request, config *site.Config) {
 	control := http.NewResponseController(w)
 	if err := control.EnableFullDuplex(); err != nil {
 		i.Log.Debug("the answer waits for the request's body", "error", err.Error())
 	}
 	w.Header().Set("WWW-Authenticate", "Bearer")
-	i.reject(w, r, http.StatusUnauthorized, "no key in force came with the request")
+	i.reject(w, r, http.StatusUnauthorized, "no key in force came with the request", i.judged(config)...)
 	if err := control.Flush(); err != nil {
 		return
 	}
@@ -211,8 +213,9 @@
 
 // reject answers a request that goes no further. Where its framing or its body is in
 // doubt the connection is closed: what follows on it may be the rest of what was not read.
-func (i *Ingress) reject(w http.ResponseWriter, r *http.Request, status int, reason string) {
-	i.Log.Info("request rejected", "id", i.idOf(r), "method", r.Method, "host_header", r.Host, "path", r.URL.Path, "status", status, "reason", reason)
+func (i *Ingress) reject(w http.ResponseWriter, r *http.Request, status int, reason string, judged ...any) {
+	line := []any{"id", i.idOf(r), "method", r.Method, "host_header", r.Host, "path", r.URL.Path, "status", status, "reason", reason}
+	i.Log.Info("request rejected", append(line, judged...)...)
 	switch status {
 	case http.StatusNotFound, http.StatusServiceUnavailable, http.StatusUnauthorized:
 	default:
@@ -228,6 +231,11 @@
 	_, _ = io.WriteString(w, body)
 }
 
+// judged gives, for the log, the configuration that a request was rejected by.
+func (i *Ingress) judged(config *site.Config) []any {
+	return []any{"config_version", config.Version, "config_age_ms", i.ConfigAge().Milliseconds()}
+}
+
 // idOf gives the request's id for the log, where it has one.
 func (i *Ingress) idOf(r *http.Request) string {
 	ask, err := i.Dialect.Ask(r.Header)
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -103,7 +103,8 @@
 			known.Configs.Changed([]registry.Change{{Record: registry.Record{Name: "main", Revision: 1}}}, 1)
 		}
 		server := (&Ingress{
-			Dialect: dialect{}, Directory: known, Now: time.Now, Log: hclog.NewNullLogger(),
+			ConfigAge: func() time.Duration { return 0 },
+			Dialect:   dialect{}, Directory: known, Now: time.Now, Log: hclog.NewNullLogger(),
 			Serve: func(_ context.Context, w http.ResponseWriter, _ *site.Route, request *forward.Request, _ time.Time) {
 				e.served = append(e.served, request)
 				_, _ = io.WriteString(w, "served")
--- a/internal/mesh/beats.go
+++ b/internal/mesh/beats.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/peer"
-	"github.com/cherrystage/cherrystage/internal/registry"
 	"github.com/pkg/errors"
 )
 
@@ -43,14 +42,6 @@
 	Status json.RawMessage  `json:"status,omitempty"`
 }
 
-// FetchParams asks for the records of a kind: those that changed after a revision, or those
-// of the parts whose digests differ from the asker's, or all.
-type FetchParams struct {
-	Kind  string   `json:"kind"`
-	Since uint64   `json:"since,omitempty"`
-	Parts []uint64 `json:"parts,omitempty"`
-}
-
 // beater sends the heartbeats to one witness.
 type beater struct {
 	host string
@@ -179,75 +170,6 @@
 	}
 }
 
-func (s *Service) fetchFrom(address, kind string) {
-	defer s.spread.fetched(kind)
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	replica := s.Kinds[kind]
-	before := replica.Version()
-	err := s.fetchChanges(ctx, address, kind)
-	if errors.Is(err, errIncomplete) {
-		err = s.fetchParts(ctx, address, kind)
-	}
-	if err != nil {
-		s.Log.Debug("records not fetched from a peer", "kind", kind, "address", address, "error", err.Error())
-		return
-	}
-	after := replica.Version()
-	if after.Revision <= before.Revision {
-		return
-	}
-	s.Log.Debug("records fetched from a peer", "kind", kind, "address", address, "from_revision", before.Revision, "revision", after.Revision)
-	s.Spread()
-}
-
-// errIncomplete: the peer does not know all that changed, or more differs than that.
-var errIncomplete = errors.New("the changes that the peer knows are not all that differs")
-
-// fetchChanges fetches what changed since this host knew all.
-func (s *Service) fetchChanges(ctx context.Context, address, kind string) error {
-	replica := s.Kinds[kind]
-	before := replica.Version()
-	if before.Revision == 0 {
-		return errIncomplete
-	}
-	var snapshot registry.Snapshot
-	if err := s.Pool.Call(ctx, address, methodFetch, FetchParams{Kind: kind, Since: before.Revision}, &snapshot); err != nil {
-		return err
-	}
-	if snapshot.Since != before.Revision || !replica.MergeSince(snapshot, before) {
-		return errIncomplete
-	}
-	return nil
-}
-
-// fetchParts fetches the parts that differ.
-func (s *Service) fetchParts(ctx context.Context, address, kind string) error {
-	replica := s.Kinds[kind]
-	parts, before := replica.Parts()
-	var snapshot registry.Snapshot
-	if err := s.Pool.Call(ctx, address, methodFetch, FetchParams{Kind: kind, Parts: parts}, &snapshot); err != nil {
-		return err
-	}
-	if snapshot.Revision > before.Revision || snapshot.Parts != nil && snapshot.Revision == before.Revision {
-		replica.Merge(snapshot, before)
-	}
-	return nil
-}
-
-func (s *Service) fetch(_ context.Context, _ peer.Identity, params FetchParams) (registry.Snapshot, error) {
-	replica := s.Kinds[params.Kind]
-	if replica == nil {
-		return registry.Snapshot{}, peer.Refuse(errors.Errorf("no records of kind %q are kept", params.Kind))
-	}
-	if params.Since == 0 {
-		return replica.Differing(params.Parts), nil
-	}
-	// Where the changes are not all known the asker hears so and asks for parts.
-	snapshot, _ := replica.ChangedSince(params.Since)
-	return snapshot, nil
-}
-
 // Confirmed notes that the store itself said that a kind's replica is complete.
 func (s *Service) Confirmed(kind string) { s.spread.confirmed(kind) }
 
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/objectapi"
@@ -52,6 +53,9 @@
 	started time.Time
 	spread  *spread
 
+	fetches       atomic.Int64
+	fetchesFailed atomic.Int64
+
 	mu       sync.Mutex
 	beating  map[string]*beater
 	breaking map[string]*breakTry
@@ -102,6 +106,31 @@
 	return s
 }
 
+// Knowledge tells, for the metrics, what the host knows of the store's records and how old
+// that may be.
+type Knowledge struct {
+	Kinds         map[string]Freshness `json:"kinds"`
+	Fetches       int64                `json:"fetches"`
+	FetchesFailed int64                `json:"fetches_failed"`
+}
+
+// Freshness is how old what is known of a kind of record may be, and for how long it has
+// been known that there is more.
+type Freshness struct {
+	Revision uint64 `json:"revision"`
+	AgeMS    int64  `json:"age_ms"`
+	BehindMS int64  `json:"behind_ms"`
+}
+
+// Knowledge gives what the host knows.
+func (s *Service) Knowledge() Knowledge {
+	told := Knowledge{Kinds: map[string]Freshness{}, Fetches: s.fetches.Load(), FetchesFailed: s.fetchesFailed.Load()}
+	for kind, known := range s.spread.known() {
+		told.Kinds[kind] = Freshness{Revision: known.Revision, AgeMS: known.AgeMS, BehindMS: s.spread.behind(kind).Milliseconds()}
+	}
+	return told
+}
+
 // Fleet is the replica of this package's records.
 func (s *Service) Fleet() *registry.Replica { return s.fleet }
 
--- a/internal/mesh/spread.go
+++ b/internal/mesh/spread.go
@@ -32,18 +32,21 @@
 	// copiedAt is when a kind was listed from a copy of the store.
 	copiedAt map[string]time.Time
 	fetching map[string]bool
+	// behindSince is when another host first told of more than this one has.
+	behindSince map[string]time.Time
 	// heardAt is when another host last told what it knows.
 	heardAt time.Time
 }
 
 func newSpread(kinds map[string]*registry.Replica, now func() time.Time) *spread {
-	return &spread{kinds: kinds, now: now, at: map[string]time.Time{}, copiedAt: map[string]time.Time{}, fetching: map[string]bool{}}
+	return &spread{kinds: kinds, now: now, at: map[string]time.Time{}, copiedAt: map[string]time.Time{}, fetching: map[string]bool{}, behindSince: map[string]time.Time{}}
 }
 
 func (s *spread) confirmed(kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.at[kind] = s.now()
+	delete(s.behindSince, kind)
 }
 
 func (s *spread) copied(kind string) {
@@ -156,14 +159,36 @@
 			if at.After(s.at[kind]) {
 				s.at[kind] = at
 			}
-		case known.Revision > own.Revision && !s.fetching[kind]:
-			s.fetching[kind] = true
-			fetch = append(fetch, kind)
+		case known.Revision > own.Revision:
+			if s.behindSince[kind].IsZero() {
+				s.behindSince[kind] = s.now()
+			}
+			if !s.fetching[kind] {
+				s.fetching[kind] = true
+				fetch = append(fetch, kind)
+			}
 		}
 	}
 	return fetch
 }
 
+// behind gives for how long it has been known that there is more than this host has.
+func (s *spread) behind(kind string) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.behindSince[kind].IsZero() {
+		return 0
+	}
+	return s.now().Sub(s.behindSince[kind])
+}
+
+// caughtUp notes that this host has what it was told of.
+func (s *spread) caughtUp(kind string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.behindSince, kind)
+}
+
 func (s *spread) fetched(kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
