A page of a listing has a time limit, not the whole listing

A host listed a kind of record within two seconds in all, however many pages it had: the list of 3,700 runners takes longer over 10 Mbit/s, and such a host would have begun anew for ever.

--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -15,9 +15,6 @@
 	// watchMargin is how long after its wait a watch without an answer is given
 	// up.
 	watchMargin = 2 * time.Second
-	// listTimeout bounds a listing. The store answers in some 4 ms and, slowed
-	// sixty times, within 250 ms a page.
-	listTimeout = 2 * time.Second
 	// retryFirst and retryMost bound the pause after a failed call. The longest
 	// pause leaves half of a configuration's two seconds to be in force.
 	// dueStep is how often it is looked whether the other hosts still pass on
@@ -154,8 +151,6 @@
 	if f.Copied == nil || ctx.Err() != nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
 	records, revision, err := f.Store.ListStale(ctx, f.Kind)
 	if err != nil || revision == 0 {
 		f.Log.Debug("no listing from a copy", "kind", f.Kind, "revision", revision, "error", err)
@@ -174,8 +169,6 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
 	records, revision, err := f.Store.List(ctx, f.Kind)
 	if err != nil {
 		return err
