Large records go from host to host packed and in pieces, from one source after another

Callers got a 404 for routes that had been acknowledged more than the bound before. Cause: each host fetched the configuration whole, 0.33 MB for 1,400 routes, in one call of a second, over the connection and the link that carry its heartbeats. A heartbeat whose 400 ms passed behind it closed the connection; what had come was thrown away and asked for again, so that the more hosts asked one source, the less of it arrived: time out, discard, begin anew. A host was also tied to one source for that second, and then waited until somebody told it again.

What has come is kept: the fetch goes on where it was at the next host that told of the same records.

--- a/internal/mesh/beats.go
+++ b/internal/mesh/beats.go
@@ -162,8 +162,8 @@
 // learn takes over what a peer told, and fetches what it is ahead in.
 func (s *Service) learn(host, address string, known map[string]Known, status json.RawMessage) {
 	s.spread.heard()
-	for _, kind := range s.spread.learn(known) {
-		go s.fetchFrom(address, kind)
+	for _, kind := range s.spread.learn(address, known, s.Now()) {
+		go s.pursue(kind)
 	}
 	if len(status) > 0 {
 		s.Statuses.StatusFrom(host, status)
@@ -171,7 +171,7 @@
 }
 
 // Confirmed notes that the store itself said that a kind's replica is complete.
-func (s *Service) Confirmed(kind string) { s.spread.confirmed(kind) }
+func (s *Service) Confirmed(kind string) { s.spread.confirmed(kind, s.Now()) }
 
 // Copied notes that a kind's replica was listed from a copy of the store.
 func (s *Service) Copied(kind string) { s.spread.copied(kind) }
--- a/internal/mesh/fetch.go
+++ b/internal/mesh/fetch.go
@@ -9,6 +9,10 @@
 	"github.com/pkg/errors"
 )
 
+// fetchTimeout bounds one call of a fetch: an announcement, or a piece of what is fetched.
+// A source that takes longer is frozen, cut off or much asked; another one goes on.
+const fetchTimeout = 500 * time.Millisecond
+
 // FetchParams asks for the records of a kind: those that changed after a revision, or those
 // of the parts whose digests differ from the asker's, or all.
 type FetchParams struct {
@@ -17,16 +21,35 @@
 	Parts []uint64 `json:"parts,omitempty"`
 }
 
-func (s *Service) fetchFrom(address, kind string) {
-	defer s.spread.fetched(kind)
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
+// FetchResult gives the records, or announces them where they are many.
+type FetchResult struct {
+	registry.Snapshot
+	Parcel *Parcel `json:"parcel,omitempty"`
+}
+
+// pursue fetches a kind of record until no host is known that has more, from one source
+// after the other.
+//
+// Tied to one source, a host whose source froze waited out a second, and then until it was
+// told again, before it asked another.
+func (s *Service) pursue(kind string) {
+	var left unfinished
+	for {
+		source, ok := s.spread.nextSource(kind)
+		if !ok {
+			return
+		}
+		s.fetchFrom(source, kind, &left)
+	}
+}
+
+func (s *Service) fetchFrom(address, kind string, left *unfinished) {
 	replica := s.Kinds[kind]
 	before := replica.Version()
 	begun := s.Now()
-	err := s.fetchChanges(ctx, address, kind)
+	err := s.fetchChanges(address, kind, left)
 	if errors.Is(err, errIncomplete) {
-		err = s.fetchParts(ctx, address, kind)
+		err = s.fetchParts(address, kind, left)
 	}
 	s.tellFetch(kind, address, before, s.Now().Sub(begun), err)
 	if replica.Version().Revision > before.Revision {
@@ -41,7 +64,7 @@
 // tellFetch logs what became of a fetch: failures and what took long, and the rest where
 // everything is logged. Records change several times a second in a busy fleet.
 func (s *Service) tellFetch(kind, address string, before registry.Version, took time.Duration, err error) {
-	behind := s.spread.behind(kind)
+	behind, _ := s.spread.behind(kind)
 	line := []any{
 		"kind", kind, "address", address, "took_ms", took.Milliseconds(), "behind_ms", behind.Milliseconds(),
 		"from_revision", before.Revision, "revision", s.Kinds[kind].Revision(), "age_ms", s.spread.age(kind).Milliseconds(),
@@ -52,7 +75,6 @@
 		s.Log.Info("records not fetched from a peer", append(line, "error", err.Error())...)
 		return
 	}
-	s.spread.caughtUp(kind)
 	if took >= slowFetch || behind >= slowFetch {
 		s.Log.Info("records fetched from a peer", line...)
 		return
@@ -64,14 +86,14 @@
 var errIncomplete = errors.New("the changes that the peer knows are not all that differs")
 
 // fetchChanges fetches what changed since this host knew all.
-func (s *Service) fetchChanges(ctx context.Context, address, kind string) error {
+func (s *Service) fetchChanges(address, kind string, left *unfinished) error {
 	replica := s.Kinds[kind]
 	before := replica.Version()
 	if before.Revision == 0 {
 		return errIncomplete
 	}
-	var snapshot registry.Snapshot
-	if err := s.Pool.Call(ctx, address, methodFetch, FetchParams{Kind: kind, Since: before.Revision}, &snapshot); err != nil {
+	snapshot, err := s.fetchSnapshot(address, FetchParams{Kind: kind, Since: before.Revision}, left)
+	if err != nil {
 		return err
 	}
 	if snapshot.Since != before.Revision || !replica.MergeSince(snapshot, before) {
@@ -81,11 +103,11 @@
 }
 
 // fetchParts fetches the parts that differ.
-func (s *Service) fetchParts(ctx context.Context, address, kind string) error {
+func (s *Service) fetchParts(address, kind string, left *unfinished) error {
 	replica := s.Kinds[kind]
 	parts, before := replica.Parts()
-	var snapshot registry.Snapshot
-	if err := s.Pool.Call(ctx, address, methodFetch, FetchParams{Kind: kind, Parts: parts}, &snapshot); err != nil {
+	snapshot, err := s.fetchSnapshot(address, FetchParams{Kind: kind, Parts: parts}, left)
+	if err != nil {
 		return err
 	}
 	if snapshot.Revision > before.Revision || snapshot.Parts != nil && snapshot.Revision == before.Revision {
@@ -94,15 +116,90 @@
 	return nil
 }
 
-func (s *Service) fetch(_ context.Context, _ peer.Identity, params FetchParams) (registry.Snapshot, error) {
+// fetchSnapshot asks a host and fetches the pieces of what it announces.
+func (s *Service) fetchSnapshot(address string, params FetchParams, left *unfinished) (registry.Snapshot, error) {
+	var result FetchResult
+	if err := s.callSource(address, methodFetch, params, &result); err != nil {
+		return registry.Snapshot{}, err
+	}
+	if result.Parcel == nil {
+		return result.Snapshot, nil
+	}
+	left.begin(*result.Parcel)
+	for !left.whole() {
+		var piece PieceResult
+		if err := s.callSource(address, methodPiece, left.next(), &piece); err != nil {
+			return registry.Snapshot{}, err
+		}
+		if err := left.add(piece.Data); err != nil {
+			return registry.Snapshot{}, err
+		}
+	}
+	records, err := inflate(left.data)
+	*left = unfinished{}
+	result.Snapshot.Records = records
+	return result.Snapshot, err
+}
+
+func (s *Service) callSource(address, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	return s.Pool.Call(ctx, address, method, params, result)
+}
+
+// unfinished is what a fetch has of a parcel. It outlives a source that fails: what has
+// come over a thin link is not sent again.
+type unfinished struct {
+	parcel Parcel
+	data   []byte
+}
+
+// begin goes on with a parcel, or begins another one.
+func (u *unfinished) begin(parcel Parcel) {
+	if u.parcel != parcel {
+		*u = unfinished{parcel: parcel}
+	}
+}
+
+func (u *unfinished) whole() bool { return len(u.data) >= u.parcel.Bytes }
+
+func (u *unfinished) next() PieceParams { return PieceParams{ID: u.parcel.ID, Offset: len(u.data)} }
+
+func (u *unfinished) add(data []byte) error {
+	if len(data) == 0 {
+		return errors.New("the peer gave an empty piece")
+	}
+	u.data = append(u.data, data...)
+	return nil
+}
+
+func (s *Service) fetch(_ context.Context, _ peer.Identity, params FetchParams) (FetchResult, error) {
 	replica := s.Kinds[params.Kind]
 	if replica == nil {
-		return registry.Snapshot{}, peer.Refuse(errors.Errorf("no records of kind %q are kept", params.Kind))
+		return FetchResult{}, peer.Refuse(errors.Errorf("no records of kind %q are kept", params.Kind))
 	}
+	var snapshot registry.Snapshot
 	if params.Since == 0 {
-		return replica.Differing(params.Parts), nil
+		snapshot = replica.Differing(params.Parts)
+	} else {
+		// Where the changes are not all known the asker hears so and asks for parts.
+		snapshot, _ = replica.ChangedSince(params.Since)
+	}
+	if !large(snapshot.Records) {
+		return FetchResult{Snapshot: snapshot}, nil
+	}
+	parcel, err := s.parcels.pack(params.Kind, snapshot.Records)
+	if err != nil {
+		return FetchResult{}, peer.Refuse(err)
+	}
+	snapshot.Records = nil
+	return FetchResult{Snapshot: snapshot, Parcel: &parcel}, nil
+}
+
+func (s *Service) piece(_ context.Context, _ peer.Identity, params PieceParams) (PieceResult, error) {
+	data, ok := s.parcels.piece(params)
+	if !ok {
+		return PieceResult{}, peer.Refuse(errors.New("no such piece is kept"))
 	}
-	// Where the changes are not all known the asker hears so and asks for parts.
-	snapshot, _ := replica.ChangedSince(params.Since)
-	return snapshot, nil
+	return PieceResult{Data: data}, nil
 }
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -34,6 +34,7 @@
 const (
 	methodBeat  = "mesh.beat"
 	methodFetch = "mesh.fetch"
+	methodPiece = "mesh.piece"
 	methodVote  = "mesh.vote"
 	methodKnown = "mesh.known"
 )
@@ -52,6 +53,7 @@
 	fleet   *registry.Replica
 	started time.Time
 	spread  *spread
+	parcels parcels
 
 	fetches       atomic.Int64
 	fetchesFailed atomic.Int64
@@ -92,7 +94,7 @@
 
 // NewService makes a service.
 func NewService(deps Deps) *Service {
-	s := &Service{Deps: deps, started: deps.Now(), beating: map[string]*beater{}, breaking: map[string]*breakTry{}, kick: make(chan struct{}, 1)}
+	s := &Service{Deps: deps, started: deps.Now(), beating: map[string]*beater{}, breaking: map[string]*breakTry{}, kick: make(chan struct{}, 1), parcels: parcels{now: deps.Now}}
 	s.fleet = registry.NewReplica()
 	s.Kinds[Kind] = s.fleet
 	s.spread = newSpread(s.Kinds, deps.Now)
@@ -126,7 +128,8 @@
 func (s *Service) Knowledge() Knowledge {
 	told := Knowledge{Kinds: map[string]Freshness{}, Fetches: s.fetches.Load(), FetchesFailed: s.fetchesFailed.Load()}
 	for kind, known := range s.spread.known() {
-		told.Kinds[kind] = Freshness{Revision: known.Revision, AgeMS: known.AgeMS, BehindMS: s.spread.behind(kind).Milliseconds()}
+		behind, _ := s.spread.behind(kind)
+		told.Kinds[kind] = Freshness{Revision: known.Revision, AgeMS: known.AgeMS, BehindMS: behind.Milliseconds()}
 	}
 	return told
 }
@@ -138,6 +141,7 @@
 func (s *Service) Register(mux *peer.Mux) {
 	peer.Handle(mux, methodBeat, s.takeBeat)
 	peer.Handle(mux, methodFetch, s.fetch)
+	peer.Handle(mux, methodPiece, s.piece)
 	peer.Handle(mux, methodVote, s.vote)
 	peer.Handle(mux, methodKnown, s.known)
 }
--- a/internal/mesh/spread.go
+++ b/internal/mesh/spread.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -24,35 +25,65 @@
 // hears nothing asks the store itself, so hosts that are cut off from the
 // others miss nothing. It is safe for concurrent use.
 type spread struct {
-	kinds map[string]*registry.Replica
-	now   func() time.Time
-
-	mu sync.Mutex
-	at map[string]time.Time
-	// copiedAt is when a kind was listed from a copy of the store.
-	copiedAt map[string]time.Time
-	fetching map[string]bool
-	// behindSince is when another host first told of more than this one has.
-	behindSince map[string]time.Time
+	now func() time.Time
+
+	mu    sync.Mutex
+	kinds map[string]*knowledge
 	// heardAt is when another host last told what it knows.
 	heardAt time.Time
 }
 
-func newSpread(kinds map[string]*registry.Replica, now func() time.Time) *spread {
-	return &spread{kinds: kinds, now: now, at: map[string]time.Time{}, copiedAt: map[string]time.Time{}, fetching: map[string]bool{}, behindSince: map[string]time.Time{}}
+// knowledge is how fresh one replica is, and who has more.
+type knowledge struct {
+	replica *registry.Replica
+	// asOf is a moment up to which the replica has everything, by the store's word.
+	asOf time.Time
+	// copiedAt is when the replica was listed from a copy of the store.
+	copiedAt time.Time
+	// sources are hosts that told of more than the replica has, the last one last;
+	// fetching says that they are being asked.
+	sources  []source
+	fetching bool
+	// lacks is the revision that the replica was first told of and does not have, since
+	// lackingSince.
+	lacks        uint64
+	lackingSince time.Time
+}
+
+// source is a host that has more than this one.
+type source struct {
+	address  string
+	revision uint64
+}
+
+// maxSources is how many hosts that have more of a kind of record are remembered.
+const maxSources = 4
+
+func newSpread(replicas map[string]*registry.Replica, now func() time.Time) *spread {
+	s := &spread{now: now, kinds: make(map[string]*knowledge, len(replicas))}
+	for kind, replica := range replicas {
+		s.kinds[kind] = &knowledge{replica: replica}
+	}
+	return s
 }
 
-func (s *spread) confirmed(kind string) {
+// confirmed notes that a replica has everything up to a moment.
+func (s *spread) confirmed(kind string, asOf time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.at[kind] = s.now()
-	delete(s.behindSince, kind)
+	s.kinds[kind].confirmed(asOf)
+}
+
+func (k *knowledge) confirmed(asOf time.Time) {
+	if asOf.After(k.asOf) {
+		k.asOf = asOf
+	}
 }
 
 func (s *spread) copied(kind string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.copiedAt[kind] = s.now()
+	s.kinds[kind].copiedAt = s.now()
 }
 
 // patienceAge is the age by which a host turns to the store itself: a listing from a
@@ -60,9 +91,10 @@
 func (s *spread) patienceAge(kind string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	age := s.ageOf(kind)
-	if at, ok := s.copiedAt[kind]; ok {
-		age = min(age, s.now().Sub(at))
+	k := s.kinds[kind]
+	age := k.age(s.now())
+	if !k.copiedAt.IsZero() {
+		age = min(age, s.now().Sub(k.copiedAt))
 	}
 	return age
 }
@@ -70,17 +102,29 @@
 func (s *spread) age(kind string) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.ageOf(kind)
+	return s.kinds[kind].age(s.now())
 }
 
-func (s *spread) ageOf(kind string) time.Duration {
-	at, ok := s.at[kind]
-	if !ok {
+func (k *knowledge) age(now time.Time) time.Duration {
+	if k.asOf.IsZero() {
 		return unconfirmed
 	}
-	return s.now().Sub(at)
+	return now.Sub(k.asOf)
 }
 
+// behind says whether there is more than this host has, and for how long it has known.
+func (s *spread) behind(kind string) (since time.Duration, lacks bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.kinds[kind]
+	if !k.lacking() {
+		return 0, false
+	}
+	return s.now().Sub(k.lackingSince), true
+}
+
+func (k *knowledge) lacking() bool { return k.replica.Revision() < k.lacks }
+
 // silence gives how long no other host has told anything.
 func (s *spread) silence() time.Duration {
 	s.mu.Lock()
@@ -93,23 +137,23 @@
 func (s *spread) lot(kind, host string) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	drawn := xxhash.Sum64String(host + "\x00" + kind + "\x00" + strconv.FormatInt(s.at[kind].UnixNano(), 10))
+	drawn := xxhash.Sum64String(host + "\x00" + kind + "\x00" + strconv.FormatInt(s.kinds[kind].asOf.UnixNano(), 10))
 	return float64(drawn>>11) / (1 << 53)
 }
 
-// since says whether a kind of record was confirmed after a moment.
+// since says whether a kind of record was confirmed as of a moment or later.
 func (s *spread) since(kind string, moment time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.at[kind].After(moment)
+	return s.kinds[kind].asOf.After(moment)
 }
 
 func (s *spread) known() map[string]Known {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := make(map[string]Known, len(s.kinds))
-	for kind, replica := range s.kinds {
-		known[kind] = Known{Version: replica.Version(), AgeMS: s.ageOf(kind).Milliseconds()}
+	for kind, k := range s.kinds {
+		known[kind] = Known{Version: k.replica.Version(), AgeMS: k.age(s.now()).Milliseconds()}
 	}
 	return known
 }
@@ -142,29 +186,26 @@
 	s.heardAt = s.now()
 }
 
-// learn takes over what a peer knows and gives the kinds to fetch from it.
-func (s *spread) learn(theirs map[string]Known) []string {
+// learn takes over what the peer at an address knew at a moment, and gives the kinds that
+// are now to be fetched.
+func (s *spread) learn(address string, theirs map[string]Known, moment time.Time) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var fetch []string
 	for kind, known := range theirs {
-		replica := s.kinds[kind]
-		if replica == nil {
+		k := s.kinds[kind]
+		if k == nil {
 			continue
 		}
-		own := replica.Version()
+		own := k.replica.Version()
 		switch {
 		case own.Digest == known.Digest && own.Revision > 0:
-			at := s.now().Add(-time.Duration(known.AgeMS) * time.Millisecond)
-			if at.After(s.at[kind]) {
-				s.at[kind] = at
-			}
+			k.confirmed(moment.Add(-time.Duration(known.AgeMS) * time.Millisecond))
+			k.lacks = 0
 		case known.Revision > own.Revision:
-			if s.behindSince[kind].IsZero() {
-				s.behindSince[kind] = s.now()
-			}
-			if !s.fetching[kind] {
-				s.fetching[kind] = true
+			k.told(source{address: address, revision: known.Revision}, s.now())
+			if !k.fetching {
+				k.fetching = true
 				fetch = append(fetch, kind)
 			}
 		}
@@ -172,25 +213,32 @@
 	return fetch
 }
 
-// behind gives for how long it has been known that there is more than this host has.
-func (s *spread) behind(kind string) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.behindSince[kind].IsZero() {
-		return 0
+// told remembers who has more.
+func (k *knowledge) told(by source, now time.Time) {
+	if !k.lacking() {
+		k.lacks, k.lackingSince = by.revision, now
 	}
-	return s.now().Sub(s.behindSince[kind])
-}
-
-// caughtUp notes that this host has what it was told of.
-func (s *spread) caughtUp(kind string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.behindSince, kind)
+	k.sources = slices.DeleteFunc(k.sources, func(known source) bool { return known.address == by.address })
+	if len(k.sources) >= maxSources {
+		k.sources = slices.Delete(k.sources, 0, 1)
+	}
+	k.sources = append(k.sources, by)
 }
 
-func (s *spread) fetched(kind string) {
+// nextSource gives the host that last told of more than this one has, and forgets it: it is
+// asked again once it tells so again. Without any the fetching has ended.
+func (s *spread) nextSource(kind string) (address string, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.fetching, kind)
+	k := s.kinds[kind]
+	own := k.replica.Revision()
+	for len(k.sources) > 0 {
+		last := k.sources[len(k.sources)-1]
+		k.sources = k.sources[:len(k.sources)-1]
+		if last.revision > own {
+			return last.address, true
+		}
+	}
+	k.fetching = false
+	return "", false
 }
--- a/internal/mesh/spread_test.go
+++ b/internal/mesh/spread_test.go
@@ -26,18 +26,18 @@
 	own := newSpread(map[string]*registry.Replica{"same": listed(5, "a"), "more": listed(7, "a", "b"), "less": listed(3, "a")}, clock)
 	peer := newSpread(map[string]*registry.Replica{"same": listed(6, "a"), "more": listed(5, "a"), "less": listed(4, "a", "b")}, clock)
 	for _, kind := range []string{"same", "more", "less"} {
-		own.confirmed(kind)
-		peer.confirmed(kind)
+		own.confirmed(kind, now)
+		peer.confirmed(kind, now)
 	}
 	must.MapContainsKeys(t, own.lacking(peer.known()), []string{"more"})
 	must.MapLen(t, 1, own.lacking(peer.known()))
 
 	now = now.Add(time.Second)
-	own.confirmed("same")
+	own.confirmed("same", now)
 	lacking := own.lacking(peer.known())
 	must.MapLen(t, 2, lacking)
 	must.Eq(t, 0, lacking["same"].AgeMS)
-	must.Eq(t, []string{"more"}, peer.learn(lacking))
+	must.Eq(t, []string{"more"}, peer.learn("own:1", lacking, now))
 	must.Eq(t, 0, peer.age("same"))
 
 	must.MapLen(t, 3, own.lacking(nil), must.Sprint("to a host that tells of nothing, everything"))
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -41,7 +41,7 @@
 	OnChange func(changed []Change, whole bool)
 	// Strip leaves out of a record what this layer does not use; it may be nil. A
 	// record that differs in nothing else has not changed: peers do not fetch it
-	// from each other.
+	// from each other. What peers give is stripped already.
 	//
 	// Runners' entries change with each adapter that comes or goes. Taken whole, all
 	// hosts would fetch from each other what none of them uses, without an end.
@@ -144,7 +144,11 @@
 	if revision < r.revision {
 		return nil, false
 	}
-	return r.replaceParts(records, revision, func(int) bool { return true }), true
+	stripped := make([]Record, len(records))
+	for i, record := range records {
+		stripped[i] = r.strip(record)
+	}
+	return r.replaceParts(stripped, revision, func(int) bool { return true }), true
 }
 
 // replaceParts replaces all records of some parts as of a revision; the lock is held.
@@ -156,7 +160,6 @@
 	listed := make(map[string]bool, len(records))
 	var changes []Change
 	for _, record := range records {
-		record = r.strip(record)
 		listed[record.Name] = true
 		if r.records[record.Name].Revision > revision {
 			continue
@@ -281,7 +284,6 @@
 func (r *Replica) apply(snapshot Snapshot) []Change {
 	var changes []Change
 	for _, record := range snapshot.Records {
-		record = r.strip(record)
 		if record.Revision <= r.records[record.Name].Revision {
 			continue
 		}
