What a host knows is as old as the store's answer, and counts once it goes by it

"This is all" counted from the moment at which an answer had come whole, before the host had read it, and what another host told from the moment at which its answer came.

Now a watch tells how long ago its answer began to arrive; an answer without news counts from the end of its wait at the latest; a listing from when it was asked; what another host tells from when it was asked. All count once the answer is applied.

TestConfirmedAsOfTheAnswer fails before in its three cases (confirmed before it was applied; as of 0.7 s in place of 0.4 s; as of 5 s in place of 1 s).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -197,7 +197,7 @@
 			Store: platform.Store, Kind: kind, Sink: sink, Wait: rhythm.wait, Pace: rhythm.pace, Now: e.now, Log: e.log,
 			Due:       func() time.Duration { return e.mesh.Due(kind, rhythm.stale) },
 			Patience:  func() time.Duration { return e.mesh.Patience(kind) },
-			Confirmed: func() { e.mesh.Confirmed(kind) },
+			Confirmed: func(asOf time.Time) { e.mesh.Confirmed(kind, asOf) },
 		}
 	}
 	runners := follower(platform.RunnerKind, e.directory.Runners, runnerRhythm)
--- a/internal/mesh/beats.go
+++ b/internal/mesh/beats.go
@@ -140,7 +140,8 @@
 	if answer.Promised {
 		s.State.Promised(host, sent)
 	}
-	s.learn(host, address, answer.Known, answer.Status)
+	// What the peer knew is at least as old as the question.
+	s.learn(host, address, answer.Known, answer.Status, sent)
 	return nil
 }
 
@@ -155,14 +156,14 @@
 
 func (s *Service) takeBeat(_ context.Context, from peer.Identity, beat Beat) (BeatAnswer, error) {
 	promised := s.State.TakeBeat(from.Host, s.Now())
-	s.learn(from.Host, beat.Address, beat.Known, beat.Status)
+	s.learn(from.Host, beat.Address, beat.Known, beat.Status, s.Now())
 	return BeatAnswer{Promised: promised, Known: s.spread.lacking(beat.Known), Status: s.status()}, nil
 }
 
-// learn takes over what a peer told, and fetches what it is ahead in.
-func (s *Service) learn(host, address string, known map[string]Known, status json.RawMessage) {
+// learn takes over what a peer knew at a moment, and fetches what it is ahead in.
+func (s *Service) learn(host, address string, known map[string]Known, status json.RawMessage, moment time.Time) {
 	s.spread.heard()
-	for _, kind := range s.spread.learn(address, known, s.Now()) {
+	for _, kind := range s.spread.learn(address, known, moment) {
 		go s.pursue(kind)
 	}
 	if len(status) > 0 {
@@ -170,8 +171,9 @@
 	}
 }
 
-// Confirmed notes that the store itself said that a kind's replica is complete.
-func (s *Service) Confirmed(kind string) { s.spread.confirmed(kind, s.Now()) }
+// Confirmed notes that a kind's replica has everything up to a moment, by the store's own
+// word.
+func (s *Service) Confirmed(kind string, asOf time.Time) { s.spread.confirmed(kind, asOf) }
 
 // Copied notes that a kind's replica was listed from a copy of the store.
 func (s *Service) Copied(kind string) { s.spread.copied(kind) }
--- a/internal/mesh/fetch_test.go
+++ b/internal/mesh/fetch_test.go
@@ -106,7 +106,7 @@
 
 // tell has a host hear what another one knows.
 func (m *meshes) tell(to, from string) {
-	m.all[to].learn(from, from+":1", m.all[from].spread.known(), nil)
+	m.all[to].learn(from, from+":1", m.all[from].spread.known(), nil, time.Now())
 }
 
 func (m *meshes) revision(host string) uint64 { return m.all[host].Kinds["k"].Revision() }
--- a/internal/mesh/join.go
+++ b/internal/mesh/join.go
@@ -51,12 +51,13 @@
 	s.asks++
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
+	sent := s.Now()
 	var answer KnownResult
 	if err := s.Pool.Call(ctx, address, methodKnown, struct{}{}, &answer); err != nil {
 		s.Log.Debug("host asked for what it knows does not answer", "address", address, "error", err.Error())
 		return
 	}
-	s.learn("", address, answer.Known, nil)
+	s.learn("", address, answer.Known, nil, sent)
 }
 
 // addresses gives the other hosts that can be asked: those that are known, or
--- a/internal/mesh/join_test.go
+++ b/internal/mesh/join_test.go
@@ -28,7 +28,7 @@
 		for i, other := range names {
 			s.State.Apply([]registry.Change{change(panics{}, hostName(other), HostRecord{Epoch: 1, Address: other + ":1"}, uint64(i+1))}, now())
 		}
-		s.Confirmed("k")
+		s.Confirmed("k", now())
 		s.spread.heardAt = now()
 		services = append(services, s)
 	}
--- a/internal/mesh/spread_test.go
+++ b/internal/mesh/spread_test.go
@@ -50,6 +50,6 @@
 	s := fleetOf(3, func() time.Time { return now })[0]
 	now = now.Add(time.Minute)
 	must.Greater(t, heardLately, s.spread.silence())
-	s.learn("h1", "h1:1", nil, nil)
+	s.learn("h1", "h1:1", nil, nil, now)
 	must.Eq(t, 0, s.spread.silence())
 }
--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -66,8 +66,12 @@
 	// The load it answers: hundreds of hosts start in the same second and list each
 	// kind of record, two thirds of all that they ever ask of the store.
 	Copied func()
-	// Confirmed is called after each answer that is not from a copy; it may be nil.
-	Confirmed func()
+	// Confirmed is called once the sink has taken an answer that is not from a copy, with
+	// a moment up to which the sink has everything; it may be nil.
+	//
+	// Called before, a host that takes half a second to read a configuration told others
+	// meanwhile that the one before was the newest.
+	Confirmed func(asOf time.Time)
 	// Outage is called when the store answers again after it was out of reach
 	// for a time; it may be nil.
 	Outage func(length time.Duration)
@@ -169,31 +173,43 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
+	asked := f.Now()
 	records, revision, err := f.Store.List(ctx, f.Kind)
 	if err != nil {
 		return err
 	}
 	f.regained()
 	f.Sink.Listed(records, revision)
+	f.confirm(asked)
 	return nil
 }
 
 func (f *Follower) watch(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+watchMargin)
 	defer cancel()
-	changes, revision, err := f.Store.Watch(ctx, f.Kind, f.Sink.Revision(), f.Wait)
+	asked := f.Now()
+	changes, err := f.Store.Watch(ctx, f.Kind, f.Sink.Revision(), f.Wait)
 	if err != nil {
 		return err
 	}
+	asOf := f.Now().Add(-changes.Age)
+	if waited := asked.Add(f.Wait); len(changes.List) == 0 && asOf.After(waited) {
+		// A host that was suspended reads the answer later than the store gave it.
+		asOf = waited
+	}
 	f.regained()
-	f.Sink.Changed(changes, revision)
+	f.Sink.Changed(changes.List, changes.Revision)
+	f.confirm(asOf)
 	return nil
 }
 
-func (f *Follower) regained() {
+func (f *Follower) confirm(asOf time.Time) {
 	if f.Confirmed != nil {
-		f.Confirmed()
+		f.Confirmed(asOf)
 	}
+}
+
+func (f *Follower) regained() {
 	if f.lost.CompareAndSwap(true, false) {
 		if f.Outage != nil {
 			f.Outage(f.Now().Sub(f.lostAt))
--- a/internal/registry/follow_test.go
+++ b/internal/registry/follow_test.go
@@ -22,9 +22,9 @@
 	return nil, 0, &objectapi.Error{Op: "list", Cause: objectapi.ErrUnavailable}
 }
 
-func (d *downStore) Watch(context.Context, string, uint64, time.Duration) ([]Change, uint64, error) {
+func (d *downStore) Watch(context.Context, string, uint64, time.Duration) (Changes, error) {
 	d.calls++
-	return nil, 0, &objectapi.Error{Op: "watch", Cause: objectapi.ErrUnavailable}
+	return Changes{}, &objectapi.Error{Op: "watch", Cause: objectapi.ErrUnavailable}
 }
 
 func callsWhileDown(t *testing.T, patience time.Duration, known uint64) int {
@@ -103,13 +103,13 @@
 	return []Record{record("a", 1)}, c.behind, nil
 }
 
-func (c *copyStore) Watch(_ context.Context, _ string, since uint64, wait time.Duration) ([]Change, uint64, error) {
+func (c *copyStore) Watch(_ context.Context, _ string, since uint64, wait time.Duration) (Changes, error) {
 	if since < 9 {
 		c.watchedAt = since
-		return []Change{{Record: record("b", 9)}}, 10, nil
+		return Changes{List: []Change{{Record: record("b", 9)}}, Revision: 10}, nil
 	}
 	time.Sleep(wait)
-	return nil, since, nil
+	return Changes{Revision: since}, nil
 }
 
 // A host starts and takes its first listing from a copy that is behind. What is missing
@@ -131,7 +131,7 @@
 				copied, confirmed := 0, 0
 				follower := &Follower{
 					Store: &test.store, Kind: "k", Sink: replica, Wait: time.Second, Now: time.Now, Log: hclog.NewNullLogger(),
-					Copied: func() { copied++ }, Confirmed: func() { confirmed++ },
+					Copied: func() { copied++ }, Confirmed: func(time.Time) { confirmed++ },
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 				defer cancel()
@@ -145,3 +145,66 @@
 		})
 	}
 }
+
+// oneWatch answers one watch and then none.
+type oneWatch struct {
+	Store
+	answer Changes
+	after  time.Duration
+	asked  bool
+}
+
+func (o *oneWatch) Watch(ctx context.Context, _ string, _ uint64, _ time.Duration) (Changes, error) {
+	if o.asked {
+		<-ctx.Done()
+		return Changes{}, ctx.Err()
+	}
+	o.asked = true
+	time.Sleep(o.after)
+	return o.answer, nil
+}
+
+// slowSink takes half a second to take a change, as a host with little of a core does.
+type slowSink struct{ *Replica }
+
+func (s slowSink) Changed(changes []Change, revision uint64) {
+	time.Sleep(500 * time.Millisecond)
+	s.Replica.Changed(changes, revision)
+}
+
+// What a host knows counts as confirmed once it goes by it, as of the moment at which the
+// store began to answer, and at the latest at which it had to. Counted from the end, a large
+// answer over a thin link, a slow reader and a host that was suspended each told others that
+// nothing was newer, when something was.
+func TestConfirmedAsOfTheAnswer(t *testing.T) {
+	news := []Change{{Record: record("a", 9)}}
+	for _, test := range []struct {
+		name      string
+		answer    Changes
+		after     time.Duration
+		confirmed time.Duration
+		asOf      time.Duration
+	}{
+		{"news over a thin link to a slow reader", Changes{List: news, Revision: 9, Age: 300 * time.Millisecond}, 700 * time.Millisecond, 1200 * time.Millisecond, 400 * time.Millisecond},
+		{"nothing new", Changes{Revision: 7}, time.Second, 1500 * time.Millisecond, time.Second},
+		{"nothing new to a host that was suspended", Changes{Revision: 7}, 5 * time.Second, 5500 * time.Millisecond, time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				replica := NewReplica()
+				replica.Listed(nil, 7)
+				begun := time.Now()
+				var confirmed, asOf time.Duration
+				follower := &Follower{
+					Store: &oneWatch{answer: test.answer, after: test.after}, Kind: "k", Sink: slowSink{replica}, Wait: time.Second, Now: time.Now, Log: hclog.NewNullLogger(),
+					Copied: nil, Confirmed: func(at time.Time) { confirmed, asOf = time.Since(begun), at.Sub(begun) },
+				}
+				ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+				defer cancel()
+				must.NoError(t, follower.watch(ctx))
+				must.Eq(t, test.confirmed, confirmed)
+				must.Eq(t, test.asOf, asOf)
+			})
+		})
+	}
+}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -25,6 +25,16 @@
 	Removed bool
 }
 
+// Changes answer a watch.
+type Changes struct {
+	List []Change
+	// Revision is the store's, up to which these are all changes.
+	Revision uint64
+	// Age is how long before Watch returned the answer began to arrive. The store may have
+	// changed since: a large answer takes long over a thin link.
+	Age time.Duration
+}
+
 // ErrHistoryGone: the store no longer knows the changes since the asked
 // revision, so the watcher must list again.
 var ErrHistoryGone = errors.New("the store's history no longer reaches back to the asked revision")
@@ -41,7 +51,7 @@
 	// behind.
 	ListStale(ctx context.Context, kind string) ([]Record, uint64, error)
 	// Watch waits for changes after a revision, up to a time.
-	Watch(ctx context.Context, kind string, since uint64, wait time.Duration) ([]Change, uint64, error)
+	Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (Changes, error)
 	// Get reads one record.
 	Get(ctx context.Context, kind, name string) (Record, error)
 	// Create writes a record that must not exist yet.
