A pause after a failed call to the store ends once others hear from it

After an outage a host of a large fleet went on waiting for its next call, up to 6.5 s with 65 hosts and 20 s with 195, though the store was back and others said so; should the hosts that watch die in that time, it went by old configurations and by runners that had left until its pause was over.

Now the pause ends as soon as others told enough, and the host asks when that is too old. A listing that the pause followed is left out too: the next watch goes on from what others gave, and lists again if the store's history does not reach back so far.

TestPauseEndsOnceOthersHearFromTheStore fails before (one call in place of two).

--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -106,6 +106,8 @@
 			continue
 		}
 		f.pause(ctx, f.spread(pause))
+		// Others have told what a listing would: the next watch goes on from there.
+		relist = relist && !f.informed()
 		pause = min(2*pause, retryMost)
 	}
 }
@@ -129,10 +131,14 @@
 	return longest/2 + rand.N(longest/2)
 }
 
-// pause waits after a failed call, as long as other hosts make up for it.
+// pause waits after a failed call, as long as other hosts make up for it, or until one of
+// them has had an answer from the store.
+//
+// Waited out, a pause of an outage leaves a host of a large fleet deaf for many seconds
+// after it, whatever becomes meanwhile of the hosts that watch.
 func (f *Follower) pause(ctx context.Context, pause time.Duration) {
 	begun := f.Now()
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !f.informed() {
 		left := min(pause, f.longestPause()) - f.Now().Sub(begun)
 		if left <= 0 {
 			return
@@ -141,6 +147,11 @@
 	}
 }
 
+// informed says that others have told this host enough not to ask the store.
+func (f *Follower) informed() bool {
+	return f.Due != nil && f.Sink.Revision() > 0 && f.Due() > 0
+}
+
 // longestPause is short for a host that knows nothing yet: all hosts may have
 // started together, and nobody could tell it.
 func (f *Follower) longestPause() time.Duration {
--- a/internal/registry/follow_test.go
+++ b/internal/registry/follow_test.go
@@ -208,3 +208,31 @@
 		})
 	}
 }
+
+// The store was away, and a host of a large fleet waits ten seconds until it asks again.
+// After two the store is back, the hosts that watch hear from it and say so. The host goes
+// on as ever: should those hosts die now, it asks once what it knows is too old. Waiting its
+// pause out, it would be deaf for eight seconds more.
+func TestPauseEndsOnceOthersHearFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &downStore{}
+		replica := NewReplica()
+		replica.Listed(nil, 7)
+		begun := time.Now()
+		told := 2 * time.Second
+		follower := &Follower{
+			Store: store, Kind: "k", Sink: replica, Wait: time.Second, Now: time.Now, Log: hclog.NewNullLogger(),
+			Patience: func() time.Duration { return 20 * time.Second },
+			Due: func() time.Duration {
+				if since := time.Since(begun); since > told {
+					return told + time.Second - since
+				}
+				return 0
+			},
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 3500*time.Millisecond)
+		defer cancel()
+		follower.Run(ctx)
+		must.Eq(t, 2, store.calls, must.Sprint("a listing in the outage, and a watch after it"))
+	})
+}
