Every host asks the store before its knowledge is too old, in turns

A host that hears others turned to the store only after 1.5 s and a pause drawn from up to 4.5 s (65 hosts; the longer, the larger the fleet), whatever those others knew, and however long it had known that there was more than they gave it: in the play on real processes hosts refused routes with knowledge of 2.2 to 2.5 s of age. No sum of terms stayed below any bound.

Now hosts ask in turns: two, then as many as have, every 40 ms, so that those who get an answer can tell the rest, and the last of n has its turn after 40 ms times log2(n). A host that knows for 0.4 s of more than it has asks at once. So the age of what any host goes by is bounded by the host alone: 1.5 s, its turn, the store's answer, its link, reading it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -101,7 +101,7 @@
 // second, and a call a change and host was four fifths of all calls to the store.
 var (
 	configRhythm  = rhythm{wait: 800 * time.Millisecond, pace: 200 * time.Millisecond, stale: 1500 * time.Millisecond}
-	runnerRhythm  = rhythm{wait: 800 * time.Millisecond, pace: 800 * time.Millisecond, stale: 1500 * time.Millisecond}
+	runnerRhythm  = rhythm{wait: 800 * time.Millisecond, pace: 800 * time.Millisecond, stale: 1600 * time.Millisecond}
 	versionRhythm = rhythm{wait: 2 * time.Second, pace: 500 * time.Millisecond, stale: 3500 * time.Millisecond}
 	fleetRhythm   = rhythm{wait: 2 * time.Second, pace: 300 * time.Millisecond, stale: 4 * time.Second}
 )
--- a/internal/mesh/beats.go
+++ b/internal/mesh/beats.go
@@ -182,15 +182,23 @@
 func (s *Service) Age(kind string) time.Duration { return s.spread.age(kind) }
 
 // Due gives how long this host may leave a kind of record to the hosts that
-// watch it: not at all if it is one of them, and else until what it last heard
-// is older than a limit.
+// watch it: not at all if it is one of them, and else until what it knows
+// is older than a limit, or until it has known for a while that there is more.
+//
+// The limit and the longest turn bound, for every host and whatever others tell or fail to
+// tell it, how old what it goes by may be before it asks the store itself.
 func (s *Service) Due(kind string, limit time.Duration) time.Duration {
-	if s.State.Watcher(kind) {
+	turn := s.State.Turn(kind)
+	if turn == 0 {
 		return 0
 	}
 	due := limit - s.spread.patienceAge(kind)
 	if s.spread.silence() > heardLately {
 		return due
 	}
-	return due + s.stagger(kind)
+	due += waitForTurn(turn)
+	if behind, lacks := s.spread.behind(kind); lacks {
+		return min(due, behindPatience-behind)
+	}
+	return due
 }
--- a/internal/mesh/join.go
+++ b/internal/mesh/join.go
@@ -86,27 +86,20 @@
 	watcherPause = 500 * time.Millisecond
 	// patientPause is that of a host that hears others, in a fleet of up to
 	// patientFleet hosts; in a larger one it grows with the fleet, so that as
-	// many ask in all. Asking every two seconds, 88 hosts made 1,400 of the 2,200
-	// calls of an ordinary day during one outage of eight seconds.
-	patientPause = 2 * time.Second
+	// many ask in all: one outage would otherwise cost a large fleet most of a day's calls.
+	patientPause = 3 * time.Second
 	patientFleet = 20
 	// heardLately is how long a host counts as hearing others.
 	heardLately = 1200 * time.Millisecond
+	// turnStep is the time between two turns to ask the store in place of hosts that
+	// watch. What one learns reaches the hosts that it tells, and those that they tell,
+	// within two steps.
+	turnStep = 40 * time.Millisecond
+	// behindPatience is how long a host that knows of more than it has leaves it to other
+	// hosts to give it that.
+	behindPatience = 400 * time.Millisecond
 )
 
-// stagger puts a host's call to the store off where others that it hears will call
-// as well, in a large fleet by up to its patience: the first of them to get an
-// answer tells the others. All at once, 88 hosts made 350 calls and most of them
-// five more before their pauses had grown.
-func (s *Service) stagger(kind string) time.Duration {
-	size := s.State.Size()
-	if size <= patientFleet {
-		return 0
-	}
-	longest := s.Patience(kind) * time.Duration(size-patientFleet) / time.Duration(size)
-	return time.Duration(float64(longest) * s.spread.lot(kind, s.Self.Host))
-}
-
 // Patience gives the longest pause after a failed call to the store for a kind of
 // record.
 func (s *Service) Patience(kind string) time.Duration {
--- a/internal/mesh/membership.go
+++ b/internal/mesh/membership.go
@@ -1,7 +1,9 @@
 package mesh
 
 import (
+	"math/bits"
 	"slices"
+	"time"
 
 	"github.com/cherrystage/cherrystage/internal/fleet"
 )
@@ -17,8 +19,8 @@
 	// hosts are those in force, sorted.
 	hosts    []string
 	byCentre map[string][]string
-	// watching are the watchers of a kind of record.
-	watching map[string][]string
+	// ranked are the hosts in the order in which they look after a kind of record.
+	ranked map[string][]string
 	// firsts are the hosts that come first for keys that were asked for.
 	firsts map[string]string
 }
@@ -29,7 +31,7 @@
 	if s.membership != nil {
 		return s.membership
 	}
-	m := &membership{byCentre: map[string][]string{}, watching: map[string][]string{}, firsts: map[string]string{}}
+	m := &membership{byCentre: map[string][]string{}, ranked: map[string][]string{}, firsts: map[string]string{}}
 	for host, member := range s.members {
 		if !member.Broken {
 			m.hosts = append(m.hosts, host)
@@ -61,12 +63,38 @@
 // cut off or deaf without the others noticing a delay.
 const watchers = 2
 
+// turnOf gives a host's turn to ask the store for a kind of record: 0 for those that watch,
+// 1 for as many after them, and each time for twice as many. Of n hosts the last turn is
+// the binary logarithm of n or less, and that of a host that is not in force is the last.
+func (m *membership) turnOf(kind, host string) int {
+	ranked := m.rankedFor(kind)
+	rank := slices.Index(ranked, host)
+	if rank < 0 {
+		rank = max(len(ranked), watchers)
+	}
+	return bits.Len(uint(rank / watchers))
+}
+
+// lastTurn gives the last of the turns in which the hosts of a fleet ask the store in place
+// of those that watch; the first one comes at once.
+func lastTurn(hosts int) int { return bits.Len(uint((hosts - 1) / watchers)) }
+
+// LongestWait gives for how long the last host of a fleet waits for its turn to ask the store.
+func LongestWait(hosts int) time.Duration { return waitForTurn(lastTurn(hosts)) }
+
+func waitForTurn(turn int) time.Duration { return time.Duration(turn-1) * turnStep }
+
 func (m *membership) watchersOf(kind string) []string {
-	watching, known := m.watching[kind]
+	ranked := m.rankedFor(kind)
+	return ranked[:min(len(ranked), watchers)]
+}
+
+// rankedFor gives the hosts in the order in which they look after a kind of record.
+func (m *membership) rankedFor(kind string) []string {
+	ranked, known := m.ranked[kind]
 	if !known {
-		ranked := fleet.Rank("watch."+kind, m.hosts)
-		watching = ranked[:min(len(ranked), watchers)]
-		m.watching[kind] = watching
+		ranked = fleet.Rank("watch."+kind, m.hosts)
+		m.ranked[kind] = ranked
 	}
-	return watching
+	return ranked
 }
--- a/internal/mesh/spread.go
+++ b/internal/mesh/spread.go
@@ -2,11 +2,9 @@
 
 import (
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cherrystage/cherrystage/internal/registry"
 )
 
@@ -132,15 +130,6 @@
 	return s.now().Sub(s.heardAt)
 }
 
-// lot draws a number in [0, 1) for a host, another one each time that a kind of
-// record was confirmed.
-func (s *spread) lot(kind, host string) float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	drawn := xxhash.Sum64String(host + "\x00" + kind + "\x00" + strconv.FormatInt(s.kinds[kind].asOf.UnixNano(), 10))
-	return float64(drawn>>11) / (1 << 53)
-}
-
 // since says whether a kind of record was confirmed as of a moment or later.
 func (s *spread) since(kind string, moment time.Time) bool {
 	s.mu.Lock()
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -278,6 +278,14 @@
 	return ok && !m.Broken && m.Epoch == o.Epoch
 }
 
+// Turn gives when this host's turn comes to ask the store for a kind of record: 0 if it is
+// one of those that always watch it.
+func (s *State) Turn(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.inForce().turnOf(kind, s.self)
+}
+
 // Watcher says whether this host is one of those that always watch a kind of
 // record for the others.
 func (s *State) Watcher(kind string) bool {
