A heartbeat is as old as its way

What a host says in a heartbeat counted from when it was read. A host that wakes from a suspension finds heartbeats from its begin, and on a full link they wait behind other bytes; read as new, they postpone the moment at which the host asks the store by as long, beside the sum that bounds it.

Heartbeats say when they were sent by their sender's clock. How long one waited is how much longer it took than the fastest one of its sender in the last 20 to 40 s, so the clocks need not agree.

--- a/internal/mesh/beats.go
+++ b/internal/mesh/beats.go
@@ -26,6 +26,9 @@
 // Beat is a heartbeat.
 type Beat struct {
 	Address string `json:"address"`
+	// SentMS is when it was sent by the sender's clock, which may differ from others' by any
+	// time.
+	SentMS int64 `json:"sent_ms"`
 	// Known tells what the sender knows of each kind of record, by kind.
 	Known map[string]Known `json:"known,omitempty"`
 	// Status is what the sender tells of its runners and requests.
@@ -131,8 +134,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
-	beat := Beat{Address: s.Address, Known: s.spread.known(), Status: s.status()}
 	sent := s.Now()
+	beat := Beat{Address: s.Address, SentMS: sent.UnixMilli(), Known: s.spread.known(), Status: s.status()}
 	var answer BeatAnswer
 	if err := s.Pool.Call(ctx, address, methodBeat, beat, &answer); err != nil {
 		return err
@@ -155,8 +158,9 @@
 }
 
 func (s *Service) takeBeat(_ context.Context, from peer.Identity, beat Beat) (BeatAnswer, error) {
-	promised := s.State.TakeBeat(from.Host, s.Now())
-	s.learn(from.Host, beat.Address, beat.Known, beat.Status, s.Now())
+	now := s.Now()
+	promised := s.State.TakeBeat(from.Host, now)
+	s.learn(from.Host, beat.Address, beat.Known, beat.Status, now.Add(-s.delays.of(from.Host, beat.SentMS, now)))
 	return BeatAnswer{Promised: promised, Known: s.spread.lacking(beat.Known), Status: s.status()}, nil
 }
 
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,7 @@
 	started time.Time
 	spread  *spread
 	parcels parcels
+	delays  delays
 
 	fetches       atomic.Int64
 	fetchesFailed atomic.Int64
@@ -100,6 +102,7 @@
 	s.spread = newSpread(s.Kinds, deps.Now)
 	s.fleet.OnChange = func(changes []registry.Change, _ bool) {
 		s.State.Apply(changes, s.Now())
+		s.forgetGone(changes)
 		if other := otherRecords(changes); len(other) > 0 && s.Other != nil {
 			s.Other(other)
 		}
@@ -108,6 +111,15 @@
 	return s
 }
 
+// forgetGone drops what was kept of hosts whose records are gone.
+func (s *Service) forgetGone(changes []registry.Change) {
+	for _, change := range changes {
+		if host, ok := strings.CutPrefix(change.Name, hostPrefix); ok && change.Removed {
+			s.delays.forget(host)
+		}
+	}
+}
+
 // Knowledge tells, for the metrics, what the host knows of the store's records and how old
 // that may be.
 type Knowledge struct {
