A slow answer does not end the other calls on its connection

A deadline says that a connection went silent only if nothing at all came over it since the call began.

TestSlowAnswerDoesNotEndOtherCalls fails before (the patient call ends with its connection). TestSilentConnectionIsGivenUp holds as it did.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -159,3 +159,27 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// A call waits for an answer that takes two seconds. Another call on the connection runs into
+// its deadline, while a third is answered: the peer is slow and not gone. The first call gets
+// its answer. Closed for the second one's deadline, the connection would take it along.
+func TestSlowAnswerDoesNotEndOtherCalls(t *testing.T) {
+	between(t, "the right key", func(t *testing.T, pool *Pool, _ *Server, _ *standin.Network) {
+		long := make(chan error, 1)
+		go func() {
+			_, err := call(pool, "echo", echoParams{WaitMS: 2000}, 3*time.Second)
+			long <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		late := make(chan error, 1)
+		go func() {
+			_, err := call(pool, "echo", echoParams{WaitMS: 1000}, 400*time.Millisecond)
+			late <- err
+		}()
+		time.Sleep(100 * time.Millisecond)
+		_, err := call(pool, "echo", echoParams{}, 400*time.Millisecond)
+		must.NoError(t, err)
+		must.Error(t, <-late)
+		must.NoError(t, <-long)
+	})
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -33,6 +35,29 @@
 	mu   sync.Mutex
 	rpc  *jsonrpc2.Conn
 	peer Identity
+	// heard is when something last came over the connection.
+	heard atomic.Pointer[time.Time]
+}
+
+// heardConn notes on its link when something comes.
+type heardConn struct {
+	net.Conn
+	link *link
+}
+
+func (c *heardConn) Read(into []byte) (int, error) {
+	n, err := c.Conn.Read(into)
+	if n > 0 {
+		now := time.Now()
+		c.link.heard.Store(&now)
+	}
+	return n, err
+}
+
+// heardSince says whether something came over the connection after a moment.
+func (l *link) heardSince(moment time.Time) bool {
+	heard := l.heard.Load()
+	return heard != nil && heard.After(moment)
 }
 
 // NewPool makes a pool for the process self.
@@ -41,8 +66,9 @@
 }
 
 // Call calls a method of the peer at an address. The context must have a
-// deadline. If the deadline passes, the connection is given up with it: it may
-// have gone silent for good while a new one would work.
+// deadline. If it passes and nothing at all came meanwhile, the connection is given up with
+// it: it may have gone silent for good while a new one would work. One on which other
+// answers come is only slow: closed, it would take the calls of others with it.
 func (p *Pool) Call(ctx context.Context, address, method string, params, result any) error {
 	return p.call(ctx, address, method, params, result, true)
 }
@@ -59,8 +85,13 @@
 	if err != nil {
 		return errors.Wrapf(err, "peer %s", address)
 	}
+	begun := time.Now()
 	err = rpc.Call(ctx, method, params, result)
-	if err != nil && (errors.Is(err, jsonrpc2.ErrClosed) || (closeOnDeadline && errors.Is(ctx.Err(), context.DeadlineExceeded))) {
+	if err == nil {
+		return nil
+	}
+	silent := errors.Is(ctx.Err(), context.DeadlineExceeded) && !l.heardSince(begun)
+	if errors.Is(err, jsonrpc2.ErrClosed) || (closeOnDeadline && silent) {
 		l.drop(rpc)
 	}
 	return errors.Wrapf(err, "peer %s: %s", address, method)
@@ -102,7 +133,7 @@
 	if err != nil {
 		return nil, err
 	}
-	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(conn, codec{}), noCalls{}, jsonrpc2.SetLogger(rpcLog{p.log}))
+	rpc := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewBufferedStream(&heardConn{Conn: conn, link: l}, codec{}), noCalls{}, jsonrpc2.SetLogger(rpcLog{p.log}))
 	peer, err := introduce(ctx, rpc, p.self, p.key)
 	if err != nil {
 		_ = rpc.Close()
