Waits for nothing make no timer: the race detector no longer crashes in virtual time

Traced: the crashing goroutine selects on a timer that timing.Sleep made for a time below zero, as a follower does whose watch took longer than its pace. The second copy of the function in package serve is gone.

No decision changes: a wait of nothing returned at once before, too.

--- a/internal/serve/search.go
+++ b/internal/serve/search.go
@@ -8,6 +8,7 @@
 	"github.com/cherrystage/cherrystage/internal/adapters"
 	"github.com/cherrystage/cherrystage/internal/placing"
 	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/pkg/errors"
 )
 
@@ -198,7 +199,7 @@
 		}
 		step := min(left, leavingCheck)
 		l.waited += step
-		sleep(ctx, step)
+		timing.Sleep(ctx, step)
 	}
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -19,6 +19,7 @@
 	"github.com/cherrystage/cherrystage/internal/quarantine"
 	"github.com/cherrystage/cherrystage/internal/retrybudget"
 	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/cherrystage/cherrystage/internal/verdict"
 	"github.com/hashicorp/go-hclog"
 )
@@ -369,15 +370,6 @@
 	return min(left, l.arrived.Add(silence-sendMargin).Sub(l.s.Now()))
 }
 
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // again decides whether another attempt follows a failed one, and answers the
 // request if not.
 func (l *life) again(ctx context.Context) bool {
@@ -411,7 +403,7 @@
 	}
 	l.earlyAt[l.runner.ID]++
 	l.s.Owners.Missing(l.runner, l.key)
-	sleep(ctx, earlyPause)
+	timing.Sleep(ctx, earlyPause)
 	return true
 }
 
--- a/internal/timing/timing.go
+++ b/internal/timing/timing.go
@@ -6,8 +6,13 @@
 	"time"
 )
 
-// Sleep waits for a time, or until the context ends.
+// Sleep waits for a time, or until the context ends. It makes no timer where there is
+// nothing to wait for: under the race detector Go 1.26 crashes in a test's bubble where many
+// goroutines select timers that have expired already.
 func Sleep(ctx context.Context, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
