What is packed for one host does not push out what another has begun to fetch

Found while reading the change: a host kept four packed lists. While runners are claimed, each of some dozen hosts that ask it lacks something else; each question packed another list and pushed out one that was being fetched in pieces, whose fetch then began anew, without an end. 32 are kept now, two megabytes in all, those asked for longest ago go first. A first piece comes with the announcement, so that most fetches take one call as before. A heartbeat of a host that does not say when it was sent counts as new, as before.

TestHostsThatLackDifferentRecords (twelve hosts that each lack something else, a link of 10 Mbit/s) fails with two kept, which its safeguard tries; with four it was not seen to fail.

--- a/internal/mesh/delay.go
+++ b/internal/mesh/delay.go
@@ -27,8 +27,12 @@
 	before, lately time.Duration
 }
 
-// of gives how long a message waited that a host sent by its own clock and that came now.
+// of gives how long a message waited that a host sent by its own clock and that came now, 0
+// for one that does not say when it was sent.
 func (d *delays) of(host string, sentMS int64, now time.Time) time.Duration {
+	if sentMS == 0 {
+		return 0
+	}
 	took := now.Sub(time.UnixMilli(sentMS))
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/mesh/fetch.go
+++ b/internal/mesh/fetch.go
@@ -19,12 +19,14 @@
 	Kind  string   `json:"kind"`
 	Since uint64   `json:"since,omitempty"`
 	Parts []uint64 `json:"parts,omitempty"`
+	// Begun is the ID of the parcel of which the asker has some pieces, 0 without any.
+	Begun uint64 `json:"begun,omitempty"`
 }
 
 // FetchResult gives the records, or announces them where they are many.
 type FetchResult struct {
 	registry.Snapshot
-	Parcel *Parcel `json:"parcel,omitempty"`
+	Parcel *Announcement `json:"parcel,omitempty"`
 }
 
 // pursue fetches a kind of record until no host is known that has more, from one source
@@ -119,6 +121,7 @@
 // fetchSnapshot asks a host and fetches the pieces of what it announces.
 func (s *Service) fetchSnapshot(address string, params FetchParams, left *unfinished) (registry.Snapshot, error) {
 	var result FetchResult
+	params.Begun = left.parcel.ID
 	if err := s.callSource(address, methodFetch, params, &result); err != nil {
 		return registry.Snapshot{}, err
 	}
@@ -126,6 +129,9 @@
 		return result.Snapshot, nil
 	}
 	left.begin(*result.Parcel)
+	if len(left.data) == 0 {
+		left.data = result.Parcel.First
+	}
 	for !left.whole() {
 		var piece PieceResult
 		if err := s.callSource(address, methodPiece, left.next(), &piece); err != nil {
@@ -155,9 +161,9 @@
 }
 
 // begin goes on with a parcel, or begins another one.
-func (u *unfinished) begin(parcel Parcel) {
-	if u.parcel != parcel {
-		*u = unfinished{parcel: parcel}
+func (u *unfinished) begin(announced Announcement) {
+	if u.parcel != announced.Parcel {
+		*u = unfinished{parcel: announced.Parcel}
 	}
 }
 
@@ -188,12 +194,12 @@
 	if !large(snapshot.Records) {
 		return FetchResult{Snapshot: snapshot}, nil
 	}
-	parcel, err := s.parcels.pack(params.Kind, snapshot.Records)
+	parcel, err := s.parcels.announce(params.Kind, snapshot.Records, params.Begun)
 	if err != nil {
 		return FetchResult{}, peer.Refuse(err)
 	}
 	snapshot.Records = nil
-	return FetchResult{Snapshot: snapshot, Parcel: &parcel}, nil
+	return FetchResult{Snapshot: snapshot, Parcel: parcel}, nil
 }
 
 func (s *Service) piece(_ context.Context, _ peer.Identity, params PieceParams) (PieceResult, error) {
--- a/internal/mesh/fetch_test.go
+++ b/internal/mesh/fetch_test.go
@@ -178,6 +178,31 @@
 	}, hosts...)
 }
 
+// Twelve hosts that each lack something else fetch it from one over a thin link at the same
+// time. Each gets it: what is kept packed for one does not push out what another has begun
+// to fetch, again and again.
+func TestHostsThatLackDifferentRecords(t *testing.T) {
+	hosts := []string{"source"}
+	for i := range 12 {
+		hosts = append(hosts, fmt.Sprintf("h%d", i))
+	}
+	inMeshes(t, func(m *meshes) {
+		m.net.Links.Limit("source", 10)
+		for i, host := range hosts[1:] {
+			m.all[host].Kinds["k"].Changed([]registry.Change{{Record: registry.Record{Name: fmt.Sprint("own-", i), Revision: uint64(i + 2), Spec: json.RawMessage("1")}}}, uint64(i+2))
+			m.all["source"].Kinds["k"].Changed([]registry.Change{{Record: registry.Record{Name: fmt.Sprint("own-", i), Revision: uint64(i + 2), Spec: json.RawMessage("1")}}}, uint64(i+2))
+		}
+		m.all["source"].Kinds["k"].Changed([]registry.Change{{Record: largeRecord(20, 60_000)}}, 20)
+		for _, host := range hosts[1:] {
+			m.tell(host, "source")
+		}
+		time.Sleep(3 * time.Second)
+		for _, host := range hosts[1:] {
+			must.Eq(t, 20, m.revision(host), must.Sprint(host))
+		}
+	}, hosts...)
+}
+
 // Whatever the records are, what a host unpacks is what another one packed; two that hold
 // the same give the same bytes under the same ID, and others another ID.
 func TestPackedRecords(t *testing.T) {
@@ -219,10 +244,17 @@
 	first, err := p.pack("k", []registry.Record{largeRecord(1, 100)})
 	must.NoError(t, err)
 	for i := range 3 * maxParcels {
+		now = now.Add(time.Millisecond)
 		_, err := p.pack("k", []registry.Record{largeRecord(uint64(i+2), 100)})
 		must.NoError(t, err)
 	}
 	must.Eq(t, maxParcels, len(p.kept))
+	for i := range 5 {
+		now = now.Add(time.Millisecond)
+		_, err := p.pack("k", []registry.Record{largeRecord(uint64(1000+i), 1_000_000)})
+		must.NoError(t, err)
+	}
+	must.Eq(t, 2, len(p.kept))
 	_, ok := p.piece(PieceParams{ID: first.ID})
 	must.False(t, ok)
 	now = now.Add(parcelLife + time.Second)
--- a/internal/mesh/parcels.go
+++ b/internal/mesh/parcels.go
@@ -23,9 +23,12 @@
 	// pieceBytes is the size of a piece, 18 ms of a link of 10 Mbit/s as it is sent: what
 	// waits behind it on the link, heartbeats among it, keeps its own time limit.
 	pieceBytes = 16 << 10
-	// maxParcels and parcelLife bound what is kept packed for hosts that fetch it.
-	maxParcels = 4
-	parcelLife = 30 * time.Second
+	// maxParcels, maxParcelBytes and parcelLife bound what is kept packed for hosts that
+	// fetch it: a parcel for each of those that hear of a change from this host, who may each
+	// lack something else.
+	maxParcels     = 32
+	maxParcelBytes = 2 << 20
+	parcelLife     = 10 * time.Second
 	// maxUnpackedBytes bounds what a host makes of another's parcel.
 	maxUnpackedBytes = 64 << 20
 )
@@ -40,6 +43,13 @@
 	Bytes int `json:"bytes"`
 }
 
+// Announcement is a parcel with its first piece, which is left out for a host that has begun
+// to fetch the parcel.
+type Announcement struct {
+	Parcel
+	First []byte `json:"first,omitempty"`
+}
+
 // PieceParams asks for a piece of a parcel.
 type PieceParams struct {
 	ID     uint64 `json:"id"`
@@ -63,6 +73,8 @@
 type packed struct {
 	id   uint64
 	used time.Time
+	// size is that of data once it is packed, and is the parcels' to set.
+	size int
 	once sync.Once
 	data []byte
 	err  error
@@ -82,9 +94,46 @@
 	slices.SortFunc(records, func(a, b registry.Record) int { return cmp.Compare(a.Name, b.Name) })
 	parcel := p.keep(parcelID(kind, records))
 	parcel.once.Do(func() { parcel.data, parcel.err = deflate(records) })
+	p.bound(parcel)
 	return Parcel{ID: parcel.id, Bytes: len(parcel.data)}, parcel.err
 }
 
+// announce packs records for a host that has begun to fetch the parcel with an ID, 0 for one
+// that has not.
+func (p *parcels) announce(kind string, records []registry.Record, begun uint64) (*Announcement, error) {
+	parcel, err := p.pack(kind, records)
+	if err != nil {
+		return nil, err
+	}
+	announced := &Announcement{Parcel: parcel}
+	if parcel.ID != begun {
+		announced.First, _ = p.piece(PieceParams{ID: parcel.ID})
+	}
+	return announced, nil
+}
+
+// bound drops the parcels that were asked for longest ago, but not the one given.
+func (p *parcels) bound(latest *packed) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	bytes := 0
+	for _, kept := range p.kept {
+		bytes += kept.size
+	}
+	if latest.size == 0 {
+		latest.size = len(latest.data)
+		bytes += latest.size
+	}
+	for len(p.kept) > maxParcels || bytes > maxParcelBytes {
+		oldest := slices.MinFunc(p.kept, func(a, b *packed) int { return a.used.Compare(b.used) })
+		if oldest == latest {
+			return
+		}
+		bytes -= oldest.size
+		p.kept = slices.DeleteFunc(p.kept, func(kept *packed) bool { return kept == oldest })
+	}
+}
+
 // parcelID tells records apart by what the store says of them: hosts take in no more of a
 // record of one revision than others do.
 func parcelID(kind string, records []registry.Record) uint64 {
@@ -103,9 +152,6 @@
 	if parcel := p.find(id); parcel != nil {
 		return parcel
 	}
-	if len(p.kept) >= maxParcels {
-		p.kept = slices.Delete(p.kept, 0, 1)
-	}
 	parcel := &packed{id: id, used: p.now()}
 	p.kept = append(p.kept, parcel)
 	return parcel
