A listing is as old as its first page

A listing counted from when it was asked. Where 300 hosts list at once the store's link is the limit and a listing waits for seconds; hosts that all start together claim runners only once they know the others as of 0.6 s after their start, so that such a host had to wait for another word of the store.

TestListingIsAsOldAsItsFirstPage fails before (as of 0 in place of 2 s).

--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -166,12 +166,12 @@
 	if f.Copied == nil || ctx.Err() != nil {
 		return false
 	}
-	records, revision, err := f.Store.ListStale(ctx, f.Kind)
-	if err != nil || revision == 0 {
-		f.Log.Debug("no listing from a copy", "kind", f.Kind, "revision", revision, "error", err)
+	listing, err := f.Store.ListStale(ctx, f.Kind)
+	if err != nil || listing.Revision == 0 {
+		f.Log.Debug("no listing from a copy", "kind", f.Kind, "revision", listing.Revision, "error", err)
 		return false
 	}
-	f.Sink.Listed(records, revision)
+	f.Sink.Listed(listing.Records, listing.Revision)
 	f.Copied()
 	return true
 }
@@ -184,14 +184,14 @@
 }
 
 func (f *Follower) list(ctx context.Context) error {
-	asked := f.Now()
-	records, revision, err := f.Store.List(ctx, f.Kind)
+	listing, err := f.Store.List(ctx, f.Kind)
 	if err != nil {
 		return err
 	}
+	asOf := f.Now().Add(-listing.Age)
 	f.regained()
-	f.Sink.Listed(records, revision)
-	f.confirm(asked)
+	f.Sink.Listed(listing.Records, listing.Revision)
+	f.confirm(asOf)
 	return nil
 }
 
--- a/internal/registry/follow_test.go
+++ b/internal/registry/follow_test.go
@@ -17,9 +17,9 @@
 	calls int
 }
 
-func (d *downStore) List(context.Context, string) ([]Record, uint64, error) {
+func (d *downStore) List(context.Context, string) (Listing, error) {
 	d.calls++
-	return nil, 0, &objectapi.Error{Op: "list", Cause: objectapi.ErrUnavailable}
+	return Listing{}, &objectapi.Error{Op: "list", Cause: objectapi.ErrUnavailable}
 }
 
 func (d *downStore) Watch(context.Context, string, uint64, time.Duration) (Changes, error) {
@@ -91,16 +91,16 @@
 	watchedAt uint64
 }
 
-func (c *copyStore) List(context.Context, string) ([]Record, uint64, error) {
+func (c *copyStore) List(context.Context, string) (Listing, error) {
 	c.lists++
-	return []Record{record("a", 1), record("b", 9)}, 10, nil
+	return Listing{Records: []Record{record("a", 1), record("b", 9)}, Revision: 10}, nil
 }
 
-func (c *copyStore) ListStale(context.Context, string) ([]Record, uint64, error) {
+func (c *copyStore) ListStale(context.Context, string) (Listing, error) {
 	if c.away {
-		return nil, 0, &objectapi.Error{Op: "list", Cause: objectapi.ErrUnavailable}
+		return Listing{}, &objectapi.Error{Op: "list", Cause: objectapi.ErrUnavailable}
 	}
-	return []Record{record("a", 1)}, c.behind, nil
+	return Listing{Records: []Record{record("a", 1)}, Revision: c.behind}, nil
 }
 
 func (c *copyStore) Watch(_ context.Context, _ string, since uint64, wait time.Duration) (Changes, error) {
@@ -164,6 +164,11 @@
 	return o.answer, nil
 }
 
+func (o *oneWatch) List(context.Context, string) (Listing, error) {
+	time.Sleep(o.after)
+	return Listing{Revision: 9, Age: o.answer.Age}, nil
+}
+
 // slowSink takes half a second to take a change, as a host with little of a core does.
 type slowSink struct{ *Replica }
 
@@ -209,6 +214,22 @@
 	}
 }
 
+// A listing waits two seconds at a store that hundreds of hosts ask at once, and takes one
+// more for its pages. It is as old as its first page: counted from when it was asked, hosts
+// that start together would wait for another word of the store before they claim runners.
+func TestListingIsAsOldAsItsFirstPage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		begun := time.Now()
+		var asOf time.Duration
+		follower := &Follower{
+			Store: &oneWatch{answer: Changes{Age: time.Second}, after: 3 * time.Second}, Kind: "k", Sink: NewReplica(), Wait: time.Second, Now: time.Now, Log: hclog.NewNullLogger(),
+			Confirmed: func(at time.Time) { asOf = at.Sub(begun) },
+		}
+		must.NoError(t, follower.list(t.Context()))
+		must.Eq(t, 2*time.Second, asOf)
+	})
+}
+
 // The store was away, and a host of a large fleet waits ten seconds until it asks again.
 // After two the store is back, the hosts that watch hear from it and say so. The host goes
 // on as ever: should those hosts die now, it asks once what it knows is too old. Waiting its
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -25,6 +25,16 @@
 	Removed bool
 }
 
+// Listing is all records of a kind.
+type Listing struct {
+	Records []Record
+	// Revision is the store's, up to which these are all records.
+	Revision uint64
+	// Age is how long before the listing was whole its first page began to arrive. The store
+	// may have changed since: a list of many pages takes seconds where many hosts ask at once.
+	Age time.Duration
+}
+
 // Changes answer a watch.
 type Changes struct {
 	List []Change
@@ -45,11 +55,11 @@
 // Store is the platform's store. Failed calls return an error whose cause is
 // one of package objectapi, or ErrHistoryGone.
 type Store interface {
-	// List gives all records of a kind and the store's revision.
-	List(ctx context.Context, kind string) ([]Record, uint64, error)
+	// List gives all records of a kind.
+	List(ctx context.Context, kind string) (Listing, error)
 	// ListStale is List at a tenth of the price, from a copy that may be some seconds
 	// behind.
-	ListStale(ctx context.Context, kind string) ([]Record, uint64, error)
+	ListStale(ctx context.Context, kind string) (Listing, error)
 	// Watch waits for changes after a revision, up to a time.
 	Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (Changes, error)
 	// Get reads one record.
