The network in memory takes no connection after its end

Trace: a fetch that goes on to its next source after the world's network was closed made a connection there, whose reader nobody ended. The network now refuses connections once it is closed, as it had broken those that were open. No decision of the product changes.

--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -17,6 +17,7 @@
 	listeners map[string]*memListener
 	conns     map[*memConn]struct{}
 	cut       map[[2]string]bool
+	closed    bool
 	// Links bound what hosts send and get.
 	Links *Links
 }
@@ -51,7 +52,7 @@
 	target := hostOf(address)
 	h.network.mu.Lock()
 	listener := h.network.listeners[address]
-	blocked := h.network.isCut(h.host, target)
+	blocked := h.network.closed || h.network.isCut(h.host, target)
 	h.network.mu.Unlock()
 	if listener == nil || blocked {
 		return nil, refused
@@ -59,7 +60,9 @@
 	near, far := net.Pipe()
 	client := &memConn{Conn: near, network: h.network, owner: h.host, ends: [2]string{h.host, target}, closed: make(chan struct{})}
 	server := &memConn{Conn: far, network: h.network, owner: target, ends: [2]string{h.host, target}, closed: make(chan struct{})}
-	h.network.add(client, server)
+	if !h.network.add(client, server) {
+		return nil, refused
+	}
 	select {
 	case listener.incoming <- server:
 		return client, nil
@@ -77,12 +80,17 @@
 	return host
 }
 
-func (n *Network) add(conns ...*memConn) {
+// add keeps a connection's ends, unless the network is closed.
+func (n *Network) add(conns ...*memConn) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.closed {
+		return false
+	}
 	for _, conn := range conns {
 		n.conns[conn] = struct{}{}
 	}
+	return true
 }
 
 func (n *Network) isCut(a, b string) bool {
@@ -138,8 +146,11 @@
 	}
 }
 
-// Close breaks every connection.
+// Close breaks every connection and lets none be made any more.
 func (n *Network) Close() {
+	n.mu.Lock()
+	n.closed = true
+	n.mu.Unlock()
 	n.each("*", "*", func(conn *memConn) { _ = conn.Close() })
 }
 
