--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -78,6 +78,9 @@
 
 	lost   atomic.Bool
 	lostAt time.Time
+	era    Era
+	// forgotten says that the store's history no longer reaches back to what the sink knows.
+	forgotten bool
 }
 
 // Run lists, then watches, until the context ends.
@@ -103,6 +106,7 @@
 		relist = relist || errors.Is(err, ErrHistoryGone)
 		f.missed(ctx, err)
 		if errors.Is(err, ErrHistoryGone) {
+			f.forgotten = true
 			continue
 		}
 		f.pause(ctx, f.spread(pause))
@@ -190,6 +194,8 @@
 	}
 	asOf := f.Now().Add(-listing.Age)
 	f.regained()
+	f.tellEra(listing.Era, listing.Revision)
+	f.tellListing(listing)
 	f.Sink.Listed(listing.Records, listing.Revision)
 	f.confirm(asOf)
 	return nil
@@ -209,11 +215,30 @@
 		asOf = waited
 	}
 	f.regained()
+	f.tellEra(changes.Era, changes.Revision)
+	f.forgotten = false
 	f.Sink.Changed(changes.List, changes.Revision)
 	f.confirm(asOf)
 	return nil
 }
 
+// tellEra logs the store's era where it is another one than before.
+func (f *Follower) tellEra(era Era, revision uint64) {
+	if era == f.era {
+		return
+	}
+	f.Log.Warn("store's era changed", "kind", f.Kind, "before", f.era, "era", era, "revision", revision, "known_revision", f.Sink.Revision())
+	f.era = era
+}
+
+// tellListing logs a listing that follows a lost history, or is older than what is known.
+func (f *Follower) tellListing(listing Listing) {
+	known := f.Sink.Revision()
+	if f.forgotten || listing.Revision < known {
+		f.Log.Info("records listed again", "kind", f.Kind, "era", listing.Era, "revision", listing.Revision, "known_revision", known, "records", len(listing.Records))
+	}
+}
+
 func (f *Follower) confirm(asOf time.Time) {
 	if f.Confirmed != nil {
 		f.Confirmed(asOf)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -25,11 +25,17 @@
 	Removed bool
 }
 
+// Era numbers the histories of the store. One that comes back from a copy has lost its last
+// writes, gives their revisions out again, and says so by a higher era. 0 stands for a store
+// that tells of none.
+type Era uint64
+
 // Listing is all records of a kind.
 type Listing struct {
 	Records []Record
 	// Revision is the store's, up to which these are all records.
 	Revision uint64
+	Era      Era
 	// Age is how long before the listing was whole its first page began to arrive. The store
 	// may have changed since: a list of many pages takes seconds where many hosts ask at once.
 	Age time.Duration
@@ -40,6 +46,7 @@
 	List []Change
 	// Revision is the store's, up to which these are all changes.
 	Revision uint64
+	Era      Era
 	// Age is how long before Watch returned the answer began to arrive. The store may have
 	// changed since: a large answer takes long over a thin link.
 	Age time.Duration
