--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -31,6 +31,8 @@
 	// StripRunner leaves out of a runner's entry what Runner does not read.
 	StripRunner(spec json.RawMessage) json.RawMessage
 	AdapterVersion(spec json.RawMessage) (site.AdapterVersion, error)
+	// StripAdapterVersion leaves out of a version's record what AdapterVersion does not read.
+	StripAdapterVersion(spec json.RawMessage) json.RawMessage
 }
 
 // Snapshot is what is believed at a moment. It is immutable.
@@ -98,16 +100,14 @@
 		decoder:  decoder,
 		log:      log,
 		now:      now,
-		Configs:  registry.NewReplica(),
-		Runners:  registry.NewReplica(),
-		Versions: registry.NewReplica(),
+		Configs:  registry.NewContentReplica(decoder.StripConfig),
+		Runners:  registry.NewContentReplica(decoder.StripRunner),
+		Versions: registry.NewContentReplica(decoder.StripAdapterVersion),
 		runners:  map[string]listed{},
 		lapsed:   map[string]time.Time{},
 		leaving:  map[string]time.Time{},
 		versions: map[site.Adapter]int64{},
 	}
-	d.Configs.Strip = decoder.StripConfig
-	d.Runners.Strip = decoder.StripRunner
 	d.Configs.OnChange = d.configChanged
 	d.Runners.OnChange = d.runnersChanged
 	d.Versions.OnChange = d.versionsChanged
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -37,8 +37,9 @@
 	return &site.Runner{ID: site.Lifetime(name, told.Born), Instance: name, Born: told.Born, Service: "s", Address: told.Address}, nil
 }
 
-func (decoder) StripRunner(spec json.RawMessage) json.RawMessage { return spec }
-func (decoder) StripConfig(spec json.RawMessage) json.RawMessage { return spec }
+func (decoder) StripRunner(spec json.RawMessage) json.RawMessage         { return spec }
+func (decoder) StripConfig(spec json.RawMessage) json.RawMessage         { return spec }
+func (decoder) StripAdapterVersion(spec json.RawMessage) json.RawMessage { return spec }
 
 func (decoder) AdapterVersion(spec json.RawMessage) (site.AdapterVersion, error) {
 	var version int64
@@ -59,12 +60,12 @@
 func TestConfigNeverGoesBack(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := newDirectory(&now)
-	d.Configs.Listed([]registry.Record{spec("main", "7", 1)}, 1)
-	d.Configs.Listed([]registry.Record{spec("main", "5", 2)}, 2)
+	d.Configs.Listed([]registry.Record{spec("main", "7", 1)}, registry.Position{Revision: 1})
+	d.Configs.Listed([]registry.Record{spec("main", "5", 2)}, registry.Position{Revision: 2})
 	must.Eq(t, 7, d.Snapshot().Config.Version)
-	d.Configs.Listed([]registry.Record{spec("main", `"?"`, 3)}, 3)
+	d.Configs.Listed([]registry.Record{spec("main", `"?"`, 3)}, registry.Position{Revision: 3})
 	must.Eq(t, 7, d.Snapshot().Config.Version)
-	d.Configs.Listed(nil, 4)
+	d.Configs.Listed(nil, registry.Position{Revision: 4})
 	must.Eq(t, 7, d.Snapshot().Config.Version)
 }
 
@@ -72,11 +73,11 @@
 func TestLeavingRunner(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := newDirectory(&now)
-	d.Runners.Listed([]registry.Record{spec("a", "false", 1), spec("b", "false", 2)}, 2)
+	d.Runners.Listed([]registry.Record{spec("a", "false", 1), spec("b", "false", 2)}, registry.Position{Revision: 2})
 	must.Len(t, 2, d.Snapshot().ByService["s"])
-	d.Runners.Changed([]registry.Change{{Record: spec("a", "true", 3)}}, 3)
+	d.Runners.Changed([]registry.Change{{Record: spec("a", "true", 3)}}, registry.Position{Revision: 3})
 	must.Len(t, 1, d.Snapshot().ByService["s"])
-	d.Runners.Changed([]registry.Change{{Record: spec("b", "false", 4), Removed: true}}, 4)
+	d.Runners.Changed([]registry.Change{{Record: spec("b", "false", 4), Removed: true}}, registry.Position{Revision: 4})
 	must.SliceEmpty(t, d.Snapshot().ByService["s"])
 }
 
@@ -86,12 +87,12 @@
 func TestLapsedRunnersAreBelievedForAMoment(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := newDirectory(&now)
-	d.Runners.Listed([]registry.Record{spec("a", "false", 1), spec("b", "false", 2)}, 2)
+	d.Runners.Listed([]registry.Record{spec("a", "false", 1), spec("b", "false", 2)}, registry.Position{Revision: 2})
 	d.OutageEnded()
-	d.Runners.Listed(nil, 5)
+	d.Runners.Listed(nil, registry.Position{Revision: 5})
 	must.Len(t, 2, d.Snapshot().ByService["s"])
 	now = now.Add(time.Second)
-	d.Runners.Changed([]registry.Change{{Record: spec("a", "false", 6)}}, 6)
+	d.Runners.Changed([]registry.Change{{Record: spec("a", "false", 6)}}, registry.Position{Revision: 6})
 	now = now.Add(lapseGrace)
 	d.Expire()
 	runners := d.Snapshot().ByService["s"]
@@ -104,8 +105,8 @@
 func TestMissingWithoutOutageIsGone(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := newDirectory(&now)
-	d.Runners.Listed([]registry.Record{spec("a", "false", 1)}, 1)
-	d.Runners.Listed(nil, 9)
+	d.Runners.Listed([]registry.Record{spec("a", "false", 1)}, registry.Position{Revision: 1})
+	d.Runners.Listed(nil, registry.Position{Revision: 9})
 	must.SliceEmpty(t, d.Snapshot().ByService["s"])
 }
 
@@ -113,8 +114,8 @@
 	now := time.Unix(1000, 0)
 	d := newDirectory(&now)
 	adapter := site.Adapter{Model: "m", Name: "a"}
-	d.Versions.Listed([]registry.Record{spec("m.a", "3", 1)}, 1)
-	d.Versions.Changed([]registry.Change{{Record: spec("m.a", "2", 2)}}, 2)
+	d.Versions.Listed([]registry.Record{spec("m.a", "3", 1)}, registry.Position{Revision: 1})
+	d.Versions.Changed([]registry.Change{{Record: spec("m.a", "2", 2)}}, registry.Position{Revision: 2})
 	must.Eq(t, 3, d.Snapshot().Versions[adapter])
 }
 
@@ -124,7 +125,7 @@
 	now := time.Unix(1000, 0)
 	d := newDirectory(&now)
 	list := func(name string, revision uint64) {
-		d.Runners.Changed([]registry.Change{{Record: spec(name, "false", revision)}}, revision)
+		d.Runners.Changed([]registry.Change{{Record: spec(name, "false", revision)}}, registry.Position{Revision: revision})
 	}
 	list("r", 1)
 	must.Len(t, 1, d.Snapshot().ByService["s"])
@@ -135,7 +136,7 @@
 	must.True(t, d.Snapshot().Runners["r"].Leaving)
 	list("r", 2)
 	must.Len(t, 0, d.Snapshot().ByService["s"])
-	d.Runners.Changed([]registry.Change{{Record: spec("r", "true", 3)}}, 3)
+	d.Runners.Changed([]registry.Change{{Record: spec("r", "true", 3)}}, registry.Position{Revision: 3})
 	must.SliceEmpty(t, d.Leaving(), must.Sprint("all read it in the store"))
 	list("other", 4)
 	must.Len(t, 1, d.Snapshot().ByService["s"])
@@ -145,9 +146,9 @@
 func TestOwnWordEndsWithItsLifetime(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := newDirectory(&now)
-	d.Runners.Changed([]registry.Change{{Record: spec("r", `{"Born":1,"Address":"r:1"}`, 1)}}, 1)
+	d.Runners.Changed([]registry.Change{{Record: spec("r", `{"Born":1,"Address":"r:1"}`, 1)}}, registry.Position{Revision: 1})
 	must.True(t, d.Leaves(site.Lifetime("r", 1)))
-	d.Runners.Changed([]registry.Change{{Record: spec("r", `{"Born":2,"Address":"r:1"}`, 2)}}, 2)
+	d.Runners.Changed([]registry.Change{{Record: spec("r", `{"Born":2,"Address":"r:1"}`, 2)}}, registry.Position{Revision: 2})
 	must.Len(t, 1, d.Snapshot().ByService["s"])
 	now = now.Add(2 * leavingLife)
 	must.True(t, d.Leaves("other"))
--- a/internal/directory/restart_test.go
+++ b/internal/directory/restart_test.go
@@ -28,8 +28,8 @@
 	d := newDirectory(&now)
 	var told told
 	d.OnRunner = told.runner
-	d.Runners.Listed([]registry.Record{spec("a", `{"born":100,"address":"a:1"}`, 1)}, 1)
-	d.Runners.Changed([]registry.Change{{Record: spec("a", `{"born":200,"address":"a:1"}`, 2)}}, 2)
+	d.Runners.Listed([]registry.Record{spec("a", `{"born":100,"address":"a:1"}`, 1)}, registry.Position{Revision: 1})
+	d.Runners.Changed([]registry.Change{{Record: spec("a", `{"born":200,"address":"a:1"}`, 2)}}, registry.Position{Revision: 2})
 	must.Eq(t, []string{"a~100"}, told.gone)
 	runners := d.Snapshot().ByService["s"]
 	must.Len(t, 1, runners)
@@ -42,8 +42,8 @@
 func TestLateEntryOfEarlierLifetime(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := newDirectory(&now)
-	d.Runners.Listed([]registry.Record{spec("a", `{"born":200,"address":"a:1"}`, 1)}, 1)
-	d.Runners.Changed([]registry.Change{{Record: spec("a", `{"born":100,"address":"a:1"}`, 2)}}, 2)
+	d.Runners.Listed([]registry.Record{spec("a", `{"born":200,"address":"a:1"}`, 1)}, registry.Position{Revision: 1})
+	d.Runners.Changed([]registry.Change{{Record: spec("a", `{"born":100,"address":"a:1"}`, 2)}}, registry.Position{Revision: 2})
 	must.Eq(t, "a~200", d.Snapshot().ByService["s"][0].ID)
 }
 
@@ -53,12 +53,12 @@
 func TestRestartBeforeTheEntrySaysSo(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := newDirectory(&now)
-	d.Runners.Listed([]registry.Record{spec("a", `{"born":100,"address":"a:1"}`, 1)}, 1)
+	d.Runners.Listed([]registry.Record{spec("a", `{"born":100,"address":"a:1"}`, 1)}, registry.Position{Revision: 1})
 	d.Restarted("a", 300)
 	must.Eq(t, "a~300", d.Snapshot().ByService["s"][0].ID)
 	d.Restarted("a", 200)
 	d.Restarted("unknown", 200)
-	d.Runners.Changed([]registry.Change{{Record: spec("a", `{"born":100,"address":"a:1"}`, 2)}}, 2)
+	d.Runners.Changed([]registry.Change{{Record: spec("a", `{"born":100,"address":"a:1"}`, 2)}}, registry.Position{Revision: 2})
 	must.Eq(t, "a~300", d.Snapshot().ByService["s"][0].ID)
 	must.MapLen(t, 1, d.Snapshot().Runners)
 }
@@ -68,9 +68,9 @@
 func TestEntryWithoutStart(t *testing.T) {
 	now := time.Unix(1000, 0)
 	d := newDirectory(&now)
-	d.Runners.Listed([]registry.Record{spec("a", "false", 1)}, 1)
+	d.Runners.Listed([]registry.Record{spec("a", "false", 1)}, registry.Position{Revision: 1})
 	d.Restarted("a", 300)
-	d.Runners.Changed([]registry.Change{{Record: spec("a", "true", 2)}}, 2)
+	d.Runners.Changed([]registry.Change{{Record: spec("a", "true", 2)}}, registry.Position{Revision: 2})
 	must.SliceEmpty(t, d.Snapshot().ByService["s"])
 	must.True(t, d.Snapshot().Runners["a~300"].Leaving)
 }
@@ -82,12 +82,12 @@
 	d := newDirectory(&now)
 	var told told
 	d.OnRunner = told.runner
-	d.Runners.Listed([]registry.Record{spec("a", "false", 1), spec("b", "false", 2), spec("x", `"?"`, 3)}, 3)
+	d.Runners.Listed([]registry.Record{spec("a", "false", 1), spec("b", "false", 2), spec("x", `"?"`, 3)}, registry.Position{Revision: 3})
 	must.Len(t, 2, d.Snapshot().ByService["s"])
-	d.Runners.Changed([]registry.Change{{Record: spec("a", `"?"`, 4)}}, 4)
+	d.Runners.Changed([]registry.Change{{Record: spec("a", `"?"`, 4)}}, registry.Position{Revision: 4})
 	must.Len(t, 1, d.Snapshot().ByService["s"])
 	must.Eq(t, []string{"a"}, told.gone)
-	d.Runners.Changed([]registry.Change{{Record: spec("a", "false", 5)}}, 5)
+	d.Runners.Changed([]registry.Change{{Record: spec("a", "false", 5)}}, registry.Position{Revision: 5})
 	must.Len(t, 2, d.Snapshot().ByService["s"])
 }
 
@@ -102,7 +102,7 @@
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
 			d := newDirectory(&now)
-			d.Runners.Listed(entries, 9)
+			d.Runners.Listed(entries, registry.Position{Revision: 9})
 			runners := d.Snapshot().ByService["s"]
 			must.Len(t, 1, runners)
 			must.Eq(t, "b", runners[0].Instance)
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -347,10 +347,11 @@
 func (s *suspects) remove(ctx context.Context, record registry.Record) {
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
+	era := s.records.Position().Era
 	if err := s.store.Delete(ctx, mesh.Kind, record.Name, record.Revision); err != nil && !registry.NotFound(err) {
 		s.log.Info("request's record not removed", "record", record.Name, "error", err.Error())
 		return
 	}
-	s.records.Changed([]registry.Change{{Record: registry.Record{Name: record.Name}, Removed: true}}, 0)
+	s.records.Drop(record.Name, era)
 	s.log.Info("request's record removed", "record", record.Name)
 }
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -53,8 +53,9 @@
 func (decoder) Runner(string, json.RawMessage) (*site.Runner, error) {
 	return nil, errors.New("no runners")
 }
-func (decoder) StripRunner(spec json.RawMessage) json.RawMessage { return spec }
-func (decoder) StripConfig(spec json.RawMessage) json.RawMessage { return spec }
+func (decoder) StripRunner(spec json.RawMessage) json.RawMessage         { return spec }
+func (decoder) StripConfig(spec json.RawMessage) json.RawMessage         { return spec }
+func (decoder) StripAdapterVersion(spec json.RawMessage) json.RawMessage { return spec }
 func (decoder) AdapterVersion(json.RawMessage) (site.AdapterVersion, error) {
 	return site.AdapterVersion{}, errors.New("no versions")
 }
@@ -100,7 +101,7 @@
 		}()
 		known := directory.New(decoder{config: config}, time.Now, hclog.NewNullLogger())
 		if config != nil {
-			known.Configs.Changed([]registry.Change{{Record: registry.Record{Name: "main", Revision: 1}}}, 1)
+			known.Configs.Changed([]registry.Change{{Record: registry.Record{Name: "main", Revision: 1}}}, registry.Position{Revision: 1})
 		}
 		server := (&Ingress{
 			ConfigAge: func() time.Duration { return 0 },
--- a/internal/mesh/breaktry.go
+++ b/internal/mesh/breaktry.go
@@ -82,7 +82,7 @@
 		s.refresh(ctx, hostName(dead.Host), err)
 		return
 	}
-	s.fleet.Put(record)
+	s.took(record)
 	s.Log.Warn("lease broken: the host was silent for too long", "peer", dead.Host, "epoch", dead.Record.Epoch, "revision", record.Revision)
 }
 
--- a/internal/mesh/breaktry_test.go
+++ b/internal/mesh/breaktry_test.go
@@ -101,7 +101,7 @@
 			defer state.Registered(1, witnesses, time.Now())
 		}
 	}
-	s.fleet.Listed(records, store.revision)
+	s.fleet.Listed(records, registry.Position{Revision: store.revision})
 	return s, store, func() int {
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/mesh/delay_test.go
+++ b/internal/mesh/delay_test.go
@@ -43,7 +43,7 @@
 	s := fleetOf(5, func() time.Time { return now })[0]
 	s.Statuses = noStatus{}
 	replica := s.Kinds["k"]
-	replica.Listed([]registry.Record{{Name: "a", Revision: 1, Spec: json.RawMessage("1")}}, 1)
+	replica.Listed([]registry.Record{{Name: "a", Revision: 1, Spec: json.RawMessage("1")}}, registry.Position{Revision: 1})
 	from := peer.Identity{Host: "h1"}
 	beat := func(sent time.Time) {
 		_, err := s.takeBeat(t.Context(), from, Beat{Address: "h1:1", SentMS: sent.UnixMilli(), Known: map[string]Known{"k": {Version: replica.Version()}}})
--- a/internal/mesh/fetch.go
+++ b/internal/mesh/fetch.go
@@ -13,12 +13,13 @@
 // A source that takes longer is frozen, cut off or much asked; another one goes on.
 const fetchTimeout = 500 * time.Millisecond
 
-// FetchParams asks for the records of a kind: those that changed after a revision, or those
-// of the parts whose digests differ from the asker's, or all.
+// FetchParams asks for the records of a kind: those that changed after a revision of an era,
+// or those of the parts whose digests differ from the asker's, or all.
 type FetchParams struct {
-	Kind  string   `json:"kind"`
-	Since uint64   `json:"since,omitempty"`
-	Parts []uint64 `json:"parts,omitempty"`
+	Kind  string       `json:"kind"`
+	Since uint64       `json:"since,omitempty"`
+	Era   registry.Era `json:"era,omitempty"`
+	Parts []uint64     `json:"parts,omitempty"`
 	// Begun is the ID of the parcel of which the asker has some pieces, 0 without any.
 	Begun uint64 `json:"begun,omitempty"`
 }
@@ -54,7 +55,7 @@
 		err = s.fetchParts(address, kind, left)
 	}
 	s.tellFetch(kind, address, before, s.Now().Sub(begun), err)
-	if replica.Version().Revision > before.Revision {
+	if before.Before(replica.Position()) {
 		s.Spread()
 	}
 }
@@ -94,7 +95,7 @@
 	if before.Revision == 0 {
 		return errIncomplete
 	}
-	snapshot, err := s.fetchSnapshot(address, FetchParams{Kind: kind, Since: before.Revision}, left)
+	snapshot, err := s.fetchSnapshot(address, FetchParams{Kind: kind, Since: before.Revision, Era: before.Era}, left)
 	if err != nil {
 		return err
 	}
@@ -112,7 +113,7 @@
 	if err != nil {
 		return err
 	}
-	if snapshot.Revision > before.Revision || snapshot.Parts != nil && snapshot.Revision == before.Revision {
+	if before.Before(snapshot.Position) || snapshot.Parts != nil && snapshot.Position == before.Position {
 		replica.Merge(snapshot, before)
 	}
 	return nil
@@ -189,7 +190,7 @@
 		snapshot = replica.Differing(params.Parts)
 	} else {
 		// Where the changes are not all known the asker hears so and asks for parts.
-		snapshot, _ = replica.ChangedSince(params.Since)
+		snapshot, _ = replica.ChangedSince(registry.Position{Era: params.Era, Revision: params.Since})
 	}
 	if !large(snapshot.Records) {
 		return FetchResult{Snapshot: snapshot}, nil
--- a/internal/mesh/fetch_test.go
+++ b/internal/mesh/fetch_test.go
@@ -70,7 +70,7 @@
 		return &counted{Conn: conn, read: read}, nil
 	}
 	replica := registry.NewReplica()
-	replica.Listed([]registry.Record{{Name: "main", Revision: 1, Spec: json.RawMessage("1")}}, 1)
+	replica.Listed([]registry.Record{{Name: "main", Revision: 1, Spec: json.RawMessage("1")}}, registry.Position{Revision: 1})
 	s := NewService(Deps{
 		Self: self, Address: host + ":1", State: NewState(host, usual, time.Now()), Kinds: map[string]*registry.Replica{"k": replica},
 		Pool: peer.NewPool(self, nil, dial, hclog.NewNullLogger()), Statuses: noStatus{}, Now: time.Now, Log: hclog.NewNullLogger(),
@@ -100,7 +100,7 @@
 // change gives hosts the second version of the record.
 func (m *meshes) change(bytes int, hosts ...string) {
 	for _, host := range hosts {
-		m.all[host].Kinds["k"].Changed([]registry.Change{{Record: largeRecord(2, bytes)}}, 2)
+		m.all[host].Kinds["k"].Changed([]registry.Change{{Record: largeRecord(2, bytes)}}, registry.Position{Revision: 2})
 	}
 }
 
@@ -189,10 +189,10 @@
 	inMeshes(t, func(m *meshes) {
 		m.net.Links.Limit("source", 10)
 		for i, host := range hosts[1:] {
-			m.all[host].Kinds["k"].Changed([]registry.Change{{Record: registry.Record{Name: fmt.Sprint("own-", i), Revision: uint64(i + 2), Spec: json.RawMessage("1")}}}, uint64(i+2))
-			m.all["source"].Kinds["k"].Changed([]registry.Change{{Record: registry.Record{Name: fmt.Sprint("own-", i), Revision: uint64(i + 2), Spec: json.RawMessage("1")}}}, uint64(i+2))
+			m.all[host].Kinds["k"].Changed([]registry.Change{{Record: registry.Record{Name: fmt.Sprint("own-", i), Revision: uint64(i + 2), Spec: json.RawMessage("1")}}}, registry.Position{Revision: uint64(i + 2)})
+			m.all["source"].Kinds["k"].Changed([]registry.Change{{Record: registry.Record{Name: fmt.Sprint("own-", i), Revision: uint64(i + 2), Spec: json.RawMessage("1")}}}, registry.Position{Revision: uint64(i + 2)})
 		}
-		m.all["source"].Kinds["k"].Changed([]registry.Change{{Record: largeRecord(20, 60_000)}}, 20)
+		m.all["source"].Kinds["k"].Changed([]registry.Change{{Record: largeRecord(20, 60_000)}}, registry.Position{Revision: 20})
 		for _, host := range hosts[1:] {
 			m.tell(host, "source")
 		}
--- a/internal/mesh/join_test.go
+++ b/internal/mesh/join_test.go
@@ -93,11 +93,11 @@
 		}
 	}
 	must.Positive(t, s.Due("k", time.Second)-behindPatience)
-	s.spread.learn("other:1", map[string]Known{"k": {Version: registry.Version{Revision: 7, Digest: 7}}}, now)
+	s.spread.learn("other:1", map[string]Known{"k": {Version: registry.Version{Position: registry.Position{Revision: 7}, Digest: 7}}}, now)
 	must.Eq(t, behindPatience, s.Due("k", time.Second))
 	now = now.Add(behindPatience)
 	must.Eq(t, 0, s.Due("k", time.Second))
-	s.Kinds["k"].Changed([]registry.Change{{Record: registry.Record{Name: "a", Revision: 7}}}, 7)
+	s.Kinds["k"].Changed([]registry.Change{{Record: registry.Record{Name: "a", Revision: 7}}}, registry.Position{Revision: 7})
 	must.Positive(t, s.Due("k", time.Second))
 }
 
--- a/internal/mesh/parcels.go
+++ b/internal/mesh/parcels.go
@@ -134,13 +134,13 @@
 	}
 }
 
-// parcelID tells records apart by what the store says of them: hosts take in no more of a
-// record of one revision than others do.
+// parcelID tells records apart by all that is packed of them.
 func parcelID(kind string, records []registry.Record) uint64 {
 	digest := xxhash.New()
 	_, _ = fmt.Fprint(digest, kind)
 	for _, record := range records {
-		_, _ = fmt.Fprintf(digest, "\x00%s\x00%d\x00%d", record.Name, record.Revision, len(record.Spec))
+		_, _ = fmt.Fprintf(digest, "\x00%s\x00%d\x00%d\x00", record.Name, record.Revision, len(record.Spec))
+		_, _ = digest.Write(record.Spec)
 	}
 	return digest.Sum64()
 }
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -69,6 +69,20 @@
 	return other
 }
 
+// normal brings a record of this kind into one form, whoever wrote it: hosts compare records
+// by their bytes.
+func normal(spec json.RawMessage) json.RawMessage {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(spec, &fields); err != nil {
+		return spec
+	}
+	encoded, err := json.Marshal(fields)
+	if err != nil {
+		return spec
+	}
+	return encoded
+}
+
 func decodeHost(record registry.Record) (string, member, bool) {
 	name, ok := strings.CutPrefix(record.Name, hostPrefix)
 	if !ok {
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -98,6 +98,7 @@
 func NewService(deps Deps) *Service {
 	s := &Service{Deps: deps, started: deps.Now(), beating: map[string]*beater{}, breaking: map[string]*breakTry{}, kick: make(chan struct{}, 1), parcels: parcels{now: deps.Now}}
 	s.fleet = registry.NewReplica()
+	s.fleet.Strip = normal
 	s.Kinds[Kind] = s.fleet
 	s.spread = newSpread(s.Kinds, deps.Now)
 	s.fleet.OnChange = func(changes []registry.Change, _ bool) {
@@ -240,11 +241,24 @@
 		return
 	}
 	s.storePause = 0
+	if !s.took(record) {
+		return
+	}
 	s.State.Registered(own.Epoch, own.Witnesses, sent)
-	s.fleet.Put(record)
 	s.Log.Info("registered", "epoch", own.Epoch, "revision", record.Revision, "witnesses", len(own.Witnesses))
 }
 
+// took notes a record that the store answered with, and says whether the answer is of the era
+// that this host goes by. By one of another era it may do nothing yet.
+func (s *Service) took(record registry.Record) bool {
+	if s.fleet.Put(record) {
+		return true
+	}
+	s.Log.Info("record of another era", "record", record.Name, "era", record.Era, "known_era", s.fleet.Position().Era, "revision", record.Revision)
+	s.spread.newEra(Kind, record.Era)
+	return false
+}
+
 func (s *Service) writeOwn(ctx context.Context, name string, own HostRecord, revision uint64) (registry.Record, error) {
 	if revision == 0 {
 		return s.Store.Create(ctx, Kind, name, own)
@@ -272,8 +286,12 @@
 	switch {
 	case err == nil:
 		s.storePause = 0
+		if !s.took(record) {
+			// Which witnesses the record of that era names is not known here.
+			s.State.Doubt()
+			return
+		}
 		s.State.Registered(own.Epoch, own.Witnesses, sent)
-		s.fleet.Put(record)
 	case registry.Conflict(err):
 		s.State.Doubt()
 		s.reread(ctx)
@@ -300,16 +318,20 @@
 // whose answer was lost, or one that ended the lease.
 func (s *Service) reread(ctx context.Context) {
 	sent := s.Now()
+	era := s.fleet.Position().Era
 	record, err := s.Store.Get(ctx, Kind, hostName(s.Self.Host))
 	if registry.NotFound(err) {
 		s.State.Lost()
+		s.fleet.Drop(hostName(s.Self.Host), era)
 		return
 	}
 	if err != nil {
 		s.Log.Debug("own record not read", "error", err.Error())
 		return
 	}
-	s.fleet.Put(record)
+	if !s.took(record) {
+		return
+	}
 	_, m, ok := decodeHost(record)
 	if !ok || m.Broken || m.Incarnation != s.Self.Incarnation {
 		s.State.Lost()
@@ -361,7 +383,7 @@
 		s.refresh(ctx, claim.Name, err)
 		return
 	}
-	s.fleet.Put(record)
+	s.took(record)
 	s.Log.Info("runner claimed", "address", claim.Address, "token", record.Revision, "epoch", claim.Record.Epoch)
 }
 
@@ -370,12 +392,13 @@
 	if !registry.Conflict(cause) && !errors.Is(cause, objectapi.ErrAnswerLost) {
 		return
 	}
+	era := s.fleet.Position().Era
 	record, err := s.Store.Get(ctx, Kind, name)
 	switch {
 	case err == nil:
-		s.fleet.Put(record)
+		s.took(record)
 	case registry.NotFound(err):
-		s.fleet.Changed([]registry.Change{{Record: registry.Record{Name: name}, Removed: true}}, 0)
+		s.fleet.Drop(name, era)
 	default:
 		s.Log.Debug("record not read", "record", name, "error", err.Error())
 	}
--- a/internal/mesh/spread.go
+++ b/internal/mesh/spread.go
@@ -42,16 +42,16 @@
 	// fetching says that they are being asked.
 	sources  []source
 	fetching bool
-	// lacks is the revision that the replica was first told of and does not have, since
+	// lacks is the position that the replica was first told of and does not have, since
 	// lackingSince.
-	lacks        uint64
+	lacks        registry.Position
 	lackingSince time.Time
 }
 
 // source is a host that has more than this one.
 type source struct {
-	address  string
-	revision uint64
+	address string
+	at      registry.Position
 }
 
 // maxSources is how many hosts that have more of a kind of record are remembered.
@@ -121,7 +121,7 @@
 	return s.now().Sub(k.lackingSince), true
 }
 
-func (k *knowledge) lacking() bool { return k.replica.Revision() < k.lacks }
+func (k *knowledge) lacking() bool { return k.replica.Position().Before(k.lacks) }
 
 // silence gives how long no other host has told anything.
 func (s *spread) silence() time.Duration {
@@ -160,14 +160,25 @@
 	lacking := map[string]Known{}
 	for kind, own := range s.known() {
 		known, told := theirs[kind]
-		younger := own.Digest == known.Digest && own.AgeMS+fresher.Milliseconds() <= known.AgeMS
-		if !told || younger || own.Digest != known.Digest && own.Revision > known.Revision {
+		same := own.Digest == known.Digest && own.Era == known.Era
+		younger := same && own.AgeMS+fresher.Milliseconds() <= known.AgeMS
+		if !told || younger || !same && known.Before(own.Position) {
 			lacking[kind] = own
 		}
 	}
 	return lacking
 }
 
+// newEra notes that the store answered in an era of which the replica knows nothing yet.
+func (s *spread) newEra(kind string, era registry.Era) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := s.kinds[kind]
+	if at := (registry.Position{Era: era}); !k.lacking() && k.replica.Position().Before(at) {
+		k.lacks, k.lackingSince = at, s.now()
+	}
+}
+
 // heard notes that another host answered or asked.
 func (s *spread) heard() {
 	s.mu.Lock()
@@ -187,12 +198,15 @@
 			continue
 		}
 		own := k.replica.Version()
+		if (own.Era != known.Era || own.Revision == 0) && k.replica.Adopt(known.Version) {
+			own = k.replica.Version()
+		}
 		switch {
-		case own.Digest == known.Digest && own.Revision > 0:
+		case own.Digest == known.Digest && own.Era == known.Era && own.Revision > 0:
 			k.confirmed(moment.Add(-time.Duration(known.AgeMS) * time.Millisecond))
-			k.lacks = 0
-		case known.Revision > own.Revision:
-			k.told(source{address: address, revision: known.Revision}, s.now())
+			k.lacks = registry.Position{}
+		case own.Before(known.Position):
+			k.told(source{address: address, at: known.Position}, s.now())
 			if !k.fetching {
 				k.fetching = true
 				fetch = append(fetch, kind)
@@ -205,7 +219,7 @@
 // told remembers who has more.
 func (k *knowledge) told(by source, now time.Time) {
 	if !k.lacking() {
-		k.lacks, k.lackingSince = by.revision, now
+		k.lacks, k.lackingSince = by.at, now
 	}
 	k.sources = slices.DeleteFunc(k.sources, func(known source) bool { return known.address == by.address })
 	if len(k.sources) >= maxSources {
@@ -220,11 +234,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.kinds[kind]
-	own := k.replica.Revision()
+	own := k.replica.Position()
 	for len(k.sources) > 0 {
 		last := k.sources[len(k.sources)-1]
 		k.sources = k.sources[:len(k.sources)-1]
-		if last.revision > own {
+		if own.Before(last.at) {
 			return last.address, true
 		}
 	}
--- a/internal/mesh/spread_test.go
+++ b/internal/mesh/spread_test.go
@@ -20,7 +20,7 @@
 		for i, name := range names {
 			records = append(records, registry.Record{Name: name, Revision: uint64(i + 1)})
 		}
-		replica.Listed(records, revision)
+		replica.Listed(records, registry.Position{Revision: revision})
 		return replica
 	}
 	own := newSpread(map[string]*registry.Replica{"same": listed(5, "a"), "more": listed(7, "a", "b"), "less": listed(3, "a")}, clock)
--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -26,12 +26,16 @@
 
 // Sink takes what a follower learns.
 type Sink interface {
-	// Listed replaces all records, as of the store's revision.
-	Listed(records []Record, revision uint64)
-	// Changed applies changes up to the store's revision.
-	Changed(changes []Change, revision uint64)
-	// Revision tells up to where the sink is complete; 0 before any listing.
-	Revision() uint64
+	// Listed replaces all records, as of a position of the store, and says whether the sink
+	// knows all of that now. It does not go back to an earlier era.
+	Listed(records []Record, at Position) bool
+	// Copied replaces all records by those of a copy of the store, of no known position.
+	Copied(records []Record)
+	// Changed applies changes up to a position of the store.
+	Changed(changes []Change, at Position)
+	// Position tells up to where the sink is complete by the store's own word; its revision
+	// is 0 before that.
+	Position() Position
 }
 
 // Follower keeps a sink up to date with one kind of record.
@@ -60,8 +64,9 @@
 	// for each.
 	Hold func() bool
 	// Copied is set where the first listing may come from a copy of the store that is
-	// some seconds behind, and is called after it. Others, or the next watch, tell what
-	// has changed since.
+	// some seconds behind, and is called after it. Others, or the next listing, tell what
+	// has changed since. No watch goes on from a copy: what it holds may be of an earlier
+	// era, and the watch would miss what the store has lost of that.
 	//
 	// The load it answers: hundreds of hosts start in the same second and list each
 	// kind of record, two thirds of all that they ever ask of the store.
@@ -78,7 +83,6 @@
 
 	lost   atomic.Bool
 	lostAt time.Time
-	era    Era
 	// forgotten says that the store's history no longer reaches back to what the sink knows.
 	forgotten bool
 }
@@ -103,9 +107,10 @@
 			pause = retryFirst
 			continue
 		}
-		relist = relist || errors.Is(err, ErrHistoryGone)
+		gone := errors.Is(err, ErrHistoryGone)
+		relist = relist || gone
 		f.missed(ctx, err)
-		if errors.Is(err, ErrHistoryGone) {
+		if gone {
 			f.forgotten = true
 			continue
 		}
@@ -120,7 +125,7 @@
 const holdStep = 10 * time.Millisecond
 
 func (f *Follower) hold(ctx context.Context) {
-	for ctx.Err() == nil && f.Hold != nil && f.Hold() && f.Sink.Revision() == 0 {
+	for ctx.Err() == nil && f.Hold != nil && f.Hold() && !f.knows() {
 		timing.Sleep(ctx, holdStep)
 	}
 }
@@ -153,13 +158,13 @@
 
 // informed says that others have told this host enough not to ask the store.
 func (f *Follower) informed() bool {
-	return f.Due != nil && f.Sink.Revision() > 0 && f.Due() > 0
+	return f.Due != nil && f.knows() && f.Due() > 0
 }
 
 // longestPause is short for a host that knows nothing yet: all hosts may have
 // started together, and nobody could tell it.
 func (f *Follower) longestPause() time.Duration {
-	if f.Patience == nil || f.Sink.Revision() == 0 {
+	if f.Patience == nil || !f.knows() {
 		return retryMost
 	}
 	return f.Patience()
@@ -175,18 +180,25 @@
 		f.Log.Debug("no listing from a copy", "kind", f.Kind, "revision", listing.Revision, "error", err)
 		return false
 	}
-	f.Sink.Listed(listing.Records, listing.Revision)
+	f.Sink.Copied(listing.Records)
 	f.Copied()
 	return true
 }
 
+// knows says that the sink has the store's own word.
+func (f *Follower) knows() bool { return f.Sink.Position().Revision > 0 }
+
 func (f *Follower) step(ctx context.Context, relist bool) error {
-	if relist {
+	if relist || !f.knows() {
 		return f.list(ctx)
 	}
 	return f.watch(ctx)
 }
 
+// errEarlierEra: the store's answer is of an earlier era than what is known. It was under way
+// while others told of the later one.
+var errEarlierEra = errors.New("the store's answer is of an earlier era than what is known")
+
 func (f *Follower) list(ctx context.Context) error {
 	listing, err := f.Store.List(ctx, f.Kind)
 	if err != nil {
@@ -194,9 +206,11 @@
 	}
 	asOf := f.Now().Add(-listing.Age)
 	f.regained()
-	f.tellEra(listing.Era, listing.Revision)
 	f.tellListing(listing)
-	f.Sink.Listed(listing.Records, listing.Revision)
+	if !f.Sink.Listed(listing.Records, listing.Position) {
+		return errEarlierEra
+	}
+	f.forgotten = false
 	f.confirm(asOf)
 	return nil
 }
@@ -205,37 +219,34 @@
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+watchMargin)
 	defer cancel()
 	asked := f.Now()
-	changes, err := f.Store.Watch(ctx, f.Kind, f.Sink.Revision(), f.Wait)
+	known := f.Sink.Position()
+	changes, err := f.Store.Watch(ctx, f.Kind, known.Revision, f.Wait)
 	if err != nil {
 		return err
 	}
+	if changes.Era != known.Era {
+		// These are changes after a revision of another history. Taken, all that the store
+		// lost would stay known, and what it says instead unknown, without an end.
+		f.Log.Warn("store's era changed", "kind", f.Kind, "before", known.Era, "era", changes.Era, "revision", changes.Revision, "known_revision", known.Revision)
+		return ErrHistoryGone
+	}
 	asOf := f.Now().Add(-changes.Age)
 	if waited := asked.Add(f.Wait); len(changes.List) == 0 && asOf.After(waited) {
 		// A host that was suspended reads the answer later than the store gave it.
 		asOf = waited
 	}
 	f.regained()
-	f.tellEra(changes.Era, changes.Revision)
-	f.forgotten = false
-	f.Sink.Changed(changes.List, changes.Revision)
+	f.Sink.Changed(changes.List, changes.Position)
 	f.confirm(asOf)
 	return nil
 }
 
-// tellEra logs the store's era where it is another one than before.
-func (f *Follower) tellEra(era Era, revision uint64) {
-	if era == f.era {
-		return
-	}
-	f.Log.Warn("store's era changed", "kind", f.Kind, "before", f.era, "era", era, "revision", revision, "known_revision", f.Sink.Revision())
-	f.era = era
-}
-
-// tellListing logs a listing that follows a lost history, or is older than what is known.
+// tellListing logs a listing that follows a lost history, or is of another era or older than
+// what is known.
 func (f *Follower) tellListing(listing Listing) {
-	known := f.Sink.Revision()
-	if f.forgotten || listing.Revision < known {
-		f.Log.Info("records listed again", "kind", f.Kind, "era", listing.Era, "revision", listing.Revision, "known_revision", known, "records", len(listing.Records))
+	known := f.Sink.Position()
+	if f.forgotten || f.knows() && (listing.Era != known.Era || listing.Before(known)) {
+		f.Log.Info("records listed again", "kind", f.Kind, "era", listing.Era, "revision", listing.Revision, "known_era", known.Era, "known_revision", known.Revision, "records", len(listing.Records))
 	}
 }
 
@@ -250,7 +261,7 @@
 		if f.Outage != nil {
 			f.Outage(f.Now().Sub(f.lostAt))
 		}
-		f.Log.Info("dependency regained", "dependency", "store", "kind", f.Kind, "revision", f.Sink.Revision())
+		f.Log.Info("dependency regained", "dependency", "store", "kind", f.Kind, "revision", f.Sink.Position().Revision)
 	}
 }
 
@@ -259,5 +270,5 @@
 		return
 	}
 	f.lostAt = f.Now()
-	f.Log.Warn("dependency lost", "dependency", "store", "kind", f.Kind, "revision", f.Sink.Revision(), "error", err.Error())
+	f.Log.Warn("dependency lost", "dependency", "store", "kind", f.Kind, "revision", f.Sink.Position().Revision, "error", err.Error())
 }
--- a/internal/registry/follow_test.go
+++ b/internal/registry/follow_test.go
@@ -32,7 +32,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		replica := NewReplica()
 		if known > 0 {
-			replica.Listed(nil, known)
+			replica.Listed(nil, at(known))
 		}
 		follower := &Follower{
 			Store: store, Kind: "k", Sink: replica, Wait: time.Second, Now: time.Now, Log: hclog.NewNullLogger(),
@@ -62,7 +62,7 @@
 	quiet := 0
 	synctest.Test(t, func(t *testing.T) {
 		replica := NewReplica()
-		replica.Listed(nil, 7)
+		replica.Listed(nil, at(7))
 		begun := time.Now()
 		follower := &Follower{
 			Store: store, Kind: "k", Sink: replica, Wait: time.Second, Now: time.Now, Log: hclog.NewNullLogger(),
@@ -82,48 +82,48 @@
 	must.GreaterEq(t, quiet+15, store.calls)
 }
 
-// copyStore has a copy that is behind, or away.
+// copyStore has a copy that is behind, of an earlier era, or away.
 type copyStore struct {
 	Store
-	behind    uint64
-	away      bool
-	lists     int
-	watchedAt uint64
+	copied Listing
+	away   bool
+	lists  int
+	// watched are the revisions from which it was watched.
+	watched []uint64
 }
 
 func (c *copyStore) List(context.Context, string) (Listing, error) {
 	c.lists++
-	return Listing{Records: []Record{record("a", 1), record("b", 9)}, Revision: 10}, nil
+	return Listing{Records: []Record{record("a", 1), record("b", 9)}, Position: Position{Era: 1, Revision: 10}}, nil
 }
 
 func (c *copyStore) ListStale(context.Context, string) (Listing, error) {
 	if c.away {
 		return Listing{}, &objectapi.Error{Op: "list", Cause: objectapi.ErrUnavailable}
 	}
-	return Listing{Records: []Record{record("a", 1)}, Revision: c.behind}, nil
+	return c.copied, nil
 }
 
 func (c *copyStore) Watch(_ context.Context, _ string, since uint64, wait time.Duration) (Changes, error) {
-	if since < 9 {
-		c.watchedAt = since
-		return Changes{List: []Change{{Record: record("b", 9)}}, Revision: 10}, nil
-	}
+	c.watched = append(c.watched, since)
 	time.Sleep(wait)
-	return Changes{Revision: since}, nil
+	return Changes{Position: Position{Era: 1, Revision: since}}, nil
 }
 
-// A host starts and takes its first listing from a copy that is behind. What is missing
-// comes with its first watch, which begins where the copy ends. Where the copy is away or
-// knows nothing, the store itself is listed as ever.
+// A host starts and takes its first listing from a copy. What the copy lacks, and what it
+// holds though the store has lost it, comes and goes with the first listing of the store
+// itself; no watch begins where the copy ends. Where the copy is away or knows nothing, the
+// store itself is listed at once.
 func TestFirstListingFromACopy(t *testing.T) {
 	for _, test := range []struct {
-		name  string
-		store copyStore
-		lists int
+		name   string
+		store  copyStore
+		copied int
 	}{
-		{name: "behind", store: copyStore{behind: 5}},
-		{name: "away", store: copyStore{away: true}, lists: 1},
-		{name: "knows nothing", store: copyStore{}, lists: 1},
+		{name: "behind", store: copyStore{copied: Listing{Records: []Record{record("a", 1)}, Position: Position{Era: 1, Revision: 5}}}, copied: 1},
+		{name: "of an earlier era", store: copyStore{copied: Listing{Records: []Record{record("a", 1), record("b", 40), record("lost", 45)}, Position: Position{Era: 1, Revision: 50}}}, copied: 1},
+		{name: "away", store: copyStore{away: true}},
+		{name: "knows nothing", store: copyStore{}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -136,10 +136,15 @@
 				ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 				defer cancel()
 				follower.Run(ctx)
-				_, there := replica.Get("b")
+				got, there := replica.Get("b")
 				must.True(t, there)
-				must.Eq(t, test.lists, test.store.lists)
-				must.Eq(t, 1-test.lists, copied)
+				must.Eq(t, 9, got.Revision)
+				_, there = replica.Get("lost")
+				must.False(t, there)
+				must.Eq(t, Position{Era: 1, Revision: 10}, replica.Position())
+				must.Eq(t, 1, test.store.lists)
+				must.Eq(t, test.copied, copied)
+				must.Eq(t, []uint64{10}, test.store.watched)
 				must.Positive(t, confirmed)
 			})
 		})
@@ -166,15 +171,15 @@
 
 func (o *oneWatch) List(context.Context, string) (Listing, error) {
 	time.Sleep(o.after)
-	return Listing{Revision: 9, Age: o.answer.Age}, nil
+	return Listing{Position: at(9), Age: o.answer.Age}, nil
 }
 
 // slowSink takes half a second to take a change, as a host with little of a core does.
 type slowSink struct{ *Replica }
 
-func (s slowSink) Changed(changes []Change, revision uint64) {
+func (s slowSink) Changed(changes []Change, at Position) {
 	time.Sleep(500 * time.Millisecond)
-	s.Replica.Changed(changes, revision)
+	s.Replica.Changed(changes, at)
 }
 
 // What a host knows counts as confirmed once it goes by it, as of the moment at which the
@@ -190,14 +195,14 @@
 		confirmed time.Duration
 		asOf      time.Duration
 	}{
-		{"news over a thin link to a slow reader", Changes{List: news, Revision: 9, Age: 300 * time.Millisecond}, 700 * time.Millisecond, 1200 * time.Millisecond, 400 * time.Millisecond},
-		{"nothing new", Changes{Revision: 7}, time.Second, 1500 * time.Millisecond, time.Second},
-		{"nothing new to a host that was suspended", Changes{Revision: 7}, 5 * time.Second, 5500 * time.Millisecond, time.Second},
+		{"news over a thin link to a slow reader", Changes{List: news, Position: at(9), Age: 300 * time.Millisecond}, 700 * time.Millisecond, 1200 * time.Millisecond, 400 * time.Millisecond},
+		{"nothing new", Changes{Position: at(7)}, time.Second, 1500 * time.Millisecond, time.Second},
+		{"nothing new to a host that was suspended", Changes{Position: at(7)}, 5 * time.Second, 5500 * time.Millisecond, time.Second},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				replica := NewReplica()
-				replica.Listed(nil, 7)
+				replica.Listed(nil, at(7))
 				begun := time.Now()
 				var confirmed, asOf time.Duration
 				follower := &Follower{
@@ -238,7 +243,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := &downStore{}
 		replica := NewReplica()
-		replica.Listed(nil, 7)
+		replica.Listed(nil, at(7))
 		begun := time.Now()
 		told := 2 * time.Second
 		follower := &Follower{
--- a/internal/registry/history_test.go
+++ b/internal/registry/history_test.go
@@ -18,7 +18,7 @@
 		must.NoError(t, err)
 		return len(encoded)
 	}
-	if snapshot, ok := from.ChangedSince(before.Revision); ok {
+	if snapshot, ok := from.ChangedSince(before.Position); ok {
 		bytes += size(snapshot)
 		if into.MergeSince(snapshot, before) {
 			return bytes
@@ -35,10 +35,10 @@
 func TestChangesSinceARevision(t *testing.T) {
 	a, b := NewReplica(), NewReplica()
 	list := []Record{record("a", 1), record("b", 2), record("c", 3)}
-	a.Listed(list, 3)
-	b.Listed(list, 3)
-	a.Changed([]Change{{Record: record("b", 4)}, {Record: record("d", 5)}, {Record: record("c", 6), Removed: true}}, 6)
-	snapshot, ok := a.ChangedSince(3)
+	a.Listed(list, at(3))
+	b.Listed(list, at(3))
+	a.Changed([]Change{{Record: record("b", 4)}, {Record: record("d", 5)}, {Record: record("c", 6), Removed: true}}, at(6))
+	snapshot, ok := a.ChangedSince(at(3))
 	must.True(t, ok)
 	must.Len(t, 2, snapshot.Records)
 	must.Eq(t, []string{"c"}, snapshot.Removed)
@@ -50,15 +50,14 @@
 // changes. The host sees by the digest that it still differs.
 func TestChangeThatWasTakenBackIsNoticed(t *testing.T) {
 	strip := func(spec json.RawMessage) json.RawMessage { return spec }
-	a, b := NewReplica(), NewReplica()
-	a.Strip, b.Strip = strip, strip
+	a, b := NewContentReplica(strip), NewContentReplica(strip)
 	state := func(revision uint64, spec string) Record {
 		return Record{Name: "a", Revision: revision, Spec: json.RawMessage(spec)}
 	}
-	a.Listed([]Record{state(1, `"x"`)}, 1)
-	b.Listed([]Record{state(5, `"y"`)}, 5)
-	a.Changed([]Change{{Record: state(9, `"x"`)}}, 9)
-	snapshot, ok := a.ChangedSince(5)
+	a.Listed([]Record{state(1, `"x"`)}, at(1))
+	b.Listed([]Record{state(5, `"y"`)}, at(5))
+	a.Changed([]Change{{Record: state(9, `"x"`)}}, at(9))
+	snapshot, ok := a.ChangedSince(at(5))
 	must.True(t, ok)
 	must.False(t, b.MergeSince(snapshot, b.Version()))
 	pull(t, a, b)
@@ -69,9 +68,9 @@
 // removed before, and says so.
 func TestChangesBeforeTheFirstList(t *testing.T) {
 	a, b := NewReplica(), NewReplica()
-	b.Listed([]Record{record("a", 1), record("gone", 2)}, 2)
-	a.Listed([]Record{record("a", 1)}, 7)
-	_, ok := a.ChangedSince(2)
+	b.Listed([]Record{record("a", 1), record("gone", 2)}, at(2))
+	a.Listed([]Record{record("a", 1)}, at(7))
+	_, ok := a.ChangedSince(at(2))
 	must.False(t, ok)
 	pull(t, a, b)
 	must.Eq(t, a.Version().Digest, b.Version().Digest)
@@ -81,11 +80,11 @@
 // fetch parts for.
 func TestOwnWriteIsNoReasonToFetchParts(t *testing.T) {
 	a, b := NewReplica(), NewReplica()
-	a.Listed([]Record{record("a", 1)}, 1)
-	b.Listed([]Record{record("a", 1)}, 1)
-	a.Changed([]Change{{Record: record("c", 2)}}, 2)
+	a.Listed([]Record{record("a", 1)}, at(1))
+	b.Listed([]Record{record("a", 1)}, at(1))
+	a.Changed([]Change{{Record: record("c", 2)}}, at(2))
 	b.Put(record("own", 3))
-	snapshot, ok := a.ChangedSince(1)
+	snapshot, ok := a.ChangedSince(at(1))
 	must.True(t, ok)
 	must.True(t, b.MergeSince(snapshot, b.Version()))
 	_, kept := b.Get("own")
@@ -106,7 +105,7 @@
 			for name, at := range store {
 				records = append(records, record(name, at))
 			}
-			hosts[host].Listed(records, revision)
+			hosts[host].Listed(records, at(revision))
 			seen[host] = len(events)
 		}
 		for host := range hosts {
@@ -126,7 +125,7 @@
 				store[name] = revision
 				events = append(events, Change{Record: record(name, revision)})
 			case 2:
-				hosts[host].Changed(events[seen[host]:], revision)
+				hosts[host].Changed(events[seen[host]:], at(revision))
 				seen[host] = len(events)
 			case 3:
 				list(host)
@@ -156,11 +155,11 @@
 	}
 	a, b, byParts := NewReplica(), NewReplica(), NewReplica()
 	for _, r := range []*Replica{a, b, byParts} {
-		r.Listed(nil, 1)
+		r.Listed(nil, at(1))
 	}
 	fetched, fetchedByParts := 0, 0
 	for first := 0; first < runners; first += batch {
-		a.Changed(claims(first, batch), uint64(first+batch+1))
+		a.Changed(claims(first, batch), at(uint64(first+batch+1)))
 		fetched += pull(t, a, b)
 		parts, base := byParts.Parts()
 		snapshot := a.Differing(parts)
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -11,12 +11,34 @@
 	"github.com/pkg/errors"
 )
 
+// Era numbers the histories of the store. One that comes back from a copy has lost its last
+// writes, gives their revisions out again, and says so by a higher era. 0 stands for a store
+// that tells of none.
+type Era uint64
+
+// Position is a place in the store's histories: a revision of an era. Revisions of two eras
+// say nothing about each other.
+type Position struct {
+	Era      Era    `json:"era,omitempty"`
+	Revision uint64 `json:"revision"`
+}
+
+// Before says that another position is of a later era, or a later one of the same era.
+func (p Position) Before(other Position) bool {
+	if p.Era != other.Era {
+		return p.Era < other.Era
+	}
+	return p.Revision < other.Revision
+}
+
 // Record is one object of the store.
 type Record struct {
 	Name string `json:"name"`
 	// Revision is the store's revision at the record's last change.
 	Revision uint64          `json:"revision"`
 	Spec     json.RawMessage `json:"spec"`
+	// Era is that of the store's answer to a read or a write of this record alone.
+	Era Era `json:"-"`
 }
 
 // Change tells that a record was written or removed.
@@ -25,17 +47,11 @@
 	Removed bool
 }
 
-// Era numbers the histories of the store. One that comes back from a copy has lost its last
-// writes, gives their revisions out again, and says so by a higher era. 0 stands for a store
-// that tells of none.
-type Era uint64
-
 // Listing is all records of a kind.
 type Listing struct {
 	Records []Record
-	// Revision is the store's, up to which these are all records.
-	Revision uint64
-	Era      Era
+	// Position is the store's, up to which these are all records.
+	Position
 	// Age is how long before the listing was whole its first page began to arrive. The store
 	// may have changed since: a list of many pages takes seconds where many hosts ask at once.
 	Age time.Duration
@@ -44,9 +60,8 @@
 // Changes answer a watch.
 type Changes struct {
 	List []Change
-	// Revision is the store's, up to which these are all changes.
-	Revision uint64
-	Era      Era
+	// Position is the store's, up to which these are all changes.
+	Position
 	// Age is how long before Watch returned the answer began to arrive. The store may have
 	// changed since: a large answer takes long over a thin link.
 	Age time.Duration
@@ -65,7 +80,7 @@
 	// List gives all records of a kind.
 	List(ctx context.Context, kind string) (Listing, error)
 	// ListStale is List at a tenth of the price, from a copy that may be some seconds
-	// behind.
+	// behind, and of an earlier era than it says.
 	ListStale(ctx context.Context, kind string) (Listing, error)
 	// Watch waits for changes after a revision, up to a time.
 	Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (Changes, error)
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -1,9 +1,9 @@
 package registry
 
 import (
+	"encoding/binary"
 	"encoding/json"
 	"slices"
-	"strconv"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,8 +11,8 @@
 
 // Snapshot is a replica's content as peers pass it on.
 type Snapshot struct {
-	Revision uint64   `json:"revision"`
-	Records  []Record `json:"records"`
+	Position
+	Records []Record `json:"records"`
 	// Parts names the parts whose records these are; nil stands for all. None and
 	// all must differ on the wire too: a host that lacks nothing would otherwise
 	// drop all that it has.
@@ -33,58 +33,96 @@
 func partOf(name string) int { return int(xxhash.Sum64String(name) % partCount) }
 
 // Replica is this host's copy of one kind of record. It never goes back to an
-// older revision: an overtaken answer, a stale peer or a replaced one would
-// otherwise bring back what was already changed. It is safe for concurrent use.
+// earlier position of the store: an overtaken answer, a stale peer or a replaced one
+// would otherwise bring back what was already changed. All its records are of one era;
+// a later one replaces all of them, whatever their revisions. It is safe for concurrent
+// use.
 type Replica struct {
-	// OnChange is called after each change, outside the lock, with what changed;
-	// whole says that all records were replaced.
+	// OnChange is called after each change, outside the lock and in the order of the
+	// changes, with what changed; whole says that all records were replaced. It must not
+	// change the replica.
 	OnChange func(changed []Change, whole bool)
-	// Strip leaves out of a record what this layer does not use; it may be nil. A
-	// record that differs in nothing else has not changed: peers do not fetch it
-	// from each other. What peers give is stripped already.
+	// OnEra is called before OnChange when the replica moves to another era than 0; it may
+	// be nil.
+	OnEra func(era Era)
+	// Strip leaves out of a record what this layer does not use, and brings it into one
+	// form; it may be nil. A record that differs in nothing else has not changed: peers do
+	// not fetch it from each other. What peers give is stripped already.
 	//
 	// Runners' entries change with each adapter that comes or goes. Taken whole, all
 	// hosts would fetch from each other what none of them uses, without an end.
 	Strip func(spec json.RawMessage) json.RawMessage
 
-	mu       sync.Mutex
-	revision uint64
-	digest   uint64
-	parts    [partCount]uint64
-	records  map[string]Record
-	history  history
+	// byRevision says that a record's revision is part of what it says: two of one content
+	// differ if it does.
+	byRevision bool
+
+	// telling orders calls of OnEra and OnChange. It is taken before mu.
+	telling sync.Mutex
+	mu      sync.Mutex
+	at      Position
+	// fed says that there was a listing or a copy of one.
+	fed     bool
+	digest  uint64
+	parts   [partCount]uint64
+	records map[string]Record
+	history history
 }
 
-// NewReplica makes an empty replica.
-func NewReplica() *Replica { return &Replica{records: map[string]Record{}, history: newHistory()} }
+// NewReplica makes an empty replica of records whose revisions matter.
+func NewReplica() *Replica {
+	return &Replica{byRevision: true, records: map[string]Record{}, history: newHistory()}
+}
+
+// NewContentReplica makes an empty replica of records that say the same whatever their
+// revisions.
+func NewContentReplica(strip func(spec json.RawMessage) json.RawMessage) *Replica {
+	return &Replica{Strip: strip, records: map[string]Record{}, history: newHistory()}
+}
 
-// Revision implements Sink.
-func (r *Replica) Revision() uint64 {
+// Position implements Sink.
+func (r *Replica) Position() Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.revision
+	return r.at
 }
 
+// Revision gives the revision of the replica's position, 0 before the store's own word.
+func (r *Replica) Revision() uint64 { return r.Position().Revision }
+
 // Version tells what a replica holds: two replicas with one digest hold the
-// same records, also where the store's revision has moved on for other kinds.
+// same records, also where the store's revision has moved on for other kinds, or in
+// another era.
 type Version struct {
-	Revision uint64 `json:"revision"`
-	Digest   uint64 `json:"digest"`
+	Position
+	Digest uint64 `json:"digest"`
 }
 
 // Version gives the replica's version.
 func (r *Replica) Version() Version {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Version{Revision: r.revision, Digest: r.digest}
+	return r.version()
 }
 
-// digestOf sums up what makes a record differ from another.
+// version is Version; the lock is held.
+func (r *Replica) version() Version { return Version{Position: r.at, Digest: r.digest} }
+
+// digestOf sums up what makes a record differ from another. It is a sum of its content:
+// one of its revision alone would take a record that the store has lost for the one that
+// was given its revision since.
 func (r *Replica) digestOf(record Record) uint64 {
-	if r.Strip != nil {
-		return xxhash.Sum64String(record.Name + "\x00" + string(record.Spec))
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(record.Name)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.Write(record.Spec)
+	if r.byRevision {
+		var revision [8]byte
+		binary.LittleEndian.PutUint64(revision[:], record.Revision)
+		_, _ = digest.Write(revision[:])
 	}
-	return xxhash.Sum64String(record.Name + "\x00" + strconv.FormatUint(record.Revision, 10))
+	return digest.Sum64()
 }
 
 // strip gives a record as it is kept.
@@ -132,36 +170,69 @@
 }
 
 // Listed implements Sink.
-func (r *Replica) Listed(records []Record, revision uint64) {
-	if changes, ok := r.replace(records, revision); ok {
-		r.tell(changes, true)
+func (r *Replica) Listed(records []Record, at Position) bool {
+	stripped := make([]Record, len(records))
+	for i, record := range records {
+		stripped[i] = r.strip(record)
 	}
+	return r.update(func() ([]Change, bool, bool) {
+		if at.Before(r.at) {
+			// What is known is newer than a listing of the same era.
+			return nil, false, at.Era == r.at.Era
+		}
+		return r.replaceParts(stripped, at, allParts), true, true
+	})
 }
 
-func (r *Replica) replace(records []Record, revision uint64) ([]Change, bool) {
+// Copied implements Sink. A copy counts for nothing beside the store's own word.
+func (r *Replica) Copied(records []Record) {
+	r.update(func() ([]Change, bool, bool) {
+		if r.at.Revision > 0 {
+			return nil, false, false
+		}
+		var changes []Change
+		for _, record := range records {
+			record = r.strip(record)
+			r.set(record)
+			changes = append(changes, Change{Record: record})
+		}
+		r.fed = true
+		return changes, true, true
+	})
+}
+
+// update makes a change and tells of it. The change gives what it changed, whether whole
+// parts were replaced, and what update returns.
+func (r *Replica) update(change func() (changes []Change, whole, ok bool)) bool {
+	r.telling.Lock()
+	defer r.telling.Unlock()
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if revision < r.revision {
-		return nil, false
+	before := r.at.Era
+	changes, whole, ok := change()
+	now := r.at.Era
+	r.mu.Unlock()
+	if now != before && r.OnEra != nil {
+		r.OnEra(now)
 	}
-	stripped := make([]Record, len(records))
-	for i, record := range records {
-		stripped[i] = r.strip(record)
+	if r.OnChange != nil && (whole || len(changes) > 0) {
+		r.OnChange(changes, whole)
 	}
-	return r.replaceParts(stripped, revision, func(int) bool { return true }), true
+	return ok
 }
 
-// replaceParts replaces all records of some parts as of a revision; the lock is held.
+func allParts(int) bool { return true }
+
+// replaceParts replaces all records of some parts as of a position; the lock is held.
 //
 // What this host has written itself may be newer than a listing that was begun before,
 // or than what a peer knows. Replaced by it, the host would take its own lease or claim
-// for gone, and write it a second time.
-func (r *Replica) replaceParts(records []Record, revision uint64, replaced func(part int) bool) []Change {
+// for gone, and write it a second time. What it wrote in an earlier era is gone.
+func (r *Replica) replaceParts(records []Record, at Position, replaced func(part int) bool) []Change {
 	listed := make(map[string]bool, len(records))
 	var changes []Change
 	for _, record := range records {
 		listed[record.Name] = true
-		if r.records[record.Name].Revision > revision {
+		if r.newer(r.records[record.Name], at) {
 			continue
 		}
 		if !r.same(record) {
@@ -170,21 +241,63 @@
 		r.set(record)
 	}
 	for name, record := range r.records {
-		if !listed[name] && replaced(partOf(name)) && record.Revision <= revision {
+		if !listed[name] && replaced(partOf(name)) && !r.newer(record, at) {
 			changes = append(changes, Change{Record: record, Removed: true})
-			r.drop(name, revision)
+			r.drop(name, at.Revision)
 		}
 	}
-	r.history.begin(revision)
-	r.revision = revision
+	r.moveTo(at)
 	return changes
 }
 
+// newer says that a record was written after a position; the lock is held. Of one that comes
+// from a copy, or was written in another era, this is not known.
+func (r *Replica) newer(record Record, at Position) bool {
+	return r.at.Revision > 0 && r.at.Era == at.Era && record.Revision > at.Revision
+}
+
+// moveTo notes that the replica holds all that the store does at a position; the lock is held.
+func (r *Replica) moveTo(at Position) {
+	if at.Era != r.at.Era || r.at.Revision == 0 {
+		r.beginEra(at)
+	}
+	r.history.begin(at.Revision)
+	r.at, r.fed = at, true
+}
+
+// beginEra forgets what revisions of another era said; the lock is held. What stays has been
+// there by the position at the latest: kept at its former revision, a record would count as
+// newer than the next change to it.
+func (r *Replica) beginEra(at Position) {
+	r.history = newHistory()
+	if r.byRevision {
+		// These are compared with a peer's, revisions included, or replaced.
+		return
+	}
+	for name, record := range r.records {
+		record.Revision = min(record.Revision, at.Revision)
+		r.records[name] = record
+	}
+}
+
+// Adopt takes over the position of a peer that holds the same records, if the store's own
+// word or its era is news. All hosts would otherwise fetch all records when the era changes.
+func (r *Replica) Adopt(theirs Version) bool {
+	return r.update(func() ([]Change, bool, bool) {
+		news := theirs.Era != r.at.Era || r.at.Revision == 0
+		if !r.fed || !news || r.digest != theirs.Digest || !r.at.Before(theirs.Position) {
+			return nil, false, false
+		}
+		r.moveTo(theirs.Position)
+		return nil, false, true
+	})
+}
+
 // Parts gives the digests of the parts, and the version that they belong to.
 func (r *Replica) Parts() ([]uint64, Version) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return slices.Clone(r.parts[:]), Version{Revision: r.revision, Digest: r.digest}
+	return slices.Clone(r.parts[:]), r.version()
 }
 
 // Differing gives the records of the parts that differ from a peer's, or all where
@@ -195,7 +308,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	snapshot := Snapshot{Revision: r.revision, Records: []Record{}, Parts: []int{}}
+	snapshot := Snapshot{Position: r.at, Records: []Record{}, Parts: []int{}}
 	for part, digest := range r.parts {
 		if digest != theirs[part] {
 			snapshot.Parts = append(snapshot.Parts, part)
@@ -214,42 +327,36 @@
 // and the next heartbeat tells of the difference again.
 func (r *Replica) Merge(snapshot Snapshot, base Version) {
 	if snapshot.Parts == nil {
-		r.Listed(snapshot.Records, snapshot.Revision)
+		r.Listed(snapshot.Records, snapshot.Position)
 		return
 	}
-	if changes, ok := r.mergeParts(snapshot, base); ok {
-		r.tell(changes, true)
-	}
-}
-
-func (r *Replica) mergeParts(snapshot Snapshot, base Version) ([]Change, bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.movedOn(snapshot, base) {
-		return nil, false
-	}
-	return r.replaceParts(snapshot.Records, snapshot.Revision, func(part int) bool { return slices.Contains(snapshot.Parts, part) }), true
+	r.update(func() ([]Change, bool, bool) {
+		if r.movedOn(snapshot, base) {
+			return nil, false, false
+		}
+		return r.replaceParts(snapshot.Records, snapshot.Position, func(part int) bool { return slices.Contains(snapshot.Parts, part) }), true, true
+	})
 }
 
-// ChangedSince gives what changed after a revision that a peer knows all of, unless this
-// replica does not reach back so far.
+// ChangedSince gives what changed after a position that a peer knows all of, unless this
+// replica does not reach back so far, or is of another era.
 //
 // While the runners of a fleet are claimed every part of the list differs at each fetch:
 // by parts alone a host fetched the whole list, whose length is that of the fleet, as often
 // as anything changed.
-func (r *Replica) ChangedSince(revision uint64) (Snapshot, bool) {
+func (r *Replica) ChangedSince(since Position) (Snapshot, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if revision == 0 || !r.history.reaches(revision) {
-		return Snapshot{Revision: r.revision}, false
+	if since.Revision == 0 || since.Era != r.at.Era || !r.history.reaches(since.Revision) {
+		return Snapshot{Position: r.at}, false
 	}
-	snapshot := Snapshot{Revision: r.revision, Since: revision, Digest: r.digest}
+	snapshot := Snapshot{Position: r.at, Since: since.Revision, Digest: r.digest}
 	for name, record := range r.records {
-		if r.history.changedAt[name] > revision {
+		if r.history.changedAt[name] > since.Revision {
 			snapshot.Records = append(snapshot.Records, record)
 		}
 	}
-	for _, name := range r.history.removedSince(revision) {
+	for _, name := range r.history.removedSince(since.Revision) {
 		if _, back := r.records[name]; !back {
 			snapshot.Removed = append(snapshot.Removed, name)
 		}
@@ -261,23 +368,23 @@
 // holds what the peer does then. What changed back in between is not among the
 // differences; the digests tell, and the parts that differ have to be fetched.
 func (r *Replica) MergeSince(snapshot Snapshot, base Version) (complete bool) {
-	r.mu.Lock()
-	if r.movedOn(snapshot, base) {
-		r.mu.Unlock()
-		return true
-	}
-	changes := r.apply(snapshot)
-	r.revision = snapshot.Revision
-	complete = r.digest == snapshot.Digest || r.ahead(snapshot.Revision)
-	r.mu.Unlock()
-	r.tell(changes, false)
-	return complete
+	return r.update(func() ([]Change, bool, bool) {
+		if r.movedOn(snapshot, base) {
+			return nil, false, true
+		}
+		if snapshot.Era != r.at.Era {
+			return nil, false, false
+		}
+		changes := r.apply(snapshot)
+		r.moveTo(snapshot.Position)
+		return changes, false, r.digest == snapshot.Digest || r.ahead(snapshot.Revision)
+	})
 }
 
 // movedOn says that a peer's answer to a version comes too late: the replica has changed
 // since, and what the peer left out may no longer be the same; the lock is held.
 func (r *Replica) movedOn(snapshot Snapshot, base Version) bool {
-	return snapshot.Revision < r.revision || base != (Version{Revision: r.revision, Digest: r.digest})
+	return snapshot.Before(r.at) || base != r.version()
 }
 
 // apply takes differences over and gives what they changed; the lock is held.
@@ -311,28 +418,38 @@
 	return false
 }
 
-// Changed implements Sink.
-func (r *Replica) Changed(changes []Change, revision uint64) {
-	r.mu.Lock()
-	applied := changes[:0:0]
-	for _, change := range changes {
-		if overtaken(change, r.records[change.Name].Revision) {
-			continue
+// Changed implements Sink. Changes of another era than the replica's say nothing about what
+// it holds.
+func (r *Replica) Changed(changes []Change, at Position) {
+	r.update(func() ([]Change, bool, bool) {
+		if at.Era != r.at.Era {
+			return nil, false, false
 		}
-		if change.Removed {
-			r.drop(change.Name, max(revision, r.revision))
-			applied = append(applied, change)
-			continue
-		}
-		change.Record = r.strip(change.Record)
-		if !r.same(change.Record) {
-			applied = append(applied, change)
+		var applied []Change
+		for _, change := range changes {
+			if overtaken(change, r.records[change.Name].Revision) {
+				continue
+			}
+			applied = append(applied, r.change(change, at)...)
 		}
-		r.set(change.Record)
+		r.at.Revision = max(r.at.Revision, at.Revision)
+		return applied, false, true
+	})
+}
+
+// change applies one change and gives it if it changed something; the lock is held.
+func (r *Replica) change(change Change, at Position) []Change {
+	if change.Removed {
+		r.drop(change.Name, max(at.Revision, r.at.Revision))
+		return []Change{change}
 	}
-	r.revision = max(r.revision, revision)
-	r.mu.Unlock()
-	r.tell(applied, false)
+	change.Record = r.strip(change.Record)
+	known := r.same(change.Record)
+	r.set(change.Record)
+	if known {
+		return nil
+	}
+	return []Change{change}
 }
 
 // overtaken says that a change is older than what is known. A listing may have
@@ -344,12 +461,6 @@
 	return change.Revision <= known
 }
 
-func (r *Replica) tell(changes []Change, whole bool) {
-	if r.OnChange != nil && (whole || len(changes) > 0) {
-		r.OnChange(changes, whole)
-	}
-}
-
 // Get gives one record.
 func (r *Replica) Get(name string) (Record, bool) {
 	r.mu.Lock()
@@ -362,22 +473,37 @@
 func (r *Replica) Snapshot() Snapshot {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	snapshot := Snapshot{Revision: r.revision, Records: make([]Record, 0, len(r.records))}
+	snapshot := Snapshot{Position: r.at, Records: make([]Record, 0, len(r.records))}
 	for _, record := range r.records {
 		snapshot.Records = append(snapshot.Records, record)
 	}
 	return snapshot
 }
 
-// Put notes this host's own write, before the watch brings it.
-func (r *Replica) Put(record Record) {
-	r.mu.Lock()
-	newer := record.Revision > r.records[record.Name].Revision
-	if newer {
+// Put notes a record that the store has just answered a write or a read of with, before the
+// watch brings it. It says whether the answer is of the replica's era: what was written in an
+// earlier one may be lost, and of a later one the replica knows nothing yet.
+func (r *Replica) Put(record Record) bool {
+	return r.update(func() ([]Change, bool, bool) {
+		if record.Era != r.at.Era {
+			return nil, false, false
+		}
+		if record.Revision <= r.records[record.Name].Revision {
+			return nil, false, true
+		}
+		record = r.strip(record)
 		r.set(record)
-	}
-	r.mu.Unlock()
-	if newer {
-		r.tell([]Change{{Record: record}}, false)
-	}
+		return []Change{{Record: record}}, false, true
+	})
+}
+
+// Drop notes that the store had no record of a name when it answered in an era.
+func (r *Replica) Drop(name string, era Era) {
+	r.update(func() ([]Change, bool, bool) {
+		if _, known := r.records[name]; !known || era != r.at.Era {
+			return nil, false, false
+		}
+		r.drop(name, r.at.Revision)
+		return []Change{{Record: Record{Name: name}, Removed: true}}, false, true
+	})
 }
--- a/internal/registry/replica_test.go
+++ b/internal/registry/replica_test.go
@@ -9,20 +9,23 @@
 	"pgregory.net/rapid"
 )
 
+// at is a position in the only era.
+func at(revision uint64) Position { return Position{Revision: revision} }
+
 func record(name string, revision uint64) Record { return Record{Name: name, Revision: revision} }
 
 // An answer that was overtaken arrives: a listing of revision 5 after one of 8.
 // Taking it would bring an old configuration back, and a record that is gone since.
 func TestReplicaNeverGoesBack(t *testing.T) {
 	r := NewReplica()
-	r.Listed([]Record{record("a", 7)}, 8)
-	r.Listed([]Record{record("a", 3), record("gone", 4)}, 5)
+	r.Listed([]Record{record("a", 7)}, at(8))
+	r.Listed([]Record{record("a", 3), record("gone", 4)}, at(5))
 	got, _ := r.Get("a")
 	must.Eq(t, 7, got.Revision)
 	_, back := r.Get("gone")
 	must.False(t, back)
 	must.Eq(t, 8, r.Revision())
-	r.Changed([]Change{{Record: record("a", 6)}}, 9)
+	r.Changed([]Change{{Record: record("a", 6)}}, at(9))
 	got, _ = r.Get("a")
 	must.Eq(t, 7, got.Revision)
 	must.Eq(t, 9, r.Revision())
@@ -32,11 +35,11 @@
 // then tells of the old removal, which must not take the new record away.
 func TestReplicaOldRemoval(t *testing.T) {
 	r := NewReplica()
-	r.Listed([]Record{record("a", 9)}, 9)
-	r.Changed([]Change{{Record: record("a", 4), Removed: true}}, 9)
+	r.Listed([]Record{record("a", 9)}, at(9))
+	r.Changed([]Change{{Record: record("a", 4), Removed: true}}, at(9))
 	_, ok := r.Get("a")
 	must.True(t, ok)
-	r.Changed([]Change{{Record: record("a", 12), Removed: true}}, 12)
+	r.Changed([]Change{{Record: record("a", 12), Removed: true}}, at(12))
 	_, ok = r.Get("a")
 	must.False(t, ok)
 }
@@ -46,13 +49,13 @@
 // for ever.
 func TestReplicaDigest(t *testing.T) {
 	a, b := NewReplica(), NewReplica()
-	a.Listed([]Record{record("x", 1), record("y", 2)}, 2)
-	b.Listed([]Record{record("y", 2)}, 2)
-	b.Changed([]Change{{Record: record("x", 1)}}, 50)
+	a.Listed([]Record{record("x", 1), record("y", 2)}, at(2))
+	b.Listed([]Record{record("y", 2)}, at(2))
+	b.Changed([]Change{{Record: record("x", 1)}}, at(50))
 	must.Eq(t, a.Version().Digest, b.Version().Digest)
-	b.Changed([]Change{{Record: record("x", 51), Removed: true}}, 51)
+	b.Changed([]Change{{Record: record("x", 51), Removed: true}}, at(51))
 	must.NotEq(t, a.Version().Digest, b.Version().Digest)
-	a.Listed([]Record{record("y", 2)}, 60)
+	a.Listed([]Record{record("y", 2)}, at(60))
 	must.Eq(t, a.Version().Digest, b.Version().Digest)
 }
 
@@ -60,14 +63,14 @@
 	var told []Change
 	r := NewReplica()
 	r.OnChange = func(changes []Change, _ bool) { told = append(told, changes...) }
-	r.Listed([]Record{record("a", 1), record("b", 2)}, 2)
+	r.Listed([]Record{record("a", 1), record("b", 2)}, at(2))
 	must.Len(t, 2, told)
 	told = nil
-	r.Listed([]Record{record("a", 1), record("c", 3)}, 3)
+	r.Listed([]Record{record("a", 1), record("c", 3)}, at(3))
 	must.Len(t, 2, told, must.Sprint("one new and one gone; the one that stayed is not told"))
 	told = nil
 	r.Put(record("a", 5))
-	r.Changed([]Change{{Record: record("a", 5)}}, 5)
+	r.Changed([]Change{{Record: record("a", 5)}}, at(5))
 	must.Len(t, 1, told, must.Sprint("the watch brings an own write again"))
 }
 
@@ -80,18 +83,17 @@
 	}
 	told := 0
 	first := func(spec json.RawMessage) json.RawMessage { return spec[:1] }
-	a, b := NewReplica(), NewReplica()
-	a.Strip, b.Strip = first, first
+	a, b := NewContentReplica(first), NewContentReplica(first)
 	a.OnChange = func(changes []Change, _ bool) { told += len(changes) }
-	a.Listed([]Record{state("r", 1, "Rxx")}, 1)
-	b.Listed([]Record{state("r", 1, "Rxx")}, 1)
+	a.Listed([]Record{state("r", 1, "Rxx")}, at(1))
+	b.Listed([]Record{state("r", 1, "Rxx")}, at(1))
 	must.Eq(t, 1, told)
-	a.Changed([]Change{{Record: state("r", 2, "Ryy")}}, 2)
+	a.Changed([]Change{{Record: state("r", 2, "Ryy")}}, at(2))
 	must.Eq(t, 1, told)
 	must.Eq(t, b.Version().Digest, a.Version().Digest)
 	got, _ := a.Get("r")
 	must.Eq(t, 2, got.Revision)
-	a.Changed([]Change{{Record: state("r", 3, "Dyy")}}, 3)
+	a.Changed([]Change{{Record: state("r", 3, "Dyy")}}, at(3))
 	must.Eq(t, 2, told)
 	must.NotEq(t, b.Version().Digest, a.Version().Digest)
 }
@@ -104,9 +106,9 @@
 	for i := range 1000 {
 		records = append(records, record(fmt.Sprintf("r%d", i), uint64(i+1)))
 	}
-	first.Listed(records, 1000)
-	second.Listed(records, 1000)
-	first.Changed([]Change{{Record: record("r7", 1001)}, {Record: record("r8", 1002), Removed: true}, {Record: record("new", 1003)}}, 1003)
+	first.Listed(records, at(1000))
+	second.Listed(records, at(1000))
+	first.Changed([]Change{{Record: record("r7", 1001)}, {Record: record("r8", 1002), Removed: true}, {Record: record("new", 1003)}}, at(1003))
 	parts, base := second.Parts()
 	snapshot := first.Differing(parts)
 	must.Less(t, 100, len(snapshot.Records))
@@ -123,8 +125,8 @@
 // elsewhere meanwhile. It keeps what it has.
 func TestReplicaWithoutDifferences(t *testing.T) {
 	first, second := NewReplica(), NewReplica()
-	first.Listed([]Record{record("a", 1)}, 2)
-	second.Listed([]Record{record("a", 1)}, 1)
+	first.Listed([]Record{record("a", 1)}, at(2))
+	second.Listed([]Record{record("a", 1)}, at(1))
 	parts, base := second.Parts()
 	wire, err := json.Marshal(first.Differing(parts))
 	must.NoError(t, err)
@@ -140,11 +142,11 @@
 // answer leaves out may no longer be the peer's, so nothing of it is taken.
 func TestReplicaDropsAnAnswerToAnOlderVersion(t *testing.T) {
 	first, second := NewReplica(), NewReplica()
-	first.Listed([]Record{record("a", 9), record("b", 2)}, 9)
-	second.Listed([]Record{record("a", 1), record("b", 2)}, 2)
+	first.Listed([]Record{record("a", 9), record("b", 2)}, at(9))
+	second.Listed([]Record{record("a", 1), record("b", 2)}, at(2))
 	parts, base := second.Parts()
 	snapshot := first.Differing(parts)
-	second.Changed([]Change{{Record: record("b", 5)}}, 5)
+	second.Changed([]Change{{Record: record("b", 5)}}, at(5))
 	second.Merge(snapshot, base)
 	got, _ := second.Get("a")
 	must.Eq(t, 1, got.Revision)
@@ -162,7 +164,7 @@
 			name := fmt.Sprintf("r%d", rapid.IntRange(0, 90).Draw(t, "record"))
 			revision++
 			change := Change{Record: record(name, revision), Removed: rapid.Bool().Draw(t, "removed")}
-			store.Changed([]Change{change}, revision)
+			store.Changed([]Change{change}, at(revision))
 			to := replicas[rapid.IntRange(0, 2).Draw(t, "to")]
 			from := append(replicas, store)[rapid.IntRange(0, 3).Draw(t, "from")]
 			before := to.Revision()
@@ -197,10 +199,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			own, peer := NewReplica(), NewReplica()
-			own.Listed([]Record{{Name: "a", Revision: 8}}, 10)
+			own.Listed([]Record{{Name: "a", Revision: 8}}, at(10))
 			own.Put(Record{Name: "claim", Revision: 12})
 			own.Put(Record{Name: "a", Revision: 13})
-			peer.Listed(older, 11)
+			peer.Listed(older, at(11))
 			pass(own, peer)
 			_, claimed := own.Get("claim")
 			must.True(t, claimed)
@@ -209,7 +211,7 @@
 			_, learnt := own.Get("b")
 			must.True(t, learnt)
 
-			own.Listed(older, 14)
+			own.Listed(older, at(14))
 			_, claimed = own.Get("claim")
 			must.False(t, claimed, must.Sprint("a later listing without the record says that it is gone"))
 		})
--- a/internal/serve/world_test.go
+++ b/internal/serve/world_test.go
@@ -49,8 +49,9 @@
 	return runner, err
 }
 
-func (records) StripRunner(spec json.RawMessage) json.RawMessage { return spec }
-func (records) StripConfig(spec json.RawMessage) json.RawMessage { return spec }
+func (records) StripRunner(spec json.RawMessage) json.RawMessage         { return spec }
+func (records) StripAdapterVersion(spec json.RawMessage) json.RawMessage { return spec }
+func (records) StripConfig(spec json.RawMessage) json.RawMessage         { return spec }
 
 func (records) AdapterVersion(spec json.RawMessage) (site.AdapterVersion, error) {
 	var version site.AdapterVersion
@@ -143,7 +144,7 @@
 		engine := &site.Engine{Slots: 12, AdapterSlots: 10, Models: []site.Model{{Name: model}}}
 		config := site.NewConfig(1, nil, []*site.Service{{Name: llm, Engine: engine}}, site.Limits{})
 		w.directory = directory.New(records{config: config}, time.Now, hclog.NewNullLogger())
-		w.directory.Configs.Changed([]registry.Change{{Record: registry.Record{Name: "main", Revision: 1}}}, 1)
+		w.directory.Configs.Changed([]registry.Change{{Record: registry.Record{Name: "main", Revision: 1}}}, registry.Position{Revision: 1})
 		for i := range runners {
 			name := fmt.Sprintf("r%d", i)
 			w.put(w.directory.Runners, name, site.Runner{Service: llm, Address: name + ":80", Slots: 12, Models: []string{model}})
@@ -168,7 +169,7 @@
 	raw, err := json.Marshal(spec)
 	must.NoError(w.t, err)
 	w.revision++
-	into.Changed([]registry.Change{{Record: registry.Record{Name: name, Revision: w.revision, Spec: raw}}}, w.revision)
+	into.Changed([]registry.Change{{Record: registry.Record{Name: name, Revision: w.revision, Spec: raw}}}, registry.Position{Revision: w.revision})
 }
 
 // name puts an adapter's version in force.
