Leases, claims and fencing tokens hold through a new era of the store

With replicas that follow a new era, a store that comes back from a copy has lost leases, ends of leases and claims.

Cause: fencing tokens were revisions, which a drill gives out again, and a host acted by whatever record stood there, though another host may still act by what the store has lost.

When its records become those of a later era a host goes on ordering only runners that it ordered already, while its lease stays valid without a gap: no other can have taken these over, since that needs votes of a majority of those that promised. All others wait until whoever acts by the old era has stopped: lease, gap and margin, and one second for the news. Promises and votes count within one era. The own record is looked at before promises count again, and written where it is not as it was; epochs only grow, and what was known as broken may be broken again at once. The first host notes in the store once an era is settled, one write a drill, so that processes that start later do not wait.

--- a/internal/mesh/beats.go
+++ b/internal/mesh/beats.go
@@ -159,7 +159,7 @@
 
 func (s *Service) takeBeat(_ context.Context, from peer.Identity, beat Beat) (BeatAnswer, error) {
 	now := s.Now()
-	promised := s.State.TakeBeat(from.Host, now)
+	promised := s.State.TakeBeat(from.Host, beat.Known[Kind].Era, now)
 	s.learn(from.Host, beat.Address, beat.Known, beat.Status, now.Add(-s.delays.of(from.Host, beat.SentMS, now)))
 	return BeatAnswer{Promised: promised, Known: s.spread.lacking(beat.Known), Status: s.status()}, nil
 }
--- a/internal/mesh/breaking.go
+++ b/internal/mesh/breaking.go
@@ -5,19 +5,20 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/fleet"
+	"github.com/cherrystage/cherrystage/internal/registry"
 )
 
 // Vote says whether this host agrees that the lease of a peer, in the record of
 // a revision, is broken. From then on it does not promise to keep it.
-func (s *State) Vote(host string, revision uint64, now time.Time) bool {
+func (s *State) Vote(host string, at registry.Position, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	signs := s.signs(host)
 	silence := s.timing.silence()
-	if now.Sub(signs.heard) < silence || now.Sub(s.started) < silence || signs.revision > revision {
+	if now.Sub(signs.heard) < silence || now.Sub(s.started) < silence || at.Era != s.era || signs.revision > at.Revision {
 		return false
 	}
-	signs.voted = revision
+	signs.voted = at.Revision
 	return true
 }
 
@@ -26,6 +27,8 @@
 	Host     string
 	Record   HostRecord
 	Revision uint64
+	// Era is that of the revision.
+	Era registry.Era
 	// Witnesses are those whose votes are needed beside this host's.
 	Witnesses []Peer
 	// Votes is how many of them must agree.
@@ -37,7 +40,8 @@
 // peer's record was not renewed, for so long that the peer has stopped giving
 // orders and that the gap has passed since. A majority of the witnesses must
 // vote so too. The write must be conditional on the revision: a renewal that
-// came meanwhile makes it fail.
+// came meanwhile makes it fail. In a new era of the store this host waits until a peer
+// that acts by the one before has stopped, and tells of what is known to be broken.
 func (s *State) Breakable(now time.Time) []Break {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -47,7 +51,11 @@
 	}
 	var breaks []Break
 	for host, m := range s.members {
-		if host == s.self || m.Broken || now.Sub(s.signs(host).changed) < silence {
+		if host == s.self || m.Broken {
+			continue
+		}
+		settled := s.eraSettled(now) && now.Sub(s.signs(host).changed) >= silence
+		if !settled && !s.knownEnded(host, m) {
 			continue
 		}
 		if b, ok := s.breakable(host, m, now); ok {
@@ -68,7 +76,7 @@
 	} else if !s.unwitnessed(m, now) || fleet.First(host, s.inForce().without(host)) != s.self {
 		return Break{}, false
 	}
-	b := Break{Host: host, Record: m.HostRecord, Revision: m.revision, Votes: neededVotes(m)}
+	b := Break{Host: host, Record: m.HostRecord, Revision: m.revision, Era: s.era, Votes: neededVotes(m)}
 	for _, witness := range m.Witnesses {
 		b.count(s, witness, now)
 	}
@@ -123,7 +131,7 @@
 	var dead []Break
 	for host, m := range s.members {
 		if m.Broken && host != s.self && now.Sub(s.signs(host).changed) > after && fleet.First(host, s.inForce().hosts) == s.self {
-			dead = append(dead, Break{Host: host, Record: m.HostRecord, Revision: m.revision})
+			dead = append(dead, Break{Host: host, Record: m.HostRecord, Revision: m.revision, Era: s.era})
 		}
 	}
 	return dead
--- a/internal/mesh/breaktry.go
+++ b/internal/mesh/breaktry.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/peer"
+	"github.com/cherrystage/cherrystage/internal/registry"
 )
 
 // breakTry is the try to end one dead host's lease.
@@ -96,7 +97,7 @@
 	for _, witness := range dead.Witnesses {
 		go func() {
 			var answer VoteAnswer
-			err := s.Pool.Call(ctx, witness.Address, methodVote, VoteParams{Host: dead.Host, Revision: dead.Revision}, &answer)
+			err := s.Pool.Call(ctx, witness.Address, methodVote, VoteParams{Host: dead.Host, Position: registry.Position{Era: dead.Era, Revision: dead.Revision}}, &answer)
 			answers <- err == nil && answer.Agreed
 		}()
 	}
@@ -117,8 +118,9 @@
 
 // VoteParams asks a witness whether a lease should be broken.
 type VoteParams struct {
-	Host     string `json:"host"`
-	Revision uint64 `json:"revision"`
+	Host string `json:"host"`
+	// Position is that of the host's record, of which the lease is a part.
+	registry.Position
 }
 
 // VoteAnswer is a witness's vote.
@@ -127,7 +129,7 @@
 }
 
 func (s *Service) vote(_ context.Context, from peer.Identity, params VoteParams) (VoteAnswer, error) {
-	agreed := s.State.Vote(params.Host, params.Revision, s.Now())
+	agreed := s.State.Vote(params.Host, params.Position, s.Now())
 	s.Log.Info("vote on a lease", "peer", params.Host, "asked_by", from.Host, "agreed", agreed)
 	return VoteAnswer{Agreed: agreed}, nil
 }
--- a/internal/mesh/membership_test.go
+++ b/internal/mesh/membership_test.go
@@ -32,7 +32,7 @@
 	}
 	now := epoch.Add(time.Minute)
 	for _, name := range names {
-		s.TakeBeat(name, now)
+		s.TakeBeat(name, 0, now)
 		s.Promised(name, now)
 	}
 	return s, now
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -69,6 +69,15 @@
 	return other
 }
 
+func decodeEra(record registry.Record) (EraRecord, bool) {
+	if record.Name != eraName {
+		return EraRecord{}, false
+	}
+	var era EraRecord
+	err := json.Unmarshal(record.Spec, &era)
+	return era, err == nil
+}
+
 // normal brings a record of this kind into one form, whoever wrote it: hosts compare records
 // by their bytes.
 func normal(spec json.RawMessage) json.RawMessage {
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,6 +28,8 @@
 	// joinSettle is how long after a host joined runners are claimed: while hosts
 	// still join, several believe that they come first for a runner.
 	joinSettle = 600 * time.Millisecond
+	// settlePause is the pause after a try to note that an era is settled.
+	settlePause = 2 * time.Second
 	// deadRecordAge is how long the record of a dead host is kept.
 	deadRecordAge = 60 * time.Second
 )
@@ -70,6 +73,8 @@
 	asks       int
 	storeAgain time.Time
 	storePause time.Duration
+	// settleAgain is when it may be noted again that an era is settled. It is Run's.
+	settleAgain time.Time
 }
 
 // Deps are what a service works with.
@@ -101,6 +106,11 @@
 	s.fleet.Strip = normal
 	s.Kinds[Kind] = s.fleet
 	s.spread = newSpread(s.Kinds, deps.Now)
+	s.fleet.OnEra = func(era registry.Era) {
+		s.State.BeginEra(era, s.Now())
+		s.Log.Warn("store's era changed", "kind", Kind, "era", era, "revision", s.fleet.Revision())
+		s.wake()
+	}
 	s.fleet.OnChange = func(changes []registry.Change, _ bool) {
 		s.State.Apply(changes, s.Now())
 		s.forgetGone(changes)
@@ -195,7 +205,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if s.State.Epoch() == 0 {
+	if s.State.Epoch() == 0 || s.ownRecordLost() {
 		s.register(ctx)
 		return
 	}
@@ -221,14 +231,13 @@
 	if _, m, ok := decodeHost(current); ok {
 		own = m.HostRecord
 	}
-	if own.Broken {
-		own.Epoch++
-		own.Broken = false
-	}
+	own.Epoch, own.Broken = s.State.NextEpoch(own), false
 	own.Address, own.DataCentre, own.Incarnation = s.Address, s.DataCentre, s.Self.Incarnation
 	// A process that has just started knows nobody yet; the witnesses that its
-	// record names are as good as ever.
-	if witnesses, _ := s.State.Choose(s.Now()); len(witnesses) > 0 {
+	// record names are as good as ever. So are those of a record that the store has lost.
+	if _, wanted, lost := s.State.Unchecked(); lost && len(wanted) > 0 {
+		own.Witnesses = wanted
+	} else if witnesses, _ := s.State.Choose(s.Now()); len(witnesses) > 0 {
 		own.Witnesses = witnesses
 	}
 	own.Renewals++
@@ -248,6 +257,21 @@
 	s.Log.Info("registered", "epoch", own.Epoch, "revision", record.Revision, "witnesses", len(own.Witnesses))
 }
 
+// ownRecordLost says whether the store came back without the own record as it was.
+func (s *Service) ownRecordLost() bool {
+	epoch, witnesses, unchecked := s.State.Unchecked()
+	if !unchecked {
+		return false
+	}
+	record, _ := s.fleet.Get(hostName(s.Self.Host))
+	_, own, ok := decodeHost(record)
+	if !ok || own.Broken || own.Epoch != epoch || own.Incarnation != s.Self.Incarnation || !slices.Equal(own.Witnesses, witnesses) {
+		return true
+	}
+	s.State.Checked()
+	return false
+}
+
 // took notes a record that the store answered with, and says whether the answer is of the era
 // that this host goes by. By one of another era it may do nothing yet.
 func (s *Service) took(record registry.Record) bool {
@@ -259,6 +283,33 @@
 	return false
 }
 
+// settleEra notes in the store that an era is settled, once it is.
+func (s *Service) settleEra(ctx context.Context) {
+	now := s.Now()
+	era, due := s.State.Settles(now)
+	if !due || now.Before(s.settleAgain) {
+		return
+	}
+	s.settleAgain = now.Add(settlePause)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	current, _ := s.fleet.Get(eraName)
+	var record registry.Record
+	var err error
+	if current.Revision == 0 {
+		record, err = s.Store.Create(ctx, Kind, eraName, EraRecord{Settled: era})
+	} else {
+		record, err = s.Store.Update(ctx, Kind, eraName, EraRecord{Settled: era}, current.Revision)
+	}
+	if err != nil {
+		s.Log.Info("era not noted as settled", "era", era, "error", err.Error())
+		s.refresh(ctx, eraName, err)
+		return
+	}
+	s.took(record)
+	s.Log.Info("era settled: nobody acts by an earlier one", "era", era, "revision", record.Revision)
+}
+
 func (s *Service) writeOwn(ctx context.Context, name string, own HostRecord, revision uint64) (registry.Record, error) {
 	if revision == 0 {
 		return s.Store.Create(ctx, Kind, name, own)
@@ -321,7 +372,7 @@
 	era := s.fleet.Position().Era
 	record, err := s.Store.Get(ctx, Kind, hostName(s.Self.Host))
 	if registry.NotFound(err) {
-		s.State.Lost()
+		s.State.Lost(s.Now())
 		s.fleet.Drop(hostName(s.Self.Host), era)
 		return
 	}
@@ -334,7 +385,7 @@
 	}
 	_, m, ok := decodeHost(record)
 	if !ok || m.Broken || m.Incarnation != s.Self.Incarnation {
-		s.State.Lost()
+		s.State.Lost(s.Now())
 		s.Log.Warn("lease lost", "broken", m.Broken, "epoch", m.Epoch)
 		return
 	}
@@ -354,6 +405,7 @@
 	for _, dead := range s.State.Dead(now, deadRecordAge) {
 		s.removeDead(ctx, dead)
 	}
+	s.settleEra(ctx)
 	if now.Sub(s.started) < settleTime || !s.State.Settled(now, joinSettle) {
 		return
 	}
@@ -384,7 +436,7 @@
 		return
 	}
 	s.took(record)
-	s.Log.Info("runner claimed", "address", claim.Address, "token", record.Revision, "epoch", claim.Record.Epoch)
+	s.Log.Info("runner claimed", "address", claim.Address, "token", fencingToken(record.Era, record.Revision), "epoch", claim.Record.Epoch)
 }
 
 // refresh reads a record again after a conflict; the watch may be behind.
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -64,8 +64,10 @@
 	peers   map[string]*peerSigns
 	// started is when this process began: it has heard nobody before.
 	started time.Time
-	// epoch is this process's; 0 until it is registered.
-	epoch int64
+	// epoch is this process's; 0 until it is registered. lastEpoch is the last one it had.
+	epoch     int64
+	lastEpoch int64
+	transition
 	// renewed is when the last successful write of the own record was sent.
 	renewed time.Time
 	// witnesses are those of the own record; none while it is in doubt which
@@ -131,6 +133,10 @@
 	}
 	if name, o, ok := decodeOwner(change.Record); ok {
 		s.owners[name] = o
+		return
+	}
+	if record, ok := decodeEra(change.Record); ok {
+		s.settled = max(s.settled, record.Settled)
 	}
 }
 
@@ -158,7 +164,11 @@
 		signs.revision = m.revision
 		signs.changed = now
 	}
-	if host == s.self && m.Broken {
+	if m.Broken {
+		s.end(host, m.Epoch, now)
+	}
+	// The end of an earlier epoch stands there where the store has lost that this one began.
+	if host == s.self && m.Broken && m.Epoch >= s.epoch {
 		s.epoch = 0
 	}
 }
@@ -176,9 +186,11 @@
 func (s *State) Registered(epoch int64, witnesses []string, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.epoch = epoch
-	s.witnesses = witnesses
+	s.continued(sent)
+	s.epoch, s.lastEpoch = epoch, epoch
+	s.witnesses, s.named = witnesses, witnesses
 	s.renewed = sent
+	s.unchecked = false
 }
 
 // Doubt notes that a write of the own record got no answer: the witnesses may
@@ -190,9 +202,12 @@
 }
 
 // Lost notes that the own lease was found broken.
-func (s *State) Lost() {
+func (s *State) Lost(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.epoch != 0 {
+		s.end(s.self, s.epoch, now)
+	}
 	s.epoch = 0
 }
 
@@ -241,7 +256,11 @@
 	if promised := s.majorityPromised(); promised.After(valid) {
 		valid = promised
 	}
-	return valid.Add(s.timing.Lease)
+	valid = valid.Add(s.timing.Lease)
+	if s.granted.After(valid) {
+		return s.granted
+	}
+	return valid
 }
 
 // MayOrder says whether this host may send an order to the runner at an
@@ -250,15 +269,16 @@
 // Without the check a host that was suspended, or cut off from all others,
 // would go on giving orders beside its successor: two hosts would load and
 // unload adapters on one runner by different plans. It suffices because the
-// successor waits out lease, gap and margin from the last sign of this host.
+// successor waits out lease, gap and margin from the last sign of this host, and
+// as long once the store has come back without some of what hosts act by.
 func (s *State) MayOrder(address string, now time.Time) (token uint64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, found := s.owners[ownerName(address)]
-	if !found || o.Host != s.self || o.Epoch != s.epoch || s.epoch == 0 {
+	if !found || o.Host != s.self || o.Epoch != s.epoch || s.epoch == 0 || !s.mayOrderIn(ownerName(address), now) {
 		return 0, false
 	}
-	return o.revision, now.Add(s.timing.Margin).Before(s.validUntil())
+	return fencingToken(s.era, o.revision), now.Add(s.timing.Margin).Before(s.validUntil())
 }
 
 // OwnerOf gives the host that owns the runner at an address, dead or alive.
--- a/internal/mesh/state_test.go
+++ b/internal/mesh/state_test.go
@@ -60,7 +60,7 @@
 
 // beat plays a heartbeat and its answer.
 func beat(from, to *State, now time.Time) {
-	if to.TakeBeat(from.self, now) {
+	if to.TakeBeat(from.self, 0, now) {
 		from.Promised(to.self, now)
 	}
 }
@@ -120,7 +120,7 @@
 		}
 		votes := b.Votes
 		for _, witness := range b.Witnesses {
-			if hosts[witness.Host].Vote("a", b.Revision, now) {
+			if hosts[witness.Host].Vote("a", registry.Position{Revision: b.Revision}, now) {
 				votes--
 			}
 		}
@@ -193,18 +193,18 @@
 	now := epoch.Add(usual.silence() + time.Second)
 	b := hosts["b"]
 	b.Registered(1, []string{"a", "c"}, now)
-	must.True(t, b.Vote("a", 1, now))
-	must.False(t, b.TakeBeat("a", now))
+	must.True(t, b.Vote("a", registry.Position{Revision: 1}, now))
+	must.False(t, b.TakeBeat("a", 0, now))
 	b.Apply([]registry.Change{change(t, hostName("a"), HostRecord{Epoch: 1, Renewals: 1}, 95)}, now)
-	must.True(t, b.TakeBeat("a", now))
+	must.True(t, b.TakeBeat("a", 0, now))
 }
 
 // A host whose own lease is over promises nothing: its lease may have been
 // broken without its knowledge, and a broken witness counts as one that agrees.
 func TestExpiredWitnessDoesNotPromise(t *testing.T) {
 	hosts := newHosts(t, "a", "b", "c")
-	must.True(t, hosts["b"].TakeBeat("a", epoch.Add(time.Second)))
-	must.False(t, hosts["b"].TakeBeat("a", epoch.Add(2*usual.Lease)))
+	must.True(t, hosts["b"].TakeBeat("a", 0, epoch.Add(time.Second)))
+	must.False(t, hosts["b"].TakeBeat("a", 0, epoch.Add(2*usual.Lease)))
 }
 
 // An owner and all its witnesses are gone for good. Another host ends their
@@ -259,7 +259,7 @@
 						continue
 					}
 					// A heartbeat may arrive while its answer is lost.
-					if hosts[name].TakeBeat("a", now) && rapid.Bool().Draw(t, "answer") {
+					if hosts[name].TakeBeat("a", 0, now) && rapid.Bool().Draw(t, "answer") {
 						a.Promised(name, now)
 					}
 				}
--- a/internal/mesh/witnesses.go
+++ b/internal/mesh/witnesses.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/fleet"
+	"github.com/cherrystage/cherrystage/internal/registry"
 )
 
 // TakeBeat notes a peer's heartbeat and says whether this host promises to keep
@@ -13,14 +14,15 @@
 // A host whose own lease is over does not promise: its lease may be broken
 // without its knowledge, and a broken witness counts as one that agrees to break.
 // One that has agreed to break this lease does not promise either, until a newer
-// record shows that the lease was kept.
-func (s *State) TakeBeat(host string, now time.Time) bool {
+// record shows that the lease was kept. Nor does one that knows another era of the
+// store: there the peer's record may name other witnesses, who break its lease.
+func (s *State) TakeBeat(host string, era registry.Era, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	signs := s.signs(host)
 	signs.heard = now
 	voted := signs.voted != 0 && signs.voted == signs.revision
-	return !voted && now.Before(s.validUntil())
+	return !voted && era == s.era && now.Before(s.validUntil())
 }
 
 // Promised notes a peer's promise in answer to a heartbeat sent at a time.
@@ -28,6 +30,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if signs := s.signs(host); sent.After(signs.promised) {
+		s.continued(sent)
 		signs.promised = sent
 	}
 }
