A copy of the store is not believed of runners that left

A runner says that it leaves, or its entry is removed; the store comes back from a copy that knows nothing of it. Until the runner writes it again every host sent it requests, 111 to 214 of them in two seconds, long after the bound of its first word. A runner that lives and is missing in the copy was given up at once: its callers got 503.

Cause: a new era replaces what a host knows, and the host did not remember beside the records what it had acted by.

Now a lifetime that left, or whose entry was removed in the last 30 s, gets nothing for 6 s after the era began, longer than an entry of a runner that is gone lasts; what the store still lists then lives. One that is missing is believed for the time in which lapsed entries are back. Revisions of entries from before no longer say which of two at one address came last.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -80,7 +80,11 @@
 	runners map[string]listed
 	lapsed  map[string]time.Time
 	// leaving are the lifetimes that say in their answers that they leave, and since when.
-	leaving    map[string]time.Time
+	leaving map[string]time.Time
+	// departed are the lifetimes whose entries were removed, and since when; doubted are
+	// those that are taken for leaving whatever the store says, and until when.
+	departed   map[string]time.Time
+	doubted    map[string]time.Time
 	versions   map[site.Adapter]int64
 	known      bool
 	graceUntil time.Time
@@ -106,9 +110,12 @@
 		runners:  map[string]listed{},
 		lapsed:   map[string]time.Time{},
 		leaving:  map[string]time.Time{},
+		departed: map[string]time.Time{},
+		doubted:  map[string]time.Time{},
 		versions: map[site.Adapter]int64{},
 	}
 	d.Configs.OnChange = d.configChanged
+	d.Runners.OnEra = d.runnersBeginEra
 	d.Runners.OnChange = d.runnersChanged
 	d.Versions.OnChange = d.versionsChanged
 	d.snapshot.Store(&Snapshot{})
@@ -175,6 +182,7 @@
 			d.log.Info("runner missing after an outage of the store", "runner", change.Name, "believed_ms", lapseGrace.Milliseconds())
 			return
 		}
+		d.depart(change.Name, now)
 		d.remove(change.Name, "its entry was removed")
 		return
 	}
@@ -274,7 +282,9 @@
 
 // believed gives a runner as its entry and its own word say; the lock is held.
 func (d *Directory) believed(runner *site.Runner) *site.Runner {
-	if _, leaves := d.leaving[runner.ID]; !leaves || runner.Leaving {
+	_, leaves := d.leaving[runner.ID]
+	_, doubted := d.doubted[runner.ID]
+	if runner.Leaving || !leaves && !doubted {
 		return runner
 	}
 	leaving := *runner
@@ -282,6 +292,54 @@
 	return &leaving
 }
 
+const (
+	// departedLife is for how long it is known that an entry was removed. A copy of the store
+	// is some seconds old.
+	departedLife = 30 * time.Second
+	// doubtLife is for how long the store is not believed that a runner is there that left:
+	// longer than three heartbeats of a runner, after which the entry of one that is gone
+	// lapses again.
+	doubtLife = 6 * time.Second
+)
+
+// depart notes that the entry of an instance was removed; the lock is held.
+func (d *Directory) depart(instance string, now time.Time) {
+	for id, since := range d.departed {
+		if now.Sub(since) > departedLife {
+			delete(d.departed, id)
+		}
+	}
+	if runner, ok := d.runners[instance]; ok {
+		d.departed[runner.ID] = now
+	}
+}
+
+// runnersBeginEra notes that the store came back from a copy.
+//
+// The copy may know nothing of a runner that left or is gone, until the runner writes that
+// again or its entry lapses. Believed, it would get requests long after the store has
+// acknowledged that it leaves, and its answers break off. It may lack one that lives; given
+// up, that one's callers would be turned away until it is back.
+func (d *Directory) runnersBeginEra(registry.Era) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.now()
+	d.graceUntil = now.Add(lapseGrace)
+	for instance, runner := range d.runners {
+		// Revisions of the era before say nothing about those to come.
+		runner.revision = 0
+		d.runners[instance] = runner
+		if d.believed(runner.Runner).Leaving {
+			d.doubted[runner.ID] = now.Add(doubtLife)
+		}
+	}
+	for id, since := range d.departed {
+		if now.Sub(since) <= departedLife {
+			d.doubted[id] = now.Add(doubtLife)
+		}
+	}
+}
+
 // remove gives a runner up, by its instance.
 func (d *Directory) remove(instance, reason string) {
 	runner, ok := d.runners[instance]
@@ -296,7 +354,8 @@
 	}
 }
 
-// Expire gives up runners whose grace is over.
+// Expire gives up runners whose grace is over, and believes what the store says of those that
+// it was not believed of.
 func (d *Directory) Expire() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -310,6 +369,13 @@
 		delete(d.lapsed, instance)
 		changed = true
 	}
+	for id, until := range d.doubted {
+		if now.Before(until) {
+			continue
+		}
+		delete(d.doubted, id)
+		changed = true
+	}
 	if changed {
 		d.publish()
 	}
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -100,6 +100,43 @@
 	must.Eq(t, "a", runners[0].ID)
 }
 
+// The store comes back from a copy in which a runner that left is ready, and one that was
+// removed is there. They get nothing until the store has had the time to let the entries of
+// runners that are gone lapse; what it still lists then lives.
+func TestCopyIsNotBelievedOfRunnersThatLeft(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newDirectory(&now)
+	entries := []registry.Record{spec("a", "false", 1), spec("b", "false", 2), spec("c", "false", 3)}
+	d.Runners.Listed(entries, registry.Position{Revision: 3})
+	d.Runners.Changed([]registry.Change{{Record: spec("a", "true", 4)}, {Record: spec("b", "false", 5), Removed: true}}, registry.Position{Revision: 5})
+	now = now.Add(time.Second)
+	d.Runners.Listed(entries, registry.Position{Era: 1, Revision: 3})
+	must.Len(t, 1, d.Snapshot().ByService["s"])
+	now = now.Add(doubtLife / 2)
+	d.Runners.Changed([]registry.Change{{Record: spec("b", "false", 4), Removed: true}}, registry.Position{Era: 1, Revision: 4})
+	now = now.Add(doubtLife / 2)
+	d.Expire()
+	runners := d.Snapshot().ByService["s"]
+	must.Len(t, 2, runners)
+	must.Eq(t, "a", runners[0].ID)
+	must.Eq(t, "c", runners[1].ID)
+}
+
+// The store comes back from a copy. A runner of which the start is not told takes the address
+// of another one over, under a revision that the other entry had before. Requests go to it.
+func TestAddressTakenOverInANewEra(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newDirectory(&now)
+	before := spec("z", `{"Address":"r:1"}`, 90)
+	d.Runners.Listed([]registry.Record{before}, registry.Position{Revision: 90})
+	before.Revision = 40
+	d.Runners.Listed([]registry.Record{before}, registry.Position{Era: 1, Revision: 40})
+	d.Runners.Changed([]registry.Change{{Record: spec("b", `{"Address":"r:1"}`, 60)}}, registry.Position{Era: 1, Revision: 60})
+	runners := d.Snapshot().ByService["s"]
+	must.Len(t, 1, runners)
+	must.Eq(t, "b", runners[0].ID)
+}
+
 // A watch's history was dropped without an outage. A runner that is missing
 // from the new list has left, and gets nothing more.
 func TestMissingWithoutOutageIsGone(t *testing.T) {
