No claims under an epoch that the store does not know

After a drill a host's own record tells of an earlier epoch than its own until it has written it again. A claim under the own epoch counted for nobody, so the host claimed the runner again at once, and again: a burst of writes without an end, by a drill.

Now a host claims only under the epoch that its record tells, and leaves the store alone for a moment after an answer of another era, as after a failure. TestNoClaimUnderAnEpochThatTheStoreDoesNotKnow fails without it.

--- a/internal/mesh/claims.go
+++ b/internal/mesh/claims.go
@@ -28,7 +28,9 @@
 func (s *State) Claims(runners []Runner) []Claim {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.epoch == 0 {
+	// Claimed under another epoch than its record tells, a runner would be claimed again and
+	// again: nobody takes such a claim for one in force.
+	if own, ok := s.members[s.self]; s.epoch == 0 || !ok || own.Broken || own.Epoch != s.epoch {
 		return nil
 	}
 	var claims []Claim
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -249,10 +249,11 @@
 		s.pauseStore()
 		return
 	}
-	s.storePause = 0
 	if !s.took(record) {
+		s.pauseStore()
 		return
 	}
+	s.storePause = 0
 	s.State.Registered(own.Epoch, own.Witnesses, sent)
 	s.Log.Info("registered", "epoch", own.Epoch, "revision", record.Revision, "witnesses", len(own.Witnesses))
 }
@@ -336,12 +337,13 @@
 	record, err := s.Store.Update(ctx, Kind, current.Name, own, current.Revision)
 	switch {
 	case err == nil:
-		s.storePause = 0
 		if !s.took(record) {
 			// Which witnesses the record of that era names is not known here.
 			s.State.Doubt()
+			s.pauseStore()
 			return
 		}
+		s.storePause = 0
 		s.State.Registered(own.Epoch, own.Witnesses, sent)
 	case registry.Conflict(err):
 		s.State.Doubt()
--- a/internal/mesh/state_test.go
+++ b/internal/mesh/state_test.go
@@ -292,6 +292,17 @@
 	must.Positive(t, taken, must.Sprint("no run came to a takeover"))
 }
 
+// The store comes back without a host's newest record: it tells of an earlier epoch than the
+// host's own. A claim under the own one counts for nobody; written, it would be written again
+// at once, without an end.
+func TestNoClaimUnderAnEpochThatTheStoreDoesNotKnow(t *testing.T) {
+	a := newHosts(t, "a")["a"]
+	runners := []Runner{{Address: "10.0.0.10:80"}}
+	must.Len(t, 1, a.Claims(runners))
+	a.Registered(2, nil, epoch)
+	must.SliceEmpty(t, a.Claims(runners))
+}
+
 // All hosts of a deployment start together and each knows the runners before
 // it knows the others. The order in which they claim must not depend on who
 // asks, or runners change hands at once.
