The two hosts that watch end their watches in turn

Cause: news ends both hosts' watches at one moment, so they begin and end together from then on. One that began at the end of the deaf second hears nothing for a whole wait more, and so does the other.

Now the second one's next watch after news or a listing waits half as long. What a watch fails to tell is seen half a wait later.

--- a/internal/registry/follow_test.go
+++ b/internal/registry/follow_test.go
@@ -262,3 +262,47 @@
 		must.Eq(t, 2, store.calls, must.Sprint("a listing in the outage, and a watch after it"))
 	})
 }
+
+// newsStore answers watches at once while there is news, and notes how long each may wait.
+type newsStore struct {
+	Store
+	news  int
+	waits []time.Duration
+}
+
+func (n *newsStore) Watch(_ context.Context, _ string, since uint64, wait time.Duration) (Changes, error) {
+	n.waits = append(n.waits, wait)
+	if n.news > 0 {
+		n.news--
+		return Changes{List: []Change{{Record: record("a", since+1)}}, Position: at(since + 1)}, nil
+	}
+	time.Sleep(wait)
+	return Changes{Position: at(since)}, nil
+}
+
+// News ends the watches of both hosts that watch at one moment. The second one's next watch
+// ends in the middle of the first one's: with both at one pace, what their watches fail to
+// tell would be seen a whole wait later by either.
+func TestWatchesOfTwoHostsEndInTurn(t *testing.T) {
+	for _, test := range []struct {
+		second bool
+		waits  []time.Duration
+	}{
+		{second: false, waits: []time.Duration{time.Second, time.Second, time.Second}},
+		{second: true, waits: []time.Duration{time.Second, time.Second / 2, time.Second}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			store := &newsStore{news: 1}
+			replica := NewReplica()
+			replica.Listed(nil, at(7))
+			follower := &Follower{
+				Store: store, Kind: "k", Sink: replica, Wait: time.Second, Now: time.Now, Log: hclog.NewNullLogger(),
+				Second: func() bool { return test.second },
+			}
+			for range test.waits {
+				must.NoError(t, follower.watch(t.Context()))
+			}
+			must.Eq(t, test.waits, store.waits)
+		})
+	}
+}
