--- a/internal/mesh/spread.go
+++ b/internal/mesh/spread.go
@@ -189,6 +189,7 @@
 // learn takes over what the peer at an address knew at a moment, and gives the kinds that
 // are now to be fetched.
 func (s *spread) learn(address string, theirs map[string]Known, moment time.Time) []string {
+	s.adopt(theirs)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var fetch []string
@@ -198,9 +199,6 @@
 			continue
 		}
 		own := k.replica.Version()
-		if (own.Era != known.Era || own.Revision == 0) && k.replica.Adopt(known.Version) {
-			own = k.replica.Version()
-		}
 		switch {
 		case own.Digest == known.Digest && own.Era == known.Era && own.Revision > 0:
 			k.confirmed(moment.Add(-time.Duration(known.AgeMS) * time.Millisecond))
@@ -216,6 +214,20 @@
 	return fetch
 }
 
+// adopt moves replicas that hold what a peer does to the peer's position, where that is of
+// another era or they have not had the store's own word.
+func (s *spread) adopt(theirs map[string]Known) {
+	for kind, known := range theirs {
+		k := s.kinds[kind]
+		if k == nil {
+			continue
+		}
+		if own := k.replica.Position(); own.Era != known.Era || own.Revision == 0 {
+			k.replica.Adopt(known.Version)
+		}
+	}
+}
+
 // told remembers who has more.
 func (k *knowledge) told(by source, now time.Time) {
 	if !k.lacking() {
