--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -142,7 +142,7 @@
 // Freshness is how old what is known of a kind of record may be, and for how long it has
 // been known that there is more.
 type Freshness struct {
-	Revision uint64 `json:"revision"`
+	registry.Position
 	AgeMS    int64  `json:"age_ms"`
 	BehindMS int64  `json:"behind_ms"`
 }
@@ -152,7 +152,7 @@
 	told := Knowledge{Kinds: map[string]Freshness{}, Fetches: s.fetches.Load(), FetchesFailed: s.fetchesFailed.Load()}
 	for kind, known := range s.spread.known() {
 		behind, _ := s.spread.behind(kind)
-		told.Kinds[kind] = Freshness{Revision: known.Revision, AgeMS: known.AgeMS, BehindMS: behind.Milliseconds()}
+		told.Kinds[kind] = Freshness{Position: known.Position, AgeMS: known.AgeMS, BehindMS: behind.Milliseconds()}
 	}
 	return told
 }
