--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -143,8 +143,8 @@
 // been known that there is more.
 type Freshness struct {
 	registry.Position
-	AgeMS    int64  `json:"age_ms"`
-	BehindMS int64  `json:"behind_ms"`
+	AgeMS    int64 `json:"age_ms"`
+	BehindMS int64 `json:"behind_ms"`
 }
 
 // Knowledge gives what the host knows.
