A keeper that ends no longer blocks its host for good

Cause: the owner of runners held its lock while it asked a keeper that ended for the orders without an answer, which takes the keeper's lock; a keeper that holds its own asks the owner for what is on its way to all runners. Each waited for the other, and the directory, which tells both of runners that are gone, for them.

Now keepers are asked without the owner's lock. The test fails before: the owner cannot be asked within 2 s.

--- a/internal/adapters/owner.go
+++ b/internal/adapters/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"sync/atomic"
@@ -158,8 +159,25 @@
 // Reconcile starts and stops keepers, so that there is one for each owned
 // runner that may receive work.
 func (o *Owner) Reconcile(ctx context.Context, config *site.Config, byService map[string][]*site.Runner) {
+	wanted := o.wanted(config, byService)
+	o.inherit(o.endAllBut(wanted))
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	for id, w := range wanted {
+		if o.keepers[id] == nil {
+			o.start(ctx, w.runner, w.engine)
+		}
+	}
+}
+
+// owned is a runner that needs a keeper.
+type owned struct {
+	runner *site.Runner
+	engine *site.Engine
+}
+
+// wanted gives the runners that need a keeper, by their IDs.
+func (o *Owner) wanted(config *site.Config, byService map[string][]*site.Runner) map[string]owned {
 	wanted := map[string]owned{}
 	for name, runners := range byService {
 		service := config.Services[name]
@@ -173,38 +191,48 @@
 			}
 		}
 	}
+	return wanted
+}
+
+// endAllBut stops the keepers of all runners but those wanted, and gives them.
+func (o *Owner) endAllBut(wanted map[string]owned) []*Keeper {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var ended []*Keeper
 	for id, keeper := range o.keepers {
-		if _, ok := wanted[id]; !ok {
-			o.end(id, keeper)
-		}
-	}
-	for id, w := range wanted {
-		if o.keepers[id] == nil {
-			o.start(ctx, w.runner, w.engine)
+		if _, ok := wanted[id]; ok {
+			continue
 		}
+		keeper.stop()
+		delete(o.keepers, id)
+		ended = append(ended, keeper.Keeper)
 	}
+	return ended
 }
 
-// owned is a runner that needs a keeper.
-type owned struct {
-	runner *site.Runner
-	engine *site.Engine
-}
-
-// end stops a keeper; the lock is held. Its orders without an answer are kept, for
-// the runner may start again under its instance while they are carried out.
-func (o *Owner) end(id string, keeper *running) {
-	keeper.stop()
-	delete(o.keepers, id)
+// inherit keeps the orders without an answer of keepers that have ended, for their runners
+// may start again under their instances while these are carried out.
+//
+// Keepers are asked without the owner's lock: one that holds its own asks the owner for what
+// is on its way to all runners. Each waiting for the other, the host would serve no adapter and
+// learn nothing any more until its process ends.
+func (o *Owner) inherit(ended []*Keeper) {
+	now := o.now()
+	unanswered := make(map[string]LateOrders, len(ended))
+	for _, keeper := range ended {
+		if late := keeper.unanswered(now); len(late) > 0 {
+			unanswered[keeper.runner.Instance] = late
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	for instance, late := range o.late {
-		late.expire(o.now())
+		late.expire(now)
 		if len(late) == 0 {
 			delete(o.late, instance)
 		}
 	}
-	if late := keeper.unanswered(o.now()); len(late) > 0 {
-		o.late[keeper.runner.Instance] = late
-	}
+	maps.Copy(o.late, unanswered)
 }
 
 // Gone notes that a runner's lifetime has ended: no adapter lies there any more.
--- /dev/null
+++ b/internal/adapters/owner_test.go
@@ -0,0 +1,55 @@
+package adapters
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/board"
+	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/hashicorp/go-hclog"
+	"github.com/shoenig/test/must"
+)
+
+// A runner is gone, and its keeper ends while it asks, under its own lock, for what is on its
+// way to all runners. The owner waits for that lock with its own in its hands, and both wait for
+// ever: the host serves no adapter any more, and goes by the configuration of that moment.
+func TestKeeperThatEndsDoesNotBlockTheOwner(t *testing.T) {
+	owner := NewOwner(OwnerDeps{
+		Engines: &forgetfulEngine{}, Authority: never{}, Owns: func(string) bool { return true }, Hosts: func() int { return 1 },
+		Crowd: func() (int, int) { return 0, 0 }, Load: func(string, time.Time) board.View { return board.View{} },
+		Share: func() float64 { return 0 }, Reading: func() float64 { return 0 }, Restarted: func(string, int64) {},
+		Signalled: func(string, *board.Signal) {}, Now: time.Now, Log: hclog.NewNullLogger(),
+	})
+	engine := &site.Engine{Slots: 1, LoadsPerSecond: 1, Models: []site.Model{{Name: "m"}}}
+	config := &site.Config{Services: map[string]*site.Service{"s": {Engine: engine}}}
+	runner := &site.Runner{ID: "r", Instance: "r", Address: "r:1", Service: "s"}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	owner.Reconcile(ctx, config, map[string][]*site.Runner{"s": {runner}})
+	keeper, ok := owner.Keeper("r")
+	must.True(t, ok)
+	keeper.mu.Lock()
+	reconciled, asked := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(reconciled)
+		owner.Reconcile(ctx, config, nil)
+	}()
+	time.Sleep(50 * time.Millisecond)
+	go func() {
+		defer close(asked)
+		owner.crowd()
+	}()
+	select {
+	case <-asked:
+	case <-time.After(2 * time.Second):
+		t.Error("the owner's lock is held while a keeper's is waited for")
+	}
+	keeper.mu.Unlock()
+	<-reconciled
+}
+
+// never lets nothing be ordered.
+type never struct{}
+
+func (never) MayOrder(string, time.Time) (uint64, bool) { return 0, false }
