--- a/internal/registry/era_test.go
+++ b/internal/registry/era_test.go
@@ -46,16 +46,25 @@
 	Store
 	era   Era
 	lists int
+	// next is when the store is in the next era, never where it is zero.
+	next time.Time
+}
+
+func (e *eraStore) now() Era {
+	if !e.next.IsZero() && time.Now().After(e.next) {
+		return e.era + 1
+	}
+	return e.era
 }
 
 func (e *eraStore) List(context.Context, string) (Listing, error) {
 	e.lists++
-	return Listing{Records: []Record{record(fmt.Sprint("of era ", e.era), 10)}, Position: in(e.era, 10)}, nil
+	return Listing{Records: []Record{record(fmt.Sprint("of era ", e.now()), 10)}, Position: in(e.now(), 10)}, nil
 }
 
 func (e *eraStore) Watch(_ context.Context, _ string, since uint64, wait time.Duration) (Changes, error) {
 	time.Sleep(wait)
-	return Changes{Position: in(e.era, max(since, 12))}, nil
+	return Changes{Position: in(e.now(), max(since, 12))}, nil
 }
 
 // The store came back from a copy and has passed the revision that a host knows: the watch from
@@ -68,7 +77,7 @@
 		follower := &Follower{Store: store, Kind: "k", Sink: replica, Wait: time.Second, Now: time.Now, Log: hclog.NewNullLogger()}
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
-		time.AfterFunc(2500*time.Millisecond, func() { store.era = 2 })
+		store.next = time.Now().Add(2500 * time.Millisecond)
 		follower.Run(ctx)
 		must.Eq(t, 2, store.lists)
 		_, old := replica.Get("of era 1")
