--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -42,8 +42,7 @@
 	// changes, with what changed; whole says that all records were replaced. It must not
 	// change the replica.
 	OnChange func(changed []Change, whole bool)
-	// OnEra is called before OnChange when the replica moves to another era than 0; it may
-	// be nil.
+	// OnEra is called before OnChange when the replica moves to another era; it may be nil.
 	OnEra func(era Era)
 	// Strip leaves out of a record what this layer does not use, and brings it into one
 	// form; it may be nil. A record that differs in nothing else has not changed: peers do
