--- a/internal/mesh/eras.go
+++ b/internal/mesh/eras.go
@@ -48,7 +48,7 @@
 	settled registry.Era
 	// since is when this host learnt of the era.
 	since time.Time
-	// kept are the addresses of the runners that this host goes on ordering.
+	// kept names the owner records of the runners that this host goes on ordering.
 	kept map[string]bool
 	// granted is up to when the lease of the era before was valid.
 	granted time.Time
