--- /dev/null
+++ b/internal/mesh/orderer_test.go
@@ -0,0 +1,133 @@
+package mesh
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/peer"
+	"github.com/cherrystage/cherrystage/internal/registry"
+	"github.com/hashicorp/go-hclog"
+	"github.com/shoenig/test/must"
+)
+
+// newFollowingService returns the service of a registered host that has listed records up to
+// a position. It does not run.
+func newFollowingService(t testingT, host string, at registry.Position, records ...registry.Record) *Service {
+	t.Helper()
+	s := NewService(Deps{
+		Self: peer.Identity{Host: host}, Address: host + ":1", State: NewState(host, testTiming, testStart),
+		Kinds: map[string]*registry.Replica{}, Runners: func() []Runner { return []Runner{{Address: runnerAddress}} },
+		Now: func() time.Time { return testStart }, Log: hclog.NewNullLogger(),
+	})
+	s.fleet.Listed(records, at)
+	s.State.Registered(1, nil, testStart)
+	return s
+}
+
+// recordOf returns a record as the store would hold it.
+func recordOf(t testingT, name string, spec any, revision uint64) registry.Record {
+	t.Helper()
+	return change(t, name, spec, revision).Record
+}
+
+// A host registers under its next epoch and claims a runner. A host whose watch lags reads the
+// claim after a conflict, but still knows the claimer's record of the epoch before.
+func TestClaimUnderAnEpochNotKnownYetIsKept(t *testing.T) {
+	for _, known := range []HostRecord{{Epoch: 1, Broken: true}, {Epoch: 1}} {
+		s := newFollowingService(t, "b", registry.Position{Revision: 10},
+			recordOf(t, hostRecordName("b"), HostRecord{Epoch: 1}, 1),
+			recordOf(t, hostRecordName("a"), known, 2))
+		s.fleet.Put(recordOf(t, ownerRecordName(runnerAddress), OwnerRecord{Host: "a", Epoch: 2}, 21))
+		must.SliceEmpty(t, s.State.Claims(s.Runners()), must.Sprintf("claims a runner whose owner's record is %+v", known))
+	}
+}
+
+// A host that has just registered for the first time claims a runner. Another host reads the
+// claim before the claimer's record.
+func TestClaimOfAHostNotKnownYetIsKept(t *testing.T) {
+	s := newFollowingService(t, "b", registry.Position{Revision: 10}, recordOf(t, hostRecordName("b"), HostRecord{Epoch: 1}, 1))
+	s.fleet.Put(recordOf(t, ownerRecordName(runnerAddress), OwnerRecord{Host: "a", Epoch: 1}, 21))
+	must.SliceEmpty(t, s.State.Claims(s.Runners()))
+}
+
+// A dead host's record is removed a minute after its lease was broken. The claims that it
+// left must be replaced, also by a process that never saw that record.
+func TestClaimOfARemovedHostIsReplaced(t *testing.T) {
+	s := newFollowingService(t, "b", registry.Position{Revision: 10},
+		recordOf(t, hostRecordName("b"), HostRecord{Epoch: 1}, 1),
+		recordOf(t, ownerRecordName(runnerAddress), OwnerRecord{Host: "a", Epoch: 1}, 5))
+	must.Len(t, 1, s.State.Claims(s.Runners()))
+}
+
+// A witness agrees to break a lease of whose latest renewal it does not know yet. If it
+// promised again at the next heartbeat, the host would order on beside its successor.
+func TestVoterThatLagsDoesNotPromise(t *testing.T) {
+	b := newHosts(t, "a", "b")["b"]
+	late := testStart.Add(testTiming.breakTimeout())
+	b.Registered(1, nil, late)
+	must.True(t, b.Vote("a", registry.Position{Revision: 9}, late))
+	must.False(t, b.ReceiveHeartbeat("a", 0, late), must.Sprint("promises to keep the lease that it agreed to break"))
+	b.Apply([]registry.Change{change(t, hostRecordName("a"), HostRecord{Epoch: 1, Renewals: 1}, 10)}, late)
+	must.True(t, b.ReceiveHeartbeat("a", 0, late), must.Sprint("the record was renewed after the vote"))
+}
+
+// The witnesses of a host lost their leases and have registered again; one of them has just
+// promised. A host that knows the renewed record, but not yet that its witnesses are back,
+// must not count their votes as given.
+func TestLeaseIsNotBrokenWhileWitnessesMayBeBack(t *testing.T) {
+	s := newFollowingService(t, "z", registry.Position{Revision: 20},
+		recordOf(t, hostRecordName("z"), HostRecord{Epoch: 1}, 1),
+		recordOf(t, hostRecordName("a"), HostRecord{Epoch: 1, Witnesses: []string{"b", "c"}}, 2),
+		recordOf(t, hostRecordName("b"), HostRecord{Epoch: 1, Broken: true}, 3),
+		recordOf(t, hostRecordName("c"), HostRecord{Epoch: 1, Broken: true}, 4))
+	s.fleet.Put(recordOf(t, hostRecordName("a"), HostRecord{Epoch: 1, Renewals: 1, Witnesses: []string{"b", "c"}}, 30))
+	late := testStart.Add(2 * testTiming.breakTimeout())
+	s.State.Registered(1, nil, late)
+	must.SliceEmpty(t, s.State.Breakable(late))
+}
+
+// A renewal gets no answer while the store is away, so that promises do not count. The host
+// lives: if its witnesses heard nothing more of it, they would break its lease.
+func TestHostWithAnUncertainRenewalSendsHeartbeats(t *testing.T) {
+	a := newHosts(t, "a", "b", "c")["a"]
+	a.RenewalUncertain()
+	var hosts []string
+	for _, witness := range a.Witnesses() {
+		hosts = append(hosts, witness.Host)
+	}
+	slices.Sort(hosts)
+	must.Eq(t, []string{"b", "c"}, hosts)
+	a.PromiseReceived("b", testStart.Add(testTiming.Lease/2))
+	a.PromiseReceived("c", testStart.Add(testTiming.Lease/2))
+	must.Eq(t, testStart.Add(testTiming.Lease), a.ValidUntil(), must.Sprint("counts promises although its record may name other witnesses"))
+}
+
+// A host whose lease has lapsed may have been broken without knowing it. No host accepts what
+// it claims then.
+func TestNoClaimWithoutALease(t *testing.T) {
+	s := newFollowingService(t, "b", registry.Position{Revision: 10}, recordOf(t, hostRecordName("b"), HostRecord{Epoch: 1}, 1))
+	must.Len(t, 1, s.State.Claims(s.Runners()))
+	s.Now = func() time.Time { return testStart.Add(2 * testTiming.Lease) }
+	must.SliceEmpty(t, s.State.Claims(s.Runners()))
+}
+
+// A witness agrees to break a lease, restarts and forgets that. The write that breaks the lease
+// is still under way, or its answer was lost, and succeeds as long as the record is the one that
+// the witness voted on. So the new process promises only for records that are written later than
+// its own registration.
+func TestRestartedWitnessDoesNotPromiseForAnOlderRecord(t *testing.T) {
+	store := &memoryStore{records: map[string]registry.Record{}}
+	for _, host := range []string{"a", "b"} {
+		_, err := store.Create(t.Context(), Kind, hostRecordName(host), HostRecord{Epoch: 1, Witnesses: []string{"b"}})
+		must.NoError(t, err)
+	}
+	s := newFollowingService(t, "b", registry.Position{Revision: 2}, store.records[hostRecordName("a")], store.records[hostRecordName("b")])
+	s.Store, s.State.epoch = store, 0
+	s.register(t.Context())
+	must.False(t, s.State.ReceiveHeartbeat("a", 0, testStart))
+	renewed, err := store.Update(t.Context(), Kind, hostRecordName("a"), HostRecord{Epoch: 1, Renewals: 1, Witnesses: []string{"b"}}, 1)
+	must.NoError(t, err)
+	s.fleet.Put(renewed)
+	must.True(t, s.State.ReceiveHeartbeat("a", 0, testStart))
+}
