A claim ends only by what shows that its host's lease ended

Callers saw requests for adapters that were not loaded refused for seconds, and a runner got orders of two hosts 122 ms apart, the lower token last.

Cause: `ownerInForce` compared a claim with the claimer's record as known, and took every difference for an end. The two are known as of different moments: a claim is read alone after a conflict, the claimer's record comes with the watch. A host that had registered under its next epoch and claimed was so replaced at once, by a conditional write that guards the claim and not the lease.

Ruled out: tokens (they grew with each claim; the lower one was the earlier claimer's, who did not know yet), late orders (both ordered for most of a second), a broken lease (none between the claims).

Now a claim has ended if its host's record is of a later epoch or broken, both of which stay true in whatever this host does not know yet, or if there is no such record among all records up to the claim: the replica tells the state up to which position it is complete. In between its status is unclear, and it is kept. Nobody waits for ever: the record follows within the watch's delay; a dead host's record is broken, then removed, and the position passes the claim; a claim of this host's own name under a later epoch only this host may replace. A record that is created anew takes an epoch above the store's revision, so that a removed host's claims cannot come into force again while they are replaced. A merge of a peer's changes that is incomplete no longer moves the position. A host without a valid lease claims nothing: such claims were written by hosts that had been broken. A host that is back from a broken lease counts as joining. `runner claimed` tells what was replaced, and how its owner's record was known.

TestBrokenLeaseEndsOwnership's claimer has a lease now, TestRecordsOfLostHostsAreRemoved's knows all removals.

--- a/internal/mesh/breakattempt_test.go
+++ b/internal/mesh/breakattempt_test.go
@@ -156,11 +156,12 @@
 		now := time.Now()
 		s.State.Apply([]registry.Change{change(t, ownerRecordName("r1:1"), OwnerRecord{Host: "h07", Epoch: 1}, 90)}, now)
 		runners := []Runner{{Address: "r1:1"}}
-		must.SliceEmpty(t, s.State.Claims(runners))
+		must.SliceEmpty(t, s.State.Claims(runners, now))
 		for i := 1; i < 30; i++ {
 			gone := registry.Change{Record: registry.Record{Name: hostRecordName(fmt.Sprintf("h%02d", i))}, Removed: true}
 			s.State.Apply([]registry.Change{gone}, now)
 		}
-		must.Len(t, 1, s.State.Claims(runners))
+		s.State.AdvanceTo(registry.Position{Revision: 119})
+		must.Len(t, 1, s.State.Claims(runners, now))
 	})
 }
--- a/internal/mesh/eras.go
+++ b/internal/mesh/eras.go
@@ -85,6 +85,7 @@
 	}
 	s.previousLeaseEnd = s.validUntil()
 	s.retained, s.era, s.eraSince = owned, era, now
+	s.revision = 0
 	s.unverified = s.epoch != 0
 	if s.unverified && s.witnesses != nil {
 		s.recordWitnesses = s.witnesses
@@ -136,12 +137,19 @@
 	s.witnesses = s.recordWitnesses
 }
 
-// NextEpoch returns the epoch for a new record of this host. It is at least its last epoch
-// and higher than any epoch whose lease was broken, including epochs that the store has
-// lost.
+// NextEpoch returns the epoch for a new record of this host, given the stored one, which is
+// the zero value if there is none. It is at least its last epoch and higher than any epoch
+// whose lease was broken, including epochs that the store has lost.
+//
+// Without a stored record it is also higher than the store's revision, and so than the epoch
+// of a record that was removed. Else a claim of that record would be in force again, while
+// another host is replacing it.
 func (s *State) NextEpoch(stored HostRecord) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if stored.Epoch == 0 {
+		stored.Epoch = int64(s.revision) + 1
+	}
 	next := max(stored.Epoch, s.lastEpoch, s.endedLeases[s.self].epoch+1)
 	if stored.Broken && next == stored.Epoch {
 		next++
--- a/internal/mesh/orderer_test.go
+++ b/internal/mesh/orderer_test.go
@@ -39,7 +39,7 @@
 			recordOf(t, hostRecordName("b"), HostRecord{Epoch: 1}, 1),
 			recordOf(t, hostRecordName("a"), known, 2))
 		s.fleet.Put(recordOf(t, ownerRecordName(runnerAddress), OwnerRecord{Host: "a", Epoch: 2}, 21))
-		must.SliceEmpty(t, s.State.Claims(s.Runners()), must.Sprintf("claims a runner whose owner's record is %+v", known))
+		must.SliceEmpty(t, s.State.Claims(s.Runners(), s.Now()), must.Sprintf("claims a runner whose owner's record is %+v", known))
 	}
 }
 
@@ -48,7 +48,7 @@
 func TestClaimOfAHostNotKnownYetIsKept(t *testing.T) {
 	s := newFollowingService(t, "b", registry.Position{Revision: 10}, recordOf(t, hostRecordName("b"), HostRecord{Epoch: 1}, 1))
 	s.fleet.Put(recordOf(t, ownerRecordName(runnerAddress), OwnerRecord{Host: "a", Epoch: 1}, 21))
-	must.SliceEmpty(t, s.State.Claims(s.Runners()))
+	must.SliceEmpty(t, s.State.Claims(s.Runners(), s.Now()))
 }
 
 // A dead host's record is removed a minute after its lease was broken. The claims that it
@@ -57,7 +57,7 @@
 	s := newFollowingService(t, "b", registry.Position{Revision: 10},
 		recordOf(t, hostRecordName("b"), HostRecord{Epoch: 1}, 1),
 		recordOf(t, ownerRecordName(runnerAddress), OwnerRecord{Host: "a", Epoch: 1}, 5))
-	must.Len(t, 1, s.State.Claims(s.Runners()))
+	must.Len(t, 1, s.State.Claims(s.Runners(), s.Now()))
 }
 
 // A witness agrees to break a lease of whose latest renewal it does not know yet. If it
@@ -107,9 +107,9 @@
 // it claims then.
 func TestNoClaimWithoutALease(t *testing.T) {
 	s := newFollowingService(t, "b", registry.Position{Revision: 10}, recordOf(t, hostRecordName("b"), HostRecord{Epoch: 1}, 1))
-	must.Len(t, 1, s.State.Claims(s.Runners()))
+	must.Len(t, 1, s.State.Claims(s.Runners(), s.Now()))
 	s.Now = func() time.Time { return testStart.Add(2 * testTiming.Lease) }
-	must.SliceEmpty(t, s.State.Claims(s.Runners()))
+	must.SliceEmpty(t, s.State.Claims(s.Runners(), s.Now()))
 }
 
 // A witness agrees to break a lease, restarts and forgets that. The write that breaks the lease
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -113,6 +113,7 @@
 		s.Log.Warn("store's era changed", "kind", Kind, "era", era, "revision", s.fleet.Revision())
 		s.wake()
 	}
+	s.fleet.OnPosition = s.State.AdvanceTo
 	s.fleet.OnChange = func(changes []registry.Change, _ bool) {
 		s.State.Apply(changes, s.Now())
 		s.forgetRemovedHosts(changes)
@@ -417,7 +418,7 @@
 		// each runner, and one of them would read the record to see why it failed.
 		return
 	}
-	for _, claim := range s.State.Claims(s.Runners()) {
+	for _, claim := range s.State.Claims(s.Runners(), now) {
 		s.claim(ctx, claim)
 	}
 }
@@ -438,7 +439,8 @@
 		return
 	}
 	s.applyRecord(record)
-	s.Log.Info("runner claimed", "address", claim.Address, "token", fencingToken(record.Era, record.Revision), "epoch", claim.Record.Epoch)
+	s.Log.Info("runner claimed", "address", claim.Address, "token", fencingToken(record.Era, record.Revision), "epoch", claim.Record.Epoch,
+		"replaced_revision", claim.Revision, "replaced_owner", claim.Replaced.Host, "replaced_epoch", claim.Replaced.Epoch, "owner_epoch", claim.Owner.Epoch, "owner_broken", claim.Owner.Broken)
 }
 
 // refreshAfterConflict reads a record again after a conflict or a lost answer, because the
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -69,6 +69,9 @@
 	epoch     int64
 	lastEpoch int64
 	eraTransition
+	// revision is the revision of the current era up to which the records are complete.
+	// Single records may be newer.
+	revision uint64
 	// renewedAt is the send time of the last successful write of this host's record.
 	renewedAt time.Time
 	// witnesses are the witnesses that this host's record names, nil while it is uncertain
@@ -154,7 +157,7 @@
 
 func (s *State) applyHost(host string, m member, now time.Time) {
 	before, known := s.members[host]
-	if !known {
+	if !known || before.Broken && !m.Broken {
 		s.lastJoin = now
 	}
 	s.members[host] = m
@@ -185,6 +188,17 @@
 	return peer
 }
 
+// AdvanceTo records that all records up to a position of the store have been applied.
+func (s *State) AdvanceTo(at registry.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = at.Revision
+}
+
+// isCompleteTo reports whether all records up to a revision are known. The caller holds
+// s.mu.
+func (s *State) isCompleteTo(revision uint64) bool { return s.revision >= revision }
+
 // Registered records a successful write of this host's record that was sent at a time.
 func (s *State) Registered(epoch int64, witnesses []string, sent time.Time) {
 	s.mu.Lock()
@@ -290,17 +304,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.owners[ownerRecordName(address)]
-	if !ok || !s.ownerInForce(o) {
+	if !ok || s.claimStatus(o) == claimEnded {
 		return "", false
 	}
-	return o.Host, true
-}
-
-// ownerInForce reports whether an owner record is valid: its host's lease is not broken
-// and has the same epoch.
-func (s *State) ownerInForce(o owner) bool {
-	m, ok := s.members[o.Host]
-	return ok && !m.Broken && m.Epoch == o.Epoch
+	_, known := s.members[o.Host]
+	return o.Host, known
 }
 
 // FallbackTurn returns this host's turn to ask the store for a kind of record, 0 if it is
--- a/internal/mesh/state_test.go
+++ b/internal/mesh/state_test.go
@@ -47,6 +47,7 @@
 	for _, name := range names {
 		s := NewState(name, testTiming, testStart)
 		s.Apply(changes, testStart)
+		s.AdvanceTo(registry.Position{Revision: 90})
 		s.Registered(1, others(names, name), testStart)
 		hosts[name] = s
 	}
@@ -176,10 +177,11 @@
 	now := testStart.Add(6 * time.Second)
 	a.Apply(broken, now)
 	b.Apply(broken, now)
+	b.Registered(1, []string{"a"}, now)
 	a.PromiseReceived("b", now)
 	_, ok := a.MayOrder(runnerAddress, now)
 	must.False(t, ok)
-	claims := b.Claims([]Runner{{Address: runnerAddress}})
+	claims := b.Claims([]Runner{{Address: runnerAddress}}, now)
 	must.Len(t, 1, claims)
 	must.Eq(t, 90, claims[0].Revision)
 }
@@ -296,9 +298,9 @@
 func TestNoClaimUnderAnEpochThatTheStoreDoesNotKnow(t *testing.T) {
 	a := newHosts(t, "a")["a"]
 	runners := []Runner{{Address: "10.0.0.10:80"}}
-	must.Len(t, 1, a.Claims(runners))
+	must.Len(t, 1, a.Claims(runners, testStart))
 	a.Registered(2, nil, testStart)
-	must.SliceEmpty(t, a.Claims(runners))
+	must.SliceEmpty(t, a.Claims(runners, testStart))
 }
 
 // All hosts of a deployment start together, and each knows the runners before it knows the
@@ -314,7 +316,7 @@
 		s := NewState(fmt.Sprintf("h%d", i), testTiming, testStart)
 		s.Apply(changes, testStart)
 		s.Registered(1, nil, testStart)
-		for _, claim := range s.Claims([]Runner{{Address: "r1:1"}, {Address: "r2:1"}, {Address: "r3:1"}, {Address: "r4:1"}}) {
+		for _, claim := range s.Claims([]Runner{{Address: "r1:1"}, {Address: "r2:1"}, {Address: "r3:1"}, {Address: "r4:1"}}, testStart) {
 			claimed[claim.Address]++
 		}
 	}
@@ -334,11 +336,11 @@
 	s.Apply(hosts, testStart)
 	s.Registered(1, nil, testStart)
 	runners := []Runner{{Address: "r1:1", DataCentre: "here"}, {Address: "r2:1", DataCentre: "there"}}
-	claims := s.Claims(runners)
+	claims := s.Claims(runners, testStart)
 	must.Len(t, 1, claims)
 	must.Eq(t, "r1:1", claims[0].Address)
 	s.Apply([]registry.Change{change(t, hostRecordName("b"), HostRecord{Epoch: 1, DataCentre: "there", Broken: true}, 3)}, testStart)
-	must.Len(t, 2, s.Claims(runners))
+	must.Len(t, 2, s.Claims(runners, testStart))
 }
 
 // In a fleet of four hundred hosts two watch each kind of record. The others cost the
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -44,6 +44,9 @@
 	// OnEra is called before OnChange when the replica moves to another era. It may be
 	// nil.
 	OnEra func(era Era)
+	// OnPosition is called after OnChange when the replica's position has changed, also if
+	// no record has. It may be nil.
+	OnPosition func(at Position)
 	// Strip removes what this layer does not use from a record and brings it into a
 	// canonical form. It may be nil. A record that differs only in the removed fields
 	// counts as unchanged, and peers do not fetch it. Records from peers are already
@@ -57,7 +60,7 @@
 	// equal content and different revisions differ.
 	digestRevisions bool
 
-	// notifyMu serializes calls of OnEra and OnChange. It is acquired before mu.
+	// notifyMu serializes calls of OnEra, OnChange and OnPosition. It is acquired before mu.
 	notifyMu sync.Mutex
 	mu       sync.Mutex
 	position Position
@@ -202,22 +205,25 @@
 	})
 }
 
-// update runs a change and calls OnEra and OnChange. The change returns the changed
-// records, whether whole parts were replaced, and the result of update.
+// update runs a change and calls OnEra, OnChange and OnPosition. The change returns the
+// changed records, whether whole parts were replaced, and the result of update.
 func (r *Replica) update(change func() (changes []Change, whole, ok bool)) bool {
 	r.notifyMu.Lock()
 	defer r.notifyMu.Unlock()
 	r.mu.Lock()
-	before := r.position.Era
+	before := r.position
 	changes, whole, ok := change()
-	now := r.position.Era
+	now := r.position
 	r.mu.Unlock()
-	if now != before && r.OnEra != nil {
-		r.OnEra(now)
+	if now.Era != before.Era && r.OnEra != nil {
+		r.OnEra(now.Era)
 	}
 	if r.OnChange != nil && (whole || len(changes) > 0) {
 		r.OnChange(changes, whole)
 	}
+	if now != before && r.OnPosition != nil {
+		r.OnPosition(now)
+	}
 	return ok
 }
 
@@ -381,8 +387,11 @@
 			return nil, false, false
 		}
 		changes := r.applySnapshot(snapshot)
+		if r.digest != snapshot.Digest && !r.hasRecordAfter(snapshot.Revision) {
+			return changes, false, false
+		}
 		r.setPosition(snapshot.Position)
-		return changes, false, r.digest == snapshot.Digest || r.hasRecordAfter(snapshot.Revision)
+		return changes, false, true
 	})
 }
 
