A lease is broken by records of one age, and votes and promises cannot cross

- A voter that lagged agreed for a revision that it did not know yet, and promised at the next heartbeat, since the two revisions differed.
Now it promises only for a later record than the one that it voted on.
- A process that restarted had forgotten its vote, while the write that breaks the lease was under way or its answer lost.
Now a process promises only for records written after its own registration.
- A witness whose lease was broken counts as a vote; a host whose watch lagged counted it although it had registered again and promised.
Now a lease is broken only by a host that knows all records up to the one that holds it, and the rule above keeps such a witness from promising for that record.
- In a new era votes were forgotten, though a write of the old era still finds the same record.
They are kept.
- Once an era is settled, a lease that is known to have ended in an earlier one waits for the same silence as any other.

A host tells its record's revision to a witness that did not promise, so that a lagging watch costs no write.

In older tests of Breakable the host knows all records now, as a follower's does.

--- a/internal/mesh/breaking.go
+++ b/internal/mesh/breaking.go
@@ -18,7 +18,7 @@
 	if now.Sub(peer.heardAt) < silence || now.Sub(s.started) < silence || at.Era != s.era || peer.revision > at.Revision {
 		return false
 	}
-	peer.votedRevision = at.Revision
+	peer.agreeToBreak(at)
 	return true
 }
 
@@ -41,6 +41,10 @@
 // majority of the peer's witnesses must agree. The write must be conditional on the
 // revision, so that it fails if the lease was renewed meanwhile.
 //
+// It decides by records that are all of one age: it may know a single record of a peer that
+// is newer than its other records, in which the peer's witnesses seem to be gone although
+// they have registered again and promised to keep the renewed lease.
+//
 // In a new era of the store this host waits until a peer that still acts on the previous
 // era has stopped, except for peers whose lease is known to have been broken.
 func (s *State) Breakable(now time.Time) []DeadHost {
@@ -55,8 +59,7 @@
 		if host == s.self || m.Broken {
 			continue
 		}
-		settled := s.eraSettled(now) && now.Sub(s.peerOf(host).changedAt) >= silence
-		if !settled && !s.leaseKnownEnded(host, m) {
+		if !s.isCompleteTo(m.revision) || !s.mayBeDead(host, m, now) {
 			continue
 		}
 		if d, ok := s.breakable(host, m, now); ok {
@@ -66,6 +69,15 @@
 	return dead
 }
 
+// mayBeDead reports whether a peer's record has not changed for so long that its renewal no
+// longer lets the peer give orders. The caller holds s.mu.
+func (s *State) mayBeDead(host string, m member, now time.Time) bool {
+	if !s.eraSettled(now) {
+		return s.leaseKnownEnded(host, m)
+	}
+	return now.Sub(s.peerOf(host).changedAt) >= s.timing.breakTimeout()
+}
+
 func (s *State) breakable(host string, m member, now time.Time) (DeadHost, bool) {
 	own := slices.Index(m.Witnesses, s.self)
 	if own >= 0 {
@@ -118,7 +130,7 @@
 	switch {
 	case witness == s.self:
 		d.VotesNeeded--
-		s.peerOf(d.Host).votedRevision = d.Revision
+		s.peerOf(d.Host).agreeToBreak(registry.Position{Era: d.Era, Revision: d.Revision})
 	case s.witnessGone(witness, now):
 		d.VotesNeeded--
 	case !s.members[witness].Broken:
--- a/internal/mesh/eras.go
+++ b/internal/mesh/eras.go
@@ -91,9 +91,6 @@
 		s.recordWitnesses = s.witnesses
 	}
 	s.witnesses = nil
-	for _, peer := range s.peers {
-		peer.votedRevision = 0
-	}
 	// Hosts that joined or left in the part that the store has lost appear again a moment
 	// later, so a new era counts as a join.
 	s.lastJoin = now
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/peer"
+	"github.com/cherrystage/cherrystage/internal/registry"
 	"github.com/pkg/errors"
 )
 
@@ -29,6 +30,9 @@
 	// SentMS is the send time in Unix milliseconds by the sender's clock, which may be off
 	// by any amount.
 	SentMS int64 `json:"sent_ms"`
+	// RecordRevision is the revision of the sender's record. It is sent only if the witness
+	// did not promise last time, since the witness may not know the record yet.
+	RecordRevision uint64 `json:"record_revision,omitempty"`
 	// Known is the sender's version of each kind of record, by kind.
 	Known map[string]KnownVersion `json:"known,omitempty"`
 	// Status describes the sender's runners and requests.
@@ -40,6 +44,8 @@
 	// Promised reports that the witness will not vote to break the sender's lease before a
 	// lease, the order gap and a margin have passed.
 	Promised bool `json:"promised,omitempty"`
+	// Renew reports that the witness promises only for a newer record of the sender.
+	Renew bool `json:"renew,omitempty"`
 	// Known holds the kinds of record of which the answering host has newer versions.
 	Known  map[string]KnownVersion `json:"known,omitempty"`
 	Status json.RawMessage         `json:"status,omitempty"`
@@ -50,6 +56,9 @@
 	host    string
 	stop    context.CancelFunc
 	trigger chan struct{}
+	// promised reports whether the last answer was a promise. Only the goroutine that sends
+	// uses it.
+	promised bool
 }
 
 // updateSenders starts senders for new witnesses and stops those of former ones.
@@ -93,7 +102,7 @@
 func (s *Service) sendHeartbeats(ctx context.Context, sender *heartbeatSender) {
 	silent := false
 	for ctx.Err() == nil {
-		err := s.sendHeartbeat(ctx, sender.host)
+		err := s.sendHeartbeat(ctx, sender)
 		if ctx.Err() == nil && (err != nil) != silent {
 			silent = err != nil
 			s.logPeerState(sender.host, silent, err)
@@ -127,7 +136,8 @@
 	s.Log.Info("dependency regained", "dependency", "peer", "peer", host)
 }
 
-func (s *Service) sendHeartbeat(ctx context.Context, host string) error {
+func (s *Service) sendHeartbeat(ctx context.Context, sender *heartbeatSender) error {
+	host := sender.host
 	address, ok := s.State.AddressOf(host)
 	if !ok {
 		return errors.Errorf("no address known for host %s", host)
@@ -136,18 +146,35 @@
 	defer cancel()
 	sent := s.Now()
 	heartbeat := Heartbeat{Address: s.Address, SentMS: sent.UnixMilli(), Known: s.freshness.known(), Status: s.status()}
+	if !sender.promised {
+		heartbeat.RecordRevision = s.ownRecordRevision(heartbeat.Known[Kind].Era)
+	}
 	var answer HeartbeatResult
 	if err := s.Pool.Call(ctx, address, methodHeartbeat, heartbeat, &answer); err != nil {
 		return err
 	}
+	sender.promised = answer.Promised
 	if answer.Promised {
 		s.State.PromiseReceived(host, sent)
 	}
+	if answer.Renew {
+		s.State.RenewalRequested(sent)
+	}
 	// The answer reflects what the peer knew no earlier than when the call was sent.
 	s.learn(host, address, answer.Known, answer.Status, sent)
 	return nil
 }
 
+// ownRecordRevision returns the revision of this host's record as known in an era, 0 if there
+// is none.
+func (s *Service) ownRecordRevision(era registry.Era) uint64 {
+	record, _ := s.fleet.Get(hostRecordName(s.Self.Host))
+	if s.fleet.Position().Era != era {
+		return 0
+	}
+	return record.Revision
+}
+
 func (s *Service) status() json.RawMessage {
 	encoded, err := json.Marshal(s.Statuses.Status())
 	if err != nil {
@@ -159,9 +186,10 @@
 
 func (s *Service) handleHeartbeat(_ context.Context, from peer.Identity, heartbeat Heartbeat) (HeartbeatResult, error) {
 	now := s.Now()
-	promised := s.State.ReceiveHeartbeat(from.Host, heartbeat.Known[Kind].Era, now)
+	record := registry.Position{Era: heartbeat.Known[Kind].Era, Revision: heartbeat.RecordRevision}
+	promised, renew := s.State.ReceiveHeartbeat(from.Host, record, now)
 	s.learn(from.Host, heartbeat.Address, heartbeat.Known, heartbeat.Status, now.Add(-s.delays.estimate(from.Host, heartbeat.SentMS, now)))
-	return HeartbeatResult{Promised: promised, Known: s.freshness.newsFor(heartbeat.Known), Status: s.status()}, nil
+	return HeartbeatResult{Promised: promised, Renew: renew, Known: s.freshness.newsFor(heartbeat.Known), Status: s.status()}, nil
 }
 
 // learn merges what a peer knew at the given time and fetches the kinds in which it is ahead.
--- a/internal/mesh/membership_test.go
+++ b/internal/mesh/membership_test.go
@@ -32,7 +32,7 @@
 	}
 	now := testStart.Add(time.Minute)
 	for _, name := range names {
-		s.ReceiveHeartbeat(name, 0, now)
+		s.ReceiveHeartbeat(name, registry.Position{}, now)
 		s.PromiseReceived(name, now)
 	}
 	return s, now
--- a/internal/mesh/orderer_test.go
+++ b/internal/mesh/orderer_test.go
@@ -67,9 +67,9 @@
 	late := testStart.Add(testTiming.breakTimeout())
 	b.Registered(1, nil, late)
 	must.True(t, b.Vote("a", registry.Position{Revision: 9}, late))
-	must.False(t, b.ReceiveHeartbeat("a", 0, late), must.Sprint("promises to keep the lease that it agreed to break"))
+	must.False(t, promises(b, "a", registry.Position{}, late), must.Sprint("promises to keep the lease that it agreed to break"))
 	b.Apply([]registry.Change{change(t, hostRecordName("a"), HostRecord{Epoch: 1, Renewals: 1}, 10)}, late)
-	must.True(t, b.ReceiveHeartbeat("a", 0, late), must.Sprint("the record was renewed after the vote"))
+	must.True(t, promises(b, "a", registry.Position{}, late), must.Sprint("the record was renewed after the vote"))
 }
 
 // The witnesses of a host lost their leases and have registered again; one of them has just
@@ -125,9 +125,9 @@
 	s := newFollowingService(t, "b", registry.Position{Revision: 2}, store.records[hostRecordName("a")], store.records[hostRecordName("b")])
 	s.Store, s.State.epoch = store, 0
 	s.register(t.Context())
-	must.False(t, s.State.ReceiveHeartbeat("a", 0, testStart))
+	must.False(t, promises(s.State, "a", registry.Position{}, testStart))
 	renewed, err := store.Update(t.Context(), Kind, hostRecordName("a"), HostRecord{Epoch: 1, Renewals: 1, Witnesses: []string{"b"}}, 1)
 	must.NoError(t, err)
 	s.fleet.Put(renewed)
-	must.True(t, s.State.ReceiveHeartbeat("a", 0, testStart))
+	must.True(t, promises(s.State, "a", registry.Position{}, testStart))
 }
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -256,6 +256,7 @@
 		return
 	}
 	s.storeBackoff = 0
+	s.State.PromiseAfter(record.Revision)
 	s.State.Registered(own.Epoch, own.Witnesses, sent)
 	s.Log.Info("registered", "epoch", own.Epoch, "revision", record.Revision, "witnesses", len(own.Witnesses))
 }
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -72,12 +72,16 @@
 	// revision is the revision of the current era up to which the records are complete.
 	// Single records may be newer.
 	revision uint64
+	// promisesAfter is the revision of the record with which this process last registered.
+	promisesAfter uint64
 	// renewedAt is the send time of the last successful write of this host's record.
 	renewedAt time.Time
 	// witnesses are the witnesses that this host's record names, nil while it is uncertain
 	// which record is in force.
 	witnesses []string
 	chosenAt  time.Time
+	// renewalRequested is when a witness last asked for a renewal instead of promising.
+	renewalRequested time.Time
 	// lastJoin is when an unknown host was last seen.
 	lastJoin time.Time
 	// membershipChanged is when hosts last joined or left. The first hosts learned after
@@ -97,9 +101,26 @@
 	// revision is the revision of the peer's record, first seen at changedAt.
 	revision  uint64
 	changedAt time.Time
-	// votedRevision is the revision of the peer's record whose lease this host has agreed
+	// votedAt is the latest position of the peer's record whose lease this host has agreed
 	// to break.
-	votedRevision uint64
+	votedAt registry.Position
+}
+
+// agreeToBreak records a vote to break the lease that the peer's record holds at a position.
+func (p *peerState) agreeToBreak(at registry.Position) {
+	if p.votedAt.Before(at) {
+		p.votedAt = at
+	}
+}
+
+// mayBeBroken reports whether a lease may be broken that is held by the peer's record at a
+// position, because this host has agreed to it. The write of an earlier era succeeds in a
+// later one only if it finds the same revision.
+func (p *peerState) mayBeBroken(at registry.Position) bool {
+	if at.Era != p.votedAt.Era {
+		return at.Revision == p.votedAt.Revision
+	}
+	return at.Revision <= p.votedAt.Revision
 }
 
 // NewState returns the state of a host that knows no others.
@@ -210,6 +231,20 @@
 	s.unverified = false
 }
 
+// PromiseAfter limits this host's promises to records that were written after a revision,
+// that of its own registration.
+//
+// A process that has started does not know the votes of the one before, and a host whose
+// lease was broken counts as a vote until all know that it has registered again. In both
+// cases a lease may be broken by a write that is still under way, while its holder orders on
+// by this host's promise. The write succeeds only if the record is unchanged, so a promise
+// for a later record cannot meet it.
+func (s *State) PromiseAfter(revision uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.promisesAfter = revision
+}
+
 // RenewalUncertain records that a write of this host's record got no answer. Either the
 // old or the new witnesses are in force, so no promise counts until the record is read.
 func (s *State) RenewalUncertain() {
--- a/internal/mesh/state_test.go
+++ b/internal/mesh/state_test.go
@@ -59,9 +59,15 @@
 	return rest[:min(len(rest), maxWitnesses)]
 }
 
+// promises reports whether a host answers a peer's heartbeat with a promise.
+func promises(s *State, host string, at registry.Position, now time.Time) bool {
+	promised, _ := s.ReceiveHeartbeat(host, at, now)
+	return promised
+}
+
 // exchangeHeartbeat delivers a heartbeat and its answer.
 func exchangeHeartbeat(from, to *State, now time.Time) {
-	if to.ReceiveHeartbeat(from.self, 0, now) {
+	if promises(to, from.self, registry.Position{}, now) {
 		from.PromiseReceived(to.self, now)
 	}
 }
@@ -195,17 +201,17 @@
 	b := hosts["b"]
 	b.Registered(1, []string{"a", "c"}, now)
 	must.True(t, b.Vote("a", registry.Position{Revision: 1}, now))
-	must.False(t, b.ReceiveHeartbeat("a", 0, now))
+	must.False(t, promises(b, "a", registry.Position{}, now))
 	b.Apply([]registry.Change{change(t, hostRecordName("a"), HostRecord{Epoch: 1, Renewals: 1}, 95)}, now)
-	must.True(t, b.ReceiveHeartbeat("a", 0, now))
+	must.True(t, promises(b, "a", registry.Position{}, now))
 }
 
 // A host whose own lease has expired must not promise: its lease may have been broken
 // without its knowledge, and a broken witness counts as a vote to break.
 func TestExpiredWitnessDoesNotPromise(t *testing.T) {
 	hosts := newHosts(t, "a", "b", "c")
-	must.True(t, hosts["b"].ReceiveHeartbeat("a", 0, testStart.Add(time.Second)))
-	must.False(t, hosts["b"].ReceiveHeartbeat("a", 0, testStart.Add(2*testTiming.Lease)))
+	must.True(t, promises(hosts["b"], "a", registry.Position{}, testStart.Add(time.Second)))
+	must.False(t, promises(hosts["b"], "a", registry.Position{}, testStart.Add(2*testTiming.Lease)))
 }
 
 // An owner and all its witnesses are gone for good. Another host breaks its lease once
@@ -220,6 +226,7 @@
 		change(t, hostRecordName("z"), HostRecord{Epoch: 1}, 4),
 		change(t, ownerRecordName(runnerAddress), OwnerRecord{Host: "a", Epoch: 1}, 5),
 	}, testStart)
+	survivor.AdvanceTo(registry.Position{Revision: 5})
 	survivor.Registered(1, nil, now)
 	must.SliceEmpty(t, survivor.Breakable(testStart.Add(2*time.Second)))
 	found := survivor.Breakable(now)
@@ -259,7 +266,7 @@
 						continue
 					}
 					// A heartbeat may arrive while its answer is lost.
-					if hosts[name].ReceiveHeartbeat("a", 0, now) && rapid.Bool().Draw(t, "answer") {
+					if promises(hosts[name], "a", registry.Position{}, now) && rapid.Bool().Draw(t, "answer") {
 						a.PromiseReceived(name, now)
 					}
 				}
--- a/internal/mesh/witnesses.go
+++ b/internal/mesh/witnesses.go
@@ -16,13 +16,20 @@
 // agreed to break this lease, until a newer record shows that the lease was kept, nor one
 // in another era of the store: there the peer's record may name other witnesses, who may
 // break its lease.
-func (s *State) ReceiveHeartbeat(host string, era registry.Era, now time.Time) bool {
+//
+// at is the position of the peer's record as the peer knows it. Its revision is 0 if the peer
+// did not send it. If only a newer record is missing, renew is set.
+func (s *State) ReceiveHeartbeat(host string, at registry.Position, now time.Time) (promised, renew bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	peer := s.peerOf(host)
 	peer.heardAt = now
-	hasVoted := peer.votedRevision != 0 && peer.votedRevision == peer.revision
-	return !hasVoted && era == s.era && now.Before(s.validUntil())
+	if at.Era != s.era || !now.Before(s.validUntil()) {
+		return false, false
+	}
+	at.Revision = max(at.Revision, peer.revision)
+	renew = at.Revision <= s.promisesAfter || peer.mayBeBroken(at)
+	return !renew, renew
 }
 
 // PromiseReceived records a peer's promise in answer to a heartbeat sent at a time.
@@ -70,8 +77,19 @@
 
 func majority(of int) int { return of/2 + 1 }
 
+// RenewalRequested records that a witness did not promise because it wants a newer record of
+// this host, in answer to a heartbeat sent at a time.
+func (s *State) RenewalRequested(sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sent.After(s.renewalRequested) {
+		s.renewalRequested = sent
+	}
+}
+
 // NeedsRenewal reports whether the lease should be renewed in the store: the promises of a
-// majority are older than half the lease, and the last renewal is older than a third of it.
+// majority are older than half the lease, and the last renewal is older than a third of it;
+// or a witness asked for it, which is less urgent.
 func (s *State) NeedsRenewal(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -79,7 +97,10 @@
 		return false
 	}
 	third := s.timing.Lease / 3
-	return now.Sub(s.majorityPromised()) > 3*third/2 && now.Sub(s.renewedAt) > third
+	if now.Sub(s.majorityPromised()) > 3*third/2 {
+		return now.Sub(s.renewedAt) > third
+	}
+	return s.renewalRequested.After(s.renewedAt) && now.Sub(s.renewedAt) > minRechooseInterval
 }
 
 // nearWitnesses is the number of witnesses from the host's own data centre if enough
