A renewal without an answer no longer silences a host

Callers saw all runners of a host without orders through an outage of the store in which one of its witnesses was lost, and the host declared dead once the store was back.

Cause: a renewal that got no answer may or may not have put new witnesses in force.

Now promises count if a majority of the witnesses of before and one of the attempted ones have given them; whichever list is in force, a majority of it cannot vote. No third list is tried until the record is known. Heartbeats go to both. In a new era they go on to the remembered witnesses, without counting.

Test, failing before: TestHostWithAnUncertainRenewalSendsHeartbeats.

--- a/internal/mesh/orderer_test.go
+++ b/internal/mesh/orderer_test.go
@@ -91,7 +91,7 @@
 // lives: if its witnesses heard nothing more of it, they would break its lease.
 func TestHostWithAnUncertainRenewalSendsHeartbeats(t *testing.T) {
 	a := newHosts(t, "a", "b", "c")["a"]
-	a.RenewalUncertain()
+	a.RenewalUncertain([]string{"b", "d"})
 	var hosts []string
 	for _, witness := range a.Witnesses() {
 		hosts = append(hosts, witness.Host)
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -342,17 +342,18 @@
 	case err == nil:
 		if !s.applyRecord(record) {
 			// It is not known which witnesses the record of the other era names.
-			s.State.RenewalUncertain()
+			s.State.RecordUnknown()
 			s.backOffStore()
 			return
 		}
 		s.storeBackoff = 0
 		s.State.Registered(own.Epoch, own.Witnesses, sent)
 	case registry.IsConflict(err):
-		s.State.RenewalUncertain()
+		// An earlier write of this record without an answer has succeeded, or the lease was
+		// broken.
 		s.rereadOwnRecord(ctx)
 	case errors.Is(err, objectapi.ErrAnswerLost):
-		s.State.RenewalUncertain()
+		s.State.RenewalUncertain(witnesses)
 		s.Log.Info("lease renewal uncertain: no answer from the store", "error", err.Error())
 		s.backOffStore()
 		s.rereadOwnRecord(ctx)
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -76,9 +76,12 @@
 	promisesAfter uint64
 	// renewedAt is the send time of the last successful write of this host's record.
 	renewedAt time.Time
-	// witnesses are the witnesses that this host's record names, nil while it is uncertain
-	// which record is in force.
+	// witnesses are the witnesses that this host's record names, nil while the record is
+	// not known.
 	witnesses []string
+	// attempted are the witnesses of later writes of the record that got no answer, nil if
+	// there was no such write. They may be in force instead.
+	attempted []string
 	chosenAt  time.Time
 	// renewalRequested is when a witness last asked for a renewal instead of promising.
 	renewalRequested time.Time
@@ -227,6 +230,7 @@
 	s.dropRetainedIfLapsed(sent)
 	s.epoch, s.lastEpoch = epoch, epoch
 	s.witnesses, s.recordWitnesses = witnesses, witnesses
+	s.attempted = nil
 	s.renewedAt = sent
 	s.unverified = false
 }
@@ -245,12 +249,24 @@
 	s.promisesAfter = revision
 }
 
-// RenewalUncertain records that a write of this host's record got no answer. Either the
-// old or the new witnesses are in force, so no promise counts until the record is read.
-func (s *State) RenewalUncertain() {
+// RenewalUncertain records that a write of this host's record with the given witnesses got
+// no answer. Either the witnesses of before or the new ones are in force, so promises count
+// only if a majority of both has given them. Until the record is known, ChooseWitnesses
+// returns no third list.
+func (s *State) RenewalUncertain(attempted []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.witnesses = nil
+	if !slices.Equal(s.witnesses, attempted) {
+		s.attempted = append([]string{}, attempted...)
+	}
+}
+
+// RecordUnknown records that it is not known which witnesses this host's record names, so
+// that no promise counts.
+func (s *State) RecordUnknown() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.witnesses, s.attempted = nil, nil
 }
 
 // LeaseLost records that this host's lease was found broken or missing.
--- a/internal/mesh/witnesses.go
+++ b/internal/mesh/witnesses.go
@@ -53,7 +53,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var peers []Peer
-	for _, host := range s.witnesses {
+	for _, host := range s.possibleWitnesses() {
 		if m, ok := s.members[host]; ok {
 			peers = append(peers, Peer{Host: host, Address: m.Address})
 		}
@@ -61,14 +61,38 @@
 	return peers
 }
 
-// majorityPromised returns the time from which a majority of the witnesses has promised,
-// or the zero time without witnesses.
+// possibleWitnesses returns the hosts that this host's record names, or may name. A host
+// that sent no heartbeats while it does not know would be taken for dead.
+func (s *State) possibleWitnesses() []string {
+	hosts := slices.Clone(s.witnesses)
+	if s.witnesses == nil {
+		hosts = slices.Clone(s.recordWitnesses)
+	}
+	hosts = append(hosts, s.attempted...)
+	slices.Sort(hosts)
+	return slices.Compact(hosts)
+}
+
+// majorityPromised returns the time from which a majority of the witnesses has promised, or
+// the zero time without witnesses. If one of two lists of witnesses may be in force, it is a
+// majority of both.
 func (s *State) majorityPromised() time.Time {
-	if len(s.witnesses) == 0 {
+	promised := s.majorityPromisedOf(s.witnesses)
+	if s.attempted == nil {
+		return promised
+	}
+	if attempted := s.majorityPromisedOf(s.attempted); attempted.Before(promised) {
+		return attempted
+	}
+	return promised
+}
+
+func (s *State) majorityPromisedOf(witnesses []string) time.Time {
+	if len(witnesses) == 0 {
 		return time.Time{}
 	}
-	times := make([]time.Time, 0, len(s.witnesses))
-	for _, host := range s.witnesses {
+	times := make([]time.Time, 0, len(witnesses))
+	for _, host := range witnesses {
 		times = append(times, s.peerOf(host).promisedAt)
 	}
 	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
@@ -115,6 +139,9 @@
 func (s *State) ChooseWitnesses(now time.Time) ([]string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.attempted != nil {
+		return s.attempted, true
+	}
 	if len(s.witnesses) > 0 && now.Sub(s.chosenAt) < minRechooseInterval {
 		return s.witnesses, false
 	}
