After an outage hosts have time to register before they are declared dead

Callers saw requests for adapters that were not loaded refused after an outage of the store in which hosts had restarted.

Cause: a process that starts while the store is away cannot register; without a lease it sends no heartbeats, and silence is how a dead host is known. 0.1 s after the store's return the first lease was broken, 0.4 s later those of all eight hosts, which all lived; they registered under new epochs and claimed most runners two or three times.

Now a host breaks no lease until 1.7 s after its records were last older than any follower lets them become while the store answers: a call that began in the outage ends within a second, the pause after it within half a second, the loop runs every 0.2 s. A host that is really lost is declared dead by that much later, after outages only.

Weighed: heartbeats of processes without a lease, so that only the silent are broken at once. Then a host that cannot reach the store would keep its runners without orders for as long as it lives.

--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -32,6 +32,13 @@
 	settleEraPause = 2 * time.Second
 	// deadRecordRetention is how long the record of a dead host is kept.
 	deadRecordRetention = 60 * time.Second
+	// outageAge is the age of this host's records from which the store counts as away. A host
+	// asks the store itself before they are that old.
+	outageAge = 5 * time.Second
+	// registrationTime is how long after an outage of the store all live hosts have
+	// registered: a call that began during the outage ends, the pause after it passes, and
+	// the main loop runs.
+	registrationTime = storeTimeout + watcherRetryPause + loopInterval
 )
 
 // Methods that peers call.
@@ -74,9 +81,10 @@
 	queries      int
 	storeRetryAt time.Time
 	storeBackoff time.Duration
-	// settleRetryAt is when an era may next be recorded as settled. Only Run's goroutine
-	// uses it.
+	// settleRetryAt is when an era may next be recorded as settled, outageAt when the store
+	// last counted as away. Only Run's goroutine uses them.
 	settleRetryAt time.Time
+	outageAt      time.Time
 }
 
 // Deps are the dependencies of a Service.
@@ -403,7 +411,7 @@
 // failOver breaks the leases of dead peers and claims runners without an owner.
 func (s *Service) failOver(ctx context.Context) {
 	now := s.Now()
-	breakable := s.State.Breakable(now)
+	breakable := s.breakable(now)
 	for _, dead := range breakable {
 		s.startBreak(ctx, dead)
 	}
@@ -425,6 +433,22 @@
 	}
 }
 
+// breakable returns the peers to declare dead. After an outage of the store, or of this
+// host's path to it, it first leaves the others time to register.
+//
+// Hosts that restart while the store is away cannot register, so they have no lease and are
+// silent. When the store was back they were declared dead, though all of them lived, and
+// every runner changed owners several times while requests for it were refused.
+func (s *Service) breakable(now time.Time) []DeadHost {
+	if s.freshness.age(Kind) > outageAge {
+		s.outageAt = now
+	}
+	if now.Sub(s.outageAt) < registrationTime {
+		return nil
+	}
+	return s.State.Breakable(now)
+}
+
 func (s *Service) claim(ctx context.Context, claim Claim) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
