--- a/internal/mesh/breakattempt_test.go
+++ b/internal/mesh/breakattempt_test.go
@@ -110,6 +110,15 @@
 	}
 }
 
+// confirmRecords confirms the records of hosts and owners as a follower does while the store
+// answers.
+func confirmRecords(ctx context.Context, s *Service) {
+	for ctx.Err() == nil {
+		s.Confirmed(Kind, time.Now())
+		time.Sleep(loopInterval)
+	}
+}
+
 type noStatus struct{}
 
 func (noStatus) Status() any                           { return struct{}{} }
@@ -128,6 +137,7 @@
 			defer close(done)
 			s.Run(ctx)
 		}()
+		go confirmRecords(ctx, s)
 		time.Sleep(testTiming.breakTimeout() + 3*time.Second)
 		before := asked()
 		lapsed := 0
--- a/internal/mesh/orderer_test.go
+++ b/internal/mesh/orderer_test.go
@@ -131,3 +131,80 @@
 	s.fleet.Put(renewed)
 	must.True(t, promises(s.State, "a", registry.Position{}, testStart))
 }
+
+// A vote was given before the store was restored, and the write that breaks the lease succeeds
+// afterwards, since the record is still the same. The voter must not promise for that record in
+// the new era.
+func TestVoteOutlastsARestore(t *testing.T) {
+	b := newHosts(t, "a", "b")["b"]
+	late := testStart.Add(testTiming.breakTimeout())
+	b.Registered(1, nil, late)
+	must.True(t, b.Vote("a", registry.Position{Revision: 1}, late))
+	b.BeginEra(1, late)
+	must.False(t, promises(b, "a", registry.Position{Era: 1}, late))
+	must.True(t, promises(b, "a", registry.Position{Era: 1, Revision: 3}, late))
+}
+
+// A broken record is removed, and the host comes back while another host, which knows of the
+// removal, replaces one of its claims. Under the epoch of before, the claim would be in force.
+func TestRecreatedRecordHasANewEpoch(t *testing.T) {
+	a := newHosts(t, "a", "b")["a"]
+	a.AdvanceTo(registry.Position{Revision: 120})
+	must.Eq(t, 121, a.NextEpoch(HostRecord{}))
+	must.Eq(t, 3, a.NextEpoch(HostRecord{Epoch: 3}), must.Sprint("a process that restarts keeps its claims"))
+}
+
+// A renewal without an answer may have put other witnesses in force. They alone decide then
+// whether the lease is broken, so a majority of the former ones does not keep it.
+func TestUncertainRenewalNeedsBothMajorities(t *testing.T) {
+	a := newHosts(t, "a", "b", "c", "d", "e", "f")["a"]
+	a.Registered(1, []string{"b", "c", "d"}, testStart)
+	a.RenewalUncertain([]string{"b", "e", "f"})
+	promised := testStart.Add(testTiming.Lease / 2)
+	for _, host := range []string{"b", "c", "d"} {
+		a.PromiseReceived(host, promised)
+	}
+	must.Eq(t, testStart.Add(testTiming.Lease), a.ValidUntil())
+	a.PromiseReceived("e", promised)
+	must.Eq(t, promised.Add(testTiming.Lease), a.ValidUntil())
+}
+
+// A restarted witness promises for no record that is older than its registration. If the host
+// did not write a newer one, it would be short of a witness for as long as it has a majority.
+func TestHostRenewsForARestartedWitness(t *testing.T) {
+	hosts := newHosts(t, "a", "b", "c", "d")
+	a := hosts["a"]
+	hosts["b"].PromiseAfter(90)
+	now := testStart
+	for range 8 {
+		now = now.Add(heartbeatInterval)
+		for _, witness := range []string{"b", "c", "d"} {
+			promised, renew := hosts[witness].ReceiveHeartbeat("a", registry.Position{}, testStart)
+			must.Eq(t, witness == "b", renew)
+			if promised {
+				a.PromiseReceived(witness, now)
+			}
+			if renew {
+				a.RenewalRequested(now)
+			}
+		}
+	}
+	must.True(t, a.NeedsRenewal(now))
+	a.Registered(1, []string{"b", "c", "d"}, now)
+	must.False(t, a.NeedsRenewal(now.Add(heartbeatInterval)))
+}
+
+// The store is back after an outage. Hosts that restarted meanwhile were silent because they
+// could not register; they need a moment before they can be told from dead ones.
+func TestNoLeaseIsBrokenRightAfterAnOutage(t *testing.T) {
+	s := newFollowingService(t, "b", registry.Position{Revision: 10},
+		recordOf(t, hostRecordName("b"), HostRecord{Epoch: 1}, 1),
+		recordOf(t, hostRecordName("a"), HostRecord{Epoch: 1, Witnesses: []string{"b"}}, 2))
+	back := testStart.Add(10 * time.Second)
+	s.freshness.now = func() time.Time { return back }
+	s.Confirmed(Kind, testStart)
+	must.SliceEmpty(t, s.breakable(back.Add(-loopInterval)))
+	s.Confirmed(Kind, back)
+	must.SliceEmpty(t, s.breakable(back))
+	must.Len(t, 1, s.breakable(back.Add(registrationTime)))
+}
--- a/internal/registry/replica_test.go
+++ b/internal/registry/replica_test.go
@@ -216,3 +216,17 @@
 		})
 	}
 }
+
+// A peer's changes leave a difference. If the position moved all the same, the replica would
+// count as complete up to it, and what is missing as removed.
+func TestIncompleteChangesDoNotMoveThePosition(t *testing.T) {
+	r := NewReplica()
+	var moved []Position
+	r.OnPosition = func(at Position) { moved = append(moved, at) }
+	first := Position{Revision: 10}
+	r.Listed([]Record{{Name: "a", Revision: 5}}, first)
+	must.False(t, r.MergeChanges(Snapshot{Position: Position{Revision: 20}, Since: 10, Digest: 1}, r.Version()))
+	must.Eq(t, first, r.Position())
+	must.True(t, r.MergeChanges(Snapshot{Position: Position{Revision: 20}, Since: 10, Digest: r.Version().Digest}, r.Version()))
+	must.Eq(t, []Position{first, {Revision: 20}}, moved)
+}
