No promise for a lease that is known to be broken

What callers would see: a runner ordered by two hosts just after a host that was cut off is back.

Cause: a witness refused to promise only while the peer's record was the very one that it had voted on. The write that broke the lease gives the record another revision, so all witnesses that knew of the break promised again. A host that is back and does not know yet had a valid lease until the news reached it, beside its runners' new owners.

Now a witness that knows that the lease is broken promises only once the peer says that its record is a later one.

Test, failing before: TestNoPromiseForABrokenLease, with its safeguard.

--- a/internal/mesh/orderer_test.go
+++ b/internal/mesh/orderer_test.go
@@ -208,3 +208,14 @@
 	must.SliceEmpty(t, s.breakable(back))
 	must.Len(t, 1, s.breakable(back.Add(registrationTime)))
 }
+
+// A host was cut off, and its lease was broken. It is back and does not know yet. If its
+// witnesses, which know, promised again, it would order its former runners beside their new
+// owners until it learns of the break.
+func TestNoPromiseForABrokenLease(t *testing.T) {
+	b := newHosts(t, "a", "b", "c")["b"]
+	b.Apply([]registry.Change{change(t, hostRecordName("a"), HostRecord{Epoch: 1, Broken: true}, 100)}, testStart)
+	must.False(t, promises(b, "a", registry.Position{}, testStart))
+	must.False(t, promises(b, "a", registry.Position{Revision: 99}, testStart))
+	must.True(t, promises(b, "a", registry.Position{Revision: 101}, testStart), must.Sprint("the host has registered again"))
+}
--- a/internal/mesh/witnesses.go
+++ b/internal/mesh/witnesses.go
@@ -13,9 +13,10 @@
 //
 // A host whose own lease has expired does not promise: its lease may be broken without its
 // knowledge, and a broken witness counts as a vote to break. Neither does a host that has
-// agreed to break this lease, until a newer record shows that the lease was kept, nor one
-// in another era of the store: there the peer's record may name other witnesses, who may
-// break its lease.
+// agreed to break this lease, until a newer record shows that the lease was kept, or that
+// knows that it was broken: the peer may not know that yet, and would order on. Nor does a
+// host in another era of the store: there the peer's record may name other witnesses, who
+// may break its lease.
 //
 // at is the position of the peer's record as the peer knows it. Its revision is 0 if the peer
 // did not send it. If only a newer record is missing, renew is set.
@@ -27,8 +28,9 @@
 	if at.Era != s.era || !now.Before(s.validUntil()) {
 		return false, false
 	}
+	isBroken := s.members[host].Broken && at.Revision <= peer.revision
 	at.Revision = max(at.Revision, peer.revision)
-	renew = at.Revision <= s.promisesAfter || peer.mayBeBroken(at)
+	renew = isBroken || at.Revision <= s.promisesAfter || peer.mayBeBroken(at)
 	return !renew, renew
 }
 
