A replica passes on records that are newer than its first position

What: a replica that begins an era, or its first listing, forgot that records newer than the new position are changes after it. They come with a peer's records: the peer has just written them itself. The replica then left them out of the changes that it passes on, for as long as they did not change again. The digests show that, but a host that has written a record of its own meanwhile cannot compare them, and took itself for complete without the record.

Why: package mesh decides by "complete up to" that a host without a record has no claims in force.

Result: beginEra notes these records as changes. TestChangesIncludeRecordsThatCameBeforeTheirPosition fails without it ("complete up to 15 without a record of revision 12") and passes with it; the package's tests pass.

--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -276,16 +276,20 @@
 // beginEra drops what depends on revisions of another era. The caller holds r.mu. Records
 // that remain existed at the new position, so their revisions are reduced to it: with its
 // former revision a record would seem newer than the next change to it.
+//
+// Where revisions matter, either the records equal those of a peer, revisions included, or
+// the caller has replaced them. Those that the peer has written after its position are
+// changes after it, which other hosts may lack.
 func (r *Replica) beginEra(at Position) {
 	r.history = newHistory()
-	if r.digestRevisions {
-		// Either the records equal those of a peer, revisions included, or the caller has
-		// replaced them.
-		return
-	}
 	for name, record := range r.records {
-		record.Revision = min(record.Revision, at.Revision)
-		r.records[name] = record
+		switch {
+		case !r.digestRevisions:
+			record.Revision = min(record.Revision, at.Revision)
+			r.records[name] = record
+		case record.Revision > at.Revision:
+			r.history.noteChange(name, record.Revision)
+		}
 	}
 }
 
