A replica passes on removals that it had noted before the peer told of them

What: a record that a host has found missing by a read is dropped, as of the position that the replica is at. When a peer's changes then name the removal, it was not noted again, since the record was gone already. Hosts that asked for the changes after that position were not told of the removal. One that has written a record itself meanwhile cannot compare digests, and kept the removed record until it changed or all was listed again.

Result: names that a peer removed are noted whether the record is known or not. TestChangesIncludeRemovalsThatCameBeforeTheirPosition fails without it ("complete up to 15 with a record that was removed in revision 12") and passes with it; the package's tests pass.

--- a/internal/registry/completeness_test.go
+++ b/internal/registry/completeness_test.go
@@ -25,6 +25,23 @@
 	must.True(t, ok || third.Revision() < 12, must.Sprintf("complete up to %d without a record of revision 12", third.Revision()))
 }
 
+// A host learns of a removal by a read, then moves on with a peer's changes. A third host asks
+// it for changes and would keep the removed record for good.
+func TestChangesIncludeRemovalsThatCameBeforeTheirPosition(t *testing.T) {
+	watcher, reader, third := NewReplica(), NewReplica(), NewReplica()
+	for _, r := range []*Replica{watcher, reader, third} {
+		r.Listed([]Record{record("host", 5)}, at(10))
+	}
+	watcher.Changed([]Change{{Record: record("host", 12), Removed: true}}, at(15))
+	reader.Drop("host", 0)
+	mergeChanges(reader, watcher)
+	must.Eq(t, 15, reader.Revision())
+	third.Put(record("own", 16))
+	mergeChanges(third, reader)
+	_, ok := third.Get("host")
+	must.False(t, ok && third.Revision() >= 12, must.Sprintf("complete up to %d with a record that was removed in revision 12", third.Revision()))
+}
+
 // mergeChanges has a host fetch the changes of a peer.
 func mergeChanges(r, from *Replica) {
 	base := r.Version()
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -419,10 +419,16 @@
 		r.set(record)
 	}
 	for _, name := range snapshot.Removed {
-		if record, ok := r.records[name]; ok && record.Revision <= snapshot.Revision {
+		record, known := r.records[name]
+		if known && record.Revision > snapshot.Revision {
+			continue
+		}
+		if known {
 			changes = append(changes, Change{Record: record, Removed: true})
-			r.remove(name, snapshot.Revision)
 		}
+		// Noted even if the record is not known: a host that still has it asks for the
+		// changes after an earlier position than this replica dropped it at.
+		r.remove(name, snapshot.Revision)
 	}
 	return changes
 }
