An order is checked against the lease last, after the wait for the lock

What: Controller.order asked whether it may order, then took the controller's lock, then sent. The time that it waited for the lock, or that the process stood still there, was not part of what the check covers: the margin and the time limit of the order itself, which begins to run afterwards.

Result: the check is the last step before the order is sent. An order that is not sent is not recorded as unanswered. TestOrderIsNotSentAfterTheLease fails without it ("accepted" instead of "rejected"), passes with it, also three times under the race detector; the package's tests pass.

--- a/internal/adapters/orders.go
+++ b/internal/adapters/orders.go
@@ -11,19 +11,23 @@
 // order sends one order to the runner for the current sequence number. The order
 // counts as unanswered until an answer arrives.
 func (c *Controller) order(ctx context.Context, load bool, key Key) Outcome {
-	now := c.Now()
-	token, ok := c.Authority.MayOrder(c.runner.Address, now)
-	if !ok {
-		return OutcomeRejected
-	}
 	c.mu.Lock()
 	sequence := c.slots.Sequence
 	free, waiting := c.slots.Free(), len(c.pending)
 	inProgress, fetched := c.slots.InProgress()
 	// Recorded before it is sent, since the controller may be stopped while it waits
 	// for the answer.
-	answered := c.slots.Unanswered.add(sequence, load, now)
+	answered := c.slots.Unanswered.add(sequence, load, c.Now())
 	c.mu.Unlock()
+	// Checked last, since the lease may end while this goroutine waits for the lock.
+	now := c.Now()
+	token, ok := c.Authority.MayOrder(c.runner.Address, now)
+	if !ok {
+		c.mu.Lock()
+		answered()
+		c.mu.Unlock()
+		return OutcomeRejected
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	answer, err := c.Engines.Order(ctx, c.runner.Address, Order{
