A load without an answer stays in doubt when its repetition is refused

What: orderLoad repeats a load that got no answer, and returned the outcome of the last order alone. Where the repetition was rejected or fenced, or was not sent because the lease had ended, the load counted as not carried out and its slot as free.

Why: the refusal says nothing of the order before it. If the report that is read next is older than that order, the controller orders one load more than fits, which crashes the runner.

Result: such a load is in doubt, as one without any answer is, until a report settles it.

--- a/internal/adapters/doubt_test.go
+++ b/internal/adapters/doubt_test.go
@@ -42,3 +42,16 @@
 	must.SliceEmpty(t, engine.orders)
 	must.MapEmpty(t, c.slots.Unanswered)
 }
+
+// A load gets no answer, and its repetition is refused because the lease has ended or the runner
+// turns it away. The first order may be carried out all the same. If its slot counted as free, a
+// report from before it would let a further load exceed the runner's slots, which crashes it.
+func TestLoadStaysInDoubtWhenItsRepetitionIsRefused(t *testing.T) {
+	for _, refused := range []Outcome{OutcomeRejected, OutcomeFenced} {
+		now := epoch
+		c := newTestController(&now, 1, &fakeEngine{answers: []Outcome{OutcomeUnknown, refused}})
+		c.loadAdapter(t.Context(), testKey(1))
+		must.Eq(t, 1, c.slots.InDoubt(), must.Sprint(refused))
+		must.Eq(t, 0, c.slots.Free(), must.Sprint(refused))
+	}
+}
--- a/internal/adapters/orders.go
+++ b/internal/adapters/orders.go
@@ -105,8 +105,12 @@
 	outcome := c.order(ctx, true, key)
 	for try := 1; try < maxOrderTries && outcome == OutcomeUnknown; try++ {
 		outcome = c.order(ctx, true, key)
-		if outcome == OutcomeConflict {
+		switch outcome {
+		case OutcomeConflict:
 			return OutcomeAccepted
+		case OutcomeRejected, OutcomeFenced:
+			// This says nothing of the orders before, which may be carried out.
+			return OutcomeUnknown
 		}
 	}
 	return outcome
