An order is checked against the lease once more when it is written

What: between the check of the lease and the write of an order lie the connection's set-up and the HTTP client's goroutines. A process that stood still there sent the order when it ran again, whatever had become of its lease: the order's time limit passes while it stands still, but the write does not wait for that. Orders now name a check that the connection makes right before it writes.

Why: the successor takes over 4.7 s after the last promise, and a suspension may be longer. The runner refuses a lower token only once the successor has given an order.

A check of the body instead of the connection was tried first: the HTTP client then sends the headers by themselves, so the runner gets half an order. What remains is a pause between this check and the system call.

--- a/internal/adapters/engines.go
+++ b/internal/adapters/engines.go
@@ -20,6 +20,9 @@
 	Token  uint64
 	// Instance identifies the runner that the order is meant for.
 	Instance string
+	// Valid reports whether the order may still be sent. It is called right before the order
+	// is written, and may be nil.
+	Valid func() bool
 }
 
 // Outcome is the result of an order.
--- a/internal/adapters/orders.go
+++ b/internal/adapters/orders.go
@@ -31,7 +31,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	answer, err := c.Engines.Order(ctx, c.runner.Address, Order{
-		Load: load, Key: key, Sequence: sequence, Holder: c.Holder, Token: token, Instance: c.runner.Instance,
+		Load: load, Key: key, Sequence: sequence, Holder: c.Holder, Token: token, Instance: c.runner.Instance, Valid: c.mayOrder,
 	})
 	c.passSignal(answer.Signal)
 	outcome := answer.Outcome
@@ -49,6 +49,12 @@
 	return outcome
 }
 
+// mayOrder reports whether this host may give orders to the runner now.
+func (c *Controller) mayOrder() bool {
+	_, ok := c.Authority.MayOrder(c.runner.Address, c.Now())
+	return ok
+}
+
 // unansweredOrders returns the orders that may still be carried out in a later
 // lifetime.
 func (c *Controller) unansweredOrders(now time.Time) LateOrders {
