An owner that takes a runner over again still answers for its earlier evictions

What: a host that has lost its lease and taken the runner over again answered the question "have you evictions in flight?" for its latest ownership only. The intents of its earlier one counted as finished, by its own answer to itself too, while such an eviction could still be on its way, for example in a connection attempt.

Why: once an order's life has passed after that, the model gets pins again, and the late eviction hits a request (on engines that ignore fencing tokens). Class of ONE: what a process has under way is forgotten by a new beginning.

Result: an ownership keeps the earlier ones that had evictions in flight when it began. TestEvictionsOfAnEarlierOwnershipAreStillOut fails without it (no evictions reported) and passes with it, five times under the race detector.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -108,6 +108,9 @@
 	orderSeq          int
 	evictionSeq       int
 	evictionsInFlight int
+	// earlier are this host's earlier ownerships of the runner that had evictions in flight
+	// when this one began.
+	earlier []*managedRunner
 }
 
 // New returns a controller that owns no runners.
--- a/internal/control/evict.go
+++ b/internal/control/evict.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -192,3 +193,19 @@
 	defer m.mu.Unlock()
 	m.evictionsInFlight += n
 }
+
+// hasEvictionsBefore reports whether evictions of this ownership are in flight and its fencing
+// token is lower than fence.
+func (m *managedRunner) hasEvictionsBefore(fence uint64) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.evictionsInFlight > 0 && m.record.Fence < fence
+}
+
+// ownershipsWithEvictions returns those of this ownership and the earlier ones that have
+// evictions in flight.
+func (m *managedRunner) ownershipsWithEvictions() []*managedRunner {
+	return slices.DeleteFunc(append(slices.Clone(m.earlier), m), func(ownership *managedRunner) bool {
+		return !ownership.hasEvictionsBefore(math.MaxUint64)
+	})
+}
--- a/internal/control/ownership.go
+++ b/internal/control/ownership.go
@@ -102,11 +102,14 @@
 	m.done = make(chan struct{})
 	c.mu.Lock()
 	old := c.runners[host.ID]
-	c.runners[host.ID] = m
 	c.mu.Unlock()
 	if old != nil {
 		old.stop()
+		m.earlier = old.ownershipsWithEvictions()
 	}
+	c.mu.Lock()
+	c.runners[host.ID] = m
+	c.mu.Unlock()
 	c.deps.Holder.ObserveFence(host.ID, record.Fence)
 	c.deps.Log.Info("runner taken over", "runner", host.ID, "fence", record.Fence, "intents", len(record.Intents))
 	go c.manage(runCtx, m)
--- a/internal/control/pins.go
+++ b/internal/control/pins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/loading"
@@ -204,10 +205,11 @@
 	c.mu.Lock()
 	m := c.runners[p.Runner]
 	c.mu.Unlock()
-	if m != nil {
-		m.mu.Lock()
-		result.OrdersOut = m.evictionsInFlight > 0 && m.record.Fence < p.Fence
-		m.mu.Unlock()
+	if m == nil {
+		return result
+	}
+	for _, ownership := range append(slices.Clone(m.earlier), m) {
+		result.OrdersOut = result.OrdersOut || ownership.hasEvictionsBefore(p.Fence)
 	}
 	return result
 }
