A runner whose ownership has ended is released later if its record still names the host

What: an ownership ends without a word in the runner's record if the release cannot be written, or if the host's lease was broken and the host has renewed it since. The record then names a process whose lease holds. No other host may take the runner over, and the host itself does so only if it ranks first for it. Otherwise the runner had no owner until the process ended.

Why: a lease of one incarnation that has ended can be in force again, so the two records that a takeover reads, the runner's and the lease, no longer say that the ownership has ended. It is not a second owner, but none.

Result: once all work of the ended ownership is done and another host is to own the runner, the host releases the record, conditional on its version. The tests of internal/node were not run yet.

--- a/internal/control/controller.go
+++ b/internal/control/controller.go
@@ -108,6 +108,8 @@
 	orderSeq          int
 	evictionSeq       int
 	evictionsInFlight int
+	// released is set once the runner's record does not name this ownership any more.
+	released bool
 	// earlier are this host's earlier ownerships of the runner that had evictions in flight
 	// when this one began.
 	earlier []*managedRunner
--- a/internal/control/ownership.go
+++ b/internal/control/ownership.go
@@ -37,6 +37,8 @@
 			c.tryTakeOver(ctx, host)
 		case !wanted && m != nil && c.successorReady(host, now):
 			c.release(ctx, m)
+		case !wanted && m == nil && c.successorReady(host, now):
+			c.releaseEnded(ctx, host.ID)
 		}
 	}
 	for _, id := range c.Owned() {
@@ -145,10 +147,63 @@
 	record, version := m.record, m.version
 	m.mu.Unlock()
 	if _, err := c.writeRecord(ctx, record.Release(), version); err != nil {
-		c.deps.Log.Warn("releasing runner failed; its next owner waits for this host's lease to end", "runner", m.host.ID, "error", err)
+		c.deps.Log.Warn("releasing runner failed; it is tried again", "runner", m.host.ID, "error", err)
+	} else {
+		m.markReleased()
+		c.deps.Log.Info("runner released", "runner", m.host.ID)
 	}
 	c.publishChange(m)
-	c.deps.Log.Info("runner released", "runner", m.host.ID)
+}
+
+// releaseEnded releases a runner whose ownership has ended although its record may still name
+// this process: the release failed, or the lease was broken and has been renewed. The lease
+// holds, so no other host could take the runner over.
+func (c *Controller) releaseEnded(ctx context.Context, id string) {
+	c.mu.Lock()
+	m := c.runners[id]
+	c.mu.Unlock()
+	if m == nil || !m.isFinished() || m.isReleased() {
+		return
+	}
+	record, version, err := c.readRecord(ctx, id)
+	if err != nil {
+		return
+	}
+	if record.OwnedBy(c.cfg.Self.Host, c.cfg.Self.Incarnation, m.fence()) {
+		if _, err := c.writeRecord(ctx, record.Release(), version); err != nil {
+			return
+		}
+		c.deps.Log.Info("runner released after its ownership had ended", "runner", id)
+	}
+	m.markReleased()
+}
+
+// isFinished reports whether all work on the runner has ended.
+func (m *managedRunner) isFinished() bool {
+	select {
+	case <-m.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func (m *managedRunner) markReleased() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.released = true
+}
+
+func (m *managedRunner) isReleased() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.released
+}
+
+func (m *managedRunner) fence() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.record.Fence
 }
 
 // forget drops a runner that the platform no longer lists.
