A quarantine record of a later round replaces what a host knows of an earlier one

What: a host ignored the record of a request that it had listed, whatever the rounds. One that knows the request as cleared in round 1 did not block it in round 2, unless a peer told it.

Why: rounds only rise, and a later round replaces an earlier one wherever else they meet. A host that hears the store and no peer is the case in which the record is all that it has.

Result: TestRecordOfALaterRoundIsApplied fails without it and passes with it; the tests of internal/quarantine and internal/entry pass.

--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -207,9 +207,10 @@
 }
 
 // Restore adds a quarantined request from a persistent record, which contains no times. It skips
-// confirmationDelay, so that a host blocks the request as soon as it starts.
+// confirmationDelay, so that a host blocks the request as soon as it starts. A record of a later
+// round than the known one replaces what is known.
 func (q *Quarantine) Restore(content Fingerprint, round int, now time.Time) bool {
-	if _, listed := q.list.Load().entries[content]; listed {
+	if known, listed := q.list.Load().entries[content]; listed && known.round >= round {
 		return false
 	}
 	return len(q.Merge([]Entry{{Content: content, Round: round, AgeMS: confirmationDelay.Milliseconds()}}, now)) > 0
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -202,6 +202,16 @@
 	must.Eq(t, 2, q.Snapshot(epoch)[1])
 }
 
+// A request that this host knows as cleared became suspect again on other hosts, of which it
+// hears nothing. The record of the later round must block it here too.
+func TestRecordOfALaterRoundIsApplied(t *testing.T) {
+	q := New()
+	q.Merge([]Entry{{Content: 1, Round: 1, Cleared: true}}, epoch)
+	must.False(t, q.Restore(1, 1, epoch), must.Sprint("cleared since"))
+	must.True(t, q.Restore(1, 2, epoch))
+	must.True(t, blocked(q, 1, 0))
+}
+
 // Hosts that receive the same entries in any order and any number of times end up with the same
 // list.
 func TestHostsConverge(t *testing.T) {
