Leadership is dated from the first records, not from the start

What callers would see: after a process that starts beside an outage, more than a workspace's quota for a moment. Cause: leadership counted from the start of the process although its first records came seconds later and showed another leader that was declared dead meanwhile; what it granted was granted again. Orders do not depend on it. Now it counts from the first records if they came later than it takes for all to know of a change.

--- a/internal/mesh/leadership.go
+++ b/internal/mesh/leadership.go
@@ -56,6 +56,10 @@
 		return Leadership{}, false
 	}
 	since := s.started
+	if s.firstRecordsAt.Sub(s.started) > membershipSettle {
+		// Another host may have led the key until shortly before these records.
+		since = s.firstRecordsAt
+	}
 	if settled := s.membershipChanged.Add(membershipSettle); !s.membershipChanged.IsZero() && settled.After(since) {
 		since = settled
 	}
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -64,6 +64,8 @@
 	peers   map[string]*peerState
 	// started is when this process started, before it heard from any other.
 	started time.Time
+	// firstRecordsAt is when the first records became known.
+	firstRecordsAt time.Time
 	// epoch is the epoch of this process, 0 until it is registered. lastEpoch is its last
 	// non-zero value.
 	epoch     int64
@@ -147,6 +149,9 @@
 	for _, change := range changes {
 		s.applyChange(change, now)
 	}
+	if !known && len(s.members) > 0 {
+		s.firstRecordsAt = now
+	}
 	if known && !slices.Equal(before.hosts, s.currentMembership().hosts) {
 		s.membershipChanged = now
 	}
