A read that finds no record removes none that is newer than the read

What callers would see: a runner ordered by two hosts. Cause: `Drop` removed a record by its name, whatever the replica had learnt since the read was sent. If the watch had brought the record of a host that registered anew, the replica was then complete up to a position without it, no watch brings it again, and the claims of a live host counted as ended. Now a record is dropped only if it is the one that was known before the read.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -356,6 +356,6 @@
 		s.log.Info("could not delete quarantine record", "record", record.Name, "error", err.Error())
 		return
 	}
-	s.records.Drop(record.Name, era)
+	s.records.Drop(record, era)
 	s.log.Info("quarantine record deleted", "record", record.Name)
 }
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -384,10 +384,11 @@
 func (s *Service) rereadOwnRecord(ctx context.Context) {
 	sent := s.Now()
 	era := s.fleet.Position().Era
+	known, _ := s.fleet.Get(hostRecordName(s.Self.Host))
 	record, err := s.Store.Get(ctx, Kind, hostRecordName(s.Self.Host))
 	if registry.IsNotFound(err) {
 		s.State.LeaseLost(s.Now())
-		s.fleet.Drop(hostRecordName(s.Self.Host), era)
+		s.fleet.Drop(known, era)
 		return
 	}
 	if err != nil {
@@ -476,12 +477,13 @@
 		return
 	}
 	era := s.fleet.Position().Era
+	known, _ := s.fleet.Get(name)
 	record, err := s.Store.Get(ctx, Kind, name)
 	switch {
 	case err == nil:
 		s.applyRecord(record)
 	case registry.IsNotFound(err):
-		s.fleet.Drop(name, era)
+		s.fleet.Drop(known, era)
 	default:
 		s.Log.Debug("reading record failed", "record", name, "error", err.Error())
 	}
--- a/internal/registry/completeness_test.go
+++ b/internal/registry/completeness_test.go
@@ -33,7 +33,7 @@
 		r.Listed([]Record{record("host", 5)}, at(10))
 	}
 	watcher.Changed([]Change{{Record: record("host", 12), Removed: true}}, at(15))
-	reader.Drop("host", 0)
+	reader.Drop(record("host", 5), 0)
 	mergeChanges(reader, watcher)
 	must.Eq(t, 15, reader.Revision())
 	third.Put(record("own", 16))
--- a/internal/registry/era_test.go
+++ b/internal/registry/era_test.go
@@ -177,7 +177,7 @@
 	_, there = r.Get("claim")
 	must.False(t, there)
 	r.Listed([]Record{record("again", 56)}, inEra(3, 56))
-	r.Drop("again", 2)
+	r.Drop(record("again", 56), 2)
 	_, there = r.Get("again")
 	must.True(t, there)
 }
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -522,13 +522,15 @@
 	})
 }
 
-// Drop removes a record because the store, in the given era, had none of that name.
-func (r *Replica) Drop(name string, era Era) {
+// Drop removes a record that was known before a read, because the store, in the given era,
+// had none of that name. A record of another revision is kept: it may be newer than the read.
+func (r *Replica) Drop(known Record, era Era) {
 	r.update(func() ([]Change, bool, bool) {
-		if _, known := r.records[name]; !known || era != r.position.Era {
+		record, ok := r.records[known.Name]
+		if !ok || record.Revision != known.Revision || era != r.position.Era {
 			return nil, false, false
 		}
-		r.remove(name, r.position.Revision)
-		return []Change{{Record: Record{Name: name}, Removed: true}}, false, true
+		r.remove(known.Name, r.position.Revision)
+		return []Change{{Record: Record{Name: known.Name}, Removed: true}}, false, true
 	})
 }
