A restore of the store does not end the doubt about a renewal

Cause: a new era dropped the witnesses of a renewal that got no answer. Its write may be in the restored record, or still find the same revision there, so the promises of the earlier witnesses alone do not show that the lease holds.

Test, failing before: TestUncertainRenewalOutlivesAnEra. Needs an outage, a write that is held up and a restore together; not seen.

--- a/internal/mesh/eras.go
+++ b/internal/mesh/eras.go
@@ -90,7 +90,7 @@
 	if s.unverified && s.witnesses != nil {
 		s.recordWitnesses = s.witnesses
 	}
-	s.witnesses, s.attempted = nil, nil
+	s.witnesses = nil
 	// Hosts that joined or left in the part that the store has lost appear again a moment
 	// later, so a new era counts as a join.
 	s.lastJoin = now
