A host without a record takes an epoch above the store's revision, always

Cause: register began with epoch 1 where no record was found, so that the rule of the commit on claims never applied; and the revision was the state's, which learns of a listing a moment later than the loop that registers. Now the replica's revision is read after the record and handed over. What could come of it: a host whose broken record had been removed registers under an epoch that an old claim names, and orders by it while another host replaces it.

--- a/internal/mesh/eras.go
+++ b/internal/mesh/eras.go
@@ -135,17 +135,17 @@
 }
 
 // NextEpoch returns the epoch for a new record of this host, given the stored one, which is
-// the zero value if there is none. It is at least its last epoch and higher than any epoch
+// the zero value if there is none at the given revision of the store. It is at least its last epoch and higher than any epoch
 // whose lease was broken, including epochs that the store has lost.
 //
 // Without a stored record it is also higher than the store's revision, and so than the epoch
 // of a record that was removed. Else a claim of that record would be in force again, while
 // another host is replacing it.
-func (s *State) NextEpoch(stored HostRecord) int64 {
+func (s *State) NextEpoch(stored HostRecord, revision uint64) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if stored.Epoch == 0 {
-		stored.Epoch = int64(s.revision) + 1
+		stored.Epoch = int64(revision) + 1
 	}
 	next := max(stored.Epoch, s.lastEpoch, s.endedLeases[s.self].epoch+1)
 	if stored.Broken && next == stored.Epoch {
--- a/internal/mesh/eras_test.go
+++ b/internal/mesh/eras_test.go
@@ -119,12 +119,12 @@
 	a.Apply([]registry.Change{change(t, hostRecordName("a"), HostRecord{Epoch: 1, Broken: true}, 100)}, now)
 	must.Eq(t, 0, a.Epoch())
 	a.BeginEra(1, now)
-	must.Eq(t, 2, a.NextEpoch(HostRecord{Epoch: 1}))
+	must.Eq(t, 2, a.NextEpoch(HostRecord{Epoch: 1}, 50))
 	a.Registered(2, nil, now)
 	a.BeginEra(2, now)
 	a.Apply([]registry.Change{change(t, hostRecordName("a"), HostRecord{Epoch: 1, Broken: true}, 40)}, now)
 	must.Eq(t, 2, a.Epoch())
-	must.Eq(t, 2, a.NextEpoch(HostRecord{Epoch: 1, Broken: true}))
+	must.Eq(t, 2, a.NextEpoch(HostRecord{Epoch: 1, Broken: true}, 50))
 }
 
 // The store has lost that a dead host's lease was broken. The lease is broken again at
--- a/internal/mesh/orderer_test.go
+++ b/internal/mesh/orderer_test.go
@@ -149,9 +149,8 @@
 // removal, replaces one of its claims. Under the epoch of before, the claim would be in force.
 func TestRecreatedRecordHasANewEpoch(t *testing.T) {
 	a := newHosts(t, "a", "b")["a"]
-	a.AdvanceTo(registry.Position{Revision: 120})
-	must.Eq(t, 121, a.NextEpoch(HostRecord{}))
-	must.Eq(t, 3, a.NextEpoch(HostRecord{Epoch: 3}), must.Sprint("a process that restarts keeps its claims"))
+	must.Eq(t, 121, a.NextEpoch(HostRecord{}, 120))
+	must.Eq(t, 3, a.NextEpoch(HostRecord{Epoch: 3}, 120), must.Sprint("a process that restarts keeps its claims"))
 }
 
 // A renewal without an answer may have put other witnesses in force. They alone decide then
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -236,12 +236,12 @@
 		return
 	}
 	name := hostRecordName(s.Self.Host)
-	own := HostRecord{Epoch: 1}
+	var own HostRecord
 	current, _ := s.fleet.Get(name)
 	if _, m, ok := decodeHost(current); ok {
 		own = m.HostRecord
 	}
-	own.Epoch, own.Broken = s.State.NextEpoch(own), false
+	own.Epoch, own.Broken = s.State.NextEpoch(own, s.fleet.Revision()), false
 	own.Address, own.DataCentre, own.Incarnation = s.Address, s.DataCentre, s.Self.Incarnation
 	// A process that has just started knows no hosts yet and keeps the witnesses of its
 	// record. The same applies to a record that the store has lost.
