--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -166,10 +166,11 @@
 }
 
 // ownRecordRevision returns the revision of this host's record as known in an era, 0 if there
-// is none.
+// is none or its lease was broken.
 func (s *Service) ownRecordRevision(era registry.Era) uint64 {
 	record, _ := s.fleet.Get(hostRecordName(s.Self.Host))
-	if s.fleet.Position().Era != era {
+	_, own, ok := decodeHost(record)
+	if !ok || own.Broken || s.fleet.Position().Era != era {
 		return 0
 	}
 	return record.Revision
