Models of claims and epochs, and of votes and promises

OrdererState explores claims, epochs and removed records of two hosts whose watches lag while reads of single records run ahead; leases have there the effect that LeaseState shows. LeaseState explores one lease: its holder, a witness that restarts and loses its own lease, and a third host that lags and is the other possible witness.

--- a/spec/spec.go
+++ b/spec/spec.go
@@ -2,8 +2,10 @@
 // explored exhaustively within bounds. State covers the ownership of one runner:
 // leases, fencing tokens, pins, recalls, eviction intents, delayed orders, a
 // paused owner, and an engine that checks or ignores fencing tokens. StoreState
-// covers the configuration head and claims, QuotaState the counting of quotas, and
-// EraState a store that is restored from a backup.
+// covers the configuration head and claims, QuotaState the counting of quotas,
+// EraState a store that is restored from a backup, OrdererState epochs and claims of a
+// runner by hosts that restart and lag, and LeaseState the votes and promises on which
+// their leases depend.
 //
 // Each safeguard can be switched off; the exploration then finds a state that
 // violates an invariant.
