Without VotesOutlastLag the votes model keeps its other safeguards

The switch also took out PromisesAfterRegistration and BrokenLeasesEnd, so the violation that it found might have been theirs. Now it leaves out only votes on revisions that the voter does not know.

--- a/spec/votes.go
+++ b/spec/votes.go
@@ -341,6 +341,9 @@
 func (s *LeaseState) promises(v int, g LeaseSafeguards) bool {
 	voter := s.Voters[v]
 	after := voter.Voted
+	if !g.VotesOutlastLag && voter.Known != voter.Voted {
+		after = 0
+	}
 	if v == 0 {
 		if _, own := s.latest(witnessRecord, s.Revision); !s.Registered || own.Broken && g.PromisesNeedLease {
 			return false
@@ -350,9 +353,6 @@
 	if s.Log[voter.Known].Broken && g.BrokenLeasesEnd {
 		after = max(after, voter.Known)
 	}
-	if !g.VotesOutlastLag {
-		return voter.Known != voter.Voted
-	}
 	return max(voter.Known, s.holderKnows()) > after
 }
 
