--- a/internal/mesh/orderer_test.go
+++ b/internal/mesh/orderer_test.go
@@ -199,22 +199,43 @@
 	s := newFollowingService(t, "b", registry.Position{Revision: 10},
 		recordOf(t, hostRecordName("b"), HostRecord{Epoch: 1}, 1),
 		recordOf(t, hostRecordName("a"), HostRecord{Epoch: 1, Witnesses: []string{"b"}}, 2))
-	back := testStart.Add(10 * time.Second)
-	s.freshness.now = func() time.Time { return back }
-	s.Confirmed(Kind, testStart)
-	must.SliceEmpty(t, s.breakable(back.Add(-loopInterval)))
-	s.Confirmed(Kind, back)
-	must.SliceEmpty(t, s.breakable(back))
-	must.Len(t, 1, s.breakable(back.Add(registrationTime)))
-}
-
-// A host was cut off, and its lease was broken. It is back and does not know yet. If its
-// witnesses, which know, promised again, it would order its former runners beside their new
-// owners until it learns of the break.
-func TestNoPromiseForABrokenLease(t *testing.T) {
-	b := newHosts(t, "a", "b", "c")["b"]
-	b.Apply([]registry.Change{change(t, hostRecordName("a"), HostRecord{Epoch: 1, Broken: true}, 100)}, testStart)
-	must.False(t, promises(b, "a", registry.Position{}, testStart))
-	must.False(t, promises(b, "a", registry.Position{Revision: 99}, testStart))
-	must.True(t, promises(b, "a", registry.Position{Revision: 101}, testStart), must.Sprint("the host has registered again"))
+	now := testStart
+	s.freshness.now = func() time.Time { return now }
+	s.Confirmed(Kind, now)
+	now = testStart.Add(10 * time.Second)
+	must.SliceEmpty(t, s.breakable(now), must.Sprint("during the outage"))
+	s.Confirmed(Kind, now)
+	must.SliceEmpty(t, s.breakable(now), must.Sprint("as the store is back"))
+	now = now.Add(registrationTime)
+	must.Len(t, 1, s.breakable(now))
+}
+
+// A host was cut off until its lease was broken, and reaches a witness again before it learns
+// that. The witness knows the broken record, which is newer than the one that it voted on. If it
+// promised, the host would order its former runners beside their new owners.
+func TestWitnessDoesNotPromiseForALeaseKnownToBeBroken(t *testing.T) {
+	b := newHosts(t, "a", "b")["b"]
+	late := testStart.Add(testTiming.breakTimeout())
+	b.Registered(1, nil, late)
+	must.True(t, b.Vote("a", registry.Position{Revision: 1}, late))
+	b.Apply([]registry.Change{change(t, hostRecordName("a"), HostRecord{Epoch: 1, Broken: true}, 100)}, late)
+	b.AdvanceTo(registry.Position{Revision: 100})
+	must.False(t, promises(b, "a", registry.Position{}, late), must.Sprint("promises to keep a broken lease"))
+	must.False(t, promises(b, "a", registry.Position{Revision: 1}, late), must.Sprint("promises to keep a broken lease"))
+	must.True(t, promises(b, "a", registry.Position{Revision: 101}, late), must.Sprint("the host has registered again"))
+	b.Apply([]registry.Change{change(t, hostRecordName("a"), HostRecord{Epoch: 2}, 101)}, late)
+	must.True(t, promises(b, "a", registry.Position{}, late), must.Sprint("the host has registered again"))
+}
+
+// The same host stays cut off for so long that its record is removed.
+func TestWitnessDoesNotPromiseForARemovedRecord(t *testing.T) {
+	b := newHosts(t, "a", "b")["b"]
+	late := testStart.Add(testTiming.breakTimeout())
+	b.Registered(1, nil, late)
+	b.Apply([]registry.Change{change(t, hostRecordName("a"), HostRecord{Epoch: 1, Broken: true}, 100)}, late)
+	b.Apply([]registry.Change{{Record: registry.Record{Name: hostRecordName("a")}, Removed: true}}, late)
+	b.AdvanceTo(registry.Position{Revision: 200})
+	must.False(t, promises(b, "a", registry.Position{}, late), must.Sprint("promises to keep a lease without a record"))
+	must.False(t, promises(b, "a", registry.Position{Revision: 1}, late), must.Sprint("promises to keep a lease without a record"))
+	must.True(t, promises(b, "a", registry.Position{Revision: 201}, late), must.Sprint("the host has registered again"))
 }
--- a/internal/mesh/witnesses.go
+++ b/internal/mesh/witnesses.go
@@ -14,9 +14,9 @@
 // A host whose own lease has expired does not promise: its lease may be broken without its
 // knowledge, and a broken witness counts as a vote to break. Neither does a host that has
 // agreed to break this lease, until a newer record shows that the lease was kept, or that
-// knows that it was broken: the peer may not know that yet, and would order on. Nor does a
-// host in another era of the store: there the peer's record may name other witnesses, who
-// may break its lease.
+// knows that it was broken or its record removed: the peer may not know that yet, and would
+// order on. Nor does a host in another era of the store: there the peer's record may name
+// other witnesses, who may break its lease.
 //
 // at is the position of the peer's record as the peer knows it. Its revision is 0 if the peer
 // did not send it. If only a newer record is missing, renew is set.
@@ -28,12 +28,26 @@
 	if at.Era != s.era || !now.Before(s.validUntil()) {
 		return false, false
 	}
-	isBroken := s.members[host].Broken && at.Revision <= peer.revision
-	at.Revision = max(at.Revision, peer.revision)
-	renew = isBroken || at.Revision <= s.promisesAfter || peer.mayBeBroken(at)
+	at.Revision = s.leaseRevision(host, at.Revision)
+	renew = at.Revision <= s.promisesAfter || peer.mayBeBroken(at)
 	return !renew, renew
 }
 
+// leaseRevision returns the revision of the record that holds a peer's lease, or 0 if the lease
+// is known to be broken or the record to be removed. The peer's own word on the revision counts
+// only if this host does not know all records up to it. The caller holds s.mu.
+func (s *State) leaseRevision(host string, own uint64) uint64 {
+	m, known := s.members[host]
+	switch {
+	case own > m.revision && !s.isCompleteTo(own):
+		return own
+	case !known || m.Broken:
+		return 0
+	default:
+		return m.revision
+	}
+}
+
 // PromiseReceived records a peer's promise in answer to a heartbeat sent at a time.
 func (s *State) PromiseReceived(host string, sent time.Time) {
 	s.mu.Lock()
