The end of an outage is noted when the store's word arrives

Cause: the main loop looked at the age of its records, and the loop itself waits for the store for over a second at a time while the store is silent. It missed an outage of little more than five seconds, or took its last look for the end. Now the end is noted where the store's confirmation arrives.

--- a/internal/mesh/freshness.go
+++ b/internal/mesh/freshness.go
@@ -36,6 +36,8 @@
 	replica *registry.Replica
 	// asOf is the time up to which, according to the store, the replica is complete.
 	asOf time.Time
+	// backAt is when the store last confirmed the replica again after an outage.
+	backAt time.Time
 	// staleListAt is when the replica was listed from a stale copy of the store.
 	staleListAt time.Time
 	// sources are hosts that announced newer records, the latest last. fetching is set
@@ -69,15 +71,28 @@
 func (f *freshness) confirm(kind string, asOf time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.kinds[kind].confirm(asOf)
+	f.kinds[kind].confirm(asOf, f.now())
 }
 
-func (k *kindFreshness) confirm(asOf time.Time) {
+func (k *kindFreshness) confirm(asOf, now time.Time) {
 	if asOf.After(k.asOf) {
+		if asOf.Sub(k.asOf) > outageAge {
+			k.backAt = now
+		}
 		k.asOf = asOf
 	}
 }
 
+// backSince returns how long ago the store confirmed a kind again after an outage, and false
+// during one.
+func (f *freshness) backSince(kind string) (time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.kinds[kind]
+	now := f.now()
+	return now.Sub(k.backAt), k.age(now) <= outageAge
+}
+
 func (f *freshness) listedStale(kind string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -202,7 +217,7 @@
 		own := k.replica.Version()
 		switch {
 		case own.Digest == known.Digest && own.Era == known.Era && own.Revision > 0:
-			k.confirm(moment.Add(-time.Duration(known.AgeMS) * time.Millisecond))
+			k.confirm(moment.Add(-time.Duration(known.AgeMS)*time.Millisecond), f.now())
 			k.missing = registry.Position{}
 		case own.Before(known.Position):
 			k.addSource(source{address: address, at: known.Position}, f.now())
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -81,10 +81,9 @@
 	queries      int
 	storeRetryAt time.Time
 	storeBackoff time.Duration
-	// settleRetryAt is when an era may next be recorded as settled, outageAt when the store
-	// last counted as away. Only Run's goroutine uses them.
+	// settleRetryAt is when an era may next be recorded as settled. Only Run's goroutine
+	// uses it.
 	settleRetryAt time.Time
-	outageAt      time.Time
 }
 
 // Deps are the dependencies of a Service.
@@ -441,10 +440,7 @@
 // silent. When the store was back they were declared dead, though all of them lived, and
 // every runner changed owners several times while requests for it were refused.
 func (s *Service) breakable(now time.Time) []DeadHost {
-	if s.freshness.age(Kind) > outageAge {
-		s.outageAt = now
-	}
-	if now.Sub(s.outageAt) < registrationTime {
+	if back, ok := s.freshness.backSince(Kind); !ok || back < registrationTime {
 		return nil
 	}
 	return s.State.Breakable(now)
