A late read brings no removed record back, and one that is gone is not written for ever

A read that answers with a broken record after the watch removed it put it back, and it spread: 300 removals in a minute, each answered 404. A conditional write that was answered 404 was repeated once a second (100 of 100), since only conflicts made a host read again. The answer of a watch of an earlier era, which a replica ignores, confirmed it.

--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -355,9 +355,9 @@
 		}
 		s.storeBackoff = 0
 		s.State.Registered(own.Epoch, own.Witnesses, sent)
-	case registry.IsConflict(err):
-		// An earlier write of this record without an answer has succeeded, or the lease was
-		// broken.
+	case registry.IsConflict(err), registry.IsNotFound(err):
+		// An earlier write of this record without an answer has succeeded, the lease was
+		// broken, or the record was removed.
 		s.rereadOwnRecord(ctx)
 	case errors.Is(err, objectapi.ErrAnswerLost):
 		s.State.RenewalUncertain(witnesses)
@@ -469,7 +469,7 @@
 // refreshAfterConflict reads a record again after a conflict or a lost answer, because the
 // watch may be behind.
 func (s *Service) refreshAfterConflict(ctx context.Context, name string, cause error) {
-	if !registry.IsConflict(cause) && !errors.Is(cause, objectapi.ErrAnswerLost) {
+	if !registry.IsConflict(cause) && !registry.IsNotFound(cause) && !errors.Is(cause, objectapi.ErrAnswerLost) {
 		return
 	}
 	era := s.fleet.Position().Era
@@ -488,7 +488,13 @@
 func (s *Service) removeRecord(ctx context.Context, dead DeadHost) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := s.Store.Delete(ctx, Kind, hostRecordName(dead.Host), dead.Revision); err != nil {
+	era := s.fleet.Position().Era
+	err := s.Store.Delete(ctx, Kind, hostRecordName(dead.Host), dead.Revision)
+	if registry.IsNotFound(err) {
+		s.fleet.Drop(registry.Record{Name: hostRecordName(dead.Host), Revision: dead.Revision}, era)
+		return
+	}
+	if err != nil {
 		s.Log.Debug("removing record of a dead host failed", "peer", dead.Host, "error", err.Error())
 		return
 	}
--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -241,6 +241,9 @@
 	}
 	f.noteReachable()
 	f.Sink.Changed(changes.List, changes.Position)
+	if f.Sink.Position().Era != changes.Era {
+		return errEarlierEra
+	}
 	f.confirm(asOf)
 	return nil
 }
--- a/internal/registry/replica.go
+++ b/internal/registry/replica.go
@@ -513,7 +513,10 @@
 		if record.Era != r.position.Era {
 			return nil, false, false
 		}
-		if record.Revision <= r.records[record.Name].Revision {
+		known, ok := r.records[record.Name]
+		if record.Revision <= known.Revision || !ok && record.Revision <= r.position.Revision {
+			// The replica is newer than the answer, or complete up to it: the record was
+			// removed since.
 			return nil, false, true
 		}
 		record = r.strip(record)
