--- a/internal/mesh/breaking.go
+++ b/internal/mesh/breaking.go
@@ -15,7 +15,7 @@
 	defer s.mu.Unlock()
 	peer := s.peerOf(host)
 	silence := s.timing.breakTimeout()
-	if now.Sub(peer.heardAt) < silence || now.Sub(s.started) < silence || at.Era != s.era || peer.revision > at.Revision {
+	if !peer.isDead(now, silence) || now.Sub(s.started) < silence || at.Era != s.era || peer.revision > at.Revision {
 		return false
 	}
 	peer.agreeToBreak(at)
@@ -83,7 +83,7 @@
 	if own >= 0 {
 		// The first witness begins; the others follow if it does not.
 		timeout := s.timing.breakTimeout() + time.Duration(own)*s.timing.Margin
-		if now.Sub(s.peerOf(host).heardAt) < timeout {
+		if !s.peerOf(host).isDead(now, timeout) {
 			return DeadHost{}, false
 		}
 	} else if !s.witnessesGone(m, now) || fleet.First(host, s.currentMembership().without(host)) != s.self {
--- a/internal/mesh/claims.go
+++ b/internal/mesh/claims.go
@@ -14,7 +14,8 @@
 	claimInForce claimStatus = iota
 	// claimUnclear: the claimer's record is older than the claim, or not known.
 	claimUnclear
-	// claimEnded: the lease was broken, so the claimer has stopped giving orders.
+	// claimEnded: the lease was broken, or its record removed after that, so the claimer has
+	// stopped giving orders.
 	claimEnded
 )
 
@@ -46,9 +47,9 @@
 	// Revision is the revision of the owner record to replace, 0 if there is none.
 	Revision uint64
 	Record   OwnerRecord
-	// Replaced is the owner record to replace, Owner the record of its host as known.
-	Replaced OwnerRecord
-	Owner    HostRecord
+	// Replaced is the owner record to replace, ReplacedHost the record of its host as known.
+	Replaced     OwnerRecord
+	ReplacedHost HostRecord
 }
 
 // Runner is a runner that needs an owner.
@@ -76,7 +77,7 @@
 		}
 		claims = append(claims, Claim{
 			Address: runner.Address, Name: name, Revision: o.revision, Record: OwnerRecord{Host: s.self, Epoch: s.epoch},
-			Replaced: o.OwnerRecord, Owner: s.members[o.Host].HostRecord,
+			Replaced: o.OwnerRecord, ReplacedHost: s.members[o.Host].HostRecord,
 		})
 	}
 	return claims
--- a/internal/mesh/eras.go
+++ b/internal/mesh/eras.go
@@ -91,6 +91,10 @@
 		s.recordWitnesses = s.witnesses
 	}
 	s.witnesses = nil
+	for _, peer := range s.peers {
+		// A record of the new era may have the revision of one of the old era.
+		peer.changedAt = now
+	}
 	// Hosts that joined or left in the part that the store has lost appear again a moment
 	// later, so a new era counts as a join.
 	s.lastJoin = now
@@ -134,9 +138,10 @@
 	s.witnesses = s.recordWitnesses
 }
 
-// NextEpoch returns the epoch for a new record of this host, given the stored one, which is
-// the zero value if there is none at the given revision of the store. It is at least its last epoch and higher than any epoch
-// whose lease was broken, including epochs that the store has lost.
+// NextEpoch returns the epoch for a new record of this host. stored is the host's record, or
+// the zero value if the store had none at the given revision. The result is at least the host's
+// last epoch and higher than any epoch whose lease was broken, including epochs that the store
+// has lost.
 //
 // Without a stored record it is also higher than the store's revision, and so than the epoch
 // of a record that was removed. Else a claim of that record would be in force again, while
@@ -146,6 +151,11 @@
 	defer s.mu.Unlock()
 	if stored.Epoch == 0 {
 		stored.Epoch = int64(revision) + 1
+		for _, o := range s.owners {
+			if o.Host == s.self {
+				stored.Epoch = max(stored.Epoch, o.Epoch+1)
+			}
+		}
 	}
 	next := max(stored.Epoch, s.lastEpoch, s.endedLeases[s.self].epoch+1)
 	if stored.Broken && next == stored.Epoch {
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -33,6 +33,8 @@
 	// RecordRevision is the revision of the sender's record. It is sent only if the witness
 	// did not promise last time, since the witness may not know the record yet.
 	RecordRevision uint64 `json:"record_revision,omitempty"`
+	// NoLease reports that the sender cannot hold a lease and asks for no promise.
+	NoLease bool `json:"no_lease,omitempty"`
 	// Known is the sender's version of each kind of record, by kind.
 	Known map[string]KnownVersion `json:"known,omitempty"`
 	// Status describes the sender's runners and requests.
@@ -145,7 +147,7 @@
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	sent := s.Now()
-	heartbeat := Heartbeat{Address: s.Address, SentMS: sent.UnixMilli(), Known: s.freshness.known(), Status: s.status()}
+	heartbeat := Heartbeat{Address: s.Address, SentMS: sent.UnixMilli(), NoLease: !s.State.WantsPromises(sent), Known: s.freshness.known(), Status: s.status()}
 	if !sender.promised {
 		heartbeat.RecordRevision = s.ownRecordRevision(heartbeat.Known[Kind].Era)
 	}
@@ -187,8 +189,13 @@
 
 func (s *Service) handleHeartbeat(_ context.Context, from peer.Identity, heartbeat Heartbeat) (HeartbeatResult, error) {
 	now := s.Now()
-	record := registry.Position{Era: heartbeat.Known[Kind].Era, Revision: heartbeat.RecordRevision}
-	promised, renew := s.State.ReceiveHeartbeat(from.Host, record, now)
+	var promised, renew bool
+	if heartbeat.NoLease {
+		s.State.ReceiveLeaselessHeartbeat(from.Host, now)
+	} else {
+		record := registry.Position{Era: heartbeat.Known[Kind].Era, Revision: heartbeat.RecordRevision}
+		promised, renew = s.State.ReceiveHeartbeat(from.Host, record, now)
+	}
 	s.learn(from.Host, heartbeat.Address, heartbeat.Known, heartbeat.Status, now.Add(-s.delays.estimate(from.Host, heartbeat.SentMS, now)))
 	return HeartbeatResult{Promised: promised, Renew: renew, Known: s.freshness.newsFor(heartbeat.Known), Status: s.status()}, nil
 }
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -437,8 +437,8 @@
 // host's path to it, it first leaves the others time to register.
 //
 // Hosts that restart while the store is away cannot register, so they have no lease and are
-// silent. When the store was back they were declared dead, though all of them lived, and
-// every runner changed owners several times while requests for it were refused.
+// silent. Without this pause they would be declared dead although they live, and their runners
+// would change owners several times while requests for them are refused.
 func (s *Service) breakable(now time.Time) []DeadHost {
 	if back, ok := s.freshness.backSince(Kind); !ok || back < registrationTime {
 		return nil
@@ -463,7 +463,7 @@
 	}
 	s.applyRecord(record)
 	s.Log.Info("runner claimed", "address", claim.Address, "token", fencingToken(record.Era, record.Revision), "epoch", claim.Record.Epoch,
-		"replaced_revision", claim.Revision, "replaced_owner", claim.Replaced.Host, "replaced_epoch", claim.Replaced.Epoch, "owner_epoch", claim.Owner.Epoch, "owner_broken", claim.Owner.Broken)
+		"replaced_revision", claim.Revision, "replaced_owner", claim.Replaced.Host, "replaced_epoch", claim.Replaced.Epoch, "owner_epoch", claim.ReplacedHost.Epoch, "owner_broken", claim.ReplacedHost.Broken)
 }
 
 // refreshAfterConflict reads a record again after a conflict or a lost answer, because the
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -50,6 +50,9 @@
 	// minRechooseInterval is the minimum time between two changes of the witnesses, each
 	// of which costs a write to the store.
 	minRechooseInterval = 2 * time.Second
+	// requestedRenewalInterval is the minimum time between two renewals that a witness asked
+	// for.
+	requestedRenewalInterval = 2 * time.Second
 )
 
 // State holds a host's view of the fleet and decides on leases and ownership. It does no
@@ -74,7 +77,8 @@
 	// revision is the revision of the current era up to which the records are complete.
 	// Single records may be newer.
 	revision uint64
-	// promisesAfter is the revision of the record with which this process last registered.
+	// promisesAfter is the revision of the record with which this process last registered. It
+	// promises only for later records.
 	promisesAfter uint64
 	// renewedAt is the send time of the last successful write of this host's record.
 	renewedAt time.Time
@@ -98,8 +102,10 @@
 
 // peerState is what is known of a peer besides its record.
 type peerState struct {
-	// heardAt is when the peer's last heartbeat arrived.
-	heardAt time.Time
+	// heardAt is when the peer's last heartbeat arrived, refusedSince when this host began
+	// to answer its heartbeats without a promise, zero after a promise.
+	heardAt      time.Time
+	refusedSince time.Time
 	// promisedAt is the send time of the last heartbeat that the peer answered with a
 	// promise.
 	promisedAt time.Time
@@ -119,8 +125,8 @@
 }
 
 // mayBeBroken reports whether a lease may be broken that is held by the peer's record at a
-// position, because this host has agreed to it. The write of an earlier era succeeds in a
-// later one only if it finds the same revision.
+// position, because this host has agreed to it. A write that breaks the lease may have been
+// sent in an earlier era; it then succeeds only if the record has that revision again.
 func (p *peerState) mayBeBroken(at registry.Position) bool {
 	if at.Era != p.votedAt.Era {
 		return at.Revision == p.votedAt.Revision
@@ -128,6 +134,31 @@
 	return at.Revision <= p.votedAt.Revision
 }
 
+// noteHeartbeat records that a heartbeat arrived, and whether it was answered with a promise.
+func (p *peerState) noteHeartbeat(now time.Time, promised bool, silence time.Duration) {
+	wasSilent := now.Sub(p.heardAt) >= silence
+	p.heardAt = now
+	switch {
+	case promised:
+		p.refusedSince = time.Time{}
+	case wasSilent || p.refusedSince.IsZero():
+		p.refusedSince = now
+	}
+}
+
+// refusalFactor is how many times longer than a silent host one may go without a promise
+// before it counts as dead. In the meantime it can renew its record, or the store comes back.
+const refusalFactor = 3
+
+// isDead reports whether a peer has been silent for a time, or was heard but got no promise for
+// refusalFactor times as long. Such a host lives and cannot order: the store refuses it, and its
+// witnesses want a newer record. If it counted as live, its runners would get no orders for as
+// long as it lives.
+func (p *peerState) isDead(now time.Time, silence time.Duration) bool {
+	isRefused := !p.refusedSince.IsZero() && now.Sub(p.refusedSince) >= refusalFactor*silence
+	return isRefused || now.Sub(p.heardAt) >= silence
+}
+
 // NewState returns the state of a host that knows no others.
 func NewState(self string, timing Timing, now time.Time) *State {
 	return &State{
@@ -221,6 +252,10 @@
 func (s *State) AdvanceTo(at registry.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.revision == 0 {
+		// Records that are written in this era have higher revisions than its first position.
+		s.promisesAfter = min(s.promisesAfter, at.Revision)
+	}
 	s.revision = at.Revision
 }
 
--- a/internal/mesh/witnesses.go
+++ b/internal/mesh/witnesses.go
@@ -24,15 +24,45 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	peer := s.peerOf(host)
-	peer.heardAt = now
+	promised, renew = s.mayPromise(host, peer, at, now)
+	peer.noteHeartbeat(now, promised, s.timing.breakTimeout())
+	return promised, renew
+}
+
+// mayPromise reports whether this host may promise to keep a peer's lease, and if not, whether
+// a newer record of the peer would change that. The caller holds s.mu.
+func (s *State) mayPromise(host string, peer *peerState, at registry.Position, now time.Time) (promised, renew bool) {
 	if at.Era != s.era || !now.Before(s.validUntil()) {
 		return false, false
 	}
+	if peer.votedAt.Revision > 0 && peer.votedAt.Era != s.era && at.Revision == 0 {
+		// The peer's record may have the revision that was voted on in another era, and this
+		// host may not know yet. The peer sends the revision after a refusal.
+		return false, false
+	}
 	at.Revision = s.leaseRevision(host, at.Revision)
 	renew = at.Revision <= s.promisesAfter || peer.mayBeBroken(at)
 	return !renew, renew
 }
 
+// ReceiveLeaselessHeartbeat records a heartbeat of a peer that cannot hold a lease and asks for
+// no promise.
+func (s *State) ReceiveLeaselessHeartbeat(host string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peerOf(host).noteHeartbeat(now, false, s.timing.breakTimeout())
+}
+
+// WantsPromises reports whether promises can let this host give orders. A host whose lease
+// lapsed long ago needs the store for that, for example because its last renewal got no answer
+// and one of the two lists of witnesses has no majority. If it asked for promises all the same,
+// it would keep its runners without orders for as long as it lives.
+func (s *State) WantsPromises(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.epoch != 0 && now.Sub(s.validUntil()) < s.timing.breakTimeout()
+}
+
 // leaseRevision returns the revision of the record that holds a peer's lease, or 0 if the lease
 // is known to be broken or the record to be removed. The peer's own word on the revision counts
 // only if this host does not know all records up to it. The caller holds s.mu.
@@ -129,7 +159,7 @@
 
 // NeedsRenewal reports whether the lease should be renewed in the store: the promises of a
 // majority are older than half the lease, and the last renewal is older than a third of it;
-// or a witness asked for it, which is less urgent.
+// or a witness asked for a newer record, while others keep the lease.
 func (s *State) NeedsRenewal(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -140,7 +170,7 @@
 	if now.Sub(s.majorityPromised()) > 3*third/2 {
 		return now.Sub(s.renewedAt) > third
 	}
-	return s.renewalRequested.After(s.renewedAt) && now.Sub(s.renewedAt) > minRechooseInterval
+	return s.renewalRequested.After(s.renewedAt) && now.Sub(s.renewedAt) > requestedRenewalInterval
 }
 
 // nearWitnesses is the number of witnesses from the host's own data centre if enough
