--- a/internal/mesh/orderer_test.go
+++ b/internal/mesh/orderer_test.go
@@ -141,7 +141,8 @@
 	b.Registered(1, nil, late)
 	must.True(t, b.Vote("a", registry.Position{Revision: 1}, late))
 	b.BeginEra(1, late)
-	must.False(t, promises(b, "a", registry.Position{Era: 1}, late))
+	must.False(t, promises(b, "a", registry.Position{Era: 1}, late), must.Sprint("the peer has not said which record it has"))
+	must.False(t, promises(b, "a", registry.Position{Era: 1, Revision: 1}, late), must.Sprint("the record is the one that was voted on"))
 	must.True(t, promises(b, "a", registry.Position{Era: 1, Revision: 3}, late))
 }
 
