Shares of the load rate change hands only when their process has ended

Cause: a host that claims shares took a peer's lease that others had broken for the end of its process.

Ruled out: stopping with the lease (nothing would load while the object API is away for all, which is promised for an hour and more); stopping unless a majority is heard (a majority that is cut off would still use its shares twice).

Change: shares are free when their process released its lease itself, when a later process of its host replaced it, or when its host left the host list. The price: the part of a crashed host is unused until it starts again or leaves the list.

--- a/internal/control/hostlease.go
+++ b/internal/control/hostlease.go
@@ -119,6 +119,18 @@
 	return err == nil && !record.HeldBy(incarnation)
 }
 
+// ProcessEnded reports whether the object API shows that a process has ended: it
+// released its lease at a planned stop, or a later process of its host has
+// replaced it. A lease that a peer broke says nothing of the process, which may
+// be alive and cut off.
+func (c *Controller) ProcessEnded(ctx context.Context, host, incarnation string) bool {
+	record, version, err := c.readLease(ctx, host)
+	if err != nil || version == 0 {
+		return false
+	}
+	return record.Incarnation != incarnation || record.EndedBy == host
+}
+
 // breakIfExpired breaks the lease of a host that has not renewed it for its
 // whole lifetime, measured by this host's clock. The update is conditional, so
 // a renewal in the meantime wins.
--- a/internal/node/shares.go
+++ b/internal/node/shares.go
@@ -65,7 +65,11 @@
 }
 
 // processEnded reports whether a process has certainly ended: its host was removed from the
-// list, runs another incarnation, or its lease has ended.
+// list, runs another incarnation, or it released its lease.
+//
+// A broken lease is not enough. A host that is cut off from the object API and its peers may
+// still reach the weight store and loads on, as it must while the object API is away for all.
+// If others claimed its shares, the fleet would load faster than the weight store allows.
 func (n *Node) processEnded(ctx context.Context, owner loading.Owner) bool {
 	if n.hosts.Removed(owner.Host) {
 		return true
@@ -74,7 +78,7 @@
 		member, _ := n.members.Get(owner.Host)
 		return member.Incarnation != owner.Incarnation
 	}
-	return n.controller.LeaseEnded(ctx, owner.Host, owner.Incarnation)
+	return n.controller.ProcessEnded(ctx, owner.Host, owner.Incarnation)
 }
 
 // releaseShares releases this host's shares during a planned stop.
@@ -85,7 +89,7 @@
 		return
 	}
 	if err := n.writeShares(ctx, shares.Release(n.shareOwner()), version); err != nil {
-		n.log.Debug("cannot release shares; they become free when this host's lease ends", "error", err)
+		n.log.Debug("cannot release shares; they become free with the release of this host's lease", "error", err)
 	}
 }
 
--- a/internal/node/shares_test.go
+++ b/internal/node/shares_test.go
@@ -27,12 +27,31 @@
 		most := 0.0
 		for range 30 {
 			time.Sleep(time.Second)
-			sum := 0.0
-			for _, n := range c.nodes {
-				sum += n.allowance.PerSecond(time.Now())
-			}
-			most = max(most, sum)
+			most = max(most, c.totalLoadRate())
 		}
 		must.LessEq(c.t, c.nodes[cutOff].cfg.Loads.Rate+1e-6, most)
 	})
 }
+
+// A host crashes, its lease is broken, and later it starts again. Its shares must neither be used
+// by others while its process may be alive nor stay unused once a later process has replaced it.
+func TestSharesOfACrashedHostReturnWithItsNextProcess(t *testing.T) {
+	inCluster(t, 3, smallEnvironment(), func(c *cluster) {
+		c.kill("e3")
+		time.Sleep(time.Minute)
+		must.Less(c.t, c.nodes["e1"].cfg.Loads.Rate, c.totalLoadRate())
+		c.start("e3")
+		time.Sleep(time.Minute)
+		must.InDelta(c.t, c.nodes["e1"].cfg.Loads.Rate, c.totalLoadRate(), 1e-6)
+	})
+}
+
+// totalLoadRate returns the rate of loads that all hosts together allow themselves, in loads per
+// second.
+func (c *cluster) totalLoadRate() float64 {
+	sum := 0.0
+	for _, n := range c.nodes {
+		sum += n.allowance.PerSecond(time.Now())
+	}
+	return sum
+}
