--- a/internal/adapters/admission.go
+++ b/internal/adapters/admission.go
@@ -69,6 +69,9 @@
 	// know which other runners hold the adapter. Without asking, each such request
 	// would have the adapter fetched again elsewhere.
 	Barred bool
+	// Ranked is set if requests are ordered by priority. Precedence is then the request's.
+	Ranked     bool
+	Precedence site.Precedence
 }
 
 // AdmissionResult is the answer to an admission request.
--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -111,6 +111,9 @@
 	// ModelLoads and HostCount limit the loads of base models.
 	ModelLoads *ModelLoadLimiter
 	HostCount  func() int
+	// Contended reports whether the deployment calls for scheduling under contention, see
+	// docs/design/contention.md.
+	Contended func() bool
 	// OnRestart is called when a runner has restarted under the same instance.
 	OnRestart func(instance string, startedMS int64)
 	// OnSignal is called with what a runner's answer says about the requests it can
--- a/internal/adapters/owner.go
+++ b/internal/adapters/owner.go
@@ -60,6 +60,9 @@
 	// models.
 	HostCount  func() int
 	ModelLoads ModelLoadLimit
+	// Contended reports whether the deployment calls for scheduling under contention, see
+	// docs/design/contention.md. It may be nil, which stands for never.
+	Contended func() bool
 	// OnRestart is called when a runner has restarted under the same instance.
 	OnRestart func(instance string, startedMS int64)
 	// OnSignal is called with what a runner's answer says about the requests it can
@@ -71,13 +74,16 @@
 
 // NewOwner returns an owner without runners.
 func NewOwner(deps OwnerDeps) *Owner {
+	if deps.Contended == nil {
+		deps.Contended = func() bool { return false }
+	}
 	o := &Owner{
 		host: deps.Host, owns: deps.Owns, peerFetches: deps.PeerFetches,
 		now: deps.Now, log: deps.Log, times: NewLoadTimes(), controllers: map[string]*runningController{}, lateOrders: map[string]LateOrders{},
 	}
 	o.deps = ControllerDeps{
 		Holder: deps.Host, Engines: deps.Engines, Authority: deps.Authority, Times: o.times, StoreLoad: o.storeLoad, RunnerView: deps.RunnerView,
-		Utilization: deps.Utilization, TypicalPrefill: deps.TypicalPrefill, ModelLoads: NewModelLoadLimiter(deps.ModelLoads), HostCount: deps.HostCount, OnRestart: deps.OnRestart, OnSignal: deps.OnSignal, Now: deps.Now, Log: deps.Log,
+		Utilization: deps.Utilization, TypicalPrefill: deps.TypicalPrefill, ModelLoads: NewModelLoadLimiter(deps.ModelLoads), HostCount: deps.HostCount, Contended: deps.Contended, OnRestart: deps.OnRestart, OnSignal: deps.OnSignal, Now: deps.Now, Log: deps.Log,
 	}
 	return o
 }
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -19,6 +19,10 @@
 type Board struct {
 	seed   maphash.Seed
 	shards [shardCount]shard
+
+	workMu sync.Mutex
+	// workAnnouncedAt is when a runner last announced its work time.
+	workAnnouncedAt time.Time
 }
 
 type shard struct {
@@ -40,6 +44,7 @@
 	// backoffUntil is when the runner accepts requests of this host again.
 	backoffUntil time.Time
 	refusals     refusals
+	work         workTime
 	// removedAt is when Forget was last called for the runner; zero if a request was sent to it
 	// since.
 	removedAt time.Time
@@ -172,6 +177,10 @@
 	Refusing bool
 	// BlockedFor is how long this host must not send requests to the runner, 0 if it may.
 	BlockedFor time.Duration
+	// WorkPercent is the work time that the runner announced WorkAge ago, in percent of the
+	// usual time; 0 if it announced none.
+	WorkPercent int
+	WorkAge     time.Duration
 }
 
 // View returns the current state of a runner.
@@ -191,6 +200,9 @@
 		}
 		view.Refusing = e.refusals.paused(now)
 		view.BlockedFor = e.blockedFor(now)
+		if e.work.percent > 0 {
+			view.WorkPercent, view.WorkAge = e.work.percent, now.Sub(e.work.at)
+		}
 	})
 	return view
 }
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -46,6 +46,17 @@
 	Retry  bool `json:"anew,omitempty"`
 	Waited bool `json:"waited,omitempty"`
 	Barred bool `json:"barred,omitempty"`
+	// Rank is the request's precedence, workspace's priority first; nil if requests are not
+	// ordered by priority.
+	Rank *[2]int `json:"rank,omitempty"`
+}
+
+// rankOf returns the wire form of a request's precedence.
+func rankOf(request adapters.AdmissionRequest) *[2]int {
+	if !request.Ranked {
+		return nil
+	}
+	return &[2]int{request.Precedence.Workspace, request.Precedence.Route}
 }
 
 // AdmitResult is the result of an admission.
@@ -75,7 +86,12 @@
 }
 
 func (p AdmitParams) admission() adapters.AdmissionRequest {
+	var precedence site.Precedence
+	if p.Rank != nil {
+		precedence = site.Precedence{Workspace: p.Rank[0], Route: p.Rank[1]}
+	}
 	return adapters.AdmissionRequest{
+		Ranked: p.Rank != nil, Precedence: precedence,
 		Key:                  adapters.Key{Adapter: site.Adapter{Model: p.Model, Name: p.Adapter}, Version: p.Version},
 		PromptTokens:         p.PromptTokens,
 		MaxOutputTokens:      p.MaxOutputTokens,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -134,7 +134,7 @@
 	e.owner = adapters.NewOwner(adapters.OwnerDeps{
 		Host: cfg.Host, Engines: platform.Engines, Authority: e.state,
 		Owns: e.owns, PeerFetches: statuses.peersInTransit, RunnerView: e.board.View, Utilization: statuses.utilization, TypicalPrefill: statuses.typicalPromptTokenNS,
-		HostCount: e.state.Size, ModelLoads: cfg.LoadLimit, OnRestart: e.directory.MarkRestarted, OnSignal: e.backpressure.applyEngineSignal, Now: now, Log: log,
+		HostCount: e.state.Size, ModelLoads: cfg.LoadLimit, Contended: e.contended, OnRestart: e.directory.MarkRestarted, OnSignal: e.backpressure.applyEngineSignal, Now: now, Log: log,
 	})
 	e.owners.owner = e.owner
 	statuses.owner = e.owner
@@ -161,7 +161,7 @@
 		DataCentre: cfg.DataCentre, Directory: e.directory, Board: e.board, Owners: e.owners, Backpressure: e.backpressure,
 		Client: e.client, Quarantine: e.quarantineSync.quarantine, RetryLimit: cfg.RetryLimit, Quotas: e.quotas, Ages: func() (config, runners time.Duration) {
 			return e.mesh.Age(platform.ConfigKind), e.mesh.Age(platform.RunnerKind)
-		}, HostCount: e.sharingHosts, Now: now, Log: log,
+		}, HostCount: e.sharingHosts, Contended: e.contended, Now: now, Log: log,
 	})
 	e.callerServer = (&ingress.Ingress{
 		Dialect: platform.Dialect, Directory: e.directory, Serve: e.serve, Now: now, Log: log, Closing: e.stopping.Load, Refusing: e.rejecting.Load,
@@ -179,6 +179,17 @@
 	return e.state.Size()
 }
 
+// workAnnouncementTTL is how long after a runner announced its work time the deployment counts as
+// one with uneven runners.
+const workAnnouncementTTL = time.Minute
+
+// contended reports whether the deployment calls for scheduling under contention: its configuration
+// orders requests by priority, or its runners announce their work time.
+func (e *Entry) contended() bool {
+	config := e.directory.Snapshot().Config
+	return config != nil && config.OrdersByPriority() || e.board.WorkAnnouncedWithin(workAnnouncementTTL, e.now())
+}
+
 // configVersion returns the version of the configuration in force, 0 if there is none.
 func (e *Entry) configVersion() int64 {
 	if config := e.directory.Snapshot().Config; config != nil {
--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -90,7 +90,7 @@
 	err = o.pool.Call(callCtx, address, methodAdmit, AdmitParams{
 		Runner: runner.ID, Model: request.Key.Model, Adapter: request.Key.Name, Version: request.Key.Version, PromptTokens: request.PromptTokens, MaxOutputTokens: request.MaxOutputTokens, ExpectedOutputTokens: request.ExpectedOutputTokens,
 		PromptWaitMS: request.PromptWait.Milliseconds(), MaxWaitMS: request.MaxWait.Milliseconds(), LatencyBudgetMS: request.LatencyBudget.Milliseconds(),
-		Running: o.board.OwnRequestsOn(runner.ID), LastResort: request.LastResort, Home: request.Home, Retry: request.Retry, Waited: request.Waited, Barred: request.Barred,
+		Running: o.board.OwnRequestsOn(runner.ID), LastResort: request.LastResort, Home: request.Home, Retry: request.Retry, Waited: request.Waited, Barred: request.Barred, Rank: rankOf(request),
 	}, &result)
 	if err != nil {
 		return adapters.AdmissionResult{}, o.noteUnreachable(host, err)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -82,6 +82,9 @@
 // Load is the load that a runner reports in a response.
 type Load struct {
 	Running, Waiting, Slots int
+	// WorkPercent is how long work takes on the runner's machine at the moment, as a percentage
+	// of the usual time; 0 if the runner does not tell.
+	WorkPercent int
 }
 
 // ResponseMetadata holds what the headers of a runner's response say.
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -60,7 +60,8 @@
 	return failure
 }
 
-// recordSignal passes on the backpressure signal of an answer, also that of a failed attempt.
+// recordSignal passes on the backpressure signal and the work time of an answer, also those of a
+// failed attempt.
 func (l *lifecycle) recordSignal(answer *forward.Response, failure *forward.Failure) {
 	var metadata forward.ResponseMetadata
 	if failure == nil {
@@ -68,6 +69,9 @@
 	} else {
 		metadata = failure.Metadata
 	}
+	if metadata.Load != nil {
+		l.s.Board.RecordWork(l.runner.ID, metadata.Load.WorkPercent, l.s.Now())
+	}
 	if metadata.Signal != nil {
 		l.s.Backpressure.HandleSignal(l.runner, metadata.Signal, l.request.ID, l.sentAt)
 	}
--- a/internal/serve/search.go
+++ b/internal/serve/search.go
@@ -127,6 +127,8 @@
 			Retry:                step.Retry,
 			Waited:               waited,
 			Barred:               barred,
+			Ranked:               l.ranked,
+			Precedence:           l.precedence,
 		})
 		if err == nil && barred {
 			// The owner runs an older version that does not know the Barred field.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -74,6 +74,9 @@
 	Ages func() (config, runners time.Duration)
 	// HostCount returns the number of hosts that share the retry budget, 0 while unknown.
 	HostCount func() int
+	// Contended reports whether the deployment calls for scheduling under contention, see
+	// docs/design/contention.md. It may be nil, which stands for never.
+	Contended func() bool
 	Now       func() time.Time
 	Log       hclog.Logger
 }
@@ -160,6 +163,9 @@
 	deadline time.Time
 	budget   *retrybudget.Budget
 	charge   Charge
+	// ranked is set if requests are ordered by priority, by precedence.
+	ranked     bool
+	precedence site.Precedence
 	// fingerprint identifies the request's content for the quarantine.
 	fingerprint quarantine.Fingerprint
 
@@ -218,6 +224,7 @@
 	l.deadline = arrived.Add(requestTimeout(route, request))
 	l.fingerprint = contentOf(request).Fingerprint()
 	snapshot := s.Directory.Snapshot()
+	l.ranked, l.precedence = snapshot.Config.OrdersByPriority(), site.PrecedenceOf(request.Caller.Workspace, route)
 	name := route.PickService(rand.Float64())
 	l.service = snapshot.Config.Services[name]
 	if l.service == nil {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -4,6 +4,7 @@
 package site
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -67,6 +68,10 @@
 	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
 }
 
+func (r *Route) sendsTo(service string) bool {
+	return slices.ContainsFunc(r.Targets, func(target Target) bool { return target.Service == service })
+}
+
 // PickService selects the service of one of the targets by weight. The draw must be uniform in
 // [0, 1).
 func (r *Route) PickService(draw float64) string {
@@ -108,7 +113,9 @@
 	AdapterSlots int
 	// LoadsPerSecond is the rate of base model loads that the weight store allows.
 	LoadsPerSecond float64
-	Models         []Model
+	// EventTokens is the number of output tokens in one event of a stream, 0 if unknown.
+	EventTokens int
+	Models      []Model
 }
 
 // Model is a base model. Its adapters are named a1, a2 and so on.
@@ -165,6 +172,23 @@
 	return config
 }
 
+// OrdersByPriority reports whether requests that compete for capacity are ordered by priority:
+// operators ask for it by giving a workspace a priority.
+func (c *Config) OrdersByPriority() bool { return c.Workspaces.HavePriorities() }
+
+// LeastTargetGap returns the shortest target gap of the routes to a service, 0 if none has one.
+func (c *Config) LeastTargetGap(service string) time.Duration {
+	var least time.Duration
+	for _, routes := range c.byHost {
+		for _, route := range routes {
+			if route.TargetGap > 0 && (least == 0 || route.TargetGap < least) && route.sendsTo(service) {
+				least = route.TargetGap
+			}
+		}
+	}
+	return least
+}
+
 // Len returns the number of routes.
 func (c *Config) Len() int { return c.routes }
 
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -56,3 +57,36 @@
 	parsed := ParseAdapter(Adapter{Model: "m", Name: "a/b"}.String())
 	must.Eq(t, Adapter{Model: "m", Name: "a/b"}, parsed)
 }
+
+// A request with the lower priority of its workspace goes first, whatever its route's.
+func TestPrecedence(t *testing.T) {
+	first, second := 0, 1
+	urgent, usual := &Workspace{Priority: &first}, &Workspace{Priority: &second}
+	live, bulk := &Route{Priority: 0}, &Route{Priority: 2}
+	order := []Precedence{PrecedenceOf(urgent, live), PrecedenceOf(urgent, bulk), PrecedenceOf(usual, live), PrecedenceOf(usual, bulk), PrecedenceOf(nil, bulk)}
+	for i := range len(order) - 1 {
+		must.Negative(t, order[i].Compare(order[i+1]))
+	}
+}
+
+// A configuration whose workspaces have no priorities must be served as before.
+func TestOnlyPrioritiesOfWorkspacesAskForAnOrder(t *testing.T) {
+	priority := 1
+	config := NewConfig(1, []*Route{{Host: "a", Priority: 2}}, nil, Limits{})
+	must.False(t, config.OrdersByPriority())
+	config.Workspaces = NewWorkspaces([]*Workspace{{Name: "w"}})
+	must.False(t, config.OrdersByPriority())
+	config.Workspaces = NewWorkspaces([]*Workspace{{Name: "w"}, {Name: "v", Priority: &priority}})
+	must.True(t, config.OrdersByPriority())
+}
+
+func TestLeastTargetGap(t *testing.T) {
+	config := NewConfig(1, []*Route{
+		{Host: "a", TargetGap: 300 * time.Millisecond, Targets: []Target{{Service: "s", Weight: 1}}},
+		{Host: "b", TargetGap: 250 * time.Millisecond, Targets: []Target{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}},
+		{Host: "b", Targets: []Target{{Service: "u", Weight: 1}}},
+	}, nil, Limits{})
+	must.Eq(t, 250*time.Millisecond, config.LeastTargetGap("t"))
+	must.Eq(t, 250*time.Millisecond, config.LeastTargetGap("s"))
+	must.Eq(t, 0, config.LeastTargetGap("u"))
+}
--- a/internal/site/workspace.go
+++ b/internal/site/workspace.go
@@ -1,6 +1,7 @@
 package site
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cherrystage/cherrystage/internal/credential"
@@ -57,10 +58,30 @@
 	return *w.Priority
 }
 
+// Precedence orders requests that compete for the same capacity; lower values go first. The
+// workspace's priority is compared before the route's.
+type Precedence struct {
+	Workspace, Route int
+}
+
+// Compare returns a negative number if p goes before other, 0 if neither does, and a positive
+// number otherwise.
+func (p Precedence) Compare(other Precedence) int {
+	return cmp.Or(cmp.Compare(p.Workspace, other.Workspace), cmp.Compare(p.Route, other.Route))
+}
+
+// PrecedenceOf returns the precedence of a request on a route. The workspace is nil for a
+// request without one; the route's priority then stands for both.
+func PrecedenceOf(workspace *Workspace, route *Route) Precedence {
+	return Precedence{Workspace: workspace.PriorityOn(route), Route: route.Priority}
+}
+
 // Workspaces holds the workspaces of one configuration. It is immutable.
 type Workspaces struct {
 	byName     map[string]*Workspace
 	keyHolders credential.Holders
+	// havePriorities is set if any workspace has a priority.
+	havePriorities bool
 	// WithSharedKey contains the names of workspaces that list a key of an earlier workspace.
 	WithSharedKey []string
 }
@@ -71,6 +92,7 @@
 	workspaces := &Workspaces{byName: make(map[string]*Workspace, len(list)), keyHolders: credential.Holders{}}
 	for _, workspace := range list {
 		workspaces.byName[workspace.Name] = workspace
+		workspaces.havePriorities = workspaces.havePriorities || workspace.Priority != nil
 		for _, key := range workspace.Keys {
 			if !workspaces.keyHolders.Add(key, workspace.Name) {
 				workspaces.WithSharedKey = append(workspaces.WithSharedKey, workspace.Name)
@@ -80,6 +102,11 @@
 	return workspaces
 }
 
+// HavePriorities reports whether any workspace has a priority of its own.
+func (w *Workspaces) HavePriorities() bool {
+	return w != nil && w.havePriorities
+}
+
 // ByKey returns the workspace that a key belongs to.
 func (w *Workspaces) ByKey(key credential.Digest) (*Workspace, bool) {
 	if w == nil {
