Prompts take their turns by the time that is left, then by precedence

Cause: prompts took their turns at a runner's prefill in the order of arrival. Prompts whose callers allow 2,000 ms went before others that had 500 ms, and requests whose adapter had just been loaded queued behind both.

Change: internal/precedence keeps a queue for each runner. A request that would wait is deferred (AskAgain with a ticket) while requests with less time go first; where not all can be on time, those of the lowest precedence are put off or refused. The share of each precedence has a lower bound.

--- a/internal/adapters/admission.go
+++ b/internal/adapters/admission.go
@@ -72,6 +72,8 @@
 	// Ranked is set if requests are ordered by priority. Precedence is then the request's.
 	Ranked     bool
 	Precedence site.Precedence
+	// Ticket is that of the last result, 0 if it had none.
+	Ticket uint64
 }
 
 // AdmissionResult is the answer to an admission request.
@@ -83,6 +85,9 @@
 	// would take its turn, or all requests waiting for the adapter would be sent at
 	// once.
 	AskAgain bool
+	// Ticket is set if the request was deferred because others go first. The request
+	// returns it when it asks again.
+	Ticket uint64
 }
 
 // turnLead is how long before its adapter's load is done a request is scheduled.
@@ -142,8 +147,8 @@
 	if c.refusal != nil {
 		return AdmissionResult{}, c.refusal
 	}
-	if c.pacer.Wait(ask.PromptTokens, now) > maxPromptWait(ask) {
-		return AdmissionResult{}, ErrPromptBacklog
+	if err := c.checkBacklog(ask, now); err != nil {
+		return AdmissionResult{}, err
 	}
 	readyAt := now
 	if ask.Key.Name != "" {
@@ -155,6 +160,9 @@
 	if readyAt.Sub(now) > turnLead {
 		return AdmissionResult{At: readyAt, AskAgain: true}, nil
 	}
+	if deferred, again, err := c.deferTurn(ask, now); again || err != nil {
+		return deferred, err
+	}
 	sendAt := c.pacer.Admit(ask.PromptTokens, now)
 	if sendAt.Before(readyAt) {
 		sendAt = readyAt
--- /dev/null
+++ b/internal/adapters/contended_test.go
@@ -0,0 +1,297 @@
+package adapters
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/shoenig/test/must"
+)
+
+// contendedRoute is one kind of requests of customer A, see docs/design/contention.md.
+type contendedRoute struct {
+	name             string
+	share            float64
+	tokens, priority int
+	target, maxWait  time.Duration
+}
+
+var contendedRoutes = []contendedRoute{
+	{name: "live", share: 248, tokens: 826, target: 500 * time.Millisecond, maxWait: 2250 * time.Millisecond},
+	{name: "batch", share: 50, tokens: 826, priority: 1, target: time.Second, maxWait: 3850 * time.Millisecond},
+	{name: "long", share: 74, tokens: 2368, priority: 2, target: 2 * time.Second, maxWait: 3 * time.Second},
+}
+
+const (
+	contendedWorkspaces = 16
+	// contendedMargin is the part of the target that remains for the answer, contendedHop
+	// how long a message to an owner takes.
+	contendedMargin = 60 * time.Millisecond
+	contendedHop    = 1500 * time.Microsecond
+)
+
+// contendedRequest is one request on its way over the runners, as internal/serve sends it.
+type contendedRequest struct {
+	route     *contendedRoute
+	workspace int
+	arrived   time.Time
+	order     []int
+	// probe counts the runners asked. ask is what was last asked.
+	probe     int
+	waited    bool
+	ticket    uint64
+	asks      int
+	deferrals int
+	sentAt    time.Time
+	refused   bool
+}
+
+func (r *contendedRequest) onTime() bool {
+	return !r.refused && !r.sentAt.After(r.arrived.Add(r.route.target-contendedMargin-prefillTime(r.route.tokens)))
+}
+
+type contendedEvent struct {
+	at  time.Time
+	seq int
+	run *contendedRequest
+}
+
+type contendedEvents []contendedEvent
+
+func (e contendedEvents) Len() int { return len(e) }
+func (e contendedEvents) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e contendedEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *contendedEvents) Push(x any)   { *e = append(*e, x.(contendedEvent)) }
+func (e *contendedEvents) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// contendedLoad plays requests on a few runners.
+type contendedLoad struct {
+	runners int
+	// utilization is the load as a share of what the runners' prefill can do.
+	utilization float64
+	duration    time.Duration
+	ranked      func(*contendedRequest) bool
+	seed        uint64
+}
+
+// contendedResult is what became of the requests.
+type contendedResult struct {
+	// idleWhileDeferred is for how long runners had nothing to do while a request that
+	// they deferred waited, of a total time of span.
+	requests          []*contendedRequest
+	idleWhileDeferred time.Duration
+	span              time.Duration
+}
+
+func (l contendedLoad) play() contendedResult {
+	random := rand.New(rand.NewPCG(l.seed, 1))
+	now := epoch
+	controllers := make([]*Controller, l.runners)
+	for i := range controllers {
+		controllers[i] = newTestController(&now, 17, &fakeEngine{})
+	}
+	var shares, tokens float64
+	for _, route := range contendedRoutes {
+		shares += route.share
+		tokens += route.share * float64(route.tokens)
+	}
+	rate := l.utilization * float64(l.runners) * pacedPerMS * 1000 / (tokens / shares)
+	var events contendedEvents
+	seq := 0
+	push := func(at time.Time, r *contendedRequest) {
+		seq++
+		heap.Push(&events, contendedEvent{at: at, seq: seq, run: r})
+	}
+	result := contendedResult{span: l.duration * time.Duration(l.runners)}
+	for at := epoch; at.Before(epoch.Add(l.duration)); at = at.Add(time.Duration(random.ExpFloat64() / rate * float64(time.Second))) {
+		r := &contendedRequest{workspace: random.IntN(contendedWorkspaces), arrived: at, order: random.Perm(l.runners)}
+		draw := random.Float64() * shares
+		for i := range contendedRoutes {
+			r.route = &contendedRoutes[i]
+			if draw -= r.route.share; draw < 0 {
+				break
+			}
+		}
+		result.requests = append(result.requests, r)
+		push(at, r)
+	}
+	for len(events) > 0 {
+		event := heap.Pop(&events).(contendedEvent)
+		if !event.at.Before(now) {
+			for _, c := range controllers {
+				from := laterOf(now, c.pacer.freeAt)
+				if c.line.Deferred(event.at) > 0 && event.at.After(from) && event.at.Before(epoch.Add(l.duration)) {
+					result.idleWhileDeferred += event.at.Sub(from)
+				}
+			}
+			now = event.at
+		}
+		r := event.run
+		left := r.arrived.Add(r.route.maxWait).Sub(now)
+		lastResort := r.probe >= l.runners
+		if left <= 0 || r.probe >= l.runners+min(2, l.runners) {
+			r.refused = true
+			continue
+		}
+		ask := AdmissionRequest{
+			PromptTokens: r.route.tokens, MaxOutputTokens: 100, PromptWait: r.route.target / 2,
+			LatencyBudget: r.arrived.Add(r.route.target - contendedMargin).Sub(now), MaxWait: left, LastResort: lastResort, Waited: r.waited,
+		}
+		if l.ranked(r) {
+			ask.Ranked, ask.Precedence, ask.Ticket = true, site.Precedence{Workspace: r.workspace, Route: r.route.priority}, r.ticket
+		}
+		r.asks++
+		admitted, err := controllers[r.order[r.probe%l.runners]].Admit(ask)
+		switch {
+		case err != nil:
+			r.probe++
+			r.waited, r.ticket = false, 0
+			push(now.Add(2*contendedHop), r)
+		case admitted.AskAgain:
+			r.deferrals++
+			r.waited, r.ticket = true, admitted.Ticket
+			push(admitted.At.Add(2*contendedHop), r)
+		case admitted.At.Sub(now) > left:
+			r.refused = true
+		default:
+			r.sentAt = admitted.At
+		}
+	}
+	return result
+}
+
+// contendedShares are the shares of requests by result.
+type contendedShares struct{ onTime, late, refused, count float64 }
+
+func (s contendedShares) served() float64 { return s.onTime + s.late }
+
+func (s contendedShares) String() string {
+	return fmt.Sprintf("%.3f on time, %.3f late, %.3f refused of %.0f", s.onTime, s.late, s.refused, s.count)
+}
+
+func (r contendedResult) of(matches func(*contendedRequest) bool) contendedShares {
+	var s contendedShares
+	for _, request := range r.requests {
+		if !matches(request) {
+			continue
+		}
+		s.count++
+		switch {
+		case request.refused:
+			s.refused++
+		case request.onTime():
+			s.onTime++
+		default:
+			s.late++
+		}
+	}
+	s.onTime, s.late, s.refused = s.onTime/s.count, s.late/s.count, s.refused/s.count
+	return s
+}
+
+func allContended(*contendedRequest) bool  { return true }
+func noneContended(*contendedRequest) bool { return false }
+
+func (r contendedResult) log(t *testing.T, name string) {
+	t.Helper()
+	asks, most := 0, 0
+	for _, request := range r.requests {
+		asks += request.asks
+		most = max(most, request.deferrals)
+	}
+	t.Logf("%s: %s; asks %.2f, most deferrals %d, idle while deferred %.4f", name, r.of(allContended), float64(asks)/float64(len(r.requests)), most, r.idleShare())
+	for quarter := range 4 {
+		t.Logf("  workspaces %d to %d: %s", quarter*4, quarter*4+3, r.of(inQuarter(quarter)))
+		for i := range contendedRoutes {
+			t.Logf("    %s: %s", contendedRoutes[i].name, r.of(func(q *contendedRequest) bool { return inQuarter(quarter)(q) && q.route == &contendedRoutes[i] }))
+		}
+	}
+	t.Logf("  least served share of a workspace on a route: %.3f", r.leastServed())
+}
+
+// inQuarter matches the requests of a quarter of the workspaces; quarter 0 goes first.
+func inQuarter(quarter int) func(*contendedRequest) bool {
+	return func(r *contendedRequest) bool { return r.workspace*4/contendedWorkspaces == quarter }
+}
+
+func (r contendedResult) idleShare() float64 { return float64(r.idleWhileDeferred) / float64(r.span) }
+
+// leastServed returns the least served share of a workspace's requests on a route.
+func (r contendedResult) leastServed() float64 {
+	least := 1.0
+	for workspace := range contendedWorkspaces {
+		for i := range contendedRoutes {
+			least = min(least, r.of(func(q *contendedRequest) bool { return q.workspace == workspace && q.route == &contendedRoutes[i] }).served())
+		}
+	}
+	return least
+}
+
+// playContended plays two minutes on four runners.
+func playContended(t *testing.T, utilization float64, ranked func(*contendedRequest) bool, name string) contendedResult {
+	t.Helper()
+	result := contendedLoad{runners: 4, utilization: utilization, duration: 2 * time.Minute, ranked: ranked, seed: 1}.play()
+	result.log(t, name)
+	return result
+}
+
+// At nine tenths of the prefill capacity all requests can be on time, and are. Guards
+// against deferrals that make requests late or runners idle without need.
+func TestContendedLoadBelowCapacity(t *testing.T) {
+	before := playContended(t, 0.9, noneContended, "unranked")
+	after := playContended(t, 0.9, allContended, "ranked")
+	must.GreaterEq(t, 0.995, after.of(allContended).onTime)
+	must.GreaterEq(t, before.of(allContended).onTime, after.of(allContended).onTime)
+	must.GreaterEq(t, 0.97, after.leastServed())
+	must.LessEq(t, 0.02, after.idleShare())
+}
+
+// With a third more prompts than the runners can process, the order of arrival makes
+// nearly all requests late. In the order of precedence the requests that are served are
+// on time, and the lowest precedence bears the refusals. Guards against starvation as
+// well: each workspace gets at least a quarter of the overall share on each route.
+func TestContendedLoadBeyondCapacity(t *testing.T) {
+	before := playContended(t, 1.3, noneContended, "unranked")
+	after := playContended(t, 1.3, allContended, "ranked")
+	must.GreaterEq(t, 0.95, after.of(inQuarter(0)).onTime)
+	must.GreaterEq(t, before.of(inQuarter(0)).onTime+0.5, after.of(inQuarter(0)).onTime)
+	for quarter := 1; quarter < 4; quarter++ {
+		must.GreaterEq(t, after.of(inQuarter(quarter)).onTime, after.of(inQuarter(quarter-1)).onTime)
+		must.GreaterEq(t, before.of(inQuarter(quarter)).onTime, after.of(inQuarter(quarter)).onTime)
+	}
+	all := after.of(allContended)
+	must.GreaterEq(t, before.of(allContended).served(), all.served())
+	must.GreaterEq(t, all.served()/4, after.leastServed())
+	must.LessEq(t, 0.01, after.idleShare())
+	for _, request := range after.requests {
+		must.LessEq(t, 3*maxContendedDeferrals, request.deferrals)
+		if !request.refused {
+			must.False(t, request.sentAt.After(request.arrived.Add(request.route.maxWait)))
+		}
+	}
+}
+
+// maxContendedDeferrals bounds how often one runner defers a request. It asks up to three
+// runners that defer it.
+const maxContendedDeferrals = 9
+
+// Hosts of the previous version send no rank and no ticket. Their requests have the
+// lowest precedence that was seen. Guards against requests of such hosts that starve, or
+// that go before those of the others.
+func TestContendedLoadOfUnrankedHosts(t *testing.T) {
+	ranked := func(r *contendedRequest) bool { return r.arrived.UnixNano()%4 != 0 }
+	result := playContended(t, 1.3, ranked, "a quarter of the hosts sends no rank")
+	unranked := result.of(func(r *contendedRequest) bool { return !ranked(r) })
+	t.Logf("  unranked: %s", unranked)
+	must.GreaterEq(t, result.of(allContended).served()/4, unranked.served())
+	must.GreaterEq(t, unranked.onTime, result.of(func(r *contendedRequest) bool { return ranked(r) && inQuarter(0)(r) }).onTime)
+}
--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/board"
+	"github.com/cherrystage/cherrystage/internal/precedence"
 	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/hashicorp/go-hclog"
 )
@@ -69,6 +70,8 @@
 	spec  Spec
 	slots *AdapterSlots
 	pacer Pacer
+	// line orders the requests that wait for their turn at prefill.
+	line *precedence.Line
 	// prefill estimates how fast the runner runs prefill.
 	prefill PrefillEstimator
 	// replicas are the other runners that hold the adapters whose home is this
@@ -114,6 +117,8 @@
 	// Contended reports whether the deployment calls for scheduling under contention, see
 	// docs/design/contention.md.
 	Contended func() bool
+	// Contention counts decisions of all controllers of the host.
+	Contention *ContentionCounters
 	// OnRestart is called when a runner has restarted under the same instance.
 	OnRestart func(instance string, startedMS int64)
 	// OnSignal is called with what a runner's answer says about the requests it can
@@ -125,6 +130,9 @@
 
 // NewController returns a controller that has not read its runner's state yet.
 func NewController(runner *site.Runner, spec Spec, deps ControllerDeps) *Controller {
+	if deps.Contention == nil {
+		deps.Contention = &ContentionCounters{}
+	}
 	return &Controller{
 		ControllerDeps: deps,
 		runner:         runner,
@@ -132,6 +140,7 @@
 		spec:           spec,
 		slots:          NewAdapterSlots(spec.Capacity),
 		replicas:       NewReplicas(),
+		line:           precedence.NewLine(uint64(deps.Now().UnixNano())),
 		wake:           make(chan struct{}, 1),
 	}
 }
--- a/internal/adapters/owner.go
+++ b/internal/adapters/owner.go
@@ -23,6 +23,8 @@
 	log         hclog.Logger
 	times       *LoadTimes
 	peerFetches func() (fetches, runners int)
+	// Contention counts decisions of all controllers.
+	Contention ContentionCounters
 	// fetchCapacity is the number of concurrent fetches per runner that the weight
 	// store serves at full speed, as float bits.
 	fetchCapacity atomic.Uint64
@@ -83,7 +85,7 @@
 	}
 	o.deps = ControllerDeps{
 		Holder: deps.Host, Engines: deps.Engines, Authority: deps.Authority, Times: o.times, StoreLoad: o.storeLoad, RunnerView: deps.RunnerView,
-		Utilization: deps.Utilization, TypicalPrefill: deps.TypicalPrefill, ModelLoads: NewModelLoadLimiter(deps.ModelLoads), HostCount: deps.HostCount, Contended: deps.Contended, OnRestart: deps.OnRestart, OnSignal: deps.OnSignal, Now: deps.Now, Log: deps.Log,
+		Utilization: deps.Utilization, TypicalPrefill: deps.TypicalPrefill, ModelLoads: NewModelLoadLimiter(deps.ModelLoads), HostCount: deps.HostCount, Contended: deps.Contended, Contention: &o.Contention, OnRestart: deps.OnRestart, OnSignal: deps.OnSignal, Now: deps.Now, Log: deps.Log,
 	}
 	return o
 }
--- a/internal/adapters/slots.go
+++ b/internal/adapters/slots.go
@@ -43,6 +43,8 @@
 	// Requests of a host that is gone count until latestEnd.
 	requests  int
 	latestEnd time.Time
+	// deferredUntil is when the last request that was deferred will have asked again.
+	deferredUntil time.Time
 	// lastRun is the request that started last. expectedEnd is when all requests are
 	// expected to have ended.
 	lastRun     Run
@@ -184,6 +186,13 @@
 	}
 }
 
+// hold keeps an adapter until a time, for a request that was deferred.
+func (s *AdapterSlots) hold(adapter site.Adapter, until time.Time) {
+	if slot := s.entries[adapter]; slot != nil {
+		slot.deferredUntil = laterOf(slot.deferredUntil, until)
+	}
+}
+
 // idle reports whether the adapter can be evicted: it has been resident for a while
 // and no request is expected to use it. An adapter in use can't be unloaded before
 // its last request ends. Until then its slot would not be free, and new requests for
@@ -192,6 +201,9 @@
 	if slot.phase != resident || now.Sub(slot.readyAt) < minResidence {
 		return false
 	}
+	if now.Before(slot.deferredUntil) {
+		return false
+	}
 	return slot.requests == 0 || now.After(slot.latestEnd)
 }
 
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -49,6 +49,8 @@
 	// Rank is the request's precedence, workspace's priority first; nil if requests are not
 	// ordered by priority.
 	Rank *[2]int `json:"rank,omitempty"`
+	// Ticket is that of the last result, absent if it had none.
+	Ticket uint64 `json:"ticket,omitempty"`
 }
 
 // rankOf returns the wire form of a request's precedence.
@@ -65,6 +67,8 @@
 	ReadyMS int64 `json:"ready_ms"`
 	// AskAgain reports that the adapter is still loading; the caller asks again after ReadyMS.
 	AskAgain bool `json:"again,omitempty"`
+	// Ticket identifies a request that was deferred because others go first.
+	Ticket uint64 `json:"ticket,omitempty"`
 	// Refusal is set if the request is not admitted. Elsewhere lists other
 	// runners with the adapter.
 	Refusal   adapters.Refusal `json:"refusal,omitempty"`
@@ -91,7 +95,7 @@
 		precedence = site.Precedence{Workspace: p.Rank[0], Route: p.Rank[1]}
 	}
 	return adapters.AdmissionRequest{
-		Ranked: p.Rank != nil, Precedence: precedence,
+		Ranked: p.Rank != nil, Precedence: precedence, Ticket: p.Ticket,
 		Key:                  adapters.Key{Adapter: site.Adapter{Model: p.Model, Name: p.Adapter}, Version: p.Version},
 		PromptTokens:         p.PromptTokens,
 		MaxOutputTokens:      p.MaxOutputTokens,
@@ -136,7 +140,7 @@
 		if !admitted.AskAgain {
 			o.board.SetPeerRequests(from.Host, p.Runner, p.Running+1, o.now())
 		}
-		return AdmitResult{ReadyMS: max(0, admitted.At.Sub(o.now()).Milliseconds()), AskAgain: admitted.AskAgain}, nil
+		return AdmitResult{ReadyMS: max(0, admitted.At.Sub(o.now()).Milliseconds()), AskAgain: admitted.AskAgain, Ticket: admitted.Ticket}, nil
 	})
 	peer.Handle(mux, methodMissing, func(_ context.Context, _ peer.Identity, p AdmitParams) (struct{}, error) {
 		o.missingLocal(p.Runner, p.admission().Key.Adapter)
--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -90,7 +90,7 @@
 	err = o.pool.Call(callCtx, address, methodAdmit, AdmitParams{
 		Runner: runner.ID, Model: request.Key.Model, Adapter: request.Key.Name, Version: request.Key.Version, PromptTokens: request.PromptTokens, MaxOutputTokens: request.MaxOutputTokens, ExpectedOutputTokens: request.ExpectedOutputTokens,
 		PromptWaitMS: request.PromptWait.Milliseconds(), MaxWaitMS: request.MaxWait.Milliseconds(), LatencyBudgetMS: request.LatencyBudget.Milliseconds(),
-		Running: o.board.OwnRequestsOn(runner.ID), LastResort: request.LastResort, Home: request.Home, Retry: request.Retry, Waited: request.Waited, Barred: request.Barred, Rank: rankOf(request),
+		Running: o.board.OwnRequestsOn(runner.ID), LastResort: request.LastResort, Home: request.Home, Retry: request.Retry, Waited: request.Waited, Barred: request.Barred, Rank: rankOf(request), Ticket: request.Ticket,
 	}, &result)
 	if err != nil {
 		return adapters.AdmissionResult{}, o.noteUnreachable(host, err)
@@ -98,7 +98,7 @@
 	if result.Refusal != "" {
 		return adapters.AdmissionResult{}, result.refusalError()
 	}
-	return adapters.AdmissionResult{At: o.now().Add(time.Duration(result.ReadyMS) * time.Millisecond), AskAgain: result.AskAgain}, nil
+	return adapters.AdmissionResult{At: o.now().Add(time.Duration(result.ReadyMS) * time.Millisecond), AskAgain: result.AskAgain, Ticket: result.Ticket}, nil
 }
 
 // locateOwner returns a runner's owner and the owner's address, which is empty for
--- /dev/null
+++ b/internal/precedence/line.go
@@ -0,0 +1,303 @@
+package precedence
+
+import (
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/site"
+)
+
+const (
+	// beginWithin is the wait from which a request takes its turn instead of being
+	// deferred. It covers the message to ask again, 3 ms and on small hosts 15, so that
+	// the runner does not idle meanwhile. Requests that arrive later wait for it, which
+	// is little against the 400 ms that streams have.
+	beginWithin = 20 * time.Millisecond
+	// farWait is the wait from which only farShare of it is waited before the request
+	// asks again: those before it may leave.
+	farWait  = 150 * time.Millisecond
+	farShare = 0.8
+	// maxAsks bounds how often a request is deferred on one runner. Each time it waits
+	// at least twice as long as the time before, at first askShare of the time for which
+	// it may be deferred, so that all of them take that time.
+	maxAsks  = 8
+	askShare = 1.0 / 63
+	// maxPauseShare bounds how long a request waits until it asks again, as a share of
+	// the time for which it is of use: if the owner is lost meanwhile, most of that
+	// time is left for another runner.
+	maxPauseShare = 0.25
+	// overdueShare is the share of its time for which a request may be deferred.
+	overdueShare = 0.5
+	// lastCall is the spare time below which a request is not deferred.
+	lastCall = 100 * time.Millisecond
+	// askGrace is how long after its time a request that has not asked again still
+	// counts as waiting, entryTTL how long it is remembered.
+	askGrace = 60 * time.Millisecond
+	entryTTL = 2 * time.Second
+	// maxDeferred bounds the deferred requests of one runner. With 41 ms each, they
+	// would take longer than callers wait.
+	maxDeferred = 128
+	// activeFor is how long after the last ranked request the order counts.
+	activeFor = 10 * time.Second
+)
+
+// Ask is what a request says of itself when it asks for its turn.
+type Ask struct {
+	// Ticket identifies a request that was deferred before, 0 if it was not. Waited is
+	// set if it was told to ask again, for its turn or for its adapter.
+	Ticket uint64
+	Waited bool
+	// LastResort is set if no other runner takes the request.
+	LastResort bool
+	// Size is the length of the prompt. A ticket of another owner, for a prompt of
+	// another length, is not taken for one of this.
+	Size int
+	// Ranked is false if its host knows no precedence.
+	Ranked     bool
+	Precedence site.Precedence
+	Cost       time.Duration
+	// Slack is the time within which the prefill has to begin for the request to be on
+	// time, Left the time within which it has to begin to be of use, and Patience how
+	// long the request may wait on this runner.
+	Slack, Left, Patience time.Duration
+}
+
+// Verdict is the decision on a request that asks for its turn.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Begin: it takes its turn.
+	Begin Verdict = iota
+	// Defer: it asks again after Pause, with Ticket.
+	Defer
+	// Refuse: its turn would come too late, after Wait.
+	Refuse
+)
+
+// Decision is a verdict and what it is based on.
+type Decision struct {
+	Verdict Verdict
+	Pause   time.Duration
+	Ticket  uint64
+	// Wait is how long the request is expected to wait for its turn.
+	Wait time.Duration
+	// Reason names the rule that decided.
+	Reason string
+}
+
+// waiting is a deferred request.
+type waiting struct {
+	Prompt
+	ranked  bool
+	size    int
+	askedAt time.Time
+	overdue time.Time
+	asks    int
+	// nextAsk is when it asks again.
+	nextAsk time.Time
+}
+
+// Line is the queue for the prefill of one runner. It is not safe for concurrent use.
+type Line struct {
+	Shares   Shares
+	deferred map[uint64]*waiting
+	last     uint64
+	rankedAt time.Time
+	active   bool
+}
+
+// NewLine returns a line without requests. Tickets are numbered from first on, which
+// should differ from owner to owner.
+func NewLine(first uint64) *Line { return &Line{last: first, deferred: map[uint64]*waiting{}} }
+
+// Asked counts a request that asks for admission for the first time.
+func (l *Line) Asked(ask Ask, now time.Time) {
+	l.Shares.Asked(l.PrecedenceOf(ask.Ranked, ask.Precedence, now), ask.LastResort, now)
+}
+
+// Active reports whether the order counts on the runner, given the request that asks:
+// it or one not long before it was ranked. Elsewhere all decisions are as without the
+// order.
+func (l *Line) Active(ranked bool, now time.Time) bool {
+	if ranked {
+		l.active, l.rankedAt = true, now
+	}
+	l.active = l.active && now.Sub(l.rankedAt) < activeFor
+	return l.active
+}
+
+// PrecedenceOf returns the precedence of a request. One whose host knows none counts as
+// having the lowest that was seen.
+func (l *Line) PrecedenceOf(ranked bool, p site.Precedence, now time.Time) site.Precedence {
+	if ranked {
+		return p
+	}
+	lowest, _ := l.Shares.Lowest(now)
+	return lowest
+}
+
+// Deferred returns the number of deferred requests.
+func (l *Line) Deferred(now time.Time) int {
+	l.expire(now)
+	return len(l.deferred)
+}
+
+// Leave forgets a deferred request, and reports whether there was one.
+func (l *Line) Leave(ticket uint64) bool {
+	_, there := l.deferred[ticket]
+	delete(l.deferred, ticket)
+	return there
+}
+
+// expire forgets requests that did not ask again.
+func (l *Line) expire(now time.Time) {
+	for ticket, w := range l.deferred {
+		if now.Sub(w.nextAsk) > entryTTL || now.After(w.End) {
+			delete(l.deferred, ticket)
+		}
+	}
+}
+
+// candidate returns the queue's entry of a request that asks, or a new one.
+func (l *Line) candidate(ask Ask, now time.Time) *waiting {
+	w := l.deferred[ask.Ticket]
+	if !ask.Ranked && ask.Waited {
+		w = l.nextUnranked(ask.Size)
+	}
+	if w == nil || w.ranked != ask.Ranked || w.size != ask.Size {
+		w = &waiting{ranked: ask.Ranked, size: ask.Size, askedAt: now, overdue: now.Add(max(ask.Slack, time.Duration(overdueShare*float64(ask.Left))))}
+		w.Seq = l.last + 1
+	}
+	w.Precedence = l.PrecedenceOf(ask.Ranked, ask.Precedence, now)
+	w.Protected = w.Protected || l.Shares.Protected(w.Precedence)
+	w.Cost, w.Due, w.End = ask.Cost, now.Add(ask.Slack), now.Add(ask.Left)
+	w.Overdue = w.Protected && ask.Slack < 0
+	return w
+}
+
+// waitOf returns how long a request waits for those that go before it. Those that ask
+// again only after it can begin do not count: the runner would idle until they ask.
+func (l *Line) waitOf(w *waiting, prefill Prefill, now time.Time) time.Duration {
+	prompts := make([]*Prompt, 0, len(l.deferred)+1)
+	for _, other := range l.deferred {
+		if other.Seq != w.Seq && now.Sub(other.nextAsk) <= askGrace {
+			prompts = append(prompts, &other.Prompt)
+		}
+	}
+	if len(prompts) == 0 {
+		return prefill.Wait(w.Cost, 0)
+	}
+	var before time.Duration
+	for _, p := range Order(append(prompts, &w.Prompt), prefill, now) {
+		if p.Seq == w.Seq {
+			break
+		}
+		if l.deferred[p.Seq].nextAsk.Sub(now) <= prefill.Wait(p.Cost, before)+beginWithin {
+			before += p.Cost
+		}
+	}
+	return prefill.Wait(w.Cost, before)
+}
+
+// TooLate reports whether a request would wait for its turn for longer than it may, and
+// how long that is.
+//
+// Requests of higher precedence that arrive meanwhile go before it as well. If they were
+// not counted, requests of low precedence would be told to wait and be refused after
+// half of their time, when other runners can help them no more.
+func (l *Line) TooLate(ask Ask, prefill Prefill, now time.Time) (time.Duration, bool) {
+	l.expire(now)
+	w := l.candidate(ask, now)
+	wait := l.waitOf(w, prefill, now)
+	if wait <= beginWithin {
+		return wait, false
+	}
+	if w.Protected && prefill.Wait(w.Cost, 0) <= ask.Patience {
+		return wait, false
+	}
+	if !ask.Waited {
+		wait = l.withHigher(w, wait, now)
+	}
+	return wait, wait > ask.Patience
+}
+
+// withHigher adds to a wait the requests of higher precedence that are expected to
+// arrive meanwhile.
+func (l *Line) withHigher(w *waiting, wait time.Duration, now time.Time) time.Duration {
+	return time.Duration(float64(wait) / (1 - l.Shares.HigherWork(w.Precedence, now)))
+}
+
+// Turn decides whether a request takes its turn now.
+//
+// A request that takes its turn at once whenever it asks is served in the order of
+// arrival, whatever time the others have. So a request takes its turn only when little
+// is before it, and is told until then to ask again. The queue decides anew each time,
+// so requests with less time go before it, but not for more than half of its time.
+func (l *Line) Turn(ask Ask, prefill Prefill, now time.Time) Decision {
+	l.expire(now)
+	w := l.candidate(ask, now)
+	own := prefill.Wait(w.Cost, 0)
+	wait := l.waitOf(w, prefill, now)
+	switch {
+	case wait <= beginWithin:
+		return l.begin(w, own, "first", now)
+	case len(l.deferred) >= maxDeferred && l.deferred[w.Seq] == nil:
+		return l.begin(w, own, "line full", now)
+	case wait > ask.Left && (!w.Protected || own > ask.Left):
+		return Decision{Verdict: Refuse, Wait: wait, Reason: "backlog"}
+	}
+	if !now.Before(w.overdue) {
+		if !w.Protected && l.withHigher(w, wait, now) > ask.Left {
+			return Decision{Verdict: Refuse, Wait: wait, Reason: "backlog"}
+		}
+		w.Overdue = true
+		wait = l.waitOf(w, prefill, now)
+	}
+	if wait <= beginWithin || w.asks >= maxAsks || ask.Left-wait < lastCall {
+		return l.begin(w, own, "deferred long enough", now)
+	}
+	w.asks++
+	pause := w.pause(wait, ask, now)
+	w.nextAsk = now.Add(pause)
+	l.deferred[w.Seq] = w
+	l.last = max(l.last, w.Seq)
+	return Decision{Verdict: Defer, Pause: pause, Ticket: w.Seq, Wait: wait, Reason: "others first"}
+}
+
+// pause returns when a request asks again that is expected to wait for so long.
+func (w *waiting) pause(wait time.Duration, ask Ask, now time.Time) time.Duration {
+	pause := wait - beginWithin/2
+	if wait > farWait {
+		pause = time.Duration(farShare * float64(wait))
+	}
+	least := time.Duration(askShare * float64(w.overdue.Sub(w.askedAt)) * float64(int(1)<<(w.asks-1)))
+	pause = min(max(pause, least), time.Duration(maxPauseShare*float64(ask.Left)))
+	if until := w.overdue.Sub(now); until > 0 {
+		pause = min(pause, until)
+	}
+	if ask.Slack > 0 {
+		// It asks before it is in danger, and then for as long as it can be on time.
+		pause = min(pause, max(ask.Slack-maxMargin, wait-beginWithin/2))
+	}
+	return max(pause, beginWithin/2)
+}
+
+// begin counts a request that takes its turn.
+func (l *Line) begin(w *waiting, wait time.Duration, reason string, now time.Time) Decision {
+	delete(l.deferred, w.Seq)
+	l.Shares.Served(w.Precedence, w.Cost, now)
+	return Decision{Verdict: Begin, Wait: wait, Reason: reason}
+}
+
+// nextUnranked returns, of the deferred requests with prompts of this length whose hosts
+// know no precedence, the one that asks next, or nil. These hosts return no tickets. If
+// two such requests are taken for each other, only the counts of their asks change places.
+func (l *Line) nextUnranked(size int) *waiting {
+	var next *waiting
+	for _, w := range l.deferred {
+		if !w.ranked && w.size == size && (next == nil || w.nextAsk.Before(next.nextAsk) || w.nextAsk.Equal(next.nextAsk) && w.Seq < next.Seq) {
+			next = w
+		}
+	}
+	return next
+}
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -112,6 +112,7 @@
 	if l.key.Name != "" {
 		fields = append(fields, "adapter", l.key.String(), "prompt_tokens", l.request.PromptTokens, "version", l.key.Version, "rank", l.rank, "near", l.near, "load_ordered", l.waitedForLoad, "load_wait_ms", l.waited.Milliseconds())
 	}
+	fields = append(fields, l.contentionLogFields()...)
 	if !l.firstByteAt.IsZero() {
 		fields = append(fields, "first_ms", l.firstByteAt.Sub(l.arrived).Milliseconds())
 	}
--- a/internal/serve/search.go
+++ b/internal/serve/search.go
@@ -111,7 +111,7 @@
 // owner does not admit it. The owner of a barred runner is asked only for the other runners
 // that hold the adapter.
 func (l *lifecycle) admit(ctx context.Context, home *site.Runner, step placing.Step, lastResort, barred bool) error {
-	waited := false
+	waited, ticket := false, uint64(0)
 	for {
 		within := l.timeToStart()
 		admitted, err := l.s.Owners.Admit(ctx, l.runner, adapters.AdmissionRequest{
@@ -129,6 +129,7 @@
 			Barred:               barred,
 			Ranked:               l.ranked,
 			Precedence:           l.precedence,
+			Ticket:               ticket,
 		})
 		if err == nil && barred {
 			// The owner runs an older version that does not know the Barred field.
@@ -150,7 +151,8 @@
 			// Requests that arrive while the adapter is loading follow it to this runner.
 			l.s.Owners.ReportPlaced(home, l.key, l.runner)
 		}
-		l.waitedForLoad = l.waitedForLoad || admitted.AskAgain
+		l.waitedForLoad = l.waitedForLoad || admitted.AskAgain && admitted.Ticket == 0
+		l.countDeferral(admitted, pause)
 		if err := l.wait(ctx, pause); err != nil {
 			l.releaseUnused(admitted)
 			l.refusals = append(l.refusals, err.Error())
@@ -159,7 +161,7 @@
 		if !admitted.AskAgain {
 			return nil
 		}
-		waited = true
+		waited, ticket = true, admitted.Ticket
 	}
 }
 
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -196,6 +196,10 @@
 	// reason is why this host generated the answer itself, empty if a runner answered.
 	reason        string
 	waitedForLoad bool
+	// deferrals counts how often an owner told the request to ask again because others
+	// go first, deferred is how long it waited for that.
+	deferrals int
+	deferred  time.Duration
 	// rank is the runner's position in the adapter's order; near is set if the order
 	// begins with the runners of the host's own data centre.
 	rank int
