Loads, adapter slots and request slots by precedence

Cause: at a saturated weight store, and where queued loads hold all adapter slots of a runner, requests of the highest precedence waited behind all others or were refused. The last request slots went to whoever asked first.

Change: of the loads that are alike in time, those of higher precedence go first while the store is saturated. A load of higher precedence takes the slot of the lowest queued load; loads that were ordered stay. The last eighth of the request slots is kept from the lowest precedence that asked within a second. Requests that were deferred or have a load, and those that their precedence's share protects, are exempt.

TestUnrankedDecisionsAreAsBefore passes.

--- a/internal/adapters/admission.go
+++ b/internal/adapters/admission.go
@@ -74,6 +74,8 @@
 	Precedence site.Precedence
 	// Ticket is that of the last result, 0 if it had none.
 	Ticket uint64
+	// proactive is set for a load that no request waits for.
+	proactive bool
 }
 
 // AdmissionResult is the answer to an admission request.
@@ -107,6 +109,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.updatePace(typical)
+	c.noteAsk(ask, now)
 	admitted, err := AdmissionResult{}, c.checkLoad(ask, view, limits)
 	if err == nil {
 		admitted, err = c.admit(ask, now)
@@ -272,7 +275,7 @@
 	case c.holdsOrLoads(ask.Key):
 		limit = limits.Loaded
 	}
-	if view.Load >= limit {
+	if view.Load >= limit || c.keepsLastSlots(ask, view.Load, c.Now()) {
 		return ErrBusy
 	}
 	if view.Refusing && !committed {
--- a/internal/adapters/contention.go
+++ b/internal/adapters/contention.go
@@ -1,6 +1,13 @@
 package adapters
 
-import "sync/atomic"
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/placing"
+	"github.com/cherrystage/cherrystage/internal/precedence"
+)
 
 // ContentionCounters count the decisions by which some requests go before others.
 type ContentionCounters struct {
@@ -12,3 +19,63 @@
 	// slots are kept for higher precedence.
 	DisplacedLoads, ReservedSlots atomic.Int64
 }
+
+// ordersByRank reports whether loads are ordered by the ranks of their requests: while
+// the weight store is saturated. c.mu must be held.
+func (c *Controller) ordersByRank(now time.Time) bool {
+	if !c.line.Active(now) {
+		return false
+	}
+	store := c.StoreLoad()
+	return float64(store.Fetches) >= store.Capacity
+}
+
+// rankOf returns the rank of a request's load; c.mu must be held.
+func (c *Controller) rankOf(ask AdmissionRequest, now time.Time) precedence.Rank {
+	if ask.proactive || !c.line.Active(now) {
+		return precedence.Rank{}
+	}
+	return c.line.RankOf(ask.Ranked, ask.Precedence, now)
+}
+
+// displaceLoad removes the queued load of the lowest rank to make room for a load of a
+// higher one. It returns how long that load waits for the slot, or false if there is no
+// such load or the slot is free too late. Adapters that are loaded or being loaded stay.
+// c.mu must be held.
+func (c *Controller) displaceLoad(ask AdmissionRequest, rank precedence.Rank, loadTime time.Duration, now time.Time) (time.Duration, bool) {
+	if !c.line.Active(now) {
+		return 0, false
+	}
+	queued := make([]precedence.QueuedLoad, 0, len(c.pending))
+	var loads []*pendingLoad
+	for _, load := range c.pending {
+		if _, ordered := c.slots.entries[load.key.Adapter]; ordered || load.key == c.ordering {
+			continue
+		}
+		loads = append(loads, load)
+		queued = append(queued, precedence.QueuedLoad{Rank: load.rank, DueAt: load.dueAt})
+	}
+	index, found := precedence.Displaced(queued, rank)
+	if !found {
+		return 0, false
+	}
+	displaced := loads[index]
+	wait := max(0, displaced.slotExpectedAt.Sub(now))
+	if wait+loadTime > c.maxLoadWait(ask) {
+		return 0, false
+	}
+	c.pending = slices.DeleteFunc(c.pending, func(load *pendingLoad) bool { return load == displaced })
+	c.Contention.DisplacedLoads.Add(1)
+	c.log.Info("queued load displaced", "adapter", displaced.key.String(), "requests", displaced.requests, "precedence", displaced.rank.Precedence, "for", ask.Key.String(), "for_precedence", rank.Precedence)
+	return wait, true
+}
+
+// keepsLastSlots reports whether the free request slots are kept for requests of higher
+// precedence; c.mu must be held. A request that was told to ask again has its slot.
+func (c *Controller) keepsLastSlots(ask AdmissionRequest, load int, now time.Time) bool {
+	if load < placing.Unreserved(c.runner.Slots) || ask.Waited || !c.line.Reserved(ask.Ranked, ask.Precedence, now) {
+		return false
+	}
+	c.Contention.ReservedSlots.Add(1)
+	return true
+}
--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -85,6 +85,8 @@
 	// pending are the loads that requests wait for.
 	pending []*pendingLoad
 	lastSeq uint64
+	// ordering is the adapter whose load is the next order or has been ordered last.
+	ordering Key
 	// refusal is the reason to refuse all requests, nil once the runner's report has
 	// been read.
 	refusal error
@@ -348,6 +350,7 @@
 		return task{pause: loadPollInterval}
 	}
 	if _, replaces := c.slots.entries[load.key.Adapter]; replaces || c.slots.Free() > 0 {
+		c.ordering = load.key
 		return task{action: actionLoad, key: load.key}
 	}
 	victim, found := c.slots.Victim(now)
--- a/internal/adapters/queue.go
+++ b/internal/adapters/queue.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/precedence"
 	"github.com/cherrystage/cherrystage/internal/site"
 )
 
@@ -22,6 +23,8 @@
 	slotExpectedAt time.Time
 	// requests is the number of requests that wait for the load.
 	requests int
+	// rank is the highest of their ranks.
+	rank precedence.Rank
 }
 
 // timeUntilLoaded estimates how long it takes until a load is done, including the
@@ -33,11 +36,12 @@
 func (c *Controller) timeUntilLoaded(load *pendingLoad, now time.Time) time.Duration {
 	own := c.idleLoadTime(load.key)
 	inTime := !load.dueAt.Before(now.Add(own))
+	byRank := c.ordersByRank(now)
 	var reloads time.Duration
 	fetches := 0
 	for _, other := range c.pending {
 		switch {
-		case other == load || !c.precedes(other, load, inTime, now):
+		case other == load || !c.precedes(other, load, inTime, byRank, now):
 		case c.slots.HeldRecently(other.key):
 			reloads += c.idleLoadTime(other.key)
 		default:
@@ -76,8 +80,9 @@
 }
 
 // precedes reports whether other goes before load; inTime tells whether load can be
-// done in time. Reloads, which need nothing from the weight store, go first.
-func (c *Controller) precedes(other, load *pendingLoad, inTime bool, now time.Time) bool {
+// done in time, byRank whether the ranks of their requests count. Reloads, which need
+// nothing from the weight store, go first.
+func (c *Controller) precedes(other, load *pendingLoad, inTime, byRank bool, now time.Time) bool {
 	if reload := c.slots.HeldRecently(other.key); reload != c.slots.HeldRecently(load.key) {
 		return reload
 	}
@@ -85,6 +90,9 @@
 	if otherInTime != inTime {
 		return otherInTime
 	}
+	if order := other.rank.Compare(load.rank); byRank && order != 0 {
+		return order < 0
+	}
 	if !inTime && other.requests != load.requests {
 		// None of these requests will be on time. The adapter that most of them wait
 		// for is also the one most likely to be requested next.
@@ -103,6 +111,7 @@
 		c.slots.Touch(ask.Key.Adapter, now)
 		return readyAt, nil
 	}
+	rank := c.rankOf(ask, now)
 	load := c.findPending(ask.Key)
 	known := load != nil
 	if !known {
@@ -110,7 +119,7 @@
 			return time.Time{}, err
 		}
 		c.lastSeq++
-		load = &pendingLoad{key: ask.Key, dueAt: now.Add(ask.LatencyBudget), seq: c.lastSeq}
+		load = &pendingLoad{key: ask.Key, dueAt: now.Add(ask.LatencyBudget), seq: c.lastSeq, rank: rank}
 	}
 	loadTime := c.timeUntilLoaded(load, now)
 	if loadTime > c.maxLoadWait(ask) {
@@ -118,6 +127,9 @@
 	}
 	if !known {
 		wait, ok := c.slotWait(ask, loadTime, now)
+		if !ok {
+			wait, ok = c.displaceLoad(ask, rank, loadTime, now)
+		}
 		if !ok {
 			return time.Time{}, ErrNoFreeSlot
 		}
@@ -128,6 +140,9 @@
 	}
 	load.lastAskedAt = now
 	load.usefulUntil = now.Add(ask.MaxWait)
+	if rank.Compare(load.rank) < 0 {
+		load.rank = rank
+	}
 	if !ask.Waited {
 		load.requests++
 	}
@@ -204,7 +219,7 @@
 	if _, there := c.slots.Ready(key); there || c.refusal != nil {
 		return
 	}
-	if _, err := c.requestLoad(AdmissionRequest{Key: key, LatencyBudget: prefetchBudget, MaxWait: 2 * prefetchBudget}, now); err != nil {
+	if _, err := c.requestLoad(AdmissionRequest{Key: key, LatencyBudget: prefetchBudget, MaxWait: 2 * prefetchBudget, proactive: true}, now); err != nil {
 		c.log.Debug("prefetch refused", "adapter", key.String(), "version", key.Version, "error", err.Error())
 	}
 }
@@ -249,9 +264,10 @@
 func (c *Controller) nextPending() *pendingLoad {
 	var best *pendingLoad
 	now := c.Now()
+	byRank := c.ordersByRank(now)
 	for _, load := range c.pending {
 		inTime := best != nil && !best.dueAt.Before(now.Add(c.idleLoadTime(best.key)))
-		if best == nil || c.precedes(load, best, inTime, now) {
+		if best == nil || c.precedes(load, best, inTime, byRank, now) {
 			best = load
 		}
 	}
--- a/internal/adapters/turns.go
+++ b/internal/adapters/turns.go
@@ -24,18 +24,22 @@
 	}
 }
 
+// noteAsk counts a request that asks for admission; c.mu must be held.
+func (c *Controller) noteAsk(ask AdmissionRequest, now time.Time) {
+	if !ask.Barred {
+		c.line.Asked(c.turnOf(ask), now)
+	}
+}
+
 // checkBacklog refuses a request that would wait too long for other prompts; c.mu must
 // be held.
 func (c *Controller) checkBacklog(ask AdmissionRequest, now time.Time) error {
-	if !c.line.Active(ask.Ranked, now) {
+	if !c.line.Active(now) {
 		if c.pacer.Wait(ask.PromptTokens, now) > maxPromptWait(ask) {
 			return ErrPromptBacklog
 		}
 		return nil
 	}
-	if !ask.Waited {
-		c.line.Asked(c.turnOf(ask), now)
-	}
 	if _, tooLate := c.line.TooLate(c.turnOf(ask), c.prefillState(now), now); tooLate {
 		c.leaveLine(ask)
 		return ErrPromptBacklog
@@ -53,7 +57,7 @@
 // deferTurn defers a request whose adapter is loaded while others go first; again is
 // false if it takes its turn now. c.mu must be held.
 func (c *Controller) deferTurn(ask AdmissionRequest, now time.Time) (deferred AdmissionResult, again bool, err error) {
-	if !c.line.Active(ask.Ranked, now) {
+	if !c.line.Active(now) {
 		return AdmissionResult{}, false, nil
 	}
 	turn := c.line.Turn(c.turnOf(ask), c.prefillState(now), now)
--- a/internal/precedence/line.go
+++ b/internal/precedence/line.go
@@ -102,29 +102,29 @@
 	Shares   Shares
 	deferred map[uint64]*waiting
 	last     uint64
+	// rankedAt is when a ranked request asked last, ranked is false if none did.
+	ranked   bool
 	rankedAt time.Time
-	active   bool
 }
 
 // NewLine returns a line without requests. Tickets are numbered from first on, which
 // should differ from owner to owner.
 func NewLine(first uint64) *Line { return &Line{last: first, deferred: map[uint64]*waiting{}} }
 
-// Asked counts a request that asks for admission for the first time.
+// Asked counts a request that asks for admission.
 func (l *Line) Asked(ask Ask, now time.Time) {
+	if ask.Ranked {
+		l.ranked, l.rankedAt = true, now
+	}
+	if ask.Waited || !l.Active(now) {
+		return
+	}
 	l.Shares.Asked(l.PrecedenceOf(ask.Ranked, ask.Precedence, now), ask.LastResort, now)
 }
 
-// Active reports whether the order counts on the runner, given the request that asks:
-// it or one not long before it was ranked. Elsewhere all decisions are as without the
-// order.
-func (l *Line) Active(ranked bool, now time.Time) bool {
-	if ranked {
-		l.active, l.rankedAt = true, now
-	}
-	l.active = l.active && now.Sub(l.rankedAt) < activeFor
-	return l.active
-}
+// Active reports whether the order counts on the runner: a ranked request asked lately.
+// Elsewhere all decisions are as without the order.
+func (l *Line) Active(now time.Time) bool { return l.ranked && now.Sub(l.rankedAt) < activeFor }
 
 // PrecedenceOf returns the precedence of a request. One whose host knows none counts as
 // having the lowest that was seen.
