Danger at half of the time left; shares by kind and by what all get

Cause: a request counted as in danger only 150 ms before it was late, and asks that were not exact left runners idle. Far beyond capacity, the requests that their share protects took all of it. Of equal precedence, long prompts were always put off.

--- a/internal/adapters/contention.go
+++ b/internal/adapters/contention.go
@@ -36,7 +36,7 @@
 	if ask.proactive || !c.line.Active(now) {
 		return precedence.Rank{}
 	}
-	return c.line.RankOf(ask.Ranked, ask.Precedence, now)
+	return c.line.RankOf(c.turnOf(ask), now)
 }
 
 // displaceLoad removes the queued load of the lowest rank to make room for a load of a
@@ -74,7 +74,7 @@
 // keepsLastSlots reports whether the free request slots are kept for requests of higher
 // precedence; c.mu must be held. A request that was told to ask again has its slot.
 func (c *Controller) keepsLastSlots(ask AdmissionRequest, load int, now time.Time) bool {
-	if load < placing.Unreserved(c.runner.Slots) || ask.Waited || !c.line.Reserved(ask.Ranked, ask.Precedence, now) {
+	if load < placing.Unreserved(c.runner.Slots) || ask.Waited || !c.line.Reserved(c.turnOf(ask), now) {
 		return false
 	}
 	c.Contention.ReservedSlots.Add(1)
--- /dev/null
+++ b/internal/precedence/bench_test.go
@@ -0,0 +1,21 @@
+package precedence
+
+import (
+	"testing"
+	"time"
+)
+
+// The cost of a decision while as many requests are deferred as may be.
+func BenchmarkTurn(b *testing.B) {
+	line := NewLine(0)
+	prefill := Prefill{Backlog: 400 * time.Millisecond, Burst: burst}
+	for i := range maxDeferred - 1 {
+		ask := liveAsk(i % 16)
+		ask.Left = time.Minute
+		line.Turn(ask, prefill, epoch)
+	}
+	ask := liveAsk(0)
+	for b.Loop() {
+		line.TooLate(ask, prefill, epoch)
+	}
+}
--- a/internal/precedence/line.go
+++ b/internal/precedence/line.go
@@ -25,7 +25,8 @@
 	// the time for which it is of use: if the owner is lost meanwhile, most of that
 	// time is left for another runner.
 	maxPauseShare = 0.25
-	// overdueShare is the share of its time for which a request may be deferred.
+	// overdueShare is the share of its time for which a request may be deferred. The
+	// rest is left for the runners that its host tries next.
 	overdueShare = 0.5
 	// lastCall is the spare time below which a request is not deferred.
 	lastCall = 100 * time.Millisecond
@@ -33,9 +34,9 @@
 	// counts as waiting, entryTTL how long it is remembered.
 	askGrace = 60 * time.Millisecond
 	entryTTL = 2 * time.Second
-	// maxDeferred bounds the deferred requests of one runner. With 41 ms each, they
-	// would take longer than callers wait.
-	maxDeferred = 128
+	// maxDeferred bounds the deferred requests of one runner. At 41 ms each they take
+	// longer than most callers wait.
+	maxDeferred = 64
 	// activeFor is how long after the last ranked request the order counts.
 	activeFor = 10 * time.Second
 )
@@ -88,11 +89,13 @@
 // waiting is a deferred request.
 type waiting struct {
 	Prompt
-	ranked  bool
-	size    int
-	askedAt time.Time
-	overdue time.Time
-	asks    int
+	ranked bool
+	size   int
+	// lastResort is set if no other runner takes the request.
+	lastResort bool
+	askedAt    time.Time
+	overdue    time.Time
+	asks       int
 	// nextAsk is when it asks again.
 	nextAsk time.Time
 }
@@ -119,7 +122,7 @@
 	if ask.Waited || !l.Active(now) {
 		return
 	}
-	l.Shares.Asked(l.PrecedenceOf(ask.Ranked, ask.Precedence, now), ask.LastResort, now)
+	l.Shares.Asked(l.kindOf(ask, now), ask.LastResort, now)
 }
 
 // Active reports whether the order counts on the runner: a ranked request asked lately.
@@ -136,6 +139,10 @@
 	return lowest
 }
 
+func (l *Line) kindOf(ask Ask, now time.Time) Kind {
+	return KindOf(l.PrecedenceOf(ask.Ranked, ask.Precedence, now), ask.Size)
+}
+
 // Deferred returns the number of deferred requests.
 func (l *Line) Deferred(now time.Time) int {
 	l.expire(now)
@@ -168,8 +175,10 @@
 		w = &waiting{ranked: ask.Ranked, size: ask.Size, askedAt: now, overdue: now.Add(max(ask.Slack, time.Duration(overdueShare*float64(ask.Left))))}
 		w.Seq = l.last + 1
 	}
-	w.Precedence = l.PrecedenceOf(ask.Ranked, ask.Precedence, now)
-	w.Protected = w.Protected || l.Shares.Protected(w.Precedence)
+	kind := l.kindOf(ask, now)
+	w.Precedence = kind.Precedence
+	w.Protected = w.Protected || l.Shares.Protected(kind)
+	w.lastResort = ask.LastResort
 	w.Cost, w.Due, w.End = ask.Cost, now.Add(ask.Slack), now.Add(ask.Left)
 	w.Overdue = w.Protected && ask.Slack < 0
 	return w
@@ -242,7 +251,7 @@
 	case wait <= beginWithin:
 		return l.begin(w, own, "first", now)
 	case len(l.deferred) >= maxDeferred && l.deferred[w.Seq] == nil:
-		return l.begin(w, own, "line full", now)
+		return l.withoutPlace(w, own, wait, ask, now)
 	case wait > ask.Left && (!w.Protected || own > ask.Left):
 		return Decision{Verdict: Refuse, Wait: wait, Reason: "backlog"}
 	}
@@ -264,6 +273,15 @@
 	return Decision{Verdict: Defer, Pause: pause, Ticket: w.Seq, Wait: wait, Reason: "others first"}
 }
 
+// withoutPlace decides on a request that would have to be deferred while as many are as
+// may be: it takes its turn if it could be on time.
+func (l *Line) withoutPlace(w *waiting, own, wait time.Duration, ask Ask, now time.Time) Decision {
+	if wait > ask.Slack {
+		return Decision{Verdict: Refuse, Wait: wait, Reason: "line full"}
+	}
+	return l.begin(w, own, "line full", now)
+}
+
 // pause returns when a request asks again that is expected to wait for so long.
 func (w *waiting) pause(wait time.Duration, ask Ask, now time.Time) time.Duration {
 	pause := wait - beginWithin/2
@@ -276,8 +294,8 @@
 		pause = min(pause, until)
 	}
 	if ask.Slack > 0 {
-		// It asks before it is in danger, and then for as long as it can be on time.
-		pause = min(pause, max(ask.Slack-maxMargin, wait-beginWithin/2))
+		// While it can be on time, it asks whenever its turn is expected.
+		pause = min(pause, wait-beginWithin/2)
 	}
 	return max(pause, beginWithin/2)
 }
@@ -285,7 +303,7 @@
 // begin counts a request that takes its turn.
 func (l *Line) begin(w *waiting, wait time.Duration, reason string, now time.Time) Decision {
 	delete(l.deferred, w.Seq)
-	l.Shares.Served(w.Precedence, w.Cost, now)
+	l.Shares.Served(KindOf(w.Precedence, w.size), w.lastResort, w.Cost, now)
 	return Decision{Verdict: Begin, Wait: wait, Reason: reason}
 }
 
--- a/internal/precedence/loads.go
+++ b/internal/precedence/loads.go
@@ -66,12 +66,12 @@
 }
 
 // RankOf returns the rank of a request's load.
-func (l *Line) RankOf(ranked bool, p site.Precedence, now time.Time) Rank {
-	p = l.PrecedenceOf(ranked, p, now)
-	return Rank{Awaited: true, Precedence: p, Protected: l.Shares.Protected(p)}
+func (l *Line) RankOf(ask Ask, now time.Time) Rank {
+	kind := l.kindOf(ask, now)
+	return Rank{Awaited: true, Precedence: kind.Precedence, Protected: l.Shares.Protected(kind)}
 }
 
 // Reserved reports whether the last request slots of the runner are kept from a request.
-func (l *Line) Reserved(ranked bool, p site.Precedence, now time.Time) bool {
-	return l.Active(now) && l.Shares.Reserved(l.PrecedenceOf(ranked, p, now), now)
+func (l *Line) Reserved(ask Ask, now time.Time) bool {
+	return l.Active(now) && l.Shares.Reserved(l.kindOf(ask, now), now)
 }
--- a/internal/precedence/order.go
+++ b/internal/precedence/order.go
@@ -47,12 +47,10 @@
 	return max(0, p.Backlog+before-max(0, p.Burst-cost))
 }
 
-// maxMargin bounds how long before its time is up a request counts as in danger. A
-// stream of A has 400 ms for its wait. With half of them as the margin, prompts that
-// arrive after the decision, one of 2,368 tokens (118 ms) or two of 826, still fit in
-// before it is late. With half of the two seconds that a long prompt has, requests that
-// the runner could serve in time would be put off for one that is in no danger.
-const maxMargin = 150 * time.Millisecond
+// inDanger reports whether a request that is due in left may be late because of a wait: it
+// takes over half of its time. The other half is for requests that arrive later and go
+// first as well.
+func inDanger(wait, left time.Duration) bool { return wait > left/2 }
 
 // lower reports whether a goes after b by precedence alone.
 func lower(a, b *Prompt) bool {
@@ -118,7 +116,7 @@
 		for len(kept) > 0 {
 			last := kept[len(kept)-1]
 			wait, left := prefill.Wait(last.Cost, before-last.Cost), last.Due.Sub(now)
-			if wait <= left-min(left/2, maxMargin) {
+			if !inDanger(wait, left) {
 				break
 			}
 			victim := leastOf(kept)
@@ -128,7 +126,7 @@
 			before -= kept[victim].Cost
 			putOff = append(putOff, kept[victim])
 			kept = slices.Delete(kept, victim, victim+1)
-			if kept == nil || victim == len(kept) {
+			if victim == len(kept) {
 				break
 			}
 		}
