Prompts go to a runner at its own pace if it announces its work time

Cause: the pacer sent prompts at 20 tokens/ms with bursts of 3,500 tokens to every runner. On uneven runners, fast ones were held back, and the streams of slow ones paused for longer than callers allow, most often when such a runner slowed down for a moment.

Change: for a runner that announced its work time within the last minute, rate and burst follow from its learned prefill speed, the tokens per event, the least target gap of the service's routes and the work time (adapters/pace.go). A reserve for the peak of the work time lately covers a slowdown that the owner does not know of yet. The backlog is kept in tokens when the pace changes. The owner learns the work time from its own host's answers, from the outcomes reports of other hosts (work_percent, work_age_ms, reading_work_percent) and from probes of the health path when the figure is older than 250 ms and requests run. Prefill speeds are learned at the usual work time. An extreme figure that answers do not confirm within 5 s is ignored and logged.

Runners that announce nothing get the same turns as before (TestRunnersWithoutWorkTimeKeepThePaceOfTheConstants).

--- a/internal/adapters/admission.go
+++ b/internal/adapters/admission.go
@@ -92,16 +92,17 @@
 // prefill of the prompts before it is done. It does not block.
 func (c *Controller) Admit(ask AdmissionRequest) (AdmissionResult, error) {
 	now := c.Now()
-	// Prefill comes before the first event. Of the requests sent just in time for a
-	// prompt of usual length, those with prompts of 7,000 tokens were late seven
-	// times as often as those with fewer than 1,000 (0.29 and 0.04 of them).
-	ask.LatencyBudget -= prefillTime(ask.PromptTokens)
 	view := c.RunnerView(c.runner.ID, now)
 	limits := placing.LimitsFor(c.runner.Slots, c.Utilization())
 	typical := c.TypicalPrefill()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.updatePace(typical)
+	c.updateWork(view, now)
+	// Prefill comes before the first event. Of the requests sent just in time for a
+	// prompt of usual length, those with prompts of 7,000 tokens were late seven
+	// times as often as those with fewer than 1,000 (0.29 and 0.04 of them).
+	ask.LatencyBudget -= c.promptTime(ask.PromptTokens)
 	admitted, err := AdmissionResult{}, c.checkLoad(ask, view, limits)
 	if err == nil {
 		admitted, err = c.admit(ask, now)
@@ -211,13 +212,6 @@
 	c.log.Info("prefill speed of the runner changed", "slowness", c.pacer.slowness, "token_ns", c.prefill.PerToken(), "usual_token_ns", typical, "answers", c.prefill.samples)
 }
 
-// ObservePrefill records the prefill time per token of one response in nanoseconds.
-func (c *Controller) ObservePrefill(perToken float64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.prefill.Observe(perToken)
-}
-
 // PrefillPerToken returns the runner's prefill time per token in nanoseconds, 0 if it
 // is not known yet.
 func (c *Controller) PrefillPerToken() float64 {
--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -71,6 +71,8 @@
 	pacer Pacer
 	// prefill estimates how fast the runner runs prefill.
 	prefill PrefillEstimator
+	// work judges the work time that the runner announces.
+	work workTracker
 	// replicas are the other runners that hold the adapters whose home is this
 	// runner.
 	replicas *Replicas
@@ -119,8 +121,10 @@
 	// OnSignal is called with what a runner's answer says about the requests it can
 	// take.
 	OnSignal func(runner string, signal *board.Signal)
-	Now      func() time.Time
-	Log      hclog.Logger
+	// OnWork is called with the work time that a runner announced, in percent of the usual time.
+	OnWork func(runner string, percent int, at time.Time)
+	Now    func() time.Time
+	Log    hclog.Logger
 }
 
 // NewController returns a controller that has not read its runner's state yet.
--- a/internal/adapters/controller_test.go
+++ b/internal/adapters/controller_test.go
@@ -54,6 +54,8 @@
 	return OrderAnswer{Outcome: answer}, nil
 }
 
+func (f *fakeEngine) WorkPercent(context.Context, string, string) (int, error) { return 0, nil }
+
 func (f *fakeEngine) Report(context.Context, string) (Report, error) {
 	return Report{Models: []string{"m"}}, nil
 }
--- a/internal/adapters/engines.go
+++ b/internal/adapters/engines.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cherrystage/cherrystage/internal/board"
 	"github.com/cherrystage/cherrystage/internal/site"
@@ -81,6 +82,9 @@
 type Engines interface {
 	Order(ctx context.Context, address string, order Order) (OrderAnswer, error)
 	Report(ctx context.Context, address string) (Report, error)
+	// WorkPercent checks a runner's health at a path and returns the work time that the answer
+	// announces, in percent of the usual time; 0 if it announces none.
+	WorkPercent(ctx context.Context, address, path string) (int, error)
 }
 
 // holds reports whether a report lists a base model as loaded.
@@ -100,4 +104,17 @@
 	Capacity int
 	// LoadsPerSecond is the rate of base model loads that the weight store allows.
 	LoadsPerSecond float64
+	Pacing
+}
+
+// Pacing is what of the configuration determines how fast prompts are sent to a runner that
+// announces its work time. It changes with the configuration.
+type Pacing struct {
+	// EventTokens is the number of output tokens in one event of a stream, 0 if unknown.
+	EventTokens int
+	// TargetGap is the shortest target gap of the routes to the runner's service, 0 if none has
+	// one.
+	TargetGap time.Duration
+	// HealthPath is the path of the runner's health checks.
+	HealthPath string
 }
--- a/internal/adapters/late_test.go
+++ b/internal/adapters/late_test.go
@@ -57,6 +57,8 @@
 	f.held = map[Key]bool{}
 }
 
+func (f *lossyEngine) WorkPercent(context.Context, string, string) (int, error) { return 0, nil }
+
 func (f *lossyEngine) Report(context.Context, string) (Report, error) {
 	report := Report{Sequence: f.sequence, StartedMS: f.startedMS, Models: []string{"m"}}
 	for key := range f.held {
--- a/internal/adapters/owner.go
+++ b/internal/adapters/owner.go
@@ -68,8 +68,11 @@
 	// OnSignal is called with what a runner's answer says about the requests it can
 	// take.
 	OnSignal func(runner string, signal *board.Signal)
-	Now      func() time.Time
-	Log      hclog.Logger
+	// OnWork is called with the work time that a runner announced to this host's probe, in
+	// percent of the usual time. It may be nil.
+	OnWork func(runner string, percent int, at time.Time)
+	Now    func() time.Time
+	Log    hclog.Logger
 }
 
 // NewOwner returns an owner without runners.
@@ -77,13 +80,16 @@
 	if deps.Contended == nil {
 		deps.Contended = func() bool { return false }
 	}
+	if deps.OnWork == nil {
+		deps.OnWork = func(string, int, time.Time) {}
+	}
 	o := &Owner{
 		host: deps.Host, owns: deps.Owns, peerFetches: deps.PeerFetches,
 		now: deps.Now, log: deps.Log, times: NewLoadTimes(), controllers: map[string]*runningController{}, lateOrders: map[string]LateOrders{},
 	}
 	o.deps = ControllerDeps{
 		Holder: deps.Host, Engines: deps.Engines, Authority: deps.Authority, Times: o.times, StoreLoad: o.storeLoad, RunnerView: deps.RunnerView,
-		Utilization: deps.Utilization, TypicalPrefill: deps.TypicalPrefill, ModelLoads: NewModelLoadLimiter(deps.ModelLoads), HostCount: deps.HostCount, Contended: deps.Contended, OnRestart: deps.OnRestart, OnSignal: deps.OnSignal, Now: deps.Now, Log: deps.Log,
+		Utilization: deps.Utilization, TypicalPrefill: deps.TypicalPrefill, ModelLoads: NewModelLoadLimiter(deps.ModelLoads), HostCount: deps.HostCount, Contended: deps.Contended, OnRestart: deps.OnRestart, OnSignal: deps.OnSignal, OnWork: deps.OnWork, Now: deps.Now, Log: deps.Log,
 	}
 	return o
 }
@@ -171,11 +177,12 @@
 func (o *Owner) Reconcile(ctx context.Context, config *site.Config, byService map[string][]*site.Runner) {
 	owned := o.ownedRunners(config, byService)
 	o.inheritLateOrders(o.stopAllBut(owned))
+	o.updatePacing(owned)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for id, needed := range owned {
 		if o.controllers[id] == nil {
-			o.start(ctx, needed.runner, needed.engine)
+			o.start(ctx, needed)
 		}
 	}
 }
@@ -184,6 +191,7 @@
 type ownedRunner struct {
 	runner *site.Runner
 	engine *site.Engine
+	pacing Pacing
 }
 
 // ownedRunners returns the runners that need a controller, by ID.
@@ -195,9 +203,10 @@
 			continue
 		}
 		o.fetchCapacity.Store(math.Float64bits(FetchCapacityPerRunner(service.Engine.LoadsPerSecond, len(runners))))
+		pacing := Pacing{EventTokens: service.Engine.EventTokens, TargetGap: config.LeastTargetGap(name), HealthPath: service.HealthPath}
 		for _, runner := range runners {
 			if o.owns(runner.Address) {
-				owned[runner.ID] = ownedRunner{runner: runner, engine: service.Engine}
+				owned[runner.ID] = ownedRunner{runner: runner, engine: service.Engine, pacing: pacing}
 			}
 		}
 	}
@@ -254,9 +263,10 @@
 	}
 }
 
-func (o *Owner) start(ctx context.Context, runner *site.Runner, engine *site.Engine) {
+func (o *Owner) start(ctx context.Context, needed ownedRunner) {
+	runner, engine := needed.runner, needed.engine
 	model := modelFor(runner, engine)
-	spec := Spec{Model: model, Capacity: SlotCapacity(engine, model), LoadsPerSecond: engine.LoadsPerSecond}
+	spec := Spec{Model: model, Capacity: SlotCapacity(engine, model), LoadsPerSecond: engine.LoadsPerSecond, Pacing: needed.pacing}
 	ctx, cancel := context.WithCancel(ctx)
 	controller := NewController(runner, spec, o.deps)
 	if late := o.lateOrders[runner.Instance]; late != nil {
@@ -266,6 +276,7 @@
 	o.controllers[runner.ID] = &runningController{Controller: controller, stop: cancel}
 	o.log.Info("runner controller started", "runner", runner.ID, "address", runner.Address, "model", model.Name, "places", spec.Capacity)
 	go controller.Run(ctx)
+	go controller.watchWork(ctx)
 }
 
 // modelFor returns the model that a runner holds, or else the one assigned to it by
--- a/internal/adapters/pacer.go
+++ b/internal/adapters/pacer.go
@@ -19,11 +19,17 @@
 	// slowness is how many times as long as on most runners prefill takes on this
 	// one; 0 counts as 1.
 	slowness float64
+	// pace replaces pacedPerMS, burstTokens and slowness on a runner that announces its
+	// work time. It is unknown on all others.
+	pace Pace
 }
 
 // cost returns the time that the pacer reserves for the prefill of a prompt on this
 // runner.
 func (p *Pacer) cost(tokens int) time.Duration {
+	if p.pace.Known {
+		return p.pace.duration(float64(tokens))
+	}
 	return time.Duration(max(1, p.slowness) * float64(prefillTime(tokens)))
 }
 
@@ -46,10 +52,39 @@
 	if p.freeAt.Before(now) {
 		return 0
 	}
-	room := max(0, prefillTime(burstTokens)-p.cost(tokens))
+	room := max(0, p.burst()-p.cost(tokens))
 	return max(0, p.freeAt.Sub(now)-room)
 }
 
+// burst returns the time that the pacer reserves for a burst.
+func (p *Pacer) burst() time.Duration {
+	if p.pace.Known {
+		return p.pace.duration(p.pace.BurstTokens)
+	}
+	return prefillTime(burstTokens)
+}
+
+// setPace changes the pace. The prompts admitted so far keep their number of tokens, which take
+// another time from now on.
+func (p *Pacer) setPace(pace Pace, now time.Time) {
+	if backlog := p.backlogTokens(now); backlog > 0 && pace != p.pace {
+		next := Pacer{slowness: p.slowness, pace: pace}
+		p.freeAt = now.Add(time.Duration(backlog * float64(next.cost(backlogUnit)) / backlogUnit))
+	}
+	p.pace = pace
+}
+
+// backlogUnit is a number of tokens whose cost is long enough to divide without rounding errors.
+const backlogUnit = 1000
+
+// backlogTokens returns the number of prompt tokens whose prefill is not done at the pacer's rate.
+func (p *Pacer) backlogTokens(now time.Time) float64 {
+	if !p.freeAt.After(now) {
+		return 0
+	}
+	return float64(p.freeAt.Sub(now)) / float64(p.cost(backlogUnit)) * backlogUnit
+}
+
 // Admit admits a prompt and returns when it may be sent.
 func (p *Pacer) Admit(tokens int, now time.Time) time.Time {
 	wait := p.Wait(tokens, now)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -134,7 +134,7 @@
 	e.owner = adapters.NewOwner(adapters.OwnerDeps{
 		Host: cfg.Host, Engines: platform.Engines, Authority: e.state,
 		Owns: e.owns, PeerFetches: statuses.peersInTransit, RunnerView: e.board.View, Utilization: statuses.utilization, TypicalPrefill: statuses.typicalPromptTokenNS,
-		HostCount: e.state.Size, ModelLoads: cfg.LoadLimit, Contended: e.contended, OnRestart: e.directory.MarkRestarted, OnSignal: e.backpressure.applyEngineSignal, Now: now, Log: log,
+		HostCount: e.state.Size, ModelLoads: cfg.LoadLimit, Contended: e.contended, OnRestart: e.directory.MarkRestarted, OnSignal: e.backpressure.applyEngineSignal, OnWork: e.board.RecordWork, Now: now, Log: log,
 	})
 	e.owners.owner = e.owner
 	statuses.owner = e.owner
--- a/internal/entry/outcomes.go
+++ b/internal/entry/outcomes.go
@@ -27,6 +27,13 @@
 	// PromptTokenNS is the shortest prompt processing time per token observed, in
 	// nanoseconds.
 	PromptTokenNS int64 `json:"reading_ns,omitempty"`
+	// PromptWorkPercent is the work time that the runner announced with that observation, 0 if
+	// it announced none.
+	PromptWorkPercent int `json:"reading_work_percent,omitempty"`
+	// WorkPercent is the work time that the runner announced to this host WorkAgeMS ago, in
+	// percent of the usual time; 0 if there is nothing new.
+	WorkPercent int   `json:"work_percent,omitempty"`
+	WorkAgeMS   int64 `json:"work_age_ms,omitempty"`
 	// Ended counts the requests that have ended, by adapter.
 	Ended map[string]int `json:"ended,omitempty"`
 }
@@ -40,6 +47,8 @@
 type reportedLoad struct {
 	running int
 	at      time.Time
+	// workAt is when the runner announced the work time that was reported last.
+	workAt time.Time
 }
 
 // ReportOutcome implements serve.Owners.
@@ -89,7 +98,7 @@
 		if err != nil {
 			continue
 		}
-		outcomes, changed := o.takePending(id, own[id])
+		outcomes, changed := o.takePending(id, own[id], o.newWorkTime(id))
 		if !changed || address == "" {
 			continue
 		}
@@ -135,18 +144,22 @@
 }
 
 // takePending removes and returns what is to be reported for a runner, if anything.
-func (o *ownerClient) takePending(runner string, running int) (RunnerOutcomes, bool) {
+func (o *ownerClient) takePending(runner string, running int, work workReport) (RunnerOutcomes, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.now()
 	outcomes := o.pending[runner]
 	last := o.reported[runner]
 	refresh := running > 0 && now.Sub(last.at) >= loadRefreshInterval
-	if !outcomes.hasOutcomes() && running == last.running && !refresh {
+	if !outcomes.hasOutcomes() && running == last.running && !refresh && work.percent == 0 {
 		return RunnerOutcomes{}, false
 	}
 	delete(o.pending, runner)
-	o.reported[runner] = reportedLoad{running: running, at: now}
+	o.reported[runner] = reportedLoad{running: running, at: now, workAt: last.workAt}
+	if work.percent > 0 {
+		o.reported[runner] = reportedLoad{running: running, at: now, workAt: work.at}
+		outcomes.WorkPercent, outcomes.WorkAgeMS = work.percent, now.Sub(work.at).Milliseconds()
+	}
 	outcomes.Running = running
 	return outcomes, true
 }
@@ -157,16 +170,15 @@
 	if perToken <= 0 {
 		return
 	}
+	workPercent := o.currentWorkTime(runner.ID)
 	if controller, ok := o.owner.Controller(runner.ID); ok {
-		controller.ObservePrefill(perToken)
+		controller.ObservePrefillAt(perToken, workPercent)
 		return
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	outcomes := o.pending[runner.ID]
-	if outcomes.PromptTokenNS == 0 || int64(perToken) < outcomes.PromptTokenNS {
-		outcomes.PromptTokenNS = int64(perToken)
-	}
+	outcomes.addPrefill(int64(perToken), workPercent)
 	o.pending[runner.ID] = outcomes
 }
 
@@ -187,8 +199,9 @@
 	for runner, outcomes := range params.Runners {
 		o.board.SetPeerRequests(host, runner, outcomes.Running, now)
 		o.applyEnded(runner, outcomes.Ended)
+		o.applyWorkTime(runner, outcomes, now)
 		if controller, ok := o.owner.Controller(runner); ok {
-			controller.ObservePrefill(float64(outcomes.PromptTokenNS))
+			controller.ObservePrefillAt(float64(outcomes.PromptTokenNS), outcomes.PromptWorkPercent)
 		}
 		for range outcomes.Succeeded {
 			o.board.RecordSuccess(runner, now)
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -324,3 +324,6 @@
 	}
 	return adapters.Report{}, errNoAnswer
 }
+
+// WorkPercent implements adapters.Engines: modelled engines announce no work time.
+func (engineAPI) WorkPercent(context.Context, string, string) (int, error) { return 0, nil }
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -98,6 +98,8 @@
 	// MaxConnections is the maximum number of connections that one runner accepts from all hosts
 	// together.
 	MaxConnections int
+	// HealthPath is the path of a runner's health checks.
+	HealthPath string
 	// Engine is nil unless the runners of the service are model engines.
 	Engine *Engine
 }
