A slowed-down runner refuses prompts, and a slow one takes on fewer adapters

Cause: while a runner is slowed down, a single prompt can make all its streams pause for longer than callers allow. A slow runner held as many adapters as the others, so requests waited for its slots. Where first events come late for another reason than speed, such as several decoding steps before them, all runners seemed slow, and their pace made more requests late than it kept streams from pausing.

Change: a runner with requests that is slowed down so much that the prompt does not fit into an event answers ErrPromptBacklog to requests that another runner may take and that would be sent now. placing.LimitsAt lowers the limits for new adapters and for the queue by the runner's speed relative to most runners; Max stays, since requests that no other runner admits would be refused. Where most runners seem slower than by the data sheets, a runner's speed is taken relative to them, without the reserve for slowdowns.

--- a/internal/adapters/admission.go
+++ b/internal/adapters/admission.go
@@ -93,12 +93,13 @@
 func (c *Controller) Admit(ask AdmissionRequest) (AdmissionResult, error) {
 	now := c.Now()
 	view := c.RunnerView(c.runner.ID, now)
-	limits := placing.LimitsFor(c.runner.Slots, c.Utilization())
+	utilization := c.Utilization()
 	typical := c.TypicalPrefill()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.updatePace(typical)
-	c.updateWork(view, now)
+	c.updateWork(view, typical, now)
+	limits := placing.LimitsAt(c.runner.Slots, utilization, c.relativeSpeed(view, typical))
 	// Prefill comes before the first event. Of the requests sent just in time for a
 	// prompt of usual length, those with prompts of 7,000 tokens were late seven
 	// times as often as those with fewer than 1,000 (0.29 and 0.04 of them).
@@ -267,7 +268,7 @@
 	if view.Suspect && !committed {
 		return ErrSuspect
 	}
-	return nil
+	return c.checkSlowdown(ask, view)
 }
 
 // holdsOrLoads reports whether a request's adapter is resident or being loaded; c.mu
--- a/internal/adapters/pace.go
+++ b/internal/adapters/pace.go
@@ -118,24 +118,29 @@
 	usualStep        = 5900 * time.Microsecond
 	usualEventTokens = 6
 	usualGap         = 250 * time.Millisecond
+	// maxLearnedExcess is how many times as long as by the data sheets the prefill of most runners
+	// may seem to take. Beyond, only their relative speeds are known. The reserve for slowdowns is
+	// left out there: worked out with speeds that are too low, it makes more requests late than it
+	// keeps streams from pausing.
+	maxLearnedExcess = 1.1
 	// maxFastness bounds how much faster than by the data sheets a runner is assumed to be.
 	maxFastness = 2
 )
 
-// speedOf returns a runner's speed from its learned prefill time per token in nanoseconds (0 if it
-// is not known), its work time and the peak of that. Steps are assumed to be as much slower or faster than usual
-// as prefill is, since both are work of the same machine.
-func speedOf(spec Spec, perToken, work, peak float64) Speed {
-	fast := 1.0
-	if perToken > 0 {
-		fast = 1e6 / perToken / prefillPerMS
-		fast = min(maxFastness, max(1.0/maxSlowness, fast))
-	}
+// speedOf returns a runner's speed. perToken is its learned prefill time per token in nanoseconds
+// and typical that of most runners, both 0 if unknown; work is its work time and peak that of
+// lately. Steps are assumed to be as much slower or faster than usual as prefill is, since both are
+// work of the same machine.
+func speedOf(spec Spec, perToken, typical, work, peak float64) Speed {
+	fast := fastness(perToken, typical)
 	speed := Speed{
 		EventTokens: spec.EventTokens, Gap: spec.TargetGap, Work: work, Peak: peak,
 		Step:         time.Duration(float64(usualStep) / fast),
 		PrefillPerMS: prefillPerMS * fast,
 	}
+	if typical > maxLearnedExcess*usualPerToken {
+		speed.Peak = 1
+	}
 	if speed.EventTokens <= 0 {
 		speed.EventTokens = usualEventTokens
 	}
@@ -144,3 +149,19 @@
 	}
 	return speed
 }
+
+// fastness returns how many times as fast as by the data sheets a runner is.
+//
+// If most runners seem slower than that, their first events take longer for another reason, such
+// as more than one decoding step before them. The runner is then compared with most runners, which
+// count as runners of usual speed.
+func fastness(perToken, typical float64) float64 {
+	if perToken <= 0 {
+		return 1
+	}
+	usual := max(usualPerToken, typical)
+	return min(maxFastness, max(1.0/maxSlowness, usual/perToken))
+}
+
+// usualPerToken is the prefill time per token in nanoseconds by the platform's data sheets.
+const usualPerToken = 1e6 / prefillPerMS
--- a/internal/adapters/pace_test.go
+++ b/internal/adapters/pace_test.go
@@ -92,14 +92,25 @@
 // far off must not stop a runner's work or overload it.
 func TestLearnedSpeedIsBounded(t *testing.T) {
 	spec := Spec{Pacing: Pacing{EventTokens: 8, TargetGap: 300 * time.Millisecond}}
-	must.Eq(t, prefillPerMS, speedOf(spec, 0, 1, 1).PrefillPerMS)
-	must.Eq(t, usualStep, speedOf(spec, 0, 1, 1).Step)
-	must.Eq(t, prefillPerMS*maxFastness, speedOf(spec, 1, 1, 1).PrefillPerMS)
-	slowest := speedOf(spec, 1e9, 1, 1)
+	must.Eq(t, prefillPerMS, speedOf(spec, 0, 0, 1, 1).PrefillPerMS)
+	must.Eq(t, usualStep, speedOf(spec, 0, 0, 1, 1).Step)
+	must.Eq(t, prefillPerMS*maxFastness, speedOf(spec, 1, 0, 1, 1).PrefillPerMS)
+	slowest := speedOf(spec, 1e9, 0, 1, 1)
 	must.Eq(t, prefillPerMS/maxSlowness, slowest.PrefillPerMS)
 	must.Greater(t, 4, PaceFor(slowest).TokensPerMS)
 	must.False(t, PaceFor(slowest).blocks(826))
-	must.Positive(t, PaceFor(speedOf(Spec{}, 0, 1, 1)).TokensPerMS, must.Sprint("nothing configured"))
+	must.Positive(t, PaceFor(speedOf(Spec{}, 0, 0, 1, 1)).TokensPerMS, must.Sprint("nothing configured"))
+}
+
+// First events of all runners may be late for a reason that is not their speed. Taken for it, the
+// delay would slow down the whole deployment.
+func TestDelayOfAllRunnersIsNotTheirSpeed(t *testing.T) {
+	spec := Spec{Pacing: Pacing{EventTokens: 8, TargetGap: 300 * time.Millisecond}}
+	must.Eq(t, prefillPerMS, speedOf(spec, 60_000, 60_000, 1, 1).PrefillPerMS)
+	must.Eq(t, prefillPerMS/1.5, speedOf(spec, 90_000, 60_000, 1, 1).PrefillPerMS)
+	must.Eq(t, 1, speedOf(spec, 90_000, 60_000, 2, 2.5).Peak, must.Sprint("no reserve"))
+	must.Eq(t, 2.5, speedOf(spec, 28_000, 28_000, 2, 2.5).Peak)
+	must.Between(t, prefillPerMS*1.49, speedOf(spec, usualPerToken/1.5, usualPerToken/1.5, 1, 1).PrefillPerMS, prefillPerMS*1.51)
 }
 
 // A slowdown ends after a few hundred milliseconds. Prompts that were admitted during it must not
--- a/internal/adapters/worktime.go
+++ b/internal/adapters/worktime.go
@@ -70,9 +70,9 @@
 	crossing crossing
 }
 
-// update takes in the latest figure. usualPerToken is the runner's prefill time per token at its
-// usual speed. It reports whether the figure is ignored from now on, or no longer.
-func (t *workTracker) update(percent int, usualPerToken float64, now time.Time) (changed bool) {
+// update takes in the latest figure. own is the runner's prefill time per token at its usual
+// speed. It reports whether the figure is ignored from now on, or no longer.
+func (t *workTracker) update(percent int, own float64, now time.Time) (changed bool) {
 	t.percent = percent
 	t.updatePeak(percent, now)
 	before := t.ignored
@@ -82,7 +82,7 @@
 	case t.extremeSince.IsZero():
 		t.extremeSince, t.lowest = now, 0
 	case now.Sub(t.extremeSince) > trustPeriod:
-		t.ignored = !t.confirmed(usualPerToken)
+		t.ignored = !t.confirmed(own)
 		t.extremeSince, t.lowest = now, 0
 	}
 	return t.ignored != before
@@ -109,12 +109,12 @@
 
 // confirmed reports whether the answers of the period are closer to what the figure says than to
 // the runner's usual speed. Without an answer nothing confirms the figure.
-func (t *workTracker) confirmed(usualPerToken float64) bool {
+func (t *workTracker) confirmed(own float64) bool {
 	if t.lowest <= 0 {
 		return false
 	}
 	factor := workFactor(t.percent)
-	middle := usualPerToken * math.Sqrt(factor)
+	middle := own * math.Sqrt(factor)
 	return (factor > 1) == (t.lowest > middle)
 }
 
@@ -142,9 +142,9 @@
 	return workFactor(view.WorkPercent)
 }
 
-// updateWork adapts the pacer to the work time that the runner announces, if it does; c.mu must be
-// held.
-func (c *Controller) updateWork(view board.View, now time.Time) {
+// updateWork adapts the pacer to the work time that the runner announces, if it does; typical is the
+// prefill time per token of most runners in nanoseconds. c.mu must be held.
+func (c *Controller) updateWork(view board.View, typical float64, now time.Time) {
 	if !announcesWork(view) {
 		c.pacer.setPace(Pace{}, now)
 		return
@@ -152,7 +152,7 @@
 	if view.WorkAge <= workTTL {
 		c.trackWork(view, now)
 	}
-	speed := speedOf(c.spec, c.prefill.PerToken(), c.work.factor(view), c.work.peakAt(now))
+	speed := speedOf(c.spec, c.prefill.PerToken(), typical, c.work.factor(view), c.work.peakAt(now))
 	c.pacer.setPace(PaceFor(speed), now)
 	if crossings := c.work.crossing.update(view.WorkPercent, now); crossings > 0 {
 		c.log.Info("work time of the runner crossed a threshold", "work_percent", view.WorkPercent, "slowed_down", c.work.crossing.slowed, "crossings", crossings,
@@ -162,13 +162,46 @@
 
 // trackWork takes in a fresh figure; c.mu must be held.
 func (c *Controller) trackWork(view board.View, now time.Time) {
-	usual := 1e6 / speedOf(c.spec, c.prefill.PerToken(), 1, 1).PrefillPerMS
+	usual := c.prefill.PerToken()
+	if usual == 0 {
+		usual = usualPerToken
+	}
 	lowest := c.work.lowest
 	if c.work.update(view.WorkPercent, usual, now) {
 		c.log.Warn("trust in the runner's announced work time changed", "ignored", c.work.ignored, "work_percent", view.WorkPercent, "token_ns", lowest, "usual_token_ns", usual)
 	}
 }
 
+// relativeSpeed returns the usual speed of a runner that announces its work time relative to most
+// runners, 1 if it is not known or the runner announces none; c.mu must be held. The work time
+// itself changes too fast for limits on requests that run for seconds.
+func (c *Controller) relativeSpeed(view board.View, typical float64) float64 {
+	own := c.prefill.PerToken()
+	if !announcesWork(view) || own <= 0 || typical <= 0 {
+		return 1
+	}
+	return typical / own
+}
+
+// checkSlowdown refuses a request that another runner may take while the runner is slowed down so
+// much that the prompt would make its running streams pause too long; c.mu must be held. A request
+// whose adapter is not loaded yet is not sent now, and a slowdown is over before the load is done.
+func (c *Controller) checkSlowdown(ask AdmissionRequest, view board.View) error {
+	if ask.LastResort || ask.Waited || view.Load == 0 || !c.pacer.pace.blocks(ask.PromptTokens) || !c.isLoaded(ask.Key) {
+		return nil
+	}
+	return ErrPromptBacklog
+}
+
+// isLoaded reports whether a request for an adapter can be sent at once; c.mu must be held.
+func (c *Controller) isLoaded(key Key) bool {
+	if key.Name == "" {
+		return true
+	}
+	readyAt, there := c.slots.Ready(key)
+	return there && readyAt.Sub(c.Now()) <= turnLead
+}
+
 // promptTime returns the time that the prefill of a prompt takes on the runner with decoding steps
 // in between; c.mu must be held.
 func (c *Controller) promptTime(tokens int) time.Duration {
--- a/internal/adapters/worktime_load_test.go
+++ b/internal/adapters/worktime_load_test.go
@@ -78,6 +78,7 @@
 	figure     int
 	figureAt   time.Time
 	announced  int
+	wholeFirst bool
 	controller *Controller
 }
 
@@ -149,7 +150,7 @@
 	for _, request := range generating {
 		request.generated++
 		done := request.generated >= request.output
-		if request.generated == 1 || request.generated%modelEventTokens == 0 || done {
+		if (request.generated == 1 && !r.wholeFirst) || request.generated%modelEventTokens == 0 || done {
 			r.event(request)
 		}
 		if done {
@@ -199,8 +200,10 @@
 	// perSecond is the number of requests, of which a quarter have long prompts.
 	perSecond float64
 	slowdowns bool
-	seconds   int
-	seed      uint64
+	// wholeFirst is set if the first event has as many tokens as the others.
+	wholeFirst bool
+	seconds    int
+	seed       uint64
 }
 
 // modelResult counts what callers got.
@@ -222,7 +225,7 @@
 		return lowerTercile(known)
 	}
 	for i := range runners {
-		r := &modelRunner{clock: clock, slow: 0.7, work: 1, announced: l.announced}
+		r := &modelRunner{clock: clock, slow: 0.7, work: 1, announced: l.announced, wholeFirst: l.wholeFirst}
 		if i%3 == 2 {
 			r.slow = 1.7
 		}
@@ -363,6 +366,30 @@
 	}
 }
 
+// The same where the first event takes as many decoding steps as the others, so that runners seem
+// slower than they are. The pace must not make more requests late than it keeps streams from
+// pausing.
+func TestCallersOfRunnersWithLateFirstEvents(t *testing.T) {
+	for _, perSecond := range []float64{16, 22} {
+		before := modelLoad{runners: 9, perSecond: perSecond, slowdowns: true, seconds: 60, wholeFirst: true}.shares(t)
+		after := modelLoad{runners: 9, perSecond: perSecond, slowdowns: true, seconds: 60, wholeFirst: true, announced: honestWork}.shares(t)
+		must.Less(t, before.paused*3/4, after.paused)
+		must.Less(t, before.refused+before.late+before.paused, after.refused+after.late+after.paused)
+	}
+}
+
+// Runners whose figure never changes, or is not true, must be served no worse than without one,
+// except until it is ignored.
+func TestCallersOfRunnersWithWrongFigures(t *testing.T) {
+	for _, figure := range []int{100, 10_000} {
+		before := modelLoad{runners: 9, perSecond: 16, slowdowns: true, seconds: 60}.shares(t)
+		after := modelLoad{runners: 9, perSecond: 16, slowdowns: true, seconds: 60, announced: figure}.shares(t)
+		must.LessEq(t, before.paused*1.1, after.paused)
+		untilIgnored := trustPeriod.Seconds() / 60
+		must.LessEq(t, before.refused+before.late+untilIgnored, after.refused+after.late)
+	}
+}
+
 // Thirty requests for adapters of one fast runner arrive at once. At the pace of most runners the
 // last of them wait for a second and more, which makes them late.
 func TestFastRunnerGetsPromptsFaster(t *testing.T) {
--- a/internal/adapters/worktime_test.go
+++ b/internal/adapters/worktime_test.go
@@ -150,7 +150,7 @@
 	var tracker workTracker
 	must.Eq(t, 2.5, tracker.factor(board.View{WorkPercent: 250, WorkAge: workTTL}))
 	must.Eq(t, 1.0, tracker.factor(board.View{WorkPercent: 250, WorkAge: workTTL + time.Millisecond}))
-	r.c.updateWork(board.View{WorkPercent: 250, WorkAge: workTTL + time.Millisecond}, r.now)
+	r.c.updateWork(board.View{WorkPercent: 250, WorkAge: workTTL + time.Millisecond}, 0, r.now)
 	must.True(t, r.c.pacer.pace.Known, must.Sprint("it still counts as one that announces"))
 }
 
@@ -260,3 +260,52 @@
 		})
 	}
 }
+
+// A prompt sent to a runner that is slowed down makes all its streams pause. Requests that another
+// runner may take go there; those that have no other choice, whose adapter is still to be loaded,
+// or that meet no stream are admitted.
+func TestSlowedDownRunnerRefusesPrompts(t *testing.T) {
+	r := newWorkRunner()
+	for range 50 {
+		r.c.ObservePrefillAt(42_000, 100)
+	}
+	r.c.slots.ApplyReport(0, []Held{{Key: testKey(1)}}, 0, r.now, r.now)
+	ask := testRequest(1, time.Second)
+	_, err := r.c.Admit(ask)
+	must.NoError(t, err, must.Sprint("usual speed"))
+	r.now = r.now.Add(time.Second)
+
+	r.percent = 250
+	_, err = r.c.Admit(ask)
+	must.ErrorIs(t, err, ErrPromptBacklog)
+	_, err = r.c.Admit(testRequest(2, time.Second))
+	must.NoError(t, err, must.Sprint("its adapter has to be loaded"))
+	lastResort, waited := ask, ask
+	lastResort.LastResort, waited.Waited = true, true
+	for _, committed := range []AdmissionRequest{lastResort, waited} {
+		r.now = r.now.Add(time.Second)
+		_, err = r.c.Admit(committed)
+		must.NoError(t, err)
+	}
+	r.now = r.now.Add(time.Second)
+	r.c.RunnerView = func(string, time.Time) board.View { return board.View{WorkPercent: r.percent} }
+	_, err = r.c.Admit(ask)
+	must.NoError(t, err, must.Sprint("no stream can pause"))
+}
+
+// A slow runner that takes on as many adapters as the others has requests wait for its slots while
+// faster runners are idle. A runner that announces nothing keeps its limits.
+func TestSlowRunnerTakesOnFewerAdapters(t *testing.T) {
+	for percent, admitted := range map[int]bool{0: true, 100: false} {
+		now := epoch
+		c := newTestController(&now, 4, &fakeEngine{})
+		c.runner.Slots = 16
+		c.TypicalPrefill = func() float64 { return 20_000 }
+		c.RunnerView = func(string, time.Time) board.View { return board.View{Load: 10, WorkPercent: percent} }
+		for range 20 {
+			c.ObservePrefillAt(40_000, percent)
+		}
+		_, err := c.Admit(testRequest(1, time.Second))
+		must.Eq(t, admitted, err == nil, must.Sprintf("%d%%: %v", percent, err))
+	}
+}
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -41,12 +41,29 @@
 
 // LimitsFor returns the limits of a runner with the given number of request slots.
 // The utilization is the mean share of slots in use over all runners.
-func LimitsFor(slots int, utilization float64) Limits {
-	notLoaded := int(max(utilization*maxLoadRatio, uncontendedShare)*float64(slots)) + 1
+func LimitsFor(slots int, utilization float64) Limits { return LimitsAt(slots, utilization, 1) }
+
+// minSpeed bounds the effect of a runner's speed on its limits. Speeds are learned from few
+// responses, and a limit that is too low leaves slots idle.
+const minSpeed = 0.5
+
+// LimitsAt returns the limits of a runner with a speed relative to most runners, 1 for as fast as
+// these or faster.
+//
+// The requests of an adapter occupy the slots of a slow runner for longer, so it takes on new
+// adapters up to a share of its slots that matches its speed; the adapters beyond that, and
+// replicas of those that it holds, go to faster runners. Its queue also takes longer to drain, so
+// it is shorter in proportion. All slots remain in use for adapters on the runner, since fewer
+// requests at a time would not make it faster, and Max is the same, since requests that no other
+// runner admits would be refused.
+func LimitsAt(slots int, utilization, speed float64) Limits {
+	speed = min(1, max(minSpeed, speed))
+	available := float64(slots)
+	notLoaded := int(max(utilization*maxLoadRatio, uncontendedShare)*available*speed) + 1
 	return Limits{
 		NotLoaded: min(notLoaded, slots),
-		Loaded:    int(loadedShare * float64(slots)),
-		Max:       slots + max(1, int(float64(slots)*queueShare)),
+		Loaded:    int((1 + (loadedShare-1)*speed) * available),
+		Max:       slots + max(1, int(available*queueShare)),
 	}
 }
 
