--- a/internal/adapters/admission.go
+++ b/internal/adapters/admission.go
@@ -99,16 +99,18 @@
 // prefill of the prompts before it is done. It does not block.
 func (c *Controller) Admit(ask AdmissionRequest) (AdmissionResult, error) {
 	now := c.Now()
-	// Prefill comes before the first event. Of the requests sent just in time for a
-	// prompt of usual length, those with prompts of 7,000 tokens were late seven
-	// times as often as those with fewer than 1,000 (0.29 and 0.04 of them).
-	ask.LatencyBudget -= prefillTime(ask.PromptTokens)
 	view := c.RunnerView(c.runner.ID, now)
-	limits := placing.LimitsFor(c.runner.Slots, c.Utilization())
+	utilization := c.Utilization()
 	typical := c.TypicalPrefill()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.updatePace(typical)
+	c.updateWork(view, typical, now)
+	limits := placing.LimitsAt(c.runner.Slots, utilization, c.relativeSpeed(view, typical))
+	// Prefill comes before the first event. Of the requests sent just in time for a
+	// prompt of usual length, those with prompts of 7,000 tokens were late seven
+	// times as often as those with fewer than 1,000 (0.29 and 0.04 of them).
+	ask.LatencyBudget -= c.promptTime(ask.PromptTokens)
 	c.noteAsk(ask, now)
 	admitted, err := AdmissionResult{}, c.checkLoad(ask, view, limits)
 	if err == nil {
@@ -222,13 +224,6 @@
 	c.log.Info("prefill speed of the runner changed", "slowness", c.pacer.slowness, "token_ns", c.prefill.PerToken(), "usual_token_ns", typical, "answers", c.prefill.samples)
 }
 
-// ObservePrefill records the prefill time per token of one response in nanoseconds.
-func (c *Controller) ObservePrefill(perToken float64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.prefill.Observe(perToken)
-}
-
 // PrefillPerToken returns the runner's prefill time per token in nanoseconds, 0 if it
 // is not known yet.
 func (c *Controller) PrefillPerToken() float64 {
@@ -284,7 +279,7 @@
 	if view.Suspect && !committed {
 		return ErrSuspect
 	}
-	return nil
+	return c.checkSlowdown(ask, view)
 }
 
 // holdsOrLoads reports whether a request's adapter is resident or being loaded; c.mu
--- a/internal/adapters/turns.go
+++ b/internal/adapters/turns.go
@@ -12,7 +12,7 @@
 
 // prefillState returns what the pacer has admitted; c.mu must be held.
 func (c *Controller) prefillState(now time.Time) precedence.Prefill {
-	return precedence.Prefill{Backlog: max(0, c.pacer.freeAt.Sub(now)), Burst: prefillTime(burstTokens)}
+	return precedence.Prefill{Backlog: max(0, c.pacer.freeAt.Sub(now)), Burst: c.pacer.burst()}
 }
 
 // turnOf returns what a request says of itself when it asks for its turn; c.mu must be
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -134,7 +134,7 @@
 	e.owner = adapters.NewOwner(adapters.OwnerDeps{
 		Host: cfg.Host, Engines: platform.Engines, Authority: e.state,
 		Owns: e.owns, PeerFetches: statuses.peersInTransit, RunnerView: e.board.View, Utilization: statuses.utilization, TypicalPrefill: statuses.typicalPromptTokenNS,
-		HostCount: e.state.Size, ModelLoads: cfg.LoadLimit, Contended: e.contended, OnRestart: e.directory.MarkRestarted, OnSignal: e.backpressure.applyEngineSignal, Now: now, Log: log,
+		HostCount: e.state.Size, ModelLoads: cfg.LoadLimit, Contended: e.contended, OnRestart: e.directory.MarkRestarted, OnSignal: e.backpressure.applyEngineSignal, OnWork: e.board.RecordWork, Now: now, Log: log,
 	})
 	e.owners.owner = e.owner
 	statuses.owner = e.owner
@@ -430,5 +430,6 @@
 	vars.Set("knowledge", expvar.Func(func() any { return e.mesh.ReplicationStatus() }))
 	vars.Set("hosts_in_force", expvar.Func(func() any { return e.state.Size() }))
 	vars.Set("adapters_in_transit", expvar.Func(func() any { transit, _ := e.owner.Fetches(); return transit }))
+	vars.Set("runner_speeds", expvar.Func(func() any { return e.owner.RunnerSpeeds() }))
 	return vars
 }
