Hosts share the request slots of plain runners under contention

Change: peer methods slots.acquire and slots.release, served by the host that leads the service under its lease. Where the deployment is contended, a plain request asks for a slot before it is sent, and returns it when its attempt has ended: at once if slots are scarce, otherwise after 15 ms or with the next request for one. The first answer is held back for at most 20 ms, so that silence for 50 ms means that the host cannot be reached; while a request waits it asks again under the same number, and later answers are held back for up to 500 ms. A request that the ledger's host does not answer is placed as before.

Ruled out: one call held for the whole wait, which cannot tell a silent host from a long queue, and frequent questions, which cost a message every few milliseconds for each waiting request or leave slots idle between two.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -72,6 +72,7 @@
 	quarantineSync *quarantineSync
 	quotas         *quotaManager
 	backpressure   *backpressure
+	slots          *slotManager
 	server         *serve.Server
 	client         *forward.Client
 	callerServer   *http.Server
@@ -127,6 +128,7 @@
 	e.backpressure = newBackpressure(cfg.Host, e.state, pool, e.board, e.directory, now, log)
 	e.quarantineSync = newQuarantineSync(cfg.Host, e.state, pool, platform.Store, e.board, now, log)
 	e.quotas = newQuotaManager(cfg.Host, e.state, pool, e.directory, cfg.QuotaTolerance, now, log)
+	e.slots = newSlotManager(identity, e.state, pool, newSlotLedgers(e.state, e.board, e.directory, now, log), now, log)
 	statuses := &peerStatuses{
 		board: e.board, directory: e.directory, now: now, log: log, peers: map[string]receivedStatus{},
 		localDigest: e.quarantineSync.quarantine.Digest, onDigest: e.quarantineSync.onPeerDigest, onLimit: e.backpressure.applyPeerLimit, onLeaving: e.backpressure.applyPeerLeaving,
@@ -155,13 +157,14 @@
 	e.quarantineSync.register(mux)
 	e.quotas.register(mux)
 	e.backpressure.register(mux)
+	e.slots.ledgers.register(mux)
 	e.peerServer = peer.NewServer(identity, cfg.PeerKey, mux, log)
 	e.client = forward.NewClient(platform.Dialect, dial)
 	e.server = serve.New(serve.Deps{
 		DataCentre: cfg.DataCentre, Directory: e.directory, Board: e.board, Owners: e.owners, Backpressure: e.backpressure,
 		Client: e.client, Quarantine: e.quarantineSync.quarantine, RetryLimit: cfg.RetryLimit, Quotas: e.quotas, Ages: func() (config, runners time.Duration) {
 			return e.mesh.Age(platform.ConfigKind), e.mesh.Age(platform.RunnerKind)
-		}, HostCount: e.sharingHosts, Contended: e.contended, Now: now, Log: log,
+		}, HostCount: e.sharingHosts, Contended: e.contended, Slots: e.slots, Now: now, Log: log,
 	})
 	e.callerServer = (&ingress.Ingress{
 		Dialect: platform.Dialect, Directory: e.directory, Serve: e.serve, Now: now, Log: log, Closing: e.stopping.Load, Refusing: e.rejecting.Load,
@@ -315,6 +318,7 @@
 	go e.quarantineSync.run(ctx)
 	go e.quotas.run(ctx)
 	go e.backpressure.run(ctx)
+	go e.slots.ledgers.run(ctx)
 	go timing.Every(ctx, outcomeInterval, func() { e.owners.reportOutcomes(ctx, e.directory.Snapshot().Runners) })
 	notifier := newHomeNotifier(e.owner, e.owners)
 	go timing.Every(ctx, homeNotifyInterval, func() { notifier.run(ctx, e.directory.Snapshot()) })
@@ -408,6 +412,12 @@
 		"connections_dialed": e.client.Dialed,
 		"limit_granted":      e.backpressure.granted.Load,
 		"limit_refused":      e.backpressure.refused.Load,
+		"slots_granted":      e.slots.granted.Load,
+		"slots_waited":       e.slots.waited.Load,
+		"slots_refused":      e.slots.refused.Load,
+		"slots_unknown":      e.slots.unknown.Load,
+		"slots_disputed":     e.slots.refusedByRunner.Load,
+		"slots_not_returned": e.slots.returns.lostCount,
 	} {
 		vars.Set(name, expvar.Func(func() any { return value() }))
 	}
@@ -416,6 +426,7 @@
 	vars.Set("quarantine_size", expvar.Func(func() any { return e.quarantineSync.quarantine.Size() }))
 	vars.Set("workspaces", expvar.Func(func() any { return e.quotas.workspaceUse() }))
 	vars.Set("quota_parts_counted", expvar.Func(func() any { return e.quotas.counting.counter.Size() }))
+	vars.Set("slot_ledgers", expvar.Func(func() any { return e.slots.ledgers.status() }))
 	vars.Set("runners_limited", expvar.Func(func() any { return e.board.LimitedCount() }))
 	vars.Set("config_version", expvar.Func(func() any { return e.configVersion() }))
 	vars.Set("knowledge", expvar.Func(func() any { return e.mesh.ReplicationStatus() }))
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -115,6 +115,7 @@
 	if !l.firstByteAt.IsZero() {
 		fields = append(fields, "first_ms", l.firstByteAt.Sub(l.arrived).Milliseconds())
 	}
+	fields = append(fields, l.slotLogFields()...)
 	if len(l.refusals) > 0 {
 		fields = append(fields, "not_admitted", strings.Join(l.refusals, "; "), "asked", strings.Join(l.refusedBy, "; "))
 	}
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -36,12 +36,13 @@
 
 // attempt sends the request to the chosen runner and relays its answer. It returns nil once
 // the request is answered.
-func (l *lifecycle) attempt(ctx context.Context) *forward.Failure {
+func (l *lifecycle) attempt(ctx context.Context) (failure *forward.Failure) {
 	runner := l.runner
 	l.sends++
 	l.sentAt = l.s.Now()
 	l.s.Board.RecordStart(runner.ID, l.sentAt)
 	defer l.s.Board.RecordEnd(runner.ID)
+	defer func() { l.releaseSlot(refusedByRunner(failure)) }()
 	if l.key.Name != "" {
 		defer l.s.Owners.Release(runner, l.key.Adapter)
 	}
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -16,7 +16,7 @@
 	snapshot := l.s.Directory.Snapshot()
 	runners := snapshot.ByService[l.service.Name]
 	if l.service.Engine == nil {
-		return l.placePlain(runners)
+		return l.placePlain(ctx, runners)
 	}
 	l.key = adapters.Key{Adapter: l.request.Adapter, Version: snapshot.Versions[l.request.Adapter]}
 	l.keyChosenAt = l.s.Now()
@@ -27,7 +27,42 @@
 // allow no request.
 const reasonAllBarred = "all runners take no request at the moment"
 
-func (l *lifecycle) placePlain(runners []*site.Runner) bool {
+// placePlain selects a runner of a service without models: by a request slot that all hosts share,
+// or else by what this host knows of the runners' load.
+func (l *lifecycle) placePlain(ctx context.Context, runners []*site.Runner) bool {
+	if l.sharesSlots() {
+		usable, candidates := l.plainCandidates(runners)
+		switch l.placeBySlot(ctx, usable, candidates) {
+		case SlotGranted:
+			return true
+		case SlotRefused:
+			return false
+		case SlotUnknown:
+			// The request may have waited.
+			runners = l.s.Directory.Snapshot().ByService[l.service.Name]
+		}
+	}
+	return l.placeByLoad(runners)
+}
+
+// placeByLoad selects the least loaded runner as far as this host knows.
+func (l *lifecycle) placeByLoad(runners []*site.Runner) bool {
+	usable, candidates := l.plainCandidates(runners)
+	if len(candidates) == 0 && l.soonestRetry > 0 {
+		l.refuseOrFail(l.soonestRetry, reasonAllBarred)
+		return false
+	}
+	choice := placing.LeastLoaded(candidates)
+	if choice < 0 {
+		l.refuseOrFail(retryAfterShort, "no runner has room")
+		return false
+	}
+	l.runner = usable[choice]
+	return true
+}
+
+// plainCandidates returns the runners to which the request may go, and what is known of each.
+func (l *lifecycle) plainCandidates(runners []*site.Runner) ([]*site.Runner, []placing.Candidate) {
 	now := l.s.Now()
 	var usable []*site.Runner
 	var candidates []placing.Candidate
@@ -49,17 +84,7 @@
 			Local:   runner.DataCentre == l.s.DataCentre,
 		})
 	}
-	if len(candidates) == 0 && l.soonestRetry > 0 {
-		l.refuseOrFail(l.soonestRetry, reasonAllBarred)
-		return false
-	}
-	choice := placing.LeastLoaded(candidates)
-	if choice < 0 {
-		l.refuseOrFail(retryAfterShort, "no runner has room")
-		return false
-	}
-	l.runner = usable[choice]
-	return true
+	return usable, candidates
 }
 
 // nearFirst returns the runners with those of the data centre first, otherwise in the same
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -77,8 +77,11 @@
 	// Contended reports whether the deployment calls for scheduling under contention, see
 	// docs/design/contention.md. It may be nil, which stands for never.
 	Contended func() bool
-	Now       func() time.Time
-	Log       hclog.Logger
+	// Slots grants the request slots of plain runners where Contended reports true. It may be nil
+	// if that is never the case.
+	Slots SharedSlots
+	Now   func() time.Time
+	Log   hclog.Logger
 }
 
 // Server serves callers' requests. It is safe for concurrent use.
@@ -205,8 +208,13 @@
 	// refusedBy lists the owners that did not admit it, as RUNNER@HOST.
 	refusedBy []string
 	// skipped lists up to maxSkipped runners that accepted no request.
-	skipped     []string
-	waited      time.Duration
+	skipped []string
+	waited  time.Duration
+	// slot is the request slot that the request holds, nil if none.
+	slot *SlotGrant
+	// slotAnswer is the latest answer to a request for a slot, nil if there was none.
+	slotAnswer  *SlotGrant
+	slotWaited  time.Duration
 	firstByteAt time.Time
 	// sentAt is when the latest attempt was sent.
 	sentAt time.Time
@@ -361,8 +369,9 @@
 
 // releaseAdmission releases an admission that the request will not use. An admission that is
 // not released counts as in use until its longest possible request would have ended, and
-// other adapters are refused meanwhile.
+// other adapters are refused meanwhile. The same holds for a request slot.
 func (l *lifecycle) releaseAdmission() {
+	l.releaseSlot(false)
 	if l.key.Name != "" {
 		l.s.Owners.Release(l.runner, l.key.Adapter)
 	}
--- a/internal/slotledger/slotledger.go
+++ b/internal/slotledger/slotledger.go
@@ -95,11 +95,11 @@
 	// request, a request behind so many others waits for more than a second.
 	maxWaiters = 512
 	// maxRunners bounds the runners of one service that the ledger knows.
-	maxRunners = 4096
+	maxRunners = 1024
 	// maxSlots bounds the slots of one runner.
 	maxSlots = 4096
 	// maxCandidates bounds the runners that one request can name.
-	maxCandidates = 256
+	maxCandidates = 64
 )
 
 const (
