--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -43,7 +43,9 @@
 type request struct {
 	sim  *simulation
 	kind *KindConfig
-	key  adapters.Key
+	// workspace is nil if the configuration has none.
+	workspace *WorkspaceConfig
+	key       adapters.Key
 	// prompt and output are the numbers of tokens of the prompt and of the answer.
 	prompt  int
 	output  int
@@ -87,10 +89,11 @@
 	})
 }
 
-// loadFactor returns the factor by which bursts currently multiply the load of a kind.
+// loadFactor returns the factor by which bursts and the swing of demand currently multiply the
+// load of a kind.
 func (sim *simulation) loadFactor(kind string) float64 {
-	factor := 1.0
 	at := sim.clock.now.Sub(sim.started)
+	factor := sim.cfg.Demand.swingFactor(at)
 	for _, burst := range sim.cfg.Bursts {
 		if (burst.Kind == "" || burst.Kind == kind) && at >= seconds(burst.AtS) && at < seconds(burst.AtS+burst.ForS) {
 			factor *= burst.Factor
@@ -102,9 +105,10 @@
 // newRequest draws a request of a kind and starts its first attempt.
 func (sim *simulation) newRequest(kind *KindConfig) {
 	r := &request{sim: sim, kind: kind, begun: sim.clock.now}
+	r.workspace = sim.drawWorkspace()
 	r.key = adapters.Key{Adapter: site.Adapter{Model: modelName}}
 	if sim.demand.Float64() < sim.cfg.Demand.Named {
-		r.key.Name = "a" + strconv.Itoa(sim.popularity[sim.zipf()])
+		r.key.Name = "a" + strconv.Itoa(sim.drawAdapter())
 	}
 	r.prompt = lognormal(sim.demand, kind.Prompt, kind.Spread)
 	if kind.MostRead > 0 {
@@ -218,7 +222,9 @@
 			Key: r.key, PromptTokens: r.prompt, MaxOutputTokens: r.output, ExpectedOutputTokens: r.output, PromptWait: target / promptWaitDivisor,
 			LatencyBudget: r.arrived.Add(target - firstEventReserve).Sub(sim.clock.now), MaxWait: r.timeLeft(), LastResort: r.lastResort,
 			Home: r.step.Home && r.key.Name != "" && sim.policy == Product, Retry: r.step.Retry, Waited: r.waited,
+			Ranked: sim.cfg.ordersByPriority(), Precedence: r.precedence(),
 		})
+		sim.lastAsker[r.key] = r
 		sim.scheduleStep(c, 0)
 		if err != nil {
 			sim.clock.after(delay, func() { r.refused(runner, err) })
@@ -308,12 +314,12 @@
 	sim := r.sim
 	r.sends++
 	delay := sim.latency(r.host.centre, runner.DataCentre)
-	h := r.host
-	h.board.RecordStart(runner.ID, sim.clock.now)
+	h, sentAt := r.host, sim.clock.now
+	h.board.RecordStart(runner.ID, sentAt)
 	r.suspectSilence(runner)
 	sim.clock.after(delay, func() {
 		e := sim.byID[runner.ID]
-		sent := &engineRun{key: r.key, unread: r.prompt, remaining: r.output}
+		sent := &engineRun{key: r.key, unread: r.prompt, remaining: r.output, sentAt: sentAt}
 		sent.event = func() { sim.clock.after(delay, func() { r.event(sent, runner) }) }
 		sent.ended = func(whole bool) {
 			sim.clock.after(delay, func() {
@@ -381,6 +387,7 @@
 	r.host.board.RecordActivity(runner.ID, now)
 	if r.first.IsZero() {
 		r.first = now
+		r.sim.observePrefill(runner.ID, r.prompt, now.Sub(sent.sentAt))
 	} else {
 		r.gap = max(r.gap, now.Sub(r.lastSeen))
 	}
--- a/internal/experiment/cmd/experiment/main.go
+++ b/internal/experiment/cmd/experiment/main.go
@@ -19,7 +19,9 @@
 	Policies []string `long:"policy" short:"p" description:"product, homeless or reference; may be repeated (default: all)"`
 	Seeds    int      `long:"seeds" short:"n" default:"1" description:"number of seeds to run, starting from the configured one"`
 	Out      string   `long:"out" short:"o" description:"a folder for each scenario's results and plot"`
-	List     bool     `long:"list" description:"list the embedded scenarios"`
+	// LoseRunners is nil without the flag; a share of 0 is an error.
+	LoseRunners *float64 `long:"lose-runners" value-name:"SHARE" description:"play each seed twice, with all runners and with this share of them lost for the second third, and show what each class of requests gets (policy: product by default)"`
+	List        bool     `long:"list" description:"list the embedded scenarios"`
 }
 
 func main() {
@@ -51,6 +53,12 @@
 	if err != nil {
 		return err
 	}
+	if opts.LoseRunners != nil {
+		if len(opts.Policies) == 0 {
+			policies = []experiment.Policy{experiment.Product}
+		}
+		return runDrills(opts, cfg, policies)
+	}
 	var results []*experiment.Result
 	for i := range max(1, opts.Seeds) {
 		seeded := cfg
@@ -69,7 +77,34 @@
 	if opts.Out == "" {
 		return nil
 	}
-	return save(opts.Out, cfg.Name, results)
+	return save(opts.Out, cfg.Name, results, results)
+}
+
+// drillSuffix distinguishes the files of a drill from those of the scenario's other runs.
+const drillSuffix = "-drill"
+
+func runDrills(opts options, cfg experiment.Config, policies []experiment.Policy) error {
+	var drills []*experiment.Drill
+	var results []*experiment.Result
+	for i := range max(1, opts.Seeds) {
+		seeded := cfg
+		seeded.Seed += uint64(i)
+		for _, policy := range policies {
+			drill, err := experiment.RunDrill(seeded, policy, *opts.LoseRunners)
+			if err != nil {
+				return errors.Wrap(err, "--lose-runners")
+			}
+			drills = append(drills, drill)
+			results = append(results, drill.All, drill.Lost)
+		}
+	}
+	if err := experiment.WriteDrills(os.Stdout, drills); err != nil {
+		return err
+	}
+	if opts.Out == "" {
+		return nil
+	}
+	return save(opts.Out, cfg.Name+drillSuffix, drills, results)
 }
 
 func loadConfig(opts options) (experiment.Config, error) {
@@ -105,11 +140,12 @@
 	return policies, nil
 }
 
-func save(folder, name string, results []*experiment.Result) error {
+// save writes a value as JSON and a plot of results.
+func save(folder, name string, value any, results []*experiment.Result) error {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
 		return err
 	}
-	encoded, err := json.MarshalIndent(results, "", "  ")
+	encoded, err := json.MarshalIndent(value, "", "  ")
 	if err != nil {
 		return err
 	}
--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -14,6 +14,7 @@
 	"embed"
 	"io/fs"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -39,8 +40,11 @@
 	Demand  DemandConfig  `toml:"demand"`
 	Kinds   []KindConfig  `toml:"kinds"`
 	Bursts  []BurstConfig `toml:"bursts"`
-	// Shifts move the demand to other adapters.
+	// Shifts move the demand to other adapters. Surges make one adapter popular for a time.
 	Shifts []ShiftConfig `toml:"shifts"`
+	Surges []SurgeConfig `toml:"surges"`
+	// Workspaces are the tenants that send the requests. Without any, requests have none.
+	Workspaces []WorkspaceConfig `toml:"workspaces"`
 	// Crashes remove runners, Silences make them unresponsive for a time, and Losses stop
 	// all hosts simultaneously.
 	Crashes  []FaultConfig `toml:"crashes"`
@@ -49,7 +53,7 @@
 	Retries  RetryConfig   `toml:"retries"`
 }
 
-// EngineConfig describes the runners, which are all alike.
+// EngineConfig describes the runners.
 type EngineConfig struct {
 	Count int `toml:"count"`
 	// Slots is the number of requests in a batch, Queue the number that may wait for one,
@@ -69,8 +73,27 @@
 	// engine has cached; these load ten times as fast.
 	Stride     int `toml:"stride"`
 	Remembered int `toml:"remembered"`
+	// SpeedSpread is the ratio of the highest to the lowest speed of engines; 0 and 1 mean that
+	// all are alike. StepMS, SlotMS, ContextMS and ReadPerMS are those of an engine of middle
+	// speed.
+	SpeedSpread float64        `toml:"speed_spread"`
+	Slowdowns   SlowdownConfig `toml:"slowdowns"`
 }
 
+// SlowdownConfig describes how single engines slow down for a moment. An engine announces its
+// work time with each event.
+type SlowdownConfig struct {
+	// EveryS is the mean time between two slowdowns of an engine, 0 for none.
+	EveryS float64 `toml:"every_s"`
+	// ForMS is the length of a slowdown.
+	ForMS float64 `toml:"for_ms"`
+	// Factor is the greatest factor by which work takes longer.
+	Factor float64 `toml:"factor"`
+}
+
+// uneven reports whether engines differ in speed, lastingly or for a moment.
+func (c EngineConfig) uneven() bool { return c.SpeedSpread > 1 || c.Slowdowns.EveryS > 0 }
+
 // StoreConfig describes the weight store.
 type StoreConfig struct {
 	// LoadMS is the time of a load at full speed.
@@ -88,11 +111,27 @@
 	Zipf float64 `toml:"zipf"`
 	// Named is the share of requests that name an adapter.
 	Named float64 `toml:"named"`
+	// Swing is the share by which the rate of requests rises and falls around its mean, as a sine
+	// with a period of SwingS.
+	Swing  float64 `toml:"swing"`
+	SwingS float64 `toml:"swing_s"`
+}
+
+// WorkspaceConfig describes a workspace.
+type WorkspaceConfig struct {
+	Name string `toml:"name"`
+	// Weight is the workspace's part of the requests, relative to the others' weights.
+	Weight float64 `toml:"weight"`
+	// Priority goes before the priority of the route; lower values are served first. A workspace
+	// without one has that of the route.
+	Priority *int `toml:"priority"`
 }
 
 // KindConfig describes a kind of request.
 type KindConfig struct {
 	Name string `toml:"name"`
+	// Priority is that of the route; lower values are served first.
+	Priority int `toml:"priority"`
 	// PerS is the number of requests per second.
 	PerS float64 `toml:"per_s"`
 	// Prompt is the mean number of prompt tokens, Spread the standard deviation of its
@@ -103,7 +142,7 @@
 	// Events is the mean number of events of an answer.
 	Events float64 `toml:"events"`
 	// An answer is in time if its first event arrives within TargetMS and no two events are
-	// further apart than GapMS.
+	// further apart than GapMS, 0 for no limit.
 	TargetMS  float64 `toml:"target_ms"`
 	GapMS     float64 `toml:"gap_ms"`
 	DeadlineS float64 `toml:"deadline_s"`
@@ -126,6 +165,16 @@
 	Count int     `toml:"count"`
 }
 
+// SurgeConfig makes one randomly chosen adapter popular.
+type SurgeConfig struct {
+	AtS  float64 `toml:"at_s"`
+	ForS float64 `toml:"for_s"`
+	// Share is the share of the requests for adapters that name the adapter, reached evenly
+	// within RiseS.
+	Share float64 `toml:"share"`
+	RiseS float64 `toml:"rise_s"`
+}
+
 // FaultConfig describes a fault of a share of the runners, or of all hosts.
 type FaultConfig struct {
 	AtS   float64 `toml:"at_s"`
@@ -223,6 +272,17 @@
 	if c.Demand.Zipf <= 1 {
 		return errors.Errorf("demand.zipf: %v is not greater than one", c.Demand.Zipf)
 	}
+	if c.Demand.Swing < 0 || c.Demand.Swing > 1 || (c.Demand.Swing > 0 && c.Demand.SwingS <= 0) {
+		return errors.Errorf("demand.swing: %v with demand.swing_s %v is not a share of 0 to 1 with a period", c.Demand.Swing, c.Demand.SwingS)
+	}
+	if slow := c.Engines.Slowdowns; slow.EveryS > 0 && (slow.ForMS <= 0 || slow.Factor < 1) {
+		return errors.New("engines.slowdowns: for_ms is not greater than zero, or factor is less than one")
+	}
+	for _, workspace := range c.Workspaces {
+		if workspace.Name == "" || workspace.Weight <= 0 {
+			return errors.Errorf("workspaces: %q lacks a name or a weight", workspace.Name)
+		}
+	}
 	for _, kind := range c.Kinds {
 		if kind.PerS < 0 || kind.Prompt <= 0 || kind.Events <= 0 || kind.TargetMS <= 0 || kind.DeadlineS <= 0 {
 			return errors.Errorf("kinds: %q lacks a rate, prompt, events, target_ms or deadline_s", kind.Name)
@@ -231,6 +291,12 @@
 	return nil
 }
 
+// ordersByPriority reports whether requests are ordered by priority, as
+// site.Config.OrdersByPriority does.
+func (c Config) ordersByPriority() bool {
+	return slices.ContainsFunc(c.Workspaces, func(w WorkspaceConfig) bool { return w.Priority != nil })
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
@@ -26,6 +27,11 @@
 	stepping bool
 	silent   bool
 	gone     bool
+	// speed is relative to an engine of middle speed. work is the momentary work time, 1 if work
+	// takes as long as usual on this engine.
+	speed, work float64
+	// draws is of this engine alone, so that a lost engine changes nothing for the others.
+	draws *rand.Rand
 	// pacer is used by the reference policy; owners have their own.
 	pacer adapters.Pacer
 	// steps counts the steps, and filled the requests in the batch, summed over them.
@@ -39,8 +45,10 @@
 	// unread and context count prompt tokens before and after prefill; context includes
 	// generated tokens. remaining counts the tokens still to generate.
 	unread, context, remaining, generated int
-	event                                 func()
-	ended                                 func(whole bool)
+	// sentAt is when the host sent the request.
+	sentAt time.Time
+	event  func()
+	ended  func(whole bool)
 }
 
 // refusal says why an engine refused a request.
@@ -54,9 +62,12 @@
 )
 
 func newEngine(sim *simulation, cfg EngineConfig, runner *site.Runner) *engine {
-	return &engine{
+	e := &engine{
 		sim: sim, cfg: cfg, runner: runner, held: map[adapters.Key]bool{}, incoming: map[adapters.Key]*fetch{}, evicting: map[adapters.Key]bool{},
+		work: 1, draws: rand.New(rand.NewPCG(sim.cfg.Seed, addressHash(runner.Address))),
 	}
+	e.speed = drawSpeed(e.draws, cfg.SpeedSpread)
+	return e
 }
 
 // order executes an order.
@@ -253,7 +264,7 @@
 		tokens += r.context
 	}
 	ms := e.cfg.StepMS + e.cfg.SlotMS*float64(len(batch)) + e.cfg.ContextMS*float64(tokens)/1000 + float64(read)/e.cfg.ReadPerMS
-	return millis(ms)
+	return millis(ms * e.work / e.speed)
 }
 
 // endStep completes a step: each request whose prompt is read gains one token.
@@ -270,6 +281,7 @@
 		r.context++
 		r.remaining--
 		if r.generated%e.cfg.Stride == 0 || r.remaining <= 0 {
+			e.announceWork()
 			r.event()
 		}
 		if r.remaining <= 0 {
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -115,6 +115,9 @@
 		{"a field that does not exist", "hosts = 7", "hosts = 7\nhostess = 1", "hostess"},
 		{"a flat popularity", "zipf = 1.2", "zipf = 1.0", "demand.zipf"},
 		{"a kind that never ends", "deadline_s = 15", "deadline_s = 0", "deadline_s"},
+		{"a swing without a period", "zipf = 1.2", "zipf = 1.2\nswing = 0.5", "demand.swing"},
+		{"slowdowns of no length", "[weight_store]", "[engines.slowdowns]\nevery_s = 4\n[weight_store]", "engines.slowdowns"},
+		{"a workspace without a name", "[demand]", "[[workspaces]]\nweight = 1\n[demand]", "workspaces"},
 		{"no TOML", "[engines]", "engines", "toml"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -17,6 +17,9 @@
 	lineWidth  = 1.5 * vg.Millimeter / 2
 )
 
+// lossDashes draws the runs in which a drill loses runners.
+var lossDashes = []vg.Length{2 * vg.Millimeter, vg.Millimeter}
+
 var colours = map[Policy]color.Color{
 	Product:      color.RGBA{R: 190, G: 30, B: 60, A: 255},
 	WithoutHomes: color.RGBA{R: 120, G: 120, B: 120, A: 255},
@@ -41,8 +44,13 @@
 		}
 		line.Color = colours[r.Policy]
 		line.Width = lineWidth
+		label := fmt.Sprintf("%s, seed %d: %.3f", r.Policy, r.Seed, r.Whole.Share())
+		if r.LostRunners > 0 {
+			line.Dashes = lossDashes
+			label += fmt.Sprintf(", %.0f%% of the runners lost", 100*r.LostRunners)
+		}
 		p.Add(line)
-		p.Legend.Add(fmt.Sprintf("%s, seed %d: %.3f", r.Policy, r.Seed, r.Whole.Share()), line)
+		p.Legend.Add(label, line)
 	}
 	return errors.Wrap(p.Save(plotWidth, plotHeight, path), "plot")
 }
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -17,6 +17,12 @@
 	Failed  int     `json:"failed"`
 	Owed    float64 `json:"owed"`
 	Earned  float64 `json:"earned"`
+	// Fetches counts the loads from the weight store that started after one of the requests was
+	// the last to ask for the adapter. Like the times from a request to the first event of its
+	// answer, in milliseconds, it is 0 in windows.
+	Fetches       int     `json:"fetches,omitempty"`
+	MedianFirstMS float64 `json:"median_first_ms,omitempty"`
+	P99FirstMS    float64 `json:"p99_first_ms,omitempty"`
 }
 
 // Share returns the share of their possible worth that the requests earned.
@@ -32,11 +38,15 @@
 
 // Result is the outcome of a run.
 type Result struct {
-	Scenario string           `json:"scenario"`
-	Policy   Policy           `json:"policy"`
-	Seed     uint64           `json:"seed"`
-	Whole    Tally            `json:"whole"`
-	Kinds    map[string]Tally `json:"kinds"`
+	Scenario string `json:"scenario"`
+	Policy   Policy `json:"policy"`
+	Seed     uint64 `json:"seed"`
+	// LostRunners is the share of the runners that a drill loses, 0 for none.
+	LostRunners float64          `json:"lost_runners,omitempty"`
+	Whole       Tally            `json:"whole"`
+	Kinds       map[string]Tally `json:"kinds"`
+	// Workspaces has an entry for each workspace of the configuration with requests.
+	Workspaces map[string]Tally `json:"workspaces,omitempty"`
 	// Windows count requests by the time at which they were first made.
 	Windows []Tally `json:"windows"`
 	// Fetches counts loads from the weight store, Wanted the distinct adapters that were
@@ -60,14 +70,11 @@
 }
 
 func newResult(cfg Config, policy Policy) *Result {
-	return &Result{Scenario: cfg.Name, Policy: policy, Seed: cfg.Seed, Kinds: map[string]Tally{}}
+	return &Result{Scenario: cfg.Name, Policy: policy, Seed: cfg.Seed, Kinds: map[string]Tally{}, Workspaces: map[string]Tally{}}
 }
 
 func (r *Result) tally(q *request, count func(t *Tally)) {
-	count(&r.Whole)
-	kind := r.Kinds[q.kind.Name]
-	count(&kind)
-	r.Kinds[q.kind.Name] = kind
+	r.tallyClasses(q, count)
 	window := int(q.begun.Sub(q.sim.started) / windowLength)
 	for len(r.Windows) <= window {
 		r.Windows = append(r.Windows, Tally{})
@@ -75,6 +82,28 @@
 	count(&r.Windows[window])
 }
 
+// tallyClasses counts in all classes of a request, but not in its window.
+func (r *Result) tallyClasses(q *request, count func(t *Tally)) {
+	count(&r.Whole)
+	kind := r.Kinds[q.kind.Name]
+	count(&kind)
+	r.Kinds[q.kind.Name] = kind
+	if q.workspace == nil {
+		return
+	}
+	workspace := r.Workspaces[q.workspace.Name]
+	count(&workspace)
+	r.Workspaces[q.workspace.Name] = workspace
+}
+
+// countFetch counts a fetch that a request caused, which is nil if no request did.
+func (r *Result) countFetch(q *request) {
+	r.Fetches++
+	if q != nil {
+		r.tallyClasses(q, func(t *Tally) { t.Fetches++ })
+	}
+}
+
 func (r *Result) countAsked(q *request) {
 	r.tally(q, func(t *Tally) {
 		t.Asked++
@@ -83,7 +112,8 @@
 }
 
 func (r *Result) countServed(q *request) {
-	inTime := q.first.Sub(q.begun) <= millis(q.kind.TargetMS) && q.gap <= millis(q.kind.GapMS)
+	q.sim.recordFirstEvent(q)
+	inTime := q.first.Sub(q.begun) <= millis(q.kind.TargetMS) && (q.kind.GapMS == 0 || q.gap <= millis(q.kind.GapMS))
 	r.tally(q, func(t *Tally) {
 		if inTime {
 			t.InTime++
@@ -104,6 +134,7 @@
 	for _, on := range sim.fetchedTo {
 		r.Copies += len(on) - 1
 	}
+	r.setFirstEvents(sim.firstEvents)
 	steps, filled := 0, 0
 	for _, e := range sim.engines {
 		steps += e.steps
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -55,6 +55,8 @@
 	// demand draws the load and faults the faults, both the same for every policy; choices
 	// draws everything else.
 	demand, faults, choices *rand.Rand
+	// shifts draws the adapters that become popular.
+	shifts *rand.Rand
 
 	clock  *clock
 	store  *weightStore
@@ -78,9 +80,21 @@
 	fetchedTo  map[adapters.Key]map[string]bool
 	// popularity maps popularity ranks to adapters.
 	popularity []int
-	instances  int
-	started    time.Time
-	hostsDown  bool
+	// loss is the loss of engines of a drill; nil outside of drills, with a share of 0 in the run
+	// of a drill with all engines.
+	loss      *FaultConfig
+	instances int
+	started   time.Time
+	hostsDown bool
+	// surging is the adapter of each surge in the configuration.
+	surging []int
+	// lastAsker is the last request that asked for an adapter, to which a fetch is attributed.
+	lastAsker map[adapters.Key]*request
+	// firstEvents holds the times from a request to its first event, in milliseconds, by class.
+	firstEvents map[string][]float64
+	// typical is the prefill time per token of most runners, as of typicalAt.
+	typical   float64
+	typicalAt time.Time
 }
 
 type host struct {
@@ -99,11 +113,14 @@
 }
 
 // Run simulates a configuration under a policy.
-func Run(cfg Config, policy Policy) (*Result, error) {
+func Run(cfg Config, policy Policy) (*Result, error) { return run(cfg, policy, nil) }
+
+// run simulates a configuration under a policy, with the loss of a drill if it isn't nil.
+func run(cfg Config, policy Policy, loss *FaultConfig) (*Result, error) {
 	if err := cfg.Check(); err != nil {
 		return nil, err
 	}
-	sim := newSimulation(cfg, policy)
+	sim := newSimulation(cfg, policy, loss)
 	sim.schedule()
 	end := sim.started.Add(seconds(cfg.LengthS))
 	sim.clock.run(end)
@@ -121,7 +138,7 @@
 	return longest
 }
 
-func newSimulation(cfg Config, policy Policy) *simulation {
+func newSimulation(cfg Config, policy Policy, loss *FaultConfig) *simulation {
 	epoch := time.Unix(0, 0)
 	sim := &simulation{
 		cfg: cfg, policy: policy, clock: &clock{now: epoch},
@@ -130,6 +147,12 @@
 		ranked: map[string][]*site.Runner{}, load: map[string]int{}, ownerBoard: board.New(), loadTimes: map[string]*adapters.LoadTimes{},
 		fetchedTo: map[adapters.Key]map[string]bool{}, started: epoch.Add(warmUp),
 	}
+	sim.shifts = sim.faults
+	if loss != nil {
+		// Otherwise a loss of engines would change which adapters become popular.
+		sim.shifts = rand.New(rand.NewPCG(cfg.Seed, 4))
+	}
+	sim.loss, sim.lastAsker, sim.firstEvents = loss, map[adapters.Key]*request{}, map[string][]float64{}
 	sim.result = newResult(cfg, policy)
 	sim.store = &weightStore{clock: sim.clock, fullSpeed: cfg.Store.Full, loadTime: millis(cfg.Store.LoadMS), advancedTo: epoch}
 	for i := range cfg.Hosts {
@@ -145,6 +168,9 @@
 		sim.popularity[i] = i
 	}
 	sim.demand.Shuffle(len(sim.popularity), func(i, j int) { sim.popularity[i], sim.popularity[j] = sim.popularity[j], sim.popularity[i] })
+	for range cfg.Surges {
+		sim.surging = append(sim.surging, sim.demand.IntN(cfg.Demand.Adapters))
+	}
 	return sim
 }
 
@@ -168,6 +194,7 @@
 	sim.engines = append(sim.engines, e)
 	sim.byAddress[address] = e
 	sim.byID[runner.ID] = e
+	sim.scheduleSlowdown(e)
 	sim.listRunners()
 	sim.startController(runner)
 }
@@ -214,7 +241,7 @@
 	spec := adapters.Spec{Model: site.Model{Name: modelName}, Capacity: sim.cfg.Engines.Places, LoadsPerSecond: sim.cfg.Store.LoadsPerS}
 	c := &controller{centre: runner.DataCentre, Controller: adapters.NewController(runner, spec, adapters.ControllerDeps{
 		OnSignal: func(string, *board.Signal) {},
-		Holder:   "owner", Engines: engineAPI{sim}, Authority: soleOwner{}, Times: sim.ownerLoadTimes(runner), StoreLoad: sim.storeLoad, RunnerView: sim.ownerView, Utilization: sim.utilization, TypicalPrefill: unknownPrefill,
+		Holder:   "owner", Engines: engineAPI{sim}, Authority: soleOwner{}, Times: sim.ownerLoadTimes(runner), StoreLoad: sim.storeLoad, RunnerView: sim.ownerView, Utilization: sim.utilization, TypicalPrefill: sim.typicalPrefill, Contended: sim.contended,
 		ModelLoads: adapters.NewModelLoadLimiter(adapters.ModelLoadLimit{}), HostCount: func() int { return sim.cfg.Hosts },
 		Now: func() time.Time { return sim.clock.now }, Log: hclog.NewNullLogger(),
 	})}
@@ -255,9 +282,6 @@
 	})
 }
 
-// unknownPrefill gives no typical prefill rate: all runners are alike here.
-func unknownPrefill() float64 { return 0 }
-
 func (sim *simulation) storeLoad() adapters.StoreLoad {
 	share := adapters.FetchCapacityPerRunner(sim.cfg.Store.LoadsPerS, len(sim.runners))
 	return adapters.StoreLoad{Fetches: len(sim.store.active), Capacity: share * float64(len(sim.runners)), PerRunner: share}
@@ -279,7 +303,7 @@
 }
 
 func (sim *simulation) recordFetch(runner string, key adapters.Key) {
-	sim.result.Fetches++
+	sim.result.countFetch(sim.lastAsker[key])
 	runners := sim.fetchedTo[key]
 	if runners == nil {
 		runners = map[string]bool{}
@@ -298,6 +322,9 @@
 	for _, shift := range sim.cfg.Shifts {
 		sim.clock.at(sim.started.Add(seconds(shift.AtS)), func() { sim.shift(shift.Count) })
 	}
+	if sim.loss != nil && sim.loss.Share > 0 {
+		sim.clock.at(sim.started.Add(seconds(sim.loss.AtS)), func() { sim.crashEngines(*sim.loss) })
+	}
 	for _, crash := range sim.cfg.Crashes {
 		sim.clock.at(sim.started.Add(seconds(crash.AtS)), func() { sim.crashEngines(crash) })
 	}
@@ -313,7 +340,7 @@
 // shift exchanges the most popular adapters with random others.
 func (sim *simulation) shift(count int) {
 	for i := range min(count, len(sim.popularity)) {
-		j := sim.faults.IntN(len(sim.popularity))
+		j := sim.shifts.IntN(len(sim.popularity))
 		sim.popularity[i], sim.popularity[j] = sim.popularity[j], sim.popularity[i]
 	}
 }
