Metrics pages tell who waits for what, and cherryctl contention merges them

Cause: under contention, operators have to see which requests wait and for what, which adapters are hot and which runners are slow. The metrics page has totals of one host only.

Change: package internal/contention defines the page's part `contention` (requests, adapters, evictions, runners, slot ledgers), counts requests by precedence, workspace and cause within a bounded number of keys, and merges pages. internal/serve counts each request from its start to its outcome; internal/entry lists its own runners with load, prefill speed and work time. Parts that others fill are sources, absent until they are set. Request lines have `precedence` where requests are ordered by it.

--- a/cmd/cherryctl/main.go
+++ b/cmd/cherryctl/main.go
@@ -67,6 +67,7 @@
 		{"analyze", "sum up from hosts' logs why requests were not served on time", &analyzeCommand{}},
 		{"trace", "show what hosts logged of one request, and which logs say more", &traceCommand{}},
 		{"quotas", "show from hosts' metrics what workspaces used of their quotas", &quotasCommand{}},
+		{"contention", "show from hosts' metrics which requests wait for what, and which adapters and runners are short", &contentionCommand{}},
 		{"audit", "show who changed what, and when", &auditCommand{}},
 		{"drain", "make an entry host give its work away", &drainCommand{}},
 		{"digest", "read a key on standard input and show its digest", &digestCommand{}},
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
 	"github.com/cherrystage/cherrystage/internal/board"
+	"github.com/cherrystage/cherrystage/internal/contention"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/ingress"
@@ -83,6 +84,10 @@
 	wake           chan struct{}
 	openRequests   atomic.Int64
 	grace          atomic.Int64
+
+	// requestCounts and contentionSources fill the metrics page's part on contention.
+	requestCounts     *contention.Counters
+	contentionSources contention.Sources
 }
 
 // watchSchedule sets how often a kind of record is watched.
@@ -116,6 +121,8 @@
 func New(cfg Config, platform Platform, dial DialFunc, now func() time.Time, log hclog.Logger) *Entry {
 	e := &Entry{cfg: cfg, log: log, now: now, started: now(), wake: make(chan struct{}, 1)}
 	e.grace.Store(int64(cfg.ShutdownGrace))
+	e.requestCounts = contention.NewCounters()
+	e.contentionSources.Runners = e.runnerStates
 	identity := peer.Identity{Host: cfg.Host, Incarnation: newIncarnation()}
 	pool := peer.NewPool(identity, cfg.PeerKey, peer.Dialer(dial), log)
 	e.directory = directory.New(platform.Decoder, now, log)
@@ -161,7 +168,7 @@
 		DataCentre: cfg.DataCentre, Directory: e.directory, Board: e.board, Owners: e.owners, Backpressure: e.backpressure,
 		Client: e.client, Quarantine: e.quarantineSync.quarantine, RetryLimit: cfg.RetryLimit, Quotas: e.quotas, Ages: func() (config, runners time.Duration) {
 			return e.mesh.Age(platform.ConfigKind), e.mesh.Age(platform.RunnerKind)
-		}, HostCount: e.sharingHosts, Contended: e.contended, Now: now, Log: log,
+		}, HostCount: e.sharingHosts, Contended: e.contended, Contention: e.requestCounts, Now: now, Log: log,
 	})
 	e.callerServer = (&ingress.Ingress{
 		Dialect: platform.Dialect, Directory: e.directory, Serve: e.serve, Now: now, Log: log, Closing: e.stopping.Load, Refusing: e.rejecting.Load,
@@ -417,6 +424,7 @@
 	vars.Set("workspaces", expvar.Func(func() any { return e.quotas.workspaceUse() }))
 	vars.Set("quota_parts_counted", expvar.Func(func() any { return e.quotas.counting.counter.Size() }))
 	vars.Set("runners_limited", expvar.Func(func() any { return e.board.LimitedCount() }))
+	vars.Set("contention", expvar.Func(func() any { return e.contentionSources.Page(e.requestCounts) }))
 	vars.Set("config_version", expvar.Func(func() any { return e.configVersion() }))
 	vars.Set("knowledge", expvar.Func(func() any { return e.mesh.ReplicationStatus() }))
 	vars.Set("hosts_in_force", expvar.Func(func() any { return e.state.Size() }))
--- a/internal/hostmetrics/hostmetrics.go
+++ b/internal/hostmetrics/hostmetrics.go
@@ -34,8 +34,8 @@
 func SumWorkspaces(ctx context.Context, urls []string) ([]Workspace, error) {
 	byName := map[string]*Workspace{}
 	for _, url := range urls {
-		fetched, err := fetchPage(ctx, url)
-		if err != nil {
+		var fetched page
+		if err := fetchPage(ctx, url, &fetched); err != nil {
 			return nil, errors.Wrap(err, url)
 		}
 		addPage(byName, fetched)
@@ -61,20 +61,20 @@
 	}
 }
 
-func fetchPage(ctx context.Context, url string) (page, error) {
-	var fetched page
+// fetchPage reads the page at a URL into a value with the fields that are used of it.
+func fetchPage(ctx context.Context, url string, into any) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return fetched, err
+		return err
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return fetched, err
+		return err
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
-		return fetched, errors.Errorf("status %d", response.StatusCode)
+		return errors.Errorf("status %d", response.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxPageBytes)).Decode(&fetched)
-	return fetched, errors.Wrap(err, "metrics")
+	err = json.NewDecoder(io.LimitReader(response.Body, maxPageBytes)).Decode(into)
+	return errors.Wrap(err, "metrics")
 }
--- a/internal/serve/charge.go
+++ b/internal/serve/charge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -93,11 +94,15 @@
 
 // chargeLogFields returns the fields on the charge for the request's log line.
 func (l *lifecycle) chargeLogFields() []any {
+	var fields []any
+	if l.ranked {
+		fields = append(fields, "precedence", fmt.Sprintf("%d,%d", l.precedence.Workspace, l.precedence.Route))
+	}
 	workspace := l.request.Caller.Workspace
 	if workspace == nil {
-		return nil
+		return fields
 	}
-	fields := []any{"workspace", workspace.Name, "priority", workspace.PriorityOn(l.route)}
+	fields = append(fields, "workspace", workspace.Name, "priority", workspace.PriorityOn(l.route))
 	if l.charge.Outcome == ChargeUnmetered {
 		return fields
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
 	"github.com/cherrystage/cherrystage/internal/board"
+	"github.com/cherrystage/cherrystage/internal/contention"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/placing"
@@ -77,8 +78,10 @@
 	// Contended reports whether the deployment calls for scheduling under contention, see
 	// docs/design/contention.md. It may be nil, which stands for never.
 	Contended func() bool
-	Now       func() time.Time
-	Log       hclog.Logger
+	// Contention counts the requests for the metrics page; nil counts nothing.
+	Contention *contention.Counters
+	Now        func() time.Time
+	Log        hclog.Logger
 }
 
 // Server serves callers' requests. It is safe for concurrent use.
@@ -166,6 +169,8 @@
 	// ranked is set if requests are ordered by priority, by precedence.
 	ranked     bool
 	precedence site.Precedence
+	// counted is the request as counted for the metrics page.
+	counted *contention.Request
 	// fingerprint identifies the request's content for the quarantine.
 	fingerprint quarantine.Fingerprint
 
@@ -225,6 +230,8 @@
 	l.fingerprint = contentOf(request).Fingerprint()
 	snapshot := s.Directory.Snapshot()
 	l.ranked, l.precedence = snapshot.Config.OrdersByPriority(), site.PrecedenceOf(request.Caller.Workspace, route)
+	l.beginCount()
+	defer l.endCount()
 	name := route.PickService(rand.Float64())
 	l.service = snapshot.Config.Services[name]
 	if l.service == nil {
@@ -273,7 +280,7 @@
 			l.giveUp(ctx)
 			return
 		}
-		if l.rejectIfQuarantined() || !l.place(ctx) {
+		if l.rejectIfQuarantined() || !l.placeCounted(ctx) {
 			return
 		}
 		// The request may have been quarantined while it waited for its admission.
--- a/internal/serve/testenv_test.go
+++ b/internal/serve/testenv_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
 	"github.com/cherrystage/cherrystage/internal/board"
+	"github.com/cherrystage/cherrystage/internal/contention"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/quarantine"
@@ -161,7 +162,7 @@
 			Client:     forward.NewClient(testDialect{}, net.Host("host").Dial),
 			RetryLimit: retrybudget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 			Ages:       func() (config, runners time.Duration) { return 0, 0 },
-			HostCount:  func() int { return 1 }, Now: time.Now, Log: hclog.NewNullLogger(),
+			HostCount:  func() int { return 1 }, Contention: contention.NewCounters(), Now: time.Now, Log: hclog.NewNullLogger(),
 		})
 		run(w)
 	})
