--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -13,6 +13,7 @@
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
 	"github.com/cherrystage/cherrystage/internal/board"
+	"github.com/cherrystage/cherrystage/internal/contention"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/placing"
@@ -80,8 +81,10 @@
 	// Slots grants the request slots of plain runners where Contended reports true. It may be nil
 	// if that is never the case.
 	Slots SharedSlots
-	Now   func() time.Time
-	Log   hclog.Logger
+	// Contention counts the requests for the metrics page; nil counts nothing.
+	Contention *contention.Counters
+	Now        func() time.Time
+	Log        hclog.Logger
 }
 
 // Server serves callers' requests. It is safe for concurrent use.
@@ -169,6 +172,8 @@
 	// ranked is set if requests are ordered by priority, by precedence.
 	ranked     bool
 	precedence site.Precedence
+	// counted is the request as counted for the metrics page.
+	counted *contention.Request
 	// fingerprint identifies the request's content for the quarantine.
 	fingerprint quarantine.Fingerprint
 
@@ -239,6 +244,8 @@
 	l.fingerprint = contentOf(request).Fingerprint()
 	snapshot := s.Directory.Snapshot()
 	l.ranked, l.precedence = snapshot.Config.OrdersByPriority(), site.PrecedenceOf(request.Caller.Workspace, route)
+	l.beginCount()
+	defer l.endCount()
 	name := route.PickService(rand.Float64())
 	l.service = snapshot.Config.Services[name]
 	if l.service == nil {
@@ -287,7 +294,7 @@
 			l.giveUp(ctx)
 			return
 		}
-		if l.rejectIfQuarantined() || !l.place(ctx) {
+		if l.rejectIfQuarantined() || !l.placeCounted(ctx) {
 			return
 		}
 		// The request may have been quarantined while it waited for its admission.
