Homes load replicas ahead of demand

Cause: an adapter that becomes popular within a second got its replicas one after the other, each for a request that all existing ones had refused and that then waited for the fetch.

Change: a home counts the requests that ask it, extrapolates growth over a quarter of a second and plans replicas by request slots (70%) and prompt tokens per second (60% of a runner's). Every 100 ms it asks the next runners of the adapter's order for up to eight at a time (runner.prefetch with ahead_per_s). A runner refuses while the weight store is above three quarters of its full-speed fetches, while it loads two adapters, or if a quarter of its adapter slots, at least three, would not be left to requests. Loads that requests wait for go before these, and replicas that are still being loaded are named last. All of it is active only where the deployment is contended.

--- a/internal/adapters/admission.go
+++ b/internal/adapters/admission.go
@@ -106,6 +106,7 @@
 	if err == nil {
 		admitted, err = c.admit(ask, now)
 	}
+	c.recordDemand(ask, admitted, err, now)
 	if err != nil && ask.Home && !ask.Retry {
 		err = c.withReplicas(ask.Key, err)
 	}
@@ -116,7 +117,7 @@
 // be held.
 func (c *Controller) withReplicas(key Key, err error) error {
 	var refusal Refusal
-	runners := c.replicas.Pick(key)
+	runners := c.pickReplicas(key)
 	if len(runners) == 0 || !errors.As(err, &refusal) {
 		return err
 	}
@@ -128,6 +129,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.replicas.Add(key, runner)
+	c.replicaConfirmed(key, runner)
 }
 
 // RunnerRemoved drops a runner whose lifetime has ended from the replicas.
@@ -135,6 +137,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.replicas.Retain(func(other string) bool { return other != runner })
+	c.ahead.home.RemoveRunner(runner)
 }
 
 // admit is Admit with c.mu held.
--- /dev/null
+++ b/internal/adapters/ahead_test.go
@@ -0,0 +1,212 @@
+package adapters
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/board"
+	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/pkg/errors"
+	"github.com/shoenig/test/must"
+)
+
+// newContendedController returns a test controller of a contended deployment.
+func newContendedController(now *time.Time, capacity int, engine *fakeEngine) *Controller {
+	c := newTestController(now, capacity, engine)
+	c.Contended = func() bool { return true }
+	return c
+}
+
+// makePopular has an adapter's home asked for it 40 times a second.
+func makePopular(c *Controller, now *time.Time, key int) {
+	c.slots.LoadAccepted(testKey(key), *now, *now)
+	for range 60 {
+		*now = now.Add(25 * time.Millisecond)
+		c.slots.Advance(*now)
+		ask := testRequest(key, time.Second)
+		ask.Home = true
+		_, _ = c.Admit(ask)
+	}
+}
+
+// A popular adapter's home plans replicas, except where the deployment is not contended. There,
+// loads ahead of demand are refused, replicas are named in turn as before, and nothing is counted.
+func TestNothingIsLoadedAheadUnlessContended(t *testing.T) {
+	for _, contended := range []bool{false, true} {
+		now := epoch
+		c := newContendedController(&now, 8, &fakeEngine{})
+		c.Contended = func() bool { return contended }
+		makePopular(c, &now, 1)
+		plans := c.PlanReplicas()
+		_, err := c.PrefetchAhead(testKey(2), 5)
+		if contended {
+			must.SliceLen(t, 1, plans)
+			must.Positive(t, plans[0].Missing)
+			must.NoError(t, err)
+			continue
+		}
+		must.SliceEmpty(t, plans)
+		must.ErrorIs(t, err, ErrBusy)
+		must.SliceEmpty(t, c.pending)
+		c.AddReplica(testKey(1), "a")
+		must.Eq(t, []string{"a"}, c.pickReplicas(testKey(1)))
+		must.Eq(t, 0, c.ahead.demand.Len())
+		adapters, replicas := c.ahead.home.Size()
+		must.Eq(t, 0, adapters+replicas)
+	}
+}
+
+// Loads ahead of demand are pending when a request asks for another adapter. Its load goes first,
+// although the others were pending before it and fill the loads that may be added.
+func TestRequestedLoadGoesBeforeLoadsAhead(t *testing.T) {
+	now := epoch
+	engine := &fakeEngine{}
+	c := newContendedController(&now, 8, engine)
+	for i := range maxAheadLoads {
+		_, err := c.PrefetchAhead(testKey(i), 5)
+		must.NoError(t, err)
+	}
+	_, err := c.PrefetchAhead(testKey(maxAheadLoads), 5)
+	must.ErrorIs(t, err, ErrBusy)
+	admitted, err := c.Admit(testRequest(9, 450*time.Millisecond))
+	must.NoError(t, err)
+	must.Eq(t, initialFetchTime, admitted.At.Sub(now))
+	must.Eq(t, 0, c.runNext(t.Context()))
+	must.Eq(t, testKey(9), engine.orders[0].Key)
+}
+
+// Loads ahead of demand leave room among a runner's concurrent loads: with two of four taken, two
+// adapters that requests wait for are loaded at once.
+func TestLoadsAheadLeaveConcurrentLoadsToRequests(t *testing.T) {
+	now := epoch
+	engine := &fakeEngine{}
+	c := newContendedController(&now, 12, engine)
+	for i := range maxAheadLoads {
+		_, err := c.PrefetchAhead(testKey(i), 5)
+		must.NoError(t, err)
+		must.Eq(t, 0, c.runNext(t.Context()))
+	}
+	must.SliceLen(t, maxAheadLoads, engine.orders)
+	_, err := c.PrefetchAhead(testKey(5), 5)
+	must.ErrorIs(t, err, ErrBusy)
+	for i := range 2 {
+		_, err := c.Admit(testRequest(10+i, 450*time.Millisecond))
+		must.NoError(t, err)
+		must.Eq(t, 0, c.runNext(t.Context()))
+		must.Eq(t, testKey(10+i), engine.orders[maxAheadLoads+i].Key)
+	}
+}
+
+// The weight store becomes saturated while a load ahead of demand waits to start. It does not
+// start, and is dropped when the demand that called for it is over. No other one is accepted.
+func TestNoLoadAheadAtASaturatedStore(t *testing.T) {
+	now := epoch
+	engine := &fakeEngine{}
+	c := newContendedController(&now, 8, engine)
+	_, err := c.PrefetchAhead(testKey(1), 5)
+	must.NoError(t, err)
+	c.StoreLoad = saturatedStore
+	must.Eq(t, loadPollInterval, c.runNext(t.Context()))
+	_, err = c.PrefetchAhead(testKey(2), 5)
+	must.ErrorIs(t, err, ErrBusy)
+	now = now.Add(aheadTTL + time.Millisecond)
+	must.Eq(t, idleInterval, c.runNext(t.Context()))
+	must.SliceEmpty(t, engine.orders)
+	must.SliceEmpty(t, c.pending)
+}
+
+// All adapter slots but three are in use by requests. A load ahead of demand would take one that
+// the next requests need, and is refused. It does not count as a load that takes a slot either.
+func TestLoadAheadLeavesAdapterSlotsToRequests(t *testing.T) {
+	now := epoch
+	c := newContendedController(&now, 7, &fakeEngine{})
+	for i := range 4 {
+		c.slots.LoadAccepted(testKey(i), now, now)
+	}
+	now = now.Add(time.Second)
+	c.slots.Advance(now)
+	for i := range 4 {
+		_, err := c.Admit(testRequest(i, time.Second))
+		must.NoError(t, err)
+	}
+	_, err := c.PrefetchAhead(testKey(9), 50)
+	must.ErrorIs(t, err, ErrNoFreeSlot)
+	c.RequestsEnded(map[site.Adapter]int{testAdapter(0): 1})
+	_, err = c.PrefetchAhead(testKey(9), 50)
+	must.NoError(t, err)
+	for i := range 4 {
+		_, err = c.Admit(testRequest(20+i, time.Second))
+		must.NoError(t, err)
+	}
+	_, err = c.Admit(testRequest(24, time.Second))
+	must.ErrorIs(t, err, ErrNoFreeSlot)
+}
+
+// The idle adapters of a runner have more demand than a replica would get. It is refused.
+func TestLoadAheadEvictsNoAdapterWithMoreDemand(t *testing.T) {
+	now := epoch
+	c := newContendedController(&now, 5, &fakeEngine{})
+	for i := range 5 {
+		c.slots.LoadAccepted(testKey(i), now, now)
+	}
+	for range 40 {
+		now = now.Add(300 * time.Millisecond)
+		c.slots.Advance(now)
+		for i := range 5 {
+			_, err := c.Admit(testRequest(i, time.Second))
+			must.NoError(t, err)
+			c.RequestsEnded(map[site.Adapter]int{testAdapter(i): 1})
+		}
+	}
+	_, err := c.PrefetchAhead(testKey(9), 2)
+	must.ErrorIs(t, err, ErrNoFreeSlot)
+	_, err = c.PrefetchAhead(testKey(9), 50)
+	must.NoError(t, err)
+}
+
+// A request asks for an adapter whose load ahead of demand is pending. The load becomes the
+// request's, and the adapter is loaded once.
+func TestRequestTakesOverLoadAhead(t *testing.T) {
+	now := epoch
+	engine := &fakeEngine{}
+	c := newContendedController(&now, 8, engine)
+	_, err := c.PrefetchAhead(testKey(1), 5)
+	must.NoError(t, err)
+	_, err = c.PrefetchAhead(testKey(1), 5)
+	must.NoError(t, err)
+	must.SliceLen(t, 1, c.pending)
+	admitted, err := c.Admit(testRequest(1, time.Second))
+	must.NoError(t, err)
+	must.True(t, admitted.AskAgain)
+	must.Eq(t, 0, c.runNext(t.Context()))
+	must.Eq(t, idleInterval, c.runNext(t.Context()))
+	must.SliceLen(t, 1, engine.orders)
+	must.SliceEmpty(t, c.pending)
+}
+
+// A busy home names replicas that are ready before those that are being loaded. A request that was
+// sent to one of the latter waited for its load although others had room.
+func TestLoadingReplicasAreNamedLast(t *testing.T) {
+	now := epoch
+	c := newContendedController(&now, 8, &fakeEngine{})
+	c.RunnerView = func(string, time.Time) board.View { return board.View{Load: 64} }
+	c.ReplicaRequested(testKey(1), "refusing", now.Add(300*time.Millisecond))
+	c.ReplicaRefused(testKey(1), "refusing")
+	c.ReplicaRequested(testKey(1), "loading", now.Add(300*time.Millisecond))
+	c.ReplicaAccepted(testKey(1), "loading", now.Add(300*time.Millisecond))
+	c.AddReplica(testKey(1), "ready")
+	ask := testRequest(1, time.Second)
+	ask.Home = true
+	named := func() []string {
+		_, err := c.Admit(ask)
+		var replicated *ReplicatedError
+		must.True(t, errors.As(err, &replicated))
+		return replicated.Runners
+	}
+	must.Eq(t, []string{"ready", "loading"}, named())
+	now = now.Add(301 * time.Millisecond)
+	must.SliceContainsAll(t, named(), []string{"ready", "loading"})
+	must.True(t, c.replicas.Has(testKey(1)))
+	c.RunnerRemoved("ready")
+	must.Eq(t, []string{"loading"}, named())
+}
--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -74,6 +74,7 @@
 	// replicas are the other runners that hold the adapters whose home is this
 	// runner.
 	replicas *Replicas
+	ahead    aheadState
 	// synced is set while the slots reflect the runner's state. If it is unset, the
 	// report is read before the next order.
 	synced bool
@@ -114,6 +115,8 @@
 	// Contended reports whether the deployment calls for scheduling under contention, see
 	// docs/design/contention.md.
 	Contended func() bool
+	// Replication counts the decisions on replicas. It may be nil.
+	Replication *ReplicationCounters
 	// OnRestart is called when a runner has restarted under the same instance.
 	OnRestart func(instance string, startedMS int64)
 	// OnSignal is called with what a runner's answer says about the requests it can
@@ -125,6 +128,9 @@
 
 // NewController returns a controller that has not read its runner's state yet.
 func NewController(runner *site.Runner, spec Spec, deps ControllerDeps) *Controller {
+	if deps.Replication == nil {
+		deps.Replication = &ReplicationCounters{}
+	}
 	return &Controller{
 		ControllerDeps: deps,
 		runner:         runner,
@@ -132,6 +138,7 @@
 		spec:           spec,
 		slots:          NewAdapterSlots(spec.Capacity),
 		replicas:       NewReplicas(),
+		ahead:          newAheadState(),
 		wake:           make(chan struct{}, 1),
 	}
 }
@@ -335,7 +342,7 @@
 	if load == nil {
 		return c.planSpareSlot(now)
 	}
-	if !c.mayLoad(load.key) {
+	if !c.mayLoad(load.key) || load.ahead && !c.mayLoadAhead() {
 		return task{pause: loadPollInterval}
 	}
 	if _, replaces := c.slots.entries[load.key.Adapter]; replaces || c.slots.Free() > 0 {
--- a/internal/adapters/owner.go
+++ b/internal/adapters/owner.go
@@ -22,6 +22,7 @@
 	now         func() time.Time
 	log         hclog.Logger
 	times       *LoadTimes
+	replication ReplicationCounters
 	peerFetches func() (fetches, runners int)
 	// fetchCapacity is the number of concurrent fetches per runner that the weight
 	// store serves at full speed, as float bits.
@@ -85,9 +86,13 @@
 		Holder: deps.Host, Engines: deps.Engines, Authority: deps.Authority, Times: o.times, StoreLoad: o.storeLoad, RunnerView: deps.RunnerView,
 		Utilization: deps.Utilization, TypicalPrefill: deps.TypicalPrefill, ModelLoads: NewModelLoadLimiter(deps.ModelLoads), HostCount: deps.HostCount, Contended: deps.Contended, OnRestart: deps.OnRestart, OnSignal: deps.OnSignal, Now: deps.Now, Log: deps.Log,
 	}
+	o.deps.Replication = &o.replication
 	return o
 }
 
+// Replication returns the counters of decisions on replicas.
+func (o *Owner) Replication() *ReplicationCounters { return &o.replication }
+
 func (o *Owner) storeLoad() StoreLoad {
 	fetches, runners := o.peerFetches()
 	own, ownRunners := o.Fetches()
--- a/internal/adapters/queue.go
+++ b/internal/adapters/queue.go
@@ -22,6 +22,8 @@
 	slotExpectedAt time.Time
 	// requests is the number of requests that wait for the load.
 	requests int
+	// ahead is set if no request waits for the load.
+	ahead bool
 }
 
 // timeUntilLoaded estimates how long it takes until a load is done, including the
@@ -78,6 +80,9 @@
 // precedes reports whether other goes before load; inTime tells whether load can be
 // done in time. Reloads, which need nothing from the weight store, go first.
 func (c *Controller) precedes(other, load *pendingLoad, inTime bool, now time.Time) bool {
+	if other.ahead != load.ahead {
+		return load.ahead
+	}
 	if reload := c.slots.HeldRecently(other.key); reload != c.slots.HeldRecently(load.key) {
 		return reload
 	}
@@ -144,7 +149,7 @@
 // runners with five slots each, refusing them at once raised the served share of the
 // requests from 0.729 to 0.742 (means of the same 12 days).
 func (c *Controller) slotLeft(now time.Time) bool {
-	return c.slots.Free()+c.slots.IdleCount(now) > len(c.pending)
+	return c.slots.Free()+c.slots.IdleCount(now) > c.requestedLoads()
 }
 
 // slotWait returns how long a load waits for a slot, or false if it should not wait
@@ -165,7 +170,7 @@
 	if !c.slots.HeldRecently(ask.Key) {
 		return 0, false
 	}
-	at, ok := c.slots.SlotsFreeAt(1+len(c.pending), now)
+	at, ok := c.slots.SlotsFreeAt(1+c.requestedLoads(), now)
 	wait := at.Sub(now)
 	if !ok || wait > c.estimateLoad(false) || wait+loadTime > ask.LatencyBudget {
 		return 0, false
@@ -231,9 +236,10 @@
 	return held
 }
 
+// findPending returns the pending load of an adapter that requests wait for.
 func (c *Controller) findPending(key Key) *pendingLoad {
 	for _, load := range c.pending {
-		if load.key == key {
+		if load.key == key && !load.ahead {
 			return load
 		}
 	}
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -49,6 +49,9 @@
 	// Rank is the request's precedence, workspace's priority first; nil if requests are not
 	// ordered by priority.
 	Rank *[2]int `json:"rank,omitempty"`
+	// AheadPerSecond is set in a prefetch ahead of demand: the requests per second that are
+	// expected for the adapter on the runner.
+	AheadPerSecond float64 `json:"ahead_per_s,omitempty"`
 }
 
 // rankOf returns the wire form of a request's precedence.
@@ -148,9 +151,12 @@
 		}
 		return struct{}{}, nil
 	})
-	peer.Handle(mux, methodPrefetch, func(_ context.Context, _ peer.Identity, p AdmitParams) (struct{}, error) {
+	peer.Handle(mux, methodPrefetch, func(_ context.Context, _ peer.Identity, p AdmitParams) (PrefetchResult, error) {
+		if p.AheadPerSecond > 0 {
+			return o.prefetchAheadLocal(p.Runner, p.admission().Key, p.AheadPerSecond), nil
+		}
 		o.prefetchLocal(p.Runner, p.admission().Key)
-		return struct{}{}, nil
+		return PrefetchResult{}, nil
 	})
 	peer.Handle(mux, methodOutcomes, func(_ context.Context, from peer.Identity, p OutcomesParams) (struct{}, error) {
 		o.applyOutcomes(from.Host, p)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -318,6 +318,8 @@
 	go timing.Every(ctx, outcomeInterval, func() { e.owners.reportOutcomes(ctx, e.directory.Snapshot().Runners) })
 	notifier := newHomeNotifier(e.owner, e.owners)
 	go timing.Every(ctx, homeNotifyInterval, func() { notifier.run(ctx, e.directory.Snapshot()) })
+	replicator := newReplicator(e.owner, e.owners, e.board, e.contended, e.now)
+	go timing.Every(ctx, planInterval, func() { replicator.plan(ctx, e.directory.Snapshot()) })
 	for ctx.Err() == nil {
 		e.directory.Expire()
 		snapshot := e.directory.Snapshot()
--- /dev/null
+++ b/internal/experiment/ahead.go
@@ -0,0 +1,112 @@
+package experiment
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/adapters"
+	"github.com/cherrystage/cherrystage/internal/replication"
+	"github.com/cherrystage/cherrystage/internal/site"
+)
+
+// planInterval is how often homes plan replicas, as in package entry.
+const planInterval = 100 * time.Millisecond
+
+// planReplicas has homes load replicas ahead of demand.
+func (sim *simulation) planReplicas() {
+	for _, runner := range sim.runners {
+		c := sim.controllers[runner.ID]
+		if c == nil {
+			continue
+		}
+		for _, plan := range c.PlanReplicas() {
+			sim.result.Planned += plan.Missing
+			chosen := replication.Choose(sim.replicaCandidates(plan.Key, runner), plan.Unavailable, plan.Missing)
+			next := &chosen
+			for range min(plan.Missing, len(chosen)) {
+				sim.loadReplica(c, runner, plan, next)
+			}
+		}
+	}
+	sim.clock.after(planInterval, sim.planReplicas)
+}
+
+// replicaCandidates returns the runners that may get a replica, in the order of package entry.
+func (sim *simulation) replicaCandidates(key adapters.Key, home *site.Runner) []replication.Candidate {
+	order := sim.rankRunners(key.PlacementKey())
+	if order[0] != home {
+		order = slices.Clone(order)
+		slices.SortStableFunc(order, func(a, b *site.Runner) int {
+			return distanceFrom(home.DataCentre, a) - distanceFrom(home.DataCentre, b)
+		})
+	}
+	var candidates []replication.Candidate
+	for _, runner := range order {
+		avoided := sim.ownerBoard.View(runner.ID, sim.clock.now).Suspect
+		candidates = append(candidates, replication.Candidate{Runner: runner.ID, Avoided: avoided})
+	}
+	return candidates
+}
+
+func distanceFrom(centre string, runner *site.Runner) int {
+	if runner.DataCentre == centre {
+		return 0
+	}
+	return 1
+}
+
+// loadReplica asks the next of the chosen runners for a replica, and the one after it if that
+// refuses.
+func (sim *simulation) loadReplica(c *controller, home *site.Runner, plan adapters.ReplicaPlan, chosen *[]string) {
+	if len(*chosen) == 0 {
+		return
+	}
+	id := (*chosen)[0]
+	*chosen = (*chosen)[1:]
+	atHome := id == home.ID
+	if !atHome {
+		c.ReplicaRequested(plan.Key, id, sim.clock.now.Add(millis(sim.cfg.Store.LoadMS)))
+	}
+	target := sim.controllers[id]
+	if target == nil {
+		c.ReplicaRefused(plan.Key, id)
+		return
+	}
+	delay := sim.latency(home.DataCentre, target.centre)
+	sim.clock.after(delay, func() {
+		readyAt, err := target.PrefetchAhead(plan.Key, plan.PerReplica)
+		sim.scheduleStep(target, 0)
+		sim.clock.after(delay, func() {
+			if err != nil {
+				sim.result.ReplicasRefused++
+				c.ReplicaRefused(plan.Key, id)
+				sim.loadReplica(c, home, plan, chosen)
+				return
+			}
+			sim.result.ReplicasLoaded++
+			if !atHome {
+				c.ReplicaAccepted(plan.Key, id, readyAt)
+				sim.notifyLocalHome(home, plan.Key, id, readyAt)
+			}
+		})
+	})
+}
+
+// notifyLocalHome tells the first runner of a replica's data centre about it once it is ready.
+func (sim *simulation) notifyLocalHome(home *site.Runner, key adapters.Key, runner string, readyAt time.Time) {
+	centre := sim.byID[runner].runner.DataCentre
+	for _, local := range sim.rankRunners(key.PlacementKey()) {
+		if local.DataCentre != centre {
+			continue
+		}
+		if local.ID == home.ID || local.ID == runner {
+			return
+		}
+		sim.clock.at(readyAt, func() {
+			if c := sim.controllers[local.ID]; c != nil {
+				c.AddReplica(key, runner)
+			}
+		})
+		return
+	}
+}
--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
@@ -44,6 +45,8 @@
 	sim  *simulation
 	kind *KindConfig
 	key  adapters.Key
+	// rise is set if the adapter is one that rises in popularity.
+	rise bool
 	// prompt and output are the numbers of tokens of the prompt and of the answer.
 	prompt  int
 	output  int
@@ -104,7 +107,8 @@
 	r := &request{sim: sim, kind: kind, begun: sim.clock.now}
 	r.key = adapters.Key{Adapter: site.Adapter{Model: modelName}}
 	if sim.demand.Float64() < sim.cfg.Demand.Named {
-		r.key.Name = "a" + strconv.Itoa(sim.popularity[sim.zipf()])
+		r.key.Name = sim.drawAdapter()
+		r.rise = strings.HasPrefix(r.key.Name, risenPrefix)
 	}
 	r.prompt = lognormal(sim.demand, kind.Prompt, kind.Spread)
 	if kind.MostRead > 0 {
@@ -115,6 +119,24 @@
 	r.startAttempt()
 }
 
+// risenPrefix begins the names of adapters that rise in popularity.
+const risenPrefix = "risen"
+
+// drawAdapter draws an adapter by popularity.
+func (sim *simulation) drawAdapter() string {
+	at := sim.clock.now.Sub(sim.started)
+	for i, rise := range sim.cfg.Demand.Rises {
+		since := (at - seconds(rise.AtS)).Seconds()
+		if since < 0 || since >= rise.ForS {
+			continue
+		}
+		if sim.demand.Float64() < rise.Share*min(1, since/rise.OverS) {
+			return risenPrefix + strconv.Itoa(i)
+		}
+	}
+	return "a" + strconv.Itoa(sim.popularity[sim.zipf()])
+}
+
 // zipf draws a popularity rank. Rank k, counted from 1, has a weight of 1 / k^s; the result
 // is counted from 0.
 func (sim *simulation) zipf() int {
--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -47,6 +47,8 @@
 	Silences []FaultConfig `toml:"silences"`
 	Losses   []FaultConfig `toml:"losses"`
 	Retries  RetryConfig   `toml:"retries"`
+	// Contended turns on the scheduling under contention, see docs/design/contention.md.
+	Contended bool `toml:"contended"`
 }
 
 // EngineConfig describes the runners, which are all alike.
@@ -88,6 +90,17 @@
 	Zipf float64 `toml:"zipf"`
 	// Named is the share of requests that name an adapter.
 	Named float64 `toml:"named"`
+	// Rises make adapters popular that were not requested before.
+	Rises []RiseConfig `toml:"rises"`
+}
+
+// RiseConfig describes an adapter whose share of all requests that name an adapter rises evenly
+// over OverS, and that is requested for ForS.
+type RiseConfig struct {
+	AtS   float64 `toml:"at_s"`
+	OverS float64 `toml:"over_s"`
+	ForS  float64 `toml:"for_s"`
+	Share float64 `toml:"share"`
 }
 
 // KindConfig describes a kind of request.
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -37,6 +37,8 @@
 	Seed     uint64           `json:"seed"`
 	Whole    Tally            `json:"whole"`
 	Kinds    map[string]Tally `json:"kinds"`
+	// Risen counts the requests for adapters that rise in popularity.
+	Risen Tally `json:"risen"`
 	// Windows count requests by the time at which they were first made.
 	Windows []Tally `json:"windows"`
 	// Fetches counts loads from the weight store, Wanted the distinct adapters that were
@@ -47,6 +49,13 @@
 	Copies  int `json:"copies"`
 	Reloads int `json:"reloads"`
 	Orders  int `json:"orders"`
+	// Planned counts the replicas that homes asked for ahead of demand, ReplicasLoaded and
+	// ReplicasRefused the runners' answers. RisenFetches counts fetches of adapters that rise in
+	// popularity.
+	Planned         int `json:"planned"`
+	ReplicasLoaded  int `json:"replicas_loaded"`
+	ReplicasRefused int `json:"replicas_refused"`
+	RisenFetches    int `json:"risen_fetches"`
 	// Asks counts calls to owners, Told calls to homes, Refusals answers that tell a caller
 	// to retry, and TurnedAway requests that an engine did not run.
 	Asks       int `json:"asks"`
@@ -65,6 +74,9 @@
 
 func (r *Result) tally(q *request, count func(t *Tally)) {
 	count(&r.Whole)
+	if q.rise {
+		count(&r.Risen)
+	}
 	kind := r.Kinds[q.kind.Name]
 	count(&kind)
 	r.Kinds[q.kind.Name] = kind
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
@@ -215,6 +216,7 @@
 	c := &controller{centre: runner.DataCentre, Controller: adapters.NewController(runner, spec, adapters.ControllerDeps{
 		OnSignal: func(string, *board.Signal) {},
 		Holder:   "owner", Engines: engineAPI{sim}, Authority: soleOwner{}, Times: sim.ownerLoadTimes(runner), StoreLoad: sim.storeLoad, RunnerView: sim.ownerView, Utilization: sim.utilization, TypicalPrefill: unknownPrefill,
+		Contended:  func() bool { return sim.cfg.Contended },
 		ModelLoads: adapters.NewModelLoadLimiter(adapters.ModelLoadLimit{}), HostCount: func() int { return sim.cfg.Hosts },
 		Now: func() time.Time { return sim.clock.now }, Log: hclog.NewNullLogger(),
 	})}
@@ -280,6 +282,9 @@
 
 func (sim *simulation) recordFetch(runner string, key adapters.Key) {
 	sim.result.Fetches++
+	if strings.HasPrefix(key.Name, risenPrefix) {
+		sim.result.RisenFetches++
+	}
 	runners := sim.fetchedTo[key]
 	if runners == nil {
 		runners = map[string]bool{}
@@ -308,6 +313,9 @@
 		sim.clock.at(sim.started.Add(seconds(loss.AtS)), func() { sim.stopHosts(loss) })
 	}
 	sim.clock.after(suspicionInterval, sim.shareSuspicions)
+	if sim.cfg.Contended {
+		sim.clock.after(planInterval, sim.planReplicas)
+	}
 }
 
 // shift exchanges the most popular adapters with random others.
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -62,9 +62,9 @@
 	return true
 }
 
-// nearFirst returns the runners with those of the data centre first, otherwise in the same
+// NearFirst returns the runners with those of the data centre first, otherwise in the same
 // order.
-func nearFirst(runners []*site.Runner, centre string) []*site.Runner {
+func NearFirst(runners []*site.Runner, centre string) []*site.Runner {
 	sorted := slices.Clone(runners)
 	slices.SortStableFunc(sorted, func(a, b *site.Runner) int { return distance(a, centre) - distance(b, centre) })
 	return sorted
--- a/internal/serve/search.go
+++ b/internal/serve/search.go
@@ -17,7 +17,7 @@
 func (l *lifecycle) placeOnEngine(ctx context.Context, runners []*site.Runner) bool {
 	search := l.s.spreads.Search(l.placementKey(), len(runners))
 	if search.PreferLocal() {
-		runners = nearFirst(runners, l.s.DataCentre)
+		runners = NearFirst(runners, l.s.DataCentre)
 	}
 	for {
 		step, lastResort, more := search.Next(rand.Float64())
