--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -79,6 +79,7 @@
 	// replicas are the other runners that hold the adapters whose home is this
 	// runner.
 	replicas *Replicas
+	ahead    aheadState
 	// synced is set while the slots reflect the runner's state. If it is unset, the
 	// report is read before the next order.
 	synced bool
@@ -125,6 +126,8 @@
 	Contended func() bool
 	// Contention counts decisions of all controllers of the host.
 	Contention *ContentionCounters
+	// Replication counts the decisions on replicas. It may be nil.
+	Replication *ReplicationCounters
 	// OnRestart is called when a runner has restarted under the same instance.
 	OnRestart func(instance string, startedMS int64)
 	// OnSignal is called with what a runner's answer says about the requests it can
@@ -141,6 +144,9 @@
 	if deps.Contention == nil {
 		deps.Contention = &ContentionCounters{}
 	}
+	if deps.Replication == nil {
+		deps.Replication = &ReplicationCounters{}
+	}
 	return &Controller{
 		ControllerDeps: deps,
 		runner:         runner,
@@ -149,6 +155,7 @@
 		slots:          NewAdapterSlots(spec.Capacity),
 		replicas:       NewReplicas(),
 		line:           precedence.NewLine(uint64(deps.Now().UnixNano())),
+		ahead:          newAheadState(),
 		wake:           make(chan struct{}, 1),
 	}
 }
@@ -352,7 +359,7 @@
 	if load == nil {
 		return c.planSpareSlot(now)
 	}
-	if !c.mayLoad(load.key) {
+	if !c.mayLoad(load.key) || load.ahead && !c.mayLoadAhead() {
 		return task{pause: loadPollInterval}
 	}
 	if _, replaces := c.slots.entries[load.key.Adapter]; replaces || c.slots.Free() > 0 {
--- a/internal/adapters/owner.go
+++ b/internal/adapters/owner.go
@@ -22,6 +22,7 @@
 	now         func() time.Time
 	log         hclog.Logger
 	times       *LoadTimes
+	replication ReplicationCounters
 	peerFetches func() (fetches, runners int)
 	// Contention counts decisions of all controllers.
 	Contention ContentionCounters
@@ -93,9 +94,13 @@
 		Holder: deps.Host, Engines: deps.Engines, Authority: deps.Authority, Times: o.times, StoreLoad: o.storeLoad, RunnerView: deps.RunnerView,
 		Utilization: deps.Utilization, TypicalPrefill: deps.TypicalPrefill, ModelLoads: NewModelLoadLimiter(deps.ModelLoads), HostCount: deps.HostCount, Contended: deps.Contended, Contention: &o.Contention, OnRestart: deps.OnRestart, OnSignal: deps.OnSignal, OnWork: deps.OnWork, Now: deps.Now, Log: deps.Log,
 	}
+	o.deps.Replication = &o.replication
 	return o
 }
 
+// Replication returns the counters of decisions on replicas.
+func (o *Owner) Replication() *ReplicationCounters { return &o.replication }
+
 func (o *Owner) storeLoad() StoreLoad {
 	fetches, runners := o.peerFetches()
 	own, ownRunners := o.Fetches()
--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -46,6 +46,8 @@
 	// workspace is nil if the configuration has none.
 	workspace *WorkspaceConfig
 	key       adapters.Key
+	// surge is set if the request belongs to a surge of demand.
+	surge bool
 	// prompt and output are the numbers of tokens of the prompt and of the answer.
 	prompt  int
 	output  int
@@ -108,7 +110,9 @@
 	r.workspace = sim.drawWorkspace()
 	r.key = adapters.Key{Adapter: site.Adapter{Model: modelName}}
 	if sim.demand.Float64() < sim.cfg.Demand.Named {
-		r.key.Name = "a" + strconv.Itoa(sim.drawAdapter())
+		var adapter int
+		adapter, r.surge = sim.drawAdapter()
+		r.key.Name = adapterName(adapter)
 	}
 	r.prompt = lognormal(sim.demand, kind.Prompt, kind.Spread)
 	if kind.MostRead > 0 {
--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -51,6 +51,8 @@
 	Silences []FaultConfig `toml:"silences"`
 	Losses   []FaultConfig `toml:"losses"`
 	Retries  RetryConfig   `toml:"retries"`
+	// Contended turns on the scheduling under contention, see docs/design/contention.md.
+	Contended bool `toml:"contended"`
 }
 
 // EngineConfig describes the runners.
--- a/internal/experiment/load.go
+++ b/internal/experiment/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/site"
@@ -16,15 +17,19 @@
 	return 1 + c.Swing*math.Sin(2*math.Pi*at.Seconds()/c.SwingS)
 }
 
-// drawAdapter draws the adapter that a request names.
-func (sim *simulation) drawAdapter() int {
+// adapterName returns the name of an adapter by its number.
+func adapterName(adapter int) string { return "a" + strconv.Itoa(adapter) }
+
+// drawAdapter draws the adapter that a request names, and reports whether a surge of demand chose
+// it.
+func (sim *simulation) drawAdapter() (adapter int, surge bool) {
 	at := sim.clock.now.Sub(sim.started)
 	for i, surge := range sim.cfg.Surges {
 		if share := surge.shareAt(at); share > 0 && sim.demand.Float64() < share {
-			return sim.surging[i]
+			return sim.surging[i], true
 		}
 	}
-	return sim.popularity[sim.zipf()]
+	return sim.popularity[sim.zipf()], false
 }
 
 // shareAt returns the surge's share of requests at a time since the start of the load.
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -47,6 +47,8 @@
 	Kinds       map[string]Tally `json:"kinds"`
 	// Workspaces has an entry for each workspace of the configuration with requests.
 	Workspaces map[string]Tally `json:"workspaces,omitempty"`
+	// Surging counts the requests that belong to surges of demand.
+	Surging Tally `json:"surging"`
 	// Windows count requests by the time at which they were first made.
 	Windows []Tally `json:"windows"`
 	// Fetches counts loads from the weight store, Wanted the distinct adapters that were
@@ -57,6 +59,13 @@
 	Copies  int `json:"copies"`
 	Reloads int `json:"reloads"`
 	Orders  int `json:"orders"`
+	// Planned counts the replicas that homes asked for ahead of demand, ReplicasLoaded and
+	// ReplicasRefused the runners' answers. SurgingFetches counts fetches of adapters that surge in
+	// popularity.
+	Planned         int `json:"planned"`
+	ReplicasLoaded  int `json:"replicas_loaded"`
+	ReplicasRefused int `json:"replicas_refused"`
+	SurgingFetches  int `json:"surging_fetches"`
 	// Asks counts calls to owners, Told calls to homes, Refusals answers that tell a caller
 	// to retry, and TurnedAway requests that an engine did not run.
 	Asks       int `json:"asks"`
@@ -75,6 +84,9 @@
 
 func (r *Result) tally(q *request, count func(t *Tally)) {
 	r.tallyClasses(q, count)
+	if q.surge {
+		count(&r.Surging)
+	}
 	window := int(q.begun.Sub(q.sim.started) / windowLength)
 	for len(r.Windows) <= window {
 		r.Windows = append(r.Windows, Tally{})
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
@@ -304,6 +305,9 @@
 
 func (sim *simulation) recordFetch(runner string, key adapters.Key) {
 	sim.result.countFetch(sim.lastAsker[key])
+	if slices.ContainsFunc(sim.surging, func(adapter int) bool { return adapterName(adapter) == key.Name }) {
+		sim.result.SurgingFetches++
+	}
 	runners := sim.fetchedTo[key]
 	if runners == nil {
 		runners = map[string]bool{}
@@ -335,6 +339,9 @@
 		sim.clock.at(sim.started.Add(seconds(loss.AtS)), func() { sim.stopHosts(loss) })
 	}
 	sim.clock.after(suspicionInterval, sim.shareSuspicions)
+	if sim.cfg.Contended {
+		sim.clock.after(planInterval, sim.planReplicas)
+	}
 }
 
 // shift exchanges the most popular adapters with random others.
--- a/internal/experiment/speed.go
+++ b/internal/experiment/speed.go
@@ -57,7 +57,7 @@
 // contended reports whether the deployment calls for scheduling under contention, as in package
 // entry.
 func (sim *simulation) contended() bool {
-	return sim.cfg.ordersByPriority() || sim.cfg.Engines.Slowdowns.EveryS > 0
+	return sim.cfg.Contended || sim.cfg.ordersByPriority() || sim.cfg.Engines.Slowdowns.EveryS > 0
 }
 
 // observePrefill tells a runner's owner the time to the first event of an answer. Where engines
--- a/internal/serve/slots.go
+++ b/internal/serve/slots.go
@@ -91,7 +91,7 @@
 	}
 	asked := l.s.Now()
 	grant := l.s.Slots.Acquire(ctx, SlotRequest{
-		Service: l.service.Name, Runners: nearFirst(usable, l.s.DataCentre), Ranked: l.ranked, Precedence: l.precedence,
+		Service: l.service.Name, Runners: NearFirst(usable, l.s.DataCentre), Ranked: l.ranked, Precedence: l.precedence,
 		Due: l.arrived.Add(l.route.TargetLatency), Deadline: l.deadline, MaxWait: l.timeLeft() / slotWaitDivisor,
 	})
 	l.slotAnswer = &grant
