Tests of the wire form of requests for slots

Cause: nothing guarded the order of requests without a rank, nor times on the wire that are negative or overflow.

Change: two tests.

--- a/internal/entry/slots_test.go
+++ b/internal/entry/slots_test.go
@@ -594,3 +594,22 @@
 	}
 	must.MapLen(t, len(runners), named)
 }
+
+// Guards against requests of hosts that send no rank, those of the previous version, that go before
+// ranked ones.
+func TestRequestsWithoutARankGoLast(t *testing.T) {
+	from := peer.Identity{Host: "a", Incarnation: "1"}
+	ranked := SlotAcquireParams{Rank: &[2]int{9, 9}}.request(from, time.Now())
+	unranked := SlotAcquireParams{}.request(from, time.Now())
+	must.Negative(t, ranked.Precedence.Compare(unranked.Precedence))
+	must.Eq(t, slotledger.Holder{Host: "a", Incarnation: "1"}, unranked.ID.Holder)
+}
+
+// Guards against times on the wire that are negative or overflow.
+func TestTimesOfSlotRequestsAreBounded(t *testing.T) {
+	now := time.Now()
+	request := SlotAcquireParams{DueMS: -1 << 62, WaitMS: -1 << 62, LeftMS: 1 << 62}.request(peer.Identity{}, now)
+	must.Eq(t, now.Add(-time.Hour), request.Due)
+	must.Eq(t, 0, request.MaxWait)
+	must.Eq(t, time.Hour, request.Lifetime)
+}
