--- a/internal/contention/counters.go
+++ b/internal/contention/counters.go
@@ -33,8 +33,8 @@
 	maxCauseBytes = 64
 )
 
-// Counters counts a host's requests. It holds at most counterShards x maxGroups x maxCauses
-// counts, which take less than 1 MB. It is safe for concurrent use; use NewCounters.
+// Counters counts a host's requests. It holds some 9,000 counts at most, which take less than 2 MB.
+// It is safe for concurrent use; use NewCounters.
 type Counters struct {
 	seed   maphash.Seed
 	shards [counterShards]counterShard
--- a/internal/experiment/drill_test.go
+++ b/internal/experiment/drill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"math"
 	"path/filepath"
 	"testing"
@@ -39,6 +40,30 @@
 	must.Eq(t, drill.All.Fetches, drill.All.Kinds["plan"].Fetches+drill.All.Kinds["audit"].Fetches)
 }
 
+// Guards against a loss of engines that changes which adapters become popular, or how fast the other
+// engines are, so that the two runs of a drill would differ in more than the loss.
+func TestLossChangesNothingElse(t *testing.T) {
+	cfg, err := Scenario("uneven-runners")
+	must.NoError(t, err)
+	cfg.LengthS = 6
+	cfg.Shifts = []ShiftConfig{{AtS: 2.5, Count: 40}}
+	var popularity [][]int
+	var speeds [][]float64
+	for _, share := range []float64{0, 0.5} {
+		sim := newSimulation(cfg, Reference, &FaultConfig{AtS: 2, ForS: 1, Share: share})
+		sim.schedule()
+		sim.clock.run(sim.started.Add(seconds(4)))
+		popularity = append(popularity, sim.popularity)
+		byAddress := make([]float64, 0, len(sim.byAddress))
+		for i := range cfg.Engines.Count {
+			byAddress = append(byAddress, sim.byAddress[fmt.Sprintf("e%d:1", i)].speed)
+		}
+		speeds = append(speeds, byAddress)
+	}
+	must.Eq(t, popularity[0], popularity[1])
+	must.Eq(t, speeds[0], speeds[1])
+}
+
 // Guards against figures that change from run to run, which could not be compared before and after
 // a change.
 func TestDrillIsReproducible(t *testing.T) {
