--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -171,7 +171,7 @@
 		DataCentre: cfg.DataCentre, Directory: e.directory, Board: e.board, Owners: e.owners, Backpressure: e.backpressure,
 		Client: e.client, Quarantine: e.quarantineSync.quarantine, RetryLimit: cfg.RetryLimit, Quotas: e.quotas, Ages: func() (config, runners time.Duration) {
 			return e.mesh.Age(platform.ConfigKind), e.mesh.Age(platform.RunnerKind)
-		}, HostCount: e.sharingHosts, Contended: e.contended, Slots: e.slots, Contention: e.requestCounts, Now: now, Log: log,
+		}, HostCount: e.sharingHosts, Slots: e.slots, Contention: e.requestCounts, Now: now, Log: log,
 	})
 	e.callerServer = (&ingress.Ingress{
 		Dialect: platform.Dialect, Directory: e.directory, Serve: e.serve, Now: now, Log: log, Closing: e.stopping.Load, Refusing: e.rejecting.Load,
--- a/internal/entry/slotledgers.go
+++ b/internal/entry/slotledgers.go
@@ -11,6 +11,7 @@
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/mesh"
 	"github.com/cherrystage/cherrystage/internal/peer"
+	"github.com/cherrystage/cherrystage/internal/placing"
 	"github.com/cherrystage/cherrystage/internal/slotledger"
 	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/hashicorp/go-hclog"
@@ -169,7 +170,7 @@
 	for _, runner := range named {
 		view := s.board.View(runner.ID, now)
 		if !view.Suspect && !view.Refusing && view.BlockedFor == 0 {
-			found = append(found, slotledger.Runner{ID: runner.ID, Slots: runner.Slots})
+			found = append(found, slotledger.Runner{ID: runner.ID, Slots: runner.Slots, Queue: placing.QueueFor(runner.Slots)})
 		}
 	}
 	return found
--- a/internal/placing/placing.go
+++ b/internal/placing/placing.go
@@ -67,6 +67,15 @@
 	}
 }
 
+// sharedQueueDivisor divides a runner's slots into the requests that a ledger, which counts them for
+// all hosts, may grant beyond them. They wait in the runner's own queue. A slot would be idle
+// otherwise from the end of one request until the ledger has heard of it and the next request has
+// arrived: several messages, where requests run for 30 to 60 ms.
+const sharedQueueDivisor = 3
+
+// QueueFor returns how many requests beyond its slots a ledger may grant on a runner.
+func QueueFor(slots int) int { return slots / sharedQueueDivisor }
+
 // Candidate is a runner of a service in which every runner can serve every request.
 type Candidate struct {
 	ID string
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -75,11 +75,8 @@
 	Ages func() (config, runners time.Duration)
 	// HostCount returns the number of hosts that share the retry budget, 0 while unknown.
 	HostCount func() int
-	// Contended reports whether the deployment calls for scheduling under contention, see
-	// docs/design/contention.md. It may be nil, which stands for never.
-	Contended func() bool
-	// Slots grants the request slots of plain runners where Contended reports true. It may be nil
-	// if that is never the case.
+	// Slots grants the request slots of plain runners where requests are ordered by priority. It
+	// may be nil if they never are.
 	Slots SharedSlots
 	// Contention counts the requests for the metrics page; nil counts nothing.
 	Contention *contention.Counters
--- a/internal/serve/slots.go
+++ b/internal/serve/slots.go
@@ -75,9 +75,7 @@
 }
 
 // sharesSlots reports whether plain requests ask for a slot before they are sent.
-func (l *lifecycle) sharesSlots() bool {
-	return l.s.Slots != nil && l.s.Contended != nil && l.s.Contended()
-}
+func (l *lifecycle) sharesSlots() bool { return l.s.Slots != nil && l.ranked }
 
 // reasonNoSlot is the answer to callers if no slot becomes free in time.
 const reasonNoSlot = "no runner has a free request slot in time"
--- a/internal/slotledger/ledger.go
+++ b/internal/slotledger/ledger.go
@@ -28,6 +28,11 @@
 type runner struct {
 	id             string
 	slots, granted int
+	// queue is how many requests beyond its slots the runner is granted, at most maxQueue. It grows
+	// by one at a time while requests wait, not before queueGrowsAt.
+	queue, maxQueue int
+	queueGrowsAt    time.Time
+	growthInterval  time.Duration
 	// fullUntil is set while the runner counts as full because it refused a request.
 	fullUntil time.Time
 	namedAt   time.Time
@@ -37,7 +42,38 @@
 	if now.Before(r.fullUntil) {
 		return 0
 	}
-	return max(0, r.slots-r.granted)
+	return max(0, r.capacity()-r.granted)
+}
+
+// capacity returns how many requests the runner may be granted.
+func (r *runner) capacity() int { return r.slots + r.queue }
+
+// announce takes over what a request states of the runner.
+func (r *runner) announce(stated Runner, now time.Time) {
+	r.slots, r.maxQueue, r.namedAt = bounded(stated.Slots), bounded(stated.Queue), now
+	r.queue = min(r.queue, r.maxQueue)
+}
+
+func bounded(slots int) int { return min(max(0, slots), maxSlots) }
+
+// growQueue lets a runner whose slots are all granted have one more request, if it is time.
+func (r *runner) growQueue(now time.Time) {
+	if r.queue >= r.maxQueue || r.granted < r.slots || now.Before(r.queueGrowsAt) {
+		return
+	}
+	r.queue++
+	r.queueGrowsAt = now.Add(r.growthInterval)
+}
+
+// refused records that the runner refused a granted request, after the end of its grant.
+func (r *runner) refused(now time.Time) {
+	if r.granted < r.slots {
+		r.fullUntil = now.Add(fullPeriod)
+		return
+	}
+	r.queue = min(r.queue, r.granted-r.slots)
+	r.growthInterval = min(2*r.growthInterval, maxGrowthInterval)
+	r.queueGrowsAt = now.Add(r.growthInterval)
 }
 
 type grant struct {
@@ -151,7 +187,7 @@
 	}
 	l.endGrant(release.ID, held)
 	if release.Refused {
-		held.runner.fullUntil = now.Add(fullPeriod)
+		held.runner.refused(now)
 		l.counts.RefusedByRunner++
 	} else {
 		l.holds.observe(now.Sub(held.at))
@@ -173,6 +209,7 @@
 	l.expireGrants(now)
 	decisions := l.dropUnattended(now)
 	l.moveOverdue(now)
+	l.growQueues(now)
 	decisions = append(decisions, l.grantFree(now)...)
 	return append(decisions, l.refuseHopeless(now)...)
 }
@@ -194,6 +231,16 @@
 	return append(decisions, l.grantFree(now)...)
 }
 
+// growQueues grants more beyond their slots to runners while requests wait.
+func (l *Ledger) growQueues(now time.Time) {
+	if len(l.queue) == 0 {
+		return
+	}
+	for _, r := range l.runners {
+		r.growQueue(now)
+	}
+}
+
 // expireGrants ends the grants that were not returned in time.
 func (l *Ledger) expireGrants(now time.Time) {
 	if now.Before(l.nextExpiry) {
--- a/internal/slotledger/ledger_test.go
+++ b/internal/slotledger/ledger_test.go
@@ -386,3 +386,26 @@
 		}
 	})
 }
+
+// Guards against a runner that is granted more than it takes: it gets one more at a time beyond its
+// slots while requests wait, and fewer after a refusal, for longer with each one.
+func TestGrantsBeyondTheSlotsFollowTheRunner(t *testing.T) {
+	l := New()
+	queueing := func(number uint64) Request {
+		request := requestFor(number, 0)
+		request.Runners = []Runner{{ID: "a", Slots: 1, Queue: 2}}
+		request.MaxWait, request.Due = time.Minute, start.Add(time.Minute)
+		return request
+	}
+	mustAcquire(t, l, queueing(1), start, Granted)
+	for number := uint64(2); number <= 4; number++ {
+		mustAcquire(t, l, queueing(number), start, Queued)
+	}
+	must.Eq(t, []uint64{2}, numbers(l.Advance(start), Granted))
+	must.SliceEmpty(t, numbers(l.Advance(start.Add(minGrowthInterval-1)), Granted))
+	now := start.Add(minGrowthInterval)
+	must.Eq(t, []uint64{3}, numbers(l.Advance(now), Granted))
+	must.SliceEmpty(t, numbers(l.Release([]Release{{ID: queueing(3).ID, Refused: true}}, now), Granted))
+	must.SliceEmpty(t, numbers(l.Advance(now.Add(2*minGrowthInterval-1)), Granted))
+	must.Eq(t, []uint64{4}, numbers(l.Advance(now.Add(2*minGrowthInterval)), Granted))
+}
--- a/internal/slotledger/queue.go
+++ b/internal/slotledger/queue.go
@@ -50,7 +50,7 @@
 // moveOverdue moves the requests that became overdue after the others of their precedence.
 func (l *Ledger) moveOverdue(now time.Time) {
 	changed := false
-	latest := now.Add(l.holds.mean())
+	latest := now.Add(overdueHolds * l.holds.mean())
 	for _, w := range l.queue {
 		if !w.overdue && w.request.Due.Before(latest) {
 			w.overdue, changed = true, true
@@ -89,10 +89,10 @@
 			continue
 		}
 		if r == nil {
-			r = &runner{id: candidate.ID}
+			r = &runner{id: candidate.ID, growthInterval: minGrowthInterval}
 			l.runners[candidate.ID] = r
 		}
-		r.slots, r.namedAt = min(max(0, candidate.Slots), maxSlots), now
+		r.announce(candidate, now)
 		found = append(found, r)
 	}
 	return found
@@ -153,7 +153,7 @@
 	var last *waiter
 	rateBefore := 0.0
 	return l.removeWhere(func(w *waiter, ahead int) (Decision, bool) {
-		if last == nil || last.promoted != w.promoted || last.request.Precedence != w.request.Precedence {
+		if last == nil || last.promoted != w.promoted || last.overdue != w.overdue || last.request.Precedence != w.request.Precedence {
 			rateBefore = l.rateBefore(w, now)
 		}
 		last = w
@@ -162,12 +162,12 @@
 }
 
 // rateBefore returns the rate of requests, per second, that go before a waiting request although
-// they arrive later.
+// they arrive later: those of higher precedence, and before an overdue one also those of its own.
 func (l *Ledger) rateBefore(w *waiter, now time.Time) float64 {
 	if w.promoted {
 		return 0
 	}
-	return l.shares.rateBefore(w.request.Precedence, now)
+	return l.shares.rateBefore(w.request.Precedence, w.overdue, now)
 }
 
 // refusal returns the refusal of a waiting request with the given number of others before it, if
@@ -219,7 +219,7 @@
 	slots := 0
 	opensAt := now.Add(maxExpectedWait)
 	for _, r := range w.runners {
-		slots += r.slots
+		slots += r.capacity()
 		if r.fullUntil.Before(opensAt) {
 			opensAt = r.fullUntil
 		}
@@ -237,7 +237,7 @@
 func (l *Ledger) freeSlots(now time.Time) (free, slots int) {
 	for _, r := range l.runners {
 		free += r.free(now)
-		slots += r.slots
+		slots += r.capacity()
 	}
 	return free, slots
 }
--- a/internal/slotledger/shares.go
+++ b/internal/slotledger/shares.go
@@ -74,11 +74,12 @@
 	own.recent++
 }
 
-// rateBefore returns the rate of requests of higher precedence, per second.
-func (s *shares) rateBefore(precedence site.Precedence, now time.Time) float64 {
+// rateBefore returns the rate of requests of higher precedence, per second, including those of
+// the same precedence if own is set.
+func (s *shares) rateBefore(precedence site.Precedence, own bool, now time.Time) float64 {
 	count := 0.0
 	for other, share := range s.byPrecedence {
-		if other.Compare(precedence) < 0 {
+		if order := other.Compare(precedence); order < 0 || own && order == 0 {
 			share.decayTo(now)
 			count += share.recent
 		}
--- a/internal/slotledger/slotledger.go
+++ b/internal/slotledger/slotledger.go
@@ -37,6 +37,8 @@
 	ID string
 	// Slots is the number of request slots that the runner announced.
 	Slots int
+	// Queue is the number of requests that the runner takes beyond its slots.
+	Queue int
 }
 
 // Request is a request for a slot.
@@ -115,6 +117,15 @@
 	HoldLimit = 500 * time.Millisecond
 	// attendance is how long a waiting request keeps its place after its holder asked for it.
 	attendance = HoldLimit + 200*time.Millisecond
+	// While requests wait, one more is granted beyond a runner's slots every minGrowthInterval. The
+	// interval doubles with each of these that the runner refuses, up to maxGrowthInterval: some
+	// runners queue no request.
+	minGrowthInterval = 100 * time.Millisecond
+	maxGrowthInterval = 30 * time.Second
+	// overdueHolds times the mean hold before its answer is due, a waiting request counts as
+	// overdue. With the mean alone, half of the requests that are granted a slot at the last moment
+	// are answered late.
+	overdueHolds = 2
 	// maxExpectedWait bounds the wait that is expected, since demand beyond the capacity lasts for a
 	// few seconds. No request waits longer.
 	maxExpectedWait = 3 * time.Second
