--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -94,6 +94,8 @@
 	// fetches is the number of adapters being fetched from the weight store. The
 	// controllers of other runners read it for their own loads.
 	fetches atomic.Int32
+	// probes counts the probes of the runner's work time.
+	probes probeCounts
 }
 
 // ControllerDeps are the dependencies of a controller.
--- a/internal/adapters/pace.go
+++ b/internal/adapters/pace.go
@@ -24,9 +24,10 @@
 	Known       bool
 	TokensPerMS float64
 	BurstTokens float64
-	// EventRoom is the number of prompt tokens that one event has room for, and UsualBurst what
-	// BurstTokens is while work takes its usual time.
-	EventRoom  float64
+	// EventRoom is the number of prompt tokens that one event has room for.
+	EventRoom float64
+	// UsualPerMS is the rate at the usual work time, and UsualBurst the burst without a reserve.
+	UsualPerMS float64
 	UsualBurst float64
 }
 
@@ -61,16 +62,16 @@
 // so these must fit into an event at the peak work time too: B + r*slowdownLag <= (g/peak - n*s)*p,
 // with the whole pause g since the peak is not usual.
 func PaceFor(speed Speed) Pace {
-	pace := Pace{Known: true, EventRoom: speed.eventRoom(speed.plannedGapMS(), speed.Work), UsualBurst: speed.usualBurst()}
+	pace := Pace{Known: true, EventRoom: speed.eventRoom(speed.plannedGapMS(), speed.Work)}
+	usualRoom := speed.eventRoom(speed.plannedGapMS(), 1)
+	pace.UsualBurst = burstShare * usualRoom
 	reserve := max(minReserveTokens, speed.eventRoom(inMS(speed.Gap), max(speed.Work, speed.Peak)))
 	pace.BurstTokens = burstShare * min(pace.EventRoom, reserve)
 	pace.TokensPerMS = (1 - burstShare) * min(pace.EventRoom/speed.plannedGapMS(), reserve/inMS(slowdownLag))
+	pace.UsualPerMS = (1 - burstShare) * min(usualRoom/speed.plannedGapMS(), reserve/inMS(slowdownLag))
 	return pace
 }
 
-// usualBurst returns the burst at the usual work time without a reserve.
-func (s Speed) usualBurst() float64 { return burstShare * s.eventRoom(s.plannedGapMS(), 1) }
-
 // eventRoom returns the number of prompt tokens that an event of a length in milliseconds has room
 // for at a work time.
 func (s Speed) eventRoom(lengthMS, work float64) float64 {
@@ -107,6 +108,12 @@
 // rate returns the long-run rate in tokens per millisecond.
 func (p Pace) rate() float64 { return max(minPacedPerMS, p.TokensPerMS) }
 
+// prefillTime returns the time that a prompt takes with decoding steps and other prompts in between,
+// at the usual work time: a slowdown is mostly over when the prompt is sent.
+func (p Pace) prefillTime(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / max(minPacedPerMS, p.UsualPerMS) * float64(time.Millisecond))
+}
+
 // duration returns the time that the pace reserves for a number of tokens.
 func (p Pace) duration(tokens float64) time.Duration {
 	return time.Duration(tokens / p.rate() * float64(time.Millisecond))
--- a/internal/adapters/workprobe.go
+++ b/internal/adapters/workprobe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/board"
@@ -21,6 +22,9 @@
 	defaultHealthPath = "/health"
 )
 
+// probeCounts counts the probes of a runner and those that brought no figure.
+type probeCounts struct{ sent, failed atomic.Int64 }
+
 // watchWork probes the runner's work time whenever it is due, until the context ends. It does not
 // delay orders, and there is at most one probe at a time.
 func (c *Controller) watchWork(ctx context.Context) {
@@ -35,6 +39,7 @@
 			failures = 0
 		} else {
 			failures++
+			c.probes.failed.Add(1)
 		}
 		timing.Sleep(ctx, probePause(failures))
 	}
@@ -65,6 +70,7 @@
 func (c *Controller) probeWork(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, workProbeTimeout)
 	defer cancel()
+	c.probes.sent.Add(1)
 	percent, err := c.Engines.WorkPercent(ctx, c.runner.Address, c.healthPath())
 	if err != nil {
 		c.log.Debug("work time probe failed", "error", err.Error())
--- a/internal/adapters/worktime.go
+++ b/internal/adapters/worktime.go
@@ -66,6 +66,8 @@
 	// peak is the longest work time lately, as a factor, and peakSeen when it was last updated.
 	peak     float64
 	peakSeen time.Time
+	// refused is the number of requests refused for a slowdown.
+	refused int64
 	// crossing bounds the log lines about slowdowns.
 	crossing crossing
 }
@@ -190,6 +192,7 @@
 	if ask.LastResort || ask.Waited || view.Load == 0 || !c.pacer.pace.blocks(ask.PromptTokens) || !c.isLoaded(ask.Key) {
 		return nil
 	}
+	c.work.refused++
 	return ErrPromptBacklog
 }
 
@@ -206,7 +209,7 @@
 // in between; c.mu must be held.
 func (c *Controller) promptTime(tokens int) time.Duration {
 	if c.pacer.pace.Known {
-		return c.pacer.cost(tokens)
+		return c.pacer.pace.prefillTime(tokens)
 	}
 	return prefillTime(tokens)
 }
--- a/internal/adapters/worktime_test.go
+++ b/internal/adapters/worktime_test.go
@@ -309,3 +309,26 @@
 		must.Eq(t, admitted, err == nil, must.Sprintf("%d%%: %v", percent, err))
 	}
 }
+
+// Operators find out from the metrics which runners are slow and why prompts wait. Runners that
+// announce nothing are not listed.
+func TestRunnerSpeedForTheMetrics(t *testing.T) {
+	r := newWorkRunner()
+	r.serve(10 * time.Second)
+	r.percent = 250
+	for range 20 {
+		_, _ = r.c.Admit(testRequest(1, time.Second))
+		_, _ = r.c.Admit(AdmissionRequest{PromptTokens: 2000, MaxWait: time.Second})
+	}
+	speed, ok := r.c.speed()
+	must.True(t, ok)
+	must.Eq(t, 40, speed.PrefillPerMS)
+	must.Eq(t, 250, speed.WorkPercent)
+	must.Eq(t, 250, speed.PeakPercent)
+	must.Between(t, 4, speed.TokensPerMS, 7)
+	must.Between(t, 500, speed.BurstTokens, 1000)
+	must.Positive(t, speed.BacklogTokens)
+	r.percent = 0
+	_, ok = r.c.speed()
+	must.False(t, ok)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -421,5 +421,6 @@
 	vars.Set("knowledge", expvar.Func(func() any { return e.mesh.ReplicationStatus() }))
 	vars.Set("hosts_in_force", expvar.Func(func() any { return e.state.Size() }))
 	vars.Set("adapters_in_transit", expvar.Func(func() any { transit, _ := e.owner.Fetches(); return transit }))
+	vars.Set("runner_speeds", expvar.Func(func() any { return e.owner.RunnerSpeeds() }))
 	return vars
 }
