The pacing of a service is worked out once for each configuration

Cause: runners are reconciled ten times a second, and each time the least target gap of a service took a pass over all routes.

Change: adapters.pacingCache keeps the pacing of each service until another configuration is in force. A test changes the target gap while a runner is controlled.

--- a/internal/adapters/owner.go
+++ b/internal/adapters/owner.go
@@ -23,6 +23,7 @@
 	log         hclog.Logger
 	times       *LoadTimes
 	peerFetches func() (fetches, runners int)
+	pacings     pacingCache
 	// fetchCapacity is the number of concurrent fetches per runner that the weight
 	// store serves at full speed, as float bits.
 	fetchCapacity atomic.Uint64
@@ -203,7 +204,7 @@
 			continue
 		}
 		o.fetchCapacity.Store(math.Float64bits(FetchCapacityPerRunner(service.Engine.LoadsPerSecond, len(runners))))
-		pacing := Pacing{EventTokens: service.Engine.EventTokens, TargetGap: config.LeastTargetGap(name), HealthPath: service.HealthPath}
+		pacing := o.pacings.of(config, name)
 		for _, runner := range runners {
 			if o.owns(runner.Address) {
 				owned[runner.ID] = ownedRunner{runner: runner, engine: service.Engine, pacing: pacing}
--- a/internal/adapters/worktime.go
+++ b/internal/adapters/worktime.go
@@ -226,23 +226,6 @@
 	c.prefill.Observe(c.work.observe(perToken, workPercent))
 }
 
-// setPacing takes over what the configuration says.
-func (c *Controller) setPacing(pacing Pacing) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.spec.Pacing = pacing
-}
-
-// updatePacing passes on what the configuration says to the running controllers. They are called
-// without holding o.mu, see inheritLateOrders.
-func (o *Owner) updatePacing(owned map[string]ownedRunner) {
-	for id, controller := range o.controllersByID() {
-		if needed, ok := owned[id]; ok {
-			controller.setPacing(needed.pacing)
-		}
-	}
-}
-
 // crossing counts how often a runner's work time crossed the thresholds of a slowdown, for the log.
 type crossing struct {
 	slowed bool
--- a/internal/adapters/worktime_test.go
+++ b/internal/adapters/worktime_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/board"
+	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
 )
 
@@ -332,3 +334,30 @@
 	_, ok = r.c.speed()
 	must.False(t, ok)
 }
+
+// Operators change a route's target gap while runners are controlled. A controller that kept the
+// gap of its start would pace prompts for the wrong one until the runner restarts.
+func TestPacingFollowsTheConfiguration(t *testing.T) {
+	owner := NewOwner(OwnerDeps{
+		Engines: &lossyEngine{}, Authority: neverAuthorized{}, Owns: func(string) bool { return true }, HostCount: func() int { return 1 },
+		PeerFetches: func() (int, int) { return 0, 0 }, RunnerView: func(string, time.Time) board.View { return board.View{} },
+		Utilization: func() float64 { return 0 }, TypicalPrefill: func() float64 { return 0 }, OnRestart: func(string, int64) {},
+		OnSignal: func(string, *board.Signal) {}, Now: time.Now, Log: hclog.NewNullLogger(),
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	runner := &site.Runner{ID: "r", Instance: "r", Address: "r:1", Service: "s"}
+	pacingWith := func(gap time.Duration) Pacing {
+		route := &site.Route{Host: "h", TargetGap: gap, Targets: []site.Target{{Service: "s", Weight: 1}}}
+		service := &site.Service{Name: "s", HealthPath: "/alive", Engine: &site.Engine{Slots: 1, LoadsPerSecond: 1, EventTokens: 8, Models: []site.Model{{Name: "m"}}}}
+		config := site.NewConfig(1, []*site.Route{route}, []*site.Service{service}, site.Limits{})
+		owner.Reconcile(ctx, config, map[string][]*site.Runner{"s": {runner}})
+		controller, ok := owner.Controller("r")
+		must.True(t, ok)
+		controller.mu.Lock()
+		defer controller.mu.Unlock()
+		return controller.spec.Pacing
+	}
+	must.Eq(t, Pacing{EventTokens: 8, TargetGap: 300 * time.Millisecond, HealthPath: "/alive"}, pacingWith(300*time.Millisecond))
+	must.Eq(t, Pacing{EventTokens: 8, TargetGap: 200 * time.Millisecond, HealthPath: "/alive"}, pacingWith(200*time.Millisecond))
+}
