--- a/internal/adapters/pace.go
+++ b/internal/adapters/pace.go
@@ -26,7 +26,7 @@
 	BurstTokens float64
 	// EventRoom is the number of prompt tokens that one event has room for.
 	EventRoom float64
-	// UsualPerMS and UsualBurst are the rate and burst at the usual work time, without a reserve.
+	// UsualPerMS is the rate at the usual work time, and UsualBurst the burst without a reserve.
 	UsualPerMS float64
 	UsualBurst float64
 }
@@ -64,11 +64,11 @@
 func PaceFor(speed Speed) Pace {
 	pace := Pace{Known: true, EventRoom: speed.eventRoom(speed.plannedGapMS(), speed.Work)}
 	usualRoom := speed.eventRoom(speed.plannedGapMS(), 1)
-	pace.UsualPerMS = (1 - burstShare) * usualRoom / speed.plannedGapMS()
 	pace.UsualBurst = burstShare * usualRoom
 	reserve := max(minReserveTokens, speed.eventRoom(inMS(speed.Gap), max(speed.Work, speed.Peak)))
 	pace.BurstTokens = burstShare * min(pace.EventRoom, reserve)
 	pace.TokensPerMS = (1 - burstShare) * min(pace.EventRoom/speed.plannedGapMS(), reserve/inMS(slowdownLag))
+	pace.UsualPerMS = (1 - burstShare) * min(usualRoom/speed.plannedGapMS(), reserve/inMS(slowdownLag))
 	return pace
 }
 
