Owners report demand to homes; eviction by demand; a lost runner's adapters come back

Cause: a home does not see the requests that hosts send to replicas directly, and a new home knows nothing. The least recently used adapter is evicted, although half of all adapters are requested once. What a lost runner held was loaded only when requested.

Change: owners report once a second the adapters with two admissions per second to their homes (runner.demand). The idle adapter with the least decayed demand is evicted (evicted_for and demand in the log line). The owner of a lost runner has its adapters with half a request per second or more loaded at their new homes, in the order of demand, unless these know another replica. The metrics page shows the counts of planned, loaded and refused replicas and evictions, and the twenty adapters with the most demand at homes here.

--- a/internal/adapters/admission.go
+++ b/internal/adapters/admission.go
@@ -106,7 +106,7 @@
 	if err == nil {
 		admitted, err = c.admit(ask, now)
 	}
-	c.recordDemand(ask, admitted, err, now)
+	c.recordDemand(ask, err, now)
 	if err != nil && ask.Home && !ask.Retry {
 		err = c.withReplicas(ask.Key, err)
 	}
--- a/internal/adapters/ahead.go
+++ b/internal/adapters/ahead.go
@@ -59,14 +59,16 @@
 func (c *Controller) contended() bool { return c.Contended != nil && c.Contended() }
 
 // recordDemand counts a request that asked for admission; c.mu must be held.
-func (c *Controller) recordDemand(ask AdmissionRequest, admitted AdmissionResult, err error, now time.Time) {
+func (c *Controller) recordDemand(ask AdmissionRequest, err error, now time.Time) {
 	if ask.Key.Name == "" || !c.contended() {
 		return
 	}
 	sample := replication.Sample{
 		Requests: 1, Tokens: float64(ask.PromptTokens), RunSeconds: c.slots.runtimeFactor * expectedRunTime(ask).Seconds(),
 	}
-	if err == nil && !admitted.AskAgain {
+	// A request that waits for its load counts when it first asks, so that the adapter's demand is
+	// known when the load is done.
+	if err == nil && !ask.Waited {
 		c.ahead.demand.Add(ask.Key.Adapter, sample, now)
 	}
 	busy := isBusy(err)
@@ -186,11 +188,63 @@
 	c.ahead.home.Refused(key, runner, c.Now())
 }
 
-// PrefetchAhead loads an adapter ahead of demand and returns when it will be ready. perSecond is
-// the demand that is expected for it on this runner. It refuses with ErrBusy if the runner or the
-// weight store has too much to do, with ErrNoFreeSlot if requests may need the adapter slot or if
-// it holds an adapter with more demand, or with the reason for which all requests are refused.
-func (c *Controller) PrefetchAhead(key Key, perSecond float64) (time.Time, error) {
+// DemandReport is the demand for an adapter that a runner admitted.
+type DemandReport struct {
+	Key    Key
+	Runner string
+	Rate   replication.Rate
+}
+
+// maxReports bounds the adapters that are reported for one runner. A runner with 32 request slots
+// and requests of two seconds has no more adapters with the least reported demand.
+const maxReports = 16
+
+// DemandReports returns the demand for the adapters on the runner whose homes have to know it, in
+// the given versions. It returns none unless the deployment is contended.
+func (c *Controller) DemandReports(versions map[site.Adapter]int64) []DemandReport {
+	if !c.contended() {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var reports []DemandReport
+	for _, demand := range c.ahead.demand.Most(maxReports, replication.MinReportedPerSecond, c.Now()) {
+		key := Key{Adapter: demand.Key, Version: versions[demand.Key]}
+		if c.holdsOrLoads(key) {
+			reports = append(reports, DemandReport{Key: key, Runner: c.runner.ID, Rate: demand.Rate})
+		}
+	}
+	return reports
+}
+
+// ApplyDemand records the demand for an adapter whose home is this runner, as the owner of another
+// runner reports it.
+func (c *Controller) ApplyDemand(report DemandReport) {
+	if !c.contended() || report.Runner == c.runner.ID {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replicas.Add(report.Key, report.Runner)
+	c.ahead.home.Reported(report.Key, report.Runner, report.Rate, c.Now())
+}
+
+// AheadLoad asks for a load ahead of demand.
+type AheadLoad struct {
+	Key Key
+	// PerSecond is the demand that is expected for the adapter on the runner.
+	PerSecond float64
+	// Lost is set if the load replaces that of a runner that was lost. It is refused if the
+	// adapter's home knows another runner with it.
+	Lost string
+}
+
+// PrefetchAhead loads an adapter ahead of demand and returns when it will be ready. It refuses with
+// ErrBusy if the runner or the weight store has too much to do, with ErrNoFreeSlot if requests may
+// need the adapter slot or if it holds an adapter with more demand, with ErrHeldElsewhere as
+// described at AheadLoad, or with the reason for which all requests are refused.
+func (c *Controller) PrefetchAhead(load AheadLoad) (time.Time, error) {
+	key := load.Key
 	now := c.Now()
 	view := c.RunnerView(c.runner.ID, now)
 	limits := placing.LimitsFor(c.runner.Slots, c.Utilization())
@@ -206,13 +260,16 @@
 		c.slots.Touch(key.Adapter, now)
 		return readyAt, nil
 	}
+	if load.Lost != "" && c.replicas.HasBesides(key, load.Lost) {
+		return time.Time{}, ErrHeldElsewhere
+	}
 	if c.isPending(key) {
 		return now.Add(c.estimateLoad(c.slots.HeldRecently(key))), nil
 	}
 	if view.Suspect || view.Refusing || view.Limited || view.Load >= limits.NotLoaded {
 		return time.Time{}, ErrBusy
 	}
-	if err := c.checkAheadLoad(perSecond, now); err != nil {
+	if err := c.checkAheadLoad(load.PerSecond, now); err != nil {
 		return time.Time{}, err
 	}
 	c.lastSeq++
@@ -278,26 +335,12 @@
 	return count
 }
 
-// leastWanted returns the idle adapter with the least demand and this demand per second; c.mu must
-// be held. Ties are broken by last use.
-func (c *Controller) leastWanted(now time.Time) (victim site.Adapter, perSecond float64, found bool) {
-	for adapter, slot := range c.slots.entries {
-		if !slot.idle(now) {
-			continue
-		}
-		demand := c.ahead.demand.Rate(adapter, now).PerSecond
-		if !found || demand < perSecond || demand == perSecond && c.slots.usedBefore(adapter, victim) {
-			victim, perSecond, found = adapter, demand, true
-		}
-	}
-	return victim, perSecond, found
-}
+// HotAdapter is an adapter with much demand and its replicas.
+type HotAdapter = replication.Hot[Key]
 
-// usedBefore reports whether an adapter was last used before another one.
-func (s *AdapterSlots) usedBefore(adapter, other site.Adapter) bool {
-	used, otherUsed := s.entries[adapter].usedAt, s.entries[other].usedAt
-	if !used.Equal(otherUsed) {
-		return used.Before(otherUsed)
-	}
-	return adapter.String() < other.String()
+// HottestAtHome returns the adapters with the most demand whose home is this runner.
+func (c *Controller) HottestAtHome(limit int) []HotAdapter {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ahead.home.Hottest(limit, c.Now())
 }
--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -311,6 +311,8 @@
 	action action
 	key    Key
 	pause  time.Duration
+	// evicted describes why an adapter is unloaded, for the log.
+	evicted []any
 }
 
 // runNext carries out the next task and returns the pause after it.
@@ -320,7 +322,7 @@
 	case actionLoad:
 		return c.loadAdapter(ctx, planned.key)
 	case actionUnload:
-		return c.unload(ctx, planned.key.Adapter)
+		return c.unload(ctx, planned.key.Adapter, planned.evicted)
 	case actionDrop:
 		c.dropPending(planned.key)
 		return 0
@@ -348,14 +350,14 @@
 	if _, replaces := c.slots.entries[load.key.Adapter]; replaces || c.slots.Free() > 0 {
 		return task{action: actionLoad, key: load.key}
 	}
-	victim, found := c.slots.Victim(now)
+	victim, found := c.victim(now)
 	if !found && now.Before(load.slotExpectedAt.Add(overdueExtension)) {
 		return task{pause: loadPollInterval}
 	}
 	if !found {
 		return task{action: actionDrop, key: load.key}
 	}
-	return task{action: actionUnload, key: Key{Adapter: victim}}
+	return task{action: actionUnload, key: Key{Adapter: victim}, evicted: c.evictionFields(victim, load.purpose(), now)}
 }
 
 // planSpareSlot returns the unload that frees a slot in advance, or a pause; c.mu must
@@ -364,11 +366,11 @@
 	if c.slots.Free() >= spareSlots {
 		return task{pause: idleInterval}
 	}
-	victim, found := c.slots.Victim(now)
+	victim, found := c.victim(now)
 	if !found {
 		return task{pause: idleInterval}
 	}
-	return task{action: actionUnload, key: Key{Adapter: victim}}
+	return task{action: actionUnload, key: Key{Adapter: victim}, evicted: c.evictionFields(victim, evictedForSpare, now)}
 }
 
 // mayLoad reports whether one more load may start; c.mu must be held.
--- a/internal/adapters/orders.go
+++ b/internal/adapters/orders.go
@@ -9,8 +9,8 @@
 )
 
 // order sends one order to the runner for the current sequence number. The order
-// counts as unanswered until an answer arrives.
-func (c *Controller) order(ctx context.Context, load bool, key Key) Outcome {
+// counts as unanswered until an answer arrives. details are added to the log line.
+func (c *Controller) order(ctx context.Context, load bool, key Key, details ...any) Outcome {
 	c.mu.Lock()
 	sequence := c.slots.Sequence
 	free, waiting := c.slots.Free(), len(c.pending)
@@ -37,6 +37,7 @@
 	outcome := answer.Outcome
 	fields := []any{"load", load, "adapter", key.Adapter.String(), "version", key.Version, "sequence", sequence, "token", token, "outcome", outcome.String(), "took_ms", c.Now().Sub(now).Milliseconds(),
 		"free", free, "transit", inProgress, "fetched", fetched, "reload", load && c.heldRecently(key), "waiting", waiting, "estimate_ms", c.Times.Estimate(false, StoreLoad{}).Milliseconds()}
+	fields = append(fields, details...)
 	if err != nil {
 		fields = append(fields, "error", err.Error())
 	}
@@ -129,13 +130,14 @@
 }
 
 // unload orders the unload of an adapter, records its outcome and returns the pause
-// after it.
-func (c *Controller) unload(ctx context.Context, adapter site.Adapter) time.Duration {
-	outcome := c.order(ctx, false, Key{Adapter: adapter})
+// after it. details are added to the log line.
+func (c *Controller) unload(ctx context.Context, adapter site.Adapter, details []any) time.Duration {
+	outcome := c.order(ctx, false, Key{Adapter: adapter}, details...)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch outcome {
 	case OutcomeDone:
+		c.countEviction(adapter)
 		c.slots.Unloaded(adapter)
 		return 0
 	case OutcomeAccepted:
--- a/internal/adapters/replicas.go
+++ b/internal/adapters/replicas.go
@@ -96,6 +96,12 @@
 // Has reports whether another runner holds an adapter.
 func (r *Replicas) Has(key Key) bool { return r.byKey[key] != nil }
 
+// HasBesides reports whether a runner other than the given one holds an adapter.
+func (r *Replicas) HasBesides(key Key, runner string) bool {
+	known := r.byKey[key]
+	return known != nil && slices.ContainsFunc(known.runners, func(other string) bool { return other != runner })
+}
+
 // Retain drops the runners for which keep returns false.
 func (r *Replicas) Retain(keep func(runner string) bool) {
 	for key, known := range r.byKey {
--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -17,6 +17,7 @@
 	methodPlaced   = "runner.placed"
 	methodOutcomes = "runner.tell"
 	methodPrefetch = "runner.prefetch"
+	methodDemand   = "runner.demand"
 )
 
 // AdmitParams asks a runner's owner to admit a request. The fields are those of
@@ -52,6 +53,12 @@
 	// AheadPerSecond is set in a prefetch ahead of demand: the requests per second that are
 	// expected for the adapter on the runner.
 	AheadPerSecond float64 `json:"ahead_per_s,omitempty"`
+	// Lost is as in adapters.AheadLoad.
+	Lost string `json:"lost,omitempty"`
+}
+
+func (p AdmitParams) aheadLoad() adapters.AheadLoad {
+	return adapters.AheadLoad{Key: p.admission().Key, PerSecond: p.AheadPerSecond, Lost: p.Lost}
 }
 
 // rankOf returns the wire form of a request's precedence.
@@ -153,11 +160,17 @@
 	})
 	peer.Handle(mux, methodPrefetch, func(_ context.Context, _ peer.Identity, p AdmitParams) (PrefetchResult, error) {
 		if p.AheadPerSecond > 0 {
-			return o.prefetchAheadLocal(p.Runner, p.admission().Key, p.AheadPerSecond), nil
+			return o.prefetchAheadLocal(p.Runner, p.aheadLoad()), nil
 		}
 		o.prefetchLocal(p.Runner, p.admission().Key)
 		return PrefetchResult{}, nil
 	})
+	peer.Handle(mux, methodDemand, func(_ context.Context, _ peer.Identity, p DemandParams) (struct{}, error) {
+		if err := o.demandLocal(p); err != nil {
+			return struct{}{}, peer.NewRefusal(err)
+		}
+		return struct{}{}, nil
+	})
 	peer.Handle(mux, methodOutcomes, func(_ context.Context, from peer.Identity, p OutcomesParams) (struct{}, error) {
 		o.applyOutcomes(from.Host, p)
 		return struct{}{}, nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -69,6 +69,7 @@
 	mesh           *mesh.Service
 	owner          *adapters.Owner
 	owners         *ownerClient
+	replicator     *replicator
 	quarantineSync *quarantineSync
 	quotas         *quotaManager
 	backpressure   *backpressure
@@ -137,6 +138,7 @@
 		HostCount: e.state.Size, ModelLoads: cfg.LoadLimit, Contended: e.contended, OnRestart: e.directory.MarkRestarted, OnSignal: e.backpressure.applyEngineSignal, Now: now, Log: log,
 	})
 	e.owners.owner = e.owner
+	e.replicator = newReplicator(e.owner, e.owners, e.board, e.contended, now)
 	statuses.owner = e.owner
 	e.mesh = mesh.NewService(mesh.Deps{
 		Self: identity, Address: cfg.PeerAddress, Seeds: cfg.Seeds, DataCentre: cfg.DataCentre, State: e.state, Store: platform.Store,
@@ -264,6 +266,10 @@
 
 func (e *Entry) runnerChanged(runner *site.Runner, gone bool) {
 	if gone {
+		// Taken now, since the runner's controller is stopped soon.
+		if lost := e.replicator.lostAdapters(runner, e.directory.Snapshot()); len(lost) > 0 {
+			go e.replicator.recover(context.Background(), runner, lost, e.directory.Snapshot)
+		}
 		e.board.Forget(runner.ID, e.now())
 		e.owners.forget(runner.ID)
 		e.owner.RunnerRemoved(runner.ID)
@@ -318,8 +324,8 @@
 	go timing.Every(ctx, outcomeInterval, func() { e.owners.reportOutcomes(ctx, e.directory.Snapshot().Runners) })
 	notifier := newHomeNotifier(e.owner, e.owners)
 	go timing.Every(ctx, homeNotifyInterval, func() { notifier.run(ctx, e.directory.Snapshot()) })
-	replicator := newReplicator(e.owner, e.owners, e.board, e.contended, e.now)
-	go timing.Every(ctx, planInterval, func() { replicator.plan(ctx, e.directory.Snapshot()) })
+	go timing.Every(ctx, homeNotifyInterval, func() { e.replicator.report(ctx, e.directory.Snapshot()) })
+	go timing.Every(ctx, planInterval, func() { e.replicator.plan(ctx, e.directory.Snapshot()) })
 	for ctx.Err() == nil {
 		e.directory.Expire()
 		snapshot := e.directory.Snapshot()
@@ -423,5 +429,6 @@
 	vars.Set("knowledge", expvar.Func(func() any { return e.mesh.ReplicationStatus() }))
 	vars.Set("hosts_in_force", expvar.Func(func() any { return e.state.Size() }))
 	vars.Set("adapters_in_transit", expvar.Func(func() any { transit, _ := e.owner.Fetches(); return transit }))
+	replicationVars(vars, e.owner)
 	return vars
 }
--- a/internal/entry/owners_test.go
+++ b/internal/entry/owners_test.go
@@ -27,6 +27,10 @@
 	silent   bool
 	dials    int
 	received []RunnerOutcomes
+	demands  []DemandParams
+	// prefetches are the prefetches asked for; refuse returns the refusal of one.
+	prefetches []AdmitParams
+	refuse     func(p AdmitParams) adapters.Refusal
 }
 
 func (r *fakeOwner) locked(do func()) {
@@ -58,6 +62,21 @@
 			owner.locked(func() { owner.received = append(owner.received, p.Runners[remoteRunner.ID]) })
 			return struct{}{}, nil
 		})
+		peer.Handle(mux, methodDemand, func(_ context.Context, _ peer.Identity, p DemandParams) (struct{}, error) {
+			owner.locked(func() { owner.demands = append(owner.demands, p) })
+			return struct{}{}, nil
+		})
+		peer.Handle(mux, methodPrefetch, func(_ context.Context, _ peer.Identity, p AdmitParams) (PrefetchResult, error) {
+			readyMS := int64(290)
+			result := PrefetchResult{ReadyMS: &readyMS}
+			owner.locked(func() {
+				owner.prefetches = append(owner.prefetches, p)
+				if owner.refuse != nil {
+					result.Refusal = owner.refuse(p)
+				}
+			})
+			return result, nil
+		})
 		key := []byte("key")
 		server := peer.NewServer(peer.Identity{Host: "b", Incarnation: "1"}, key, mux, hclog.NewNullLogger())
 		listener, err := network.Host("b").Listen("1")
--- /dev/null
+++ b/internal/entry/recovery.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/adapters"
+	"github.com/cherrystage/cherrystage/internal/directory"
+	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/cherrystage/cherrystage/internal/timing"
+)
+
+const (
+	// recoveryInterval is the time between two attempts to have a lost runner's adapters loaded,
+	// recoveryAttempts their number. The weight store is busy right after a loss, and requests
+	// come first. After some seconds requests have loaded what is wanted.
+	recoveryInterval = 200 * time.Millisecond
+	recoveryAttempts = 15
+)
+
+// lostAdapters returns the adapters that are lost with a runner of this host.
+func (r *replicator) lostAdapters(runner *site.Runner, snapshot *directory.Snapshot) []adapters.AheadLoad {
+	controller, ok := r.owner.Controller(runner.ID)
+	if !ok {
+		return nil
+	}
+	return controller.LostAdapters(snapshot.Versions)
+}
+
+// recover has a lost runner's adapters loaded at their new homes, those with the most demand first.
+// Loads that are refused because the weight store or a runner has too much to do are tried again.
+func (r *replicator) recover(ctx context.Context, runner *site.Runner, lost []adapters.AheadLoad, snapshot func() *directory.Snapshot) {
+	if len(lost) == 0 {
+		return
+	}
+	r.log.Info("recovering adapters of a lost runner", "runner", runner.ID, "adapters", len(lost), "first", lost[0].Key.String(), "per_s", lost[0].PerSecond)
+	for range recoveryAttempts {
+		runners := withoutRunner(snapshot().ByService[runner.Service], runner.ID)
+		lost = slices.DeleteFunc(lost, func(load adapters.AheadLoad) bool { return r.recoverOne(ctx, load, runners) })
+		if len(lost) == 0 || ctx.Err() != nil {
+			return
+		}
+		timing.Sleep(ctx, recoveryInterval)
+	}
+}
+
+// recoverOne asks an adapter's new home to load it and reports whether that is settled.
+func (r *replicator) recoverOne(ctx context.Context, load adapters.AheadLoad, runners []*site.Runner) bool {
+	home := homeOf(load.Key, runners)
+	if home == nil {
+		return true
+	}
+	result, err := r.owners.prefetchAhead(ctx, home, load)
+	if err != nil || result.Refusal == adapters.ErrBusy || result.Refusal == adapters.ErrNotOwner {
+		return false
+	}
+	if result.Refusal == "" {
+		r.owner.Replication().Recovered.Add(1)
+	}
+	return true
+}
+
+func withoutRunner(runners []*site.Runner, id string) []*site.Runner {
+	return slices.DeleteFunc(slices.Clone(runners), func(runner *site.Runner) bool { return runner.ID == id })
+}
--- a/internal/entry/replicator.go
+++ b/internal/entry/replicator.go
@@ -128,7 +128,7 @@
 		// Recorded before the answer, so that the next plan does not ask for it as well.
 		controller.ReplicaRequested(plan.Key, runner.ID, r.now().Add(assumedLoadTime))
 	}
-	result, err := r.owners.prefetchAhead(ctx, runner, plan.Key, plan.PerReplica)
+	result, err := r.owners.prefetchAhead(ctx, runner, adapters.AheadLoad{Key: plan.Key, PerSecond: plan.PerReplica})
 	switch {
 	case err != nil:
 		counters.Unreachable.Add(1)
@@ -179,31 +179,31 @@
 
 // prefetchAhead asks a runner's owner to load an adapter ahead of demand. It returns an error if
 // the owner does not answer.
-func (o *ownerClient) prefetchAhead(ctx context.Context, runner *site.Runner, key adapters.Key, perSecond float64) (PrefetchResult, error) {
+func (o *ownerClient) prefetchAhead(ctx context.Context, runner *site.Runner, load adapters.AheadLoad) (PrefetchResult, error) {
 	host, address, err := o.locateOwner(runner)
 	if err != nil {
 		return PrefetchResult{}, err
 	}
 	if host == o.host {
-		return o.prefetchAheadLocal(runner.ID, key, perSecond), nil
+		return o.prefetchAheadLocal(runner.ID, load), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	var result PrefetchResult
-	params := AdmitParams{Runner: runner.ID, Model: key.Model, Adapter: key.Name, Version: key.Version, AheadPerSecond: perSecond}
+	key := load.Key
+	params := AdmitParams{Runner: runner.ID, Model: key.Model, Adapter: key.Name, Version: key.Version, AheadPerSecond: load.PerSecond, Lost: load.Lost}
 	if err := o.pool.Call(ctx, address, methodPrefetch, params, &result); err != nil {
-		o.log.Debug("could not ask the runner's owner for a replica", "runner", runner.ID, "adapter", key.String(), "error", err.Error())
-		return PrefetchResult{}, err
+		return PrefetchResult{}, o.noteUnreachable(host, err)
 	}
 	return result, nil
 }
 
-func (o *ownerClient) prefetchAheadLocal(runner string, key adapters.Key, perSecond float64) PrefetchResult {
+func (o *ownerClient) prefetchAheadLocal(runner string, load adapters.AheadLoad) PrefetchResult {
 	controller, ok := o.owner.Controller(runner)
 	if !ok {
 		return PrefetchResult{Refusal: adapters.ErrNotOwner}
 	}
-	readyAt, err := controller.PrefetchAhead(key, perSecond)
+	readyAt, err := controller.PrefetchAhead(load)
 	if result, refused := refusalResult(err); refused {
 		return PrefetchResult{Refusal: result.Refusal}
 	}
--- a/internal/experiment/ahead.go
+++ b/internal/experiment/ahead.go
@@ -7,6 +7,7 @@
 	"github.com/cherrystage/cherrystage/internal/adapters"
 	"github.com/cherrystage/cherrystage/internal/replication"
 	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/pkg/errors"
 )
 
 // planInterval is how often homes plan replicas, as in package entry.
@@ -31,6 +32,28 @@
 	sim.clock.after(planInterval, sim.planReplicas)
 }
 
+// reportInterval is how often owners report demand to homes, as in package entry.
+const reportInterval = time.Second
+
+// reportDemand has owners report the demand on their runners to the adapters' homes.
+func (sim *simulation) reportDemand() {
+	for _, runner := range sim.runners {
+		c := sim.controllers[runner.ID]
+		if c == nil {
+			continue
+		}
+		for _, report := range c.DemandReports(nil) {
+			home := sim.rankRunners(report.Key.PlacementKey())[0]
+			sim.clock.after(sim.latency(runner.DataCentre, home.DataCentre), func() {
+				if c := sim.controllers[home.ID]; c != nil {
+					c.ApplyDemand(report)
+				}
+			})
+		}
+	}
+	sim.clock.after(reportInterval, sim.reportDemand)
+}
+
 // replicaCandidates returns the runners that may get a replica, in the order of package entry.
 func (sim *simulation) replicaCandidates(key adapters.Key, home *site.Runner) []replication.Candidate {
 	order := sim.rankRunners(key.PlacementKey())
@@ -74,7 +97,7 @@
 	}
 	delay := sim.latency(home.DataCentre, target.centre)
 	sim.clock.after(delay, func() {
-		readyAt, err := target.PrefetchAhead(plan.Key, plan.PerReplica)
+		readyAt, err := target.PrefetchAhead(adapters.AheadLoad{Key: plan.Key, PerSecond: plan.PerReplica})
 		sim.scheduleStep(target, 0)
 		sim.clock.after(delay, func() {
 			if err != nil {
@@ -110,3 +133,32 @@
 		return
 	}
 }
+
+const (
+	// recoveryInterval and recoveryAttempts are those of package entry.
+	recoveryInterval = 200 * time.Millisecond
+	recoveryAttempts = 15
+)
+
+// recover has the adapters of a lost runner loaded at their new homes.
+func (sim *simulation) recover(lost []adapters.AheadLoad, attempts int) {
+	var left []adapters.AheadLoad
+	for _, load := range lost {
+		home := sim.rankRunners(load.Key.PlacementKey())[0]
+		c := sim.controllers[home.ID]
+		if c == nil {
+			continue
+		}
+		_, err := c.PrefetchAhead(load)
+		sim.scheduleStep(c, 0)
+		if err == nil {
+			sim.result.Recovered++
+		}
+		if errors.Is(err, adapters.ErrBusy) || errors.Is(err, adapters.ErrNotOwner) {
+			left = append(left, load)
+		}
+	}
+	if len(left) > 0 && attempts > 1 {
+		sim.clock.after(recoveryInterval, func() { sim.recover(left, attempts-1) })
+	}
+}
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -56,6 +56,8 @@
 	ReplicasLoaded  int `json:"replicas_loaded"`
 	ReplicasRefused int `json:"replicas_refused"`
 	RisenFetches    int `json:"risen_fetches"`
+	// Recovered counts the adapters of lost runners that their new homes loaded.
+	Recovered int `json:"recovered"`
 	// Asks counts calls to owners, Told calls to homes, Refusals answers that tell a caller
 	// to retry, and TurnedAway requests that an engine did not run.
 	Asks       int `json:"asks"`
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -315,6 +315,7 @@
 	sim.clock.after(suspicionInterval, sim.shareSuspicions)
 	if sim.cfg.Contended {
 		sim.clock.after(planInterval, sim.planReplicas)
+		sim.clock.after(reportInterval, sim.reportDemand)
 	}
 }
 
@@ -340,12 +341,19 @@
 }
 
 func (sim *simulation) crashEngines(fault FaultConfig) {
+	var lost []adapters.AheadLoad
 	for _, e := range sim.drawEngines(fault.Share) {
 		e.crash()
+		if c := sim.controllers[e.runner.ID]; c != nil {
+			lost = append(lost, c.LostAdapters(nil)...)
+		}
 		sim.removeInstance(e.runner.ID)
 		sim.clock.after(seconds(fault.ForS), func() { sim.addEngine(e.runner.Address, e.runner.DataCentre) })
 	}
 	sim.listRunners()
+	if len(lost) > 0 {
+		sim.recover(lost, recoveryAttempts)
+	}
 }
 
 // removeInstance removes a runner's instance and tells the other controllers.
--- a/internal/replication/estimator.go
+++ b/internal/replication/estimator.go
@@ -188,14 +188,17 @@
 // Most returns up to limit keys with at least the given rate, those with the most demand first.
 func (e *Estimator[K]) Most(limit int, atLeast float64, now time.Time) []Demand[K] {
 	var most []Demand[K]
-	for _, key := range e.byDemand(now) {
-		rate := e.Rate(key, now)
-		if len(most) >= limit || rate.PerSecond < atLeast {
-			break
+	for key, known := range e.entries {
+		if perSecond(known.slow.Requests, slowHalfLife) < atLeast {
+			// It was too little already when the last request was counted.
+			continue
+		}
+		if rate := e.Rate(key, now); rate.PerSecond >= atLeast {
+			most = append(most, Demand[K]{Key: key, Rate: rate})
 		}
-		most = append(most, Demand[K]{Key: key, Rate: rate})
 	}
-	return most
+	slices.SortFunc(most, func(a, b Demand[K]) int { return orderByDemand(a.PerSecond, b.PerSecond, a.Key, b.Key) })
+	return most[:min(limit, len(most))]
 }
 
 // Len returns the number of keys.
--- a/internal/replication/home.go
+++ b/internal/replication/home.go
@@ -20,8 +20,8 @@
 	holderTTL = 5 * time.Second
 	// refusalTTL is how long a runner that refused a replica is not asked again for it.
 	refusalTTL = time.Second
-	// maxRefusals is the number of refusals in a row after which an adapter gets no plan for
-	// refusalTTL: the runners have no room for it.
+	// maxRefusals is the number of refusals in a row after which an adapter whose demand does not
+	// grow gets no plan for refusalTTL: the runners have no room for it.
 	maxRefusals = 6
 	// maxConcurrentLoads bounds the replicas of all adapters of one home that are being loaded.
 	maxConcurrentLoads = 8
@@ -302,11 +302,11 @@
 	if known := h.entries[key]; known != nil {
 		served = served.plus(plan.addHolders(known, now))
 	}
-	if known := h.entries[key]; known != nil && now.Before(known.pausedUntil) {
-		plan.paused = true
-	}
 	growth := h.asks.Growth(key, now)
 	plan.Growing = growth.Growing
+	if known := h.entries[key]; known != nil {
+		plan.paused = !growth.Growing && now.Before(known.pausedUntil)
+	}
 	// A request that the home refuses is admitted by another replica and reported from there, so
 	// the two are not added.
 	plan.Demand = h.asks.Rate(key, now).scaledTo(growth.PerSecond)
--- a/internal/replication/home_test.go
+++ b/internal/replication/home_test.go
@@ -63,6 +63,7 @@
 	plan := h.Plans(roomy, now)[0]
 	must.True(t, plan.Unavailable("full"))
 	must.Eq(t, 0, plan.Loading)
+	must.False(t, plan.Growing)
 	for i := range maxRefusals {
 		h.Refused(1, strconv.Itoa(i), now)
 	}
@@ -73,6 +74,23 @@
 	must.False(t, plan.Unavailable("full"))
 }
 
+// The first runners that are asked have no room while demand grows. The others are asked at once: an
+// adapter that was left alone for a second got its replicas a second late.
+func TestGrowingDemandIsNotLeftAlone(t *testing.T) {
+	h := NewHome[testKey]()
+	now := epoch
+	for range 20 {
+		now = now.Add(20 * time.Millisecond)
+		h.Asked(1, request, now)
+	}
+	for i := range maxRefusals {
+		h.Refused(1, strconv.Itoa(i), now)
+	}
+	plan := h.Plans(roomy, now)[0]
+	must.True(t, plan.Growing)
+	must.Positive(t, plan.Missing)
+}
+
 // A runner evicts an adapter without saying so. A replica that nothing confirms is no longer
 // counted, so that demand that returns gets new ones.
 func TestUnconfirmedReplicasExpire(t *testing.T) {
--- a/internal/replication/plan.go
+++ b/internal/replication/plan.go
@@ -37,16 +37,16 @@
 	starvedShare = 0.5
 	// starvedGrowth is the factor by which the number of replicas then grows.
 	starvedGrowth = 1.5
-	// maxStarvedFactor bounds that growth relative to the estimate: a runner may also refuse
-	// because of its other adapters.
-	maxStarvedFactor = 2
+	// maxStarvedFactor bounds that growth relative to the estimate: a runner also refuses because
+	// of its other adapters, and a home with many replicas is often full.
+	maxStarvedFactor = 1.5
 )
 
 // neededWhileStarved returns the number of replicas for a growing demand whose requests are
 // refused.
 func neededWhileStarved(needed, current int) int {
 	grown := int(math.Ceil(starvedGrowth * float64(max(1, current))))
-	return max(needed, min(grown, maxStarvedFactor*needed))
+	return max(needed, min(grown, int(math.Ceil(maxStarvedFactor*float64(needed)))))
 }
 
 // Candidate is a runner that may get a replica.
@@ -58,7 +58,7 @@
 
 // triesPerReplica is how many runners are asked at most for each missing replica. Runners refuse
 // if all their adapters are in use or have more demand.
-const triesPerReplica = 3
+const triesPerReplica = 6
 
 // Choose returns the runners to ask for missing replicas, in the order of the candidates, without
 // those that are held or avoided.
