Homes of unresponsive runners go on planning replicas

Cause: a crashed runner is listed for some seconds, in which its adapters' requests still ask its owner. It planned no replicas then. A peer's answer could also name any time until a replica is ready.

Change: the owner plans unless it lost its lease, and counts no replica on a runner that does not answer. The time until a replica is ready is at most three seconds.

Result: TestHomeOfAnUnresponsiveRunnerPlansReplicas.

--- a/internal/adapters/ahead.go
+++ b/internal/adapters/ahead.go
@@ -117,14 +117,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Now()
-	if c.refusal != nil {
+	if c.refusal == ErrNotOwner {
 		return nil
 	}
 	plans := c.ahead.home.Plans(replication.Situation[Key]{
 		Runner:   c.runner.ID,
 		Capacity: replication.Capacity{Slots: c.runner.Slots, TokensPerSecond: pacedPerMS * float64(time.Second/time.Millisecond)},
 		Own: func(key Key) (replication.Rate, bool) {
-			return c.ahead.demand.Rate(key.Adapter, now), c.holdsOrLoads(key)
+			// A runner that does not answer serves no requests, whatever it holds.
+			return c.ahead.demand.Rate(key.Adapter, now), c.refusal == nil && c.holdsOrLoads(key)
 		},
 		StoreRoom: aheadRoom(c.StoreLoad()),
 	}, now)
--- a/internal/adapters/ahead_test.go
+++ b/internal/adapters/ahead_test.go
@@ -56,6 +56,23 @@
 	}
 }
 
+// The home's runner crashes while one of its adapters is popular. Until the runner is no longer
+// listed, requests still ask this home, which goes on planning replicas. A host that lost its lease
+// does not.
+func TestHomeOfAnUnresponsiveRunnerPlansReplicas(t *testing.T) {
+	now := epoch
+	c := newContendedController(&now, 8, &fakeEngine{})
+	makePopular(c, &now, 1)
+	held := c.PlanReplicas()[0].Held
+	must.Eq(t, 1, held)
+	c.refuseAll(ErrUnresponsive)
+	plans := c.PlanReplicas()
+	must.SliceLen(t, 1, plans)
+	must.Eq(t, 0, plans[0].Held)
+	c.refuseAll(ErrNotOwner)
+	must.SliceEmpty(t, c.PlanReplicas())
+}
+
 // Loads ahead of demand are pending when a request asks for another adapter. Its load goes first,
 // although the others were pending before it and fill the loads that may be added.
 func TestRequestedLoadGoesBeforeLoadsAhead(t *testing.T) {
--- a/internal/entry/replicator.go
+++ b/internal/entry/replicator.go
@@ -22,6 +22,9 @@
 	// assumedLoadTime is the time after which a replica counts as ready on a runner whose owner
 	// does not say when it will be.
 	assumedLoadTime = 300 * time.Millisecond
+	// maxLoadTime bounds the time that an owner names. A replica that is late for longer was
+	// evicted or never ordered.
+	maxLoadTime = 3 * time.Second
 )
 
 // replicator has replicas loaded that the homes among this host's runners plan, see
@@ -169,12 +172,12 @@
 	ReadyMS *int64 `json:"ready_ms,omitempty"`
 }
 
-// readyIn returns the time until the adapter will be loaded.
+// readyIn returns the time until the adapter will be loaded, at most maxLoadTime.
 func (p PrefetchResult) readyIn() time.Duration {
 	if p.ReadyMS == nil {
 		return assumedLoadTime
 	}
-	return time.Duration(*p.ReadyMS) * time.Millisecond
+	return time.Duration(min(maxLoadTime.Milliseconds(), max(0, *p.ReadyMS))) * time.Millisecond
 }
 
 // prefetchAhead asks a runner's owner to load an adapter ahead of demand. It returns an error if
