Safeguards of loads ahead of demand

Cause: taken out, the rule that requested loads go first was not noticed by its test, whose request was due before the loads ahead anyway.

Change: the test also has a request that is late and one that is due later.

--- a/internal/adapters/ahead_test.go
+++ b/internal/adapters/ahead_test.go
@@ -74,22 +74,24 @@
 }
 
 // Loads ahead of demand are pending when a request asks for another adapter. Its load goes first,
-// although the others were pending before it and fill the loads that may be added.
+// although the others were pending before it and the request is late already or has much time.
 func TestRequestedLoadGoesBeforeLoadsAhead(t *testing.T) {
-	now := epoch
-	engine := &fakeEngine{}
-	c := newContendedController(&now, 8, engine)
-	for i := range maxAheadLoads {
-		_, err := c.PrefetchAhead(AheadLoad{Key: testKey(i), PerSecond: 5})
+	for _, budget := range []time.Duration{0, 450 * time.Millisecond, 2 * prefetchBudget} {
+		now := epoch
+		engine := &fakeEngine{}
+		c := newContendedController(&now, 8, engine)
+		for i := range maxAheadLoads {
+			_, err := c.PrefetchAhead(AheadLoad{Key: testKey(i), PerSecond: 5})
+			must.NoError(t, err)
+		}
+		_, err := c.PrefetchAhead(AheadLoad{Key: testKey(maxAheadLoads), PerSecond: 5})
+		must.ErrorIs(t, err, ErrBusy)
+		admitted, err := c.Admit(testRequest(9, budget))
 		must.NoError(t, err)
+		must.Eq(t, initialFetchTime, admitted.At.Sub(now))
+		must.Eq(t, 0, c.runNext(t.Context()))
+		must.Eq(t, testKey(9), engine.orders[0].Key, must.Sprint(budget))
 	}
-	_, err := c.PrefetchAhead(AheadLoad{Key: testKey(maxAheadLoads), PerSecond: 5})
-	must.ErrorIs(t, err, ErrBusy)
-	admitted, err := c.Admit(testRequest(9, 450*time.Millisecond))
-	must.NoError(t, err)
-	must.Eq(t, initialFetchTime, admitted.At.Sub(now))
-	must.Eq(t, 0, c.runNext(t.Context()))
-	must.Eq(t, testKey(9), engine.orders[0].Key)
 }
 
 // Loads ahead of demand leave room among a runner's concurrent loads: with two of four taken, two
