--- a/internal/adapters/worktime_test.go
+++ b/internal/adapters/worktime_test.go
@@ -224,9 +224,11 @@
 			time.Sleep(100 * time.Millisecond)
 			_, err := c.Admit(AdmissionRequest{PromptTokens: 200, MaxWait: time.Second, LastResort: true})
 			must.NoError(t, err, must.Sprint("the controller goes on working"))
+			if ctx.Err() == nil {
+				known = c.RunnerView("", time.Now())
+			}
 		}
 		synctest.Wait()
-		known = c.RunnerView("", time.Now())
 	})
 	return known
 }
--- a/internal/entry/replicator.go
+++ b/internal/entry/replicator.go
@@ -22,6 +22,9 @@
 	// assumedLoadTime is the time after which a replica counts as ready on a runner whose owner
 	// does not say when it will be.
 	assumedLoadTime = 300 * time.Millisecond
+	// maxLoadTime bounds the time that an owner names. A replica that is late for longer was
+	// evicted or never ordered.
+	maxLoadTime = 3 * time.Second
 )
 
 // replicator has replicas loaded that the homes among this host's runners plan, see
@@ -128,7 +131,7 @@
 		// Recorded before the answer, so that the next plan does not ask for it as well.
 		controller.ReplicaRequested(plan.Key, runner.ID, r.now().Add(assumedLoadTime))
 	}
-	result, err := r.owners.prefetchAhead(ctx, runner, plan.Key, plan.PerReplica)
+	result, err := r.owners.prefetchAhead(ctx, runner, adapters.AheadLoad{Key: plan.Key, PerSecond: plan.PerReplica})
 	switch {
 	case err != nil:
 		counters.Unreachable.Add(1)
@@ -169,41 +172,41 @@
 	ReadyMS *int64 `json:"ready_ms,omitempty"`
 }
 
-// readyIn returns the time until the adapter will be loaded.
+// readyIn returns the time until the adapter will be loaded, at most maxLoadTime.
 func (p PrefetchResult) readyIn() time.Duration {
 	if p.ReadyMS == nil {
 		return assumedLoadTime
 	}
-	return time.Duration(*p.ReadyMS) * time.Millisecond
+	return time.Duration(min(maxLoadTime.Milliseconds(), max(0, *p.ReadyMS))) * time.Millisecond
 }
 
 // prefetchAhead asks a runner's owner to load an adapter ahead of demand. It returns an error if
 // the owner does not answer.
-func (o *ownerClient) prefetchAhead(ctx context.Context, runner *site.Runner, key adapters.Key, perSecond float64) (PrefetchResult, error) {
+func (o *ownerClient) prefetchAhead(ctx context.Context, runner *site.Runner, load adapters.AheadLoad) (PrefetchResult, error) {
 	host, address, err := o.locateOwner(runner)
 	if err != nil {
 		return PrefetchResult{}, err
 	}
 	if host == o.host {
-		return o.prefetchAheadLocal(runner.ID, key, perSecond), nil
+		return o.prefetchAheadLocal(runner.ID, load), nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	var result PrefetchResult
-	params := AdmitParams{Runner: runner.ID, Model: key.Model, Adapter: key.Name, Version: key.Version, AheadPerSecond: perSecond}
+	key := load.Key
+	params := AdmitParams{Runner: runner.ID, Model: key.Model, Adapter: key.Name, Version: key.Version, AheadPerSecond: load.PerSecond, Lost: load.Lost}
 	if err := o.pool.Call(ctx, address, methodPrefetch, params, &result); err != nil {
-		o.log.Debug("could not ask the runner's owner for a replica", "runner", runner.ID, "adapter", key.String(), "error", err.Error())
-		return PrefetchResult{}, err
+		return PrefetchResult{}, o.noteUnreachable(host, err)
 	}
 	return result, nil
 }
 
-func (o *ownerClient) prefetchAheadLocal(runner string, key adapters.Key, perSecond float64) PrefetchResult {
+func (o *ownerClient) prefetchAheadLocal(runner string, load adapters.AheadLoad) PrefetchResult {
 	controller, ok := o.owner.Controller(runner)
 	if !ok {
 		return PrefetchResult{Refusal: adapters.ErrNotOwner}
 	}
-	readyAt, err := controller.PrefetchAhead(key, perSecond)
+	readyAt, err := controller.PrefetchAhead(load)
 	if result, refused := refusalResult(err); refused {
 		return PrefetchResult{Refusal: result.Refusal}
 	}
