Refused callers return after a host's recovery, not into it

Cause: after a loss of all hosts, hosts list the runners again over one to two seconds, since their entries expired. Callers that were refused meanwhile were told to retry after 0.3 s and met the same lack of runners; most of them retry once.

Change: where requests are ordered by priority, a host that started less than 2.5 s ago tells callers to retry after what is left of that time (more for lower precedence, with jitter), and never later than the third of their time that they honour.

Test: TestRetryAfterALossOfAllHosts.

--- a/internal/serve/contention.go
+++ b/internal/serve/contention.go
@@ -47,5 +47,23 @@
 	if l.shortestWait > 0 {
 		wait = l.shortestWait
 	}
-	return precedence.RetryAfter(wait, l.precedence, rand.Float64())
+	wait = max(wait, l.s.recoveryLeft())
+	return min(precedence.RetryAfter(wait, l.precedence, rand.Float64()), l.timeLeft()/retryShareDivisor)
+}
+
+// retryShareDivisor: callers honour a Retry-After of at most this part of the time that they have
+// left, by the platform's specification.
+const retryShareDivisor = 3
+
+// recoveryPeriod is how long after its start a host does not know the runners it will have: those
+// whose entries expired during an outage are listed again within about two seconds of its end, and
+// their owners have to read their state.
+//
+// After a loss of all hosts, callers that were told to retry after a few hundred milliseconds met
+// the same lack of runners, and most of them retry only once.
+const recoveryPeriod = 2500 * time.Millisecond
+
+// recoveryLeft returns how much of the recovery period is left, 0 if none is.
+func (s *Server) recoveryLeft() time.Duration {
+	return max(0, s.started.Add(recoveryPeriod).Sub(s.Now()))
 }
--- a/internal/serve/contention_test.go
+++ b/internal/serve/contention_test.go
@@ -80,6 +80,7 @@
 	})
 	withTestEnv(t, 2, func(w *testEnv) {
 		w.orderByPriority()
+		time.Sleep(recoveryPeriod)
 		answers := map[string]bool{}
 		for range 20 {
 			answer := refused(w)
@@ -95,6 +96,24 @@
 	})
 }
 
+// All hosts lost power, and this one has just started: the runners that are listed so far refuse the
+// request. Its caller retries only once, so it must not be told to do so before the other runners
+// are listed, nor later than it would honour.
+func TestRetryAfterALossOfAllHosts(t *testing.T) {
+	withTestEnv(t, 1, func(w *testEnv) {
+		w.orderByPriority()
+		time.Sleep(500 * time.Millisecond)
+		for _, timeout := range []time.Duration{12 * time.Second, 3 * time.Second} {
+			w.owners.admissions = append(w.owners.admissions, refuseWith(adapters.ErrBusy), refuseWith(adapters.ErrBusy))
+			answer := w.serveAdapter("a", timeout)
+			must.Eq(t, http.StatusServiceUnavailable, answer.Code)
+			seconds, err := strconv.ParseFloat(answer.Header().Get("Retry-After"), 64)
+			must.NoError(t, err)
+			must.Between(t, min(2, timeout.Seconds()/3), seconds, timeout.Seconds()/3)
+		}
+	})
+}
+
 // orderByPriority gives a workspace of the configuration a priority.
 func (w *testEnv) orderByPriority() {
 	priority := 1
--- a/internal/serve/slots.go
+++ b/internal/serve/slots.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/placing"
 	"github.com/cherrystage/cherrystage/internal/site"
-	"github.com/cherrystage/cherrystage/internal/slotledger"
 )
 
 // SharedSlots grants the request slots of plain runners, which all hosts share.
@@ -105,7 +103,8 @@
 	case grant.Outcome == SlotGranted:
 		return l.useSlot(usable)
 	case grant.Outcome == SlotRefused:
-		l.refuseOrFail(slotledger.RetryAfter(grant.Wait, rand.Float64()), reasonNoSlot)
+		l.shortestWait = grant.Wait
+		l.refuseOrFail(l.retryAfter(), reasonNoSlot)
 	}
 	return grant.Outcome
 }
