--- a/internal/slotledger/ledger.go
+++ b/internal/slotledger/ledger.go
@@ -15,6 +15,8 @@
 	// same requests by ID.
 	queue   []*waiter
 	waiting map[ID]*waiter
+	// waitingSince is the start of the current period in which requests wait, zero if none does.
+	waitingSince time.Time
 	// nextExpiry is a lower bound on the earliest expiry of a grant.
 	nextExpiry time.Time
 	// prunedAt is when runners that are no longer named were last dropped.
@@ -231,9 +233,17 @@
 	return append(decisions, l.grantFree(now)...)
 }
 
-// growQueues grants more beyond their slots to runners while requests wait.
+// growQueues grants more beyond their slots to runners once requests have waited for a while
+// without a pause.
 func (l *Ledger) growQueues(now time.Time) {
 	if len(l.queue) == 0 {
+		l.waitingSince = time.Time{}
+		return
+	}
+	if l.waitingSince.IsZero() {
+		l.waitingSince = now
+	}
+	if now.Sub(l.waitingSince) < minGrowthInterval {
 		return
 	}
 	for _, r := range l.runners {
--- a/internal/slotledger/slotledger.go
+++ b/internal/slotledger/slotledger.go
@@ -117,10 +117,11 @@
 	HoldLimit = 500 * time.Millisecond
 	// attendance is how long a waiting request keeps its place after its holder asked for it.
 	attendance = HoldLimit + 200*time.Millisecond
-	// While requests wait, one more is granted beyond a runner's slots every minGrowthInterval. The
-	// interval doubles with each of these that the runner refuses, up to maxGrowthInterval: some
-	// runners queue no request.
-	minGrowthInterval = 100 * time.Millisecond
+	// While requests wait without a pause, one more is granted beyond a runner's slots every
+	// minGrowthInterval. The interval doubles with each of these that the runner refuses, up to
+	// maxGrowthInterval: some runners queue no request. Below the capacity requests wait for a few
+	// hundred milliseconds at most, so that nothing is tried then.
+	minGrowthInterval = 500 * time.Millisecond
 	maxGrowthInterval = 30 * time.Second
 	// overdueHolds times the mean hold before its answer is due, a waiting request counts as
 	// overdue. With the mean alone, half of the requests that are granted a slot at the last moment
