Retry-After is never in the past

Cause: where requests are ordered by priority, Retry-After is at most a third of the request's time left. Once that time was up, the header was 0 or negative ("-0.33" for a second too late), and its caller may retry at once.

Change: the bound is at least 100 ms, the shortest wait that precedence.RetryAfter returns.

Result: TestRetryAfterTheRequestsTimeRanOut fails without the change; the tests of internal/serve pass.

--- a/internal/serve/contention.go
+++ b/internal/serve/contention.go
@@ -48,9 +48,13 @@
 		wait = l.shortestWait
 	}
 	wait = max(wait, l.s.recoveryLeft())
-	return min(precedence.RetryAfter(wait, l.precedence, rand.Float64()), l.timeLeft()/retryShareDivisor)
+	return min(precedence.RetryAfter(wait, l.precedence, rand.Float64()), max(minRetryAfter, l.timeLeft()/retryShareDivisor))
 }
 
+// minRetryAfter is the shortest time after which a caller should retry. Once the request's time is
+// up, the part of it that is left is 0 or negative.
+const minRetryAfter = 100 * time.Millisecond
+
 // retryShareDivisor: callers honour a Retry-After of at most this part of the time that they have
 // left, by the platform's specification.
 const retryShareDivisor = 3
--- a/internal/serve/contention_test.go
+++ b/internal/serve/contention_test.go
@@ -114,6 +114,19 @@
 	})
 }
 
+// A request whose time ran out while it waited must not name a time to retry in the past, nor have
+// its caller retry at once.
+func TestRetryAfterTheRequestsTimeRanOut(t *testing.T) {
+	withTestEnv(t, 1, func(w *testEnv) {
+		w.orderByPriority()
+		l := &lifecycle{s: w.server, ranked: true}
+		for _, left := range []time.Duration{-time.Second, 0, minTimeLeft} {
+			l.deadline = time.Now().Add(left)
+			must.GreaterEq(t, minRetryAfter, l.retryAfter())
+		}
+	})
+}
+
 // orderByPriority gives a workspace of the configuration a priority.
 func (w *testEnv) orderByPriority() {
 	priority := 1
