A deferred request that is refused leaves the line at once

Cause: a deferred request left the line only where its turn or the prompts before it were the reason of the refusal. Refused for another reason, such as a busy runner or a lost adapter, it delayed others for up to 60 ms more, and DeferralsRefused did not count it.

Change: Admit removes every request that it refuses. The two places that did so for one reason are gone; one of them could not apply, as it was reached without a ticket only.

Result: TestRefusedRequestLeavesTheLine fails without the change; the tests of internal/adapters pass.

--- a/internal/adapters/admission.go
+++ b/internal/adapters/admission.go
@@ -116,6 +116,9 @@
 	if err == nil {
 		admitted, err = c.admit(ask, now)
 	}
+	if err != nil {
+		c.leaveLine(ask)
+	}
 	c.recordDemand(ask, err, now)
 	if err != nil && ask.Home && !ask.Retry {
 		err = c.withReplicas(ask.Key, err)
--- a/internal/adapters/contended_loads_test.go
+++ b/internal/adapters/contended_loads_test.go
@@ -212,3 +212,24 @@
 		must.Eq(t, ErrLoadTooSlow.Error(), err.Error())
 	}
 }
+
+// Guards against a refused request that others go on waiting for.
+func TestRefusedRequestLeavesTheLine(t *testing.T) {
+	now := epoch
+	c := newTestController(&now, 4, &fakeEngine{})
+	load := 0
+	c.RunnerView = func(string, time.Time) board.View { return board.View{Load: load} }
+	c.pacer.Admit(10_000, now)
+	ask := rankedRequest(1, 0, 2*time.Second)
+	ask.Key.Name = ""
+	deferred, err := c.Admit(ask)
+	must.NoError(t, err)
+	must.Positive(t, deferred.Ticket)
+	now = deferred.At
+	load = 1000
+	ask.Waited, ask.Ticket = true, deferred.Ticket
+	_, err = c.Admit(ask)
+	must.ErrorIs(t, err, ErrBusy)
+	must.Eq(t, 0, c.line.Deferred(now))
+	must.Eq(t, 1, c.Contention.DeferralsRefused.Load())
+}
--- a/internal/adapters/turns.go
+++ b/internal/adapters/turns.go
@@ -45,13 +45,13 @@
 		return nil
 	}
 	if wait, tooLate := c.line.TooLate(c.turnOf(ask), c.prefillState(now), now); tooLate {
-		c.leaveLine(ask)
 		return delayed(ErrPromptBacklog, wait)
 	}
 	return nil
 }
 
-// leaveLine forgets a request that is refused; c.mu must be held.
+// leaveLine forgets the deferral of a request that is refused, so that others no longer wait for
+// it; c.mu must be held.
 func (c *Controller) leaveLine(ask AdmissionRequest) {
 	if c.line.Leave(ask.Ticket) {
 		c.Contention.DeferralsRefused.Add(1)
@@ -67,7 +67,6 @@
 	turn := c.line.Turn(c.turnOf(ask), c.prefillState(now), now)
 	switch turn.Verdict {
 	case precedence.Refuse:
-		c.leaveLine(ask)
 		return AdmissionResult{}, false, delayed(ErrPromptBacklog, turn.Wait)
 	case precedence.Defer:
 		c.Contention.Deferrals.Add(1)
