Deferred prompts follow a changed pace

Cause: the pacer converts its backlog when a runner's pace changes, but deferred requests kept the costs of the pace at which they last asked. After a slowdown, waits were too short: requests were told to wait, and refused only later. After the end of one, they were too long.

Change: the controller passes a new pace on to the line, which works out the costs of its deferred prompts anew.

--- a/internal/adapters/contended_loads_test.go
+++ b/internal/adapters/contended_loads_test.go
@@ -233,3 +233,24 @@
 	must.Eq(t, 0, c.line.Deferred(now))
 	must.Eq(t, 1, c.Contention.DeferralsRefused.Load())
 }
+
+// A runner slows down while requests are deferred, so that their prompts take longer. Guards against
+// a wait worked out with the previous pace, after which a request is told to wait and refused later.
+func TestDeferredRequestsCostWhatTheCurrentPaceSays(t *testing.T) {
+	r := newWorkRunner()
+	r.c.pacer.Admit(12_000, r.now)
+	before := rankedRequest(1, 0, 2*time.Second)
+	before.Key.Name, before.PromptTokens = "", 3000
+	deferred, err := r.c.Admit(before)
+	must.NoError(t, err)
+	must.Positive(t, deferred.Ticket)
+	r.percent = 350
+	behind := rankedRequest(1, 5, 2*time.Second)
+	behind.Key.Name, behind.LastResort, behind.MaxWait = "", true, time.Minute
+	behind.LatencyBudget = 3 * time.Second
+	_, err = r.c.Admit(behind)
+	must.NoError(t, err)
+	now := r.now
+	wait, _ := r.c.line.TooLate(r.c.turnOf(behind), r.c.prefillState(now), now)
+	must.GreaterEq(t, r.c.pacer.Wait(800, now)+r.c.pacer.cost(3000), wait)
+}
--- a/internal/adapters/worktime.go
+++ b/internal/adapters/worktime.go
@@ -148,20 +148,29 @@
 // prefill time per token of most runners in nanoseconds. c.mu must be held.
 func (c *Controller) updateWork(view board.View, typical float64, now time.Time) {
 	if !announcesWork(view) {
-		c.pacer.setPace(Pace{}, now)
+		c.setPace(Pace{}, now)
 		return
 	}
 	if view.WorkAge <= workTTL {
 		c.trackWork(view, now)
 	}
 	speed := speedOf(c.spec, c.prefill.PerToken(), typical, c.work.factor(view), c.work.peakAt(now))
-	c.pacer.setPace(PaceFor(speed), now)
+	c.setPace(PaceFor(speed), now)
 	if crossings := c.work.crossing.update(view.WorkPercent, now); crossings > 0 {
 		c.log.Info("work time of the runner crossed a threshold", "work_percent", view.WorkPercent, "slowed_down", c.work.crossing.slowed, "crossings", crossings,
 			"tokens_per_ms", c.pacer.pace.rate(), "burst_tokens", c.pacer.pace.BurstTokens, "backlog_tokens", c.pacer.backlogTokens(now))
 	}
 }
 
+// setPace changes the pace of prompts, also for those that are deferred; c.mu must be held.
+func (c *Controller) setPace(pace Pace, now time.Time) {
+	if pace == c.pacer.pace {
+		return
+	}
+	c.pacer.setPace(pace, now)
+	c.line.Recost(c.pacer.cost)
+}
+
 // trackWork takes in a fresh figure; c.mu must be held.
 func (c *Controller) trackWork(view board.View, now time.Time) {
 	usual := c.prefill.PerToken()
--- a/internal/precedence/line.go
+++ b/internal/precedence/line.go
@@ -164,6 +164,14 @@
 	return there
 }
 
+// Recost updates the costs of the deferred prompts when the pace of the runner has changed. cost
+// returns the time that the prefill of a prompt with a number of tokens takes.
+func (l *Line) Recost(cost func(tokens int) time.Duration) {
+	for _, w := range l.deferred {
+		w.Cost = cost(w.size)
+	}
+}
+
 // expire forgets requests that did not ask again.
 func (l *Line) expire(now time.Time) {
 	for ticket, w := range l.deferred {
