--- a/internal/adapters/pace.go
+++ b/internal/adapters/pace.go
@@ -86,12 +86,6 @@
 // stepsMS is the time of an event's decoding steps at the usual work time.
 func (s Speed) stepsMS() float64 { return float64(s.EventTokens) * inMS(s.Step) }
 
-// eventTimeMS returns how long an event takes at most while prompts are sent at a pace.
-func (s Speed) eventTimeMS(pace Pace) float64 {
-	perToken := s.Work / s.PrefillPerMS
-	return (s.stepsMS()*s.Work + pace.BurstTokens*perToken) / (1 - pace.TokensPerMS*perToken)
-}
-
 func inMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 // blocks reports whether a prompt would make the running streams pause too long because the
--- a/internal/adapters/pace_test.go
+++ b/internal/adapters/pace_test.go
@@ -31,6 +31,12 @@
 	return all
 }
 
+// eventTimeMS returns how long an event takes at most while prompts are sent at a pace.
+func (s Speed) eventTimeMS(pace Pace) float64 {
+	perToken := s.Work / s.PrefillPerMS
+	return (s.stepsMS()*s.Work + pace.BurstTokens*perToken) / (1 - pace.TokensPerMS*perToken)
+}
+
 // An event that takes longer than callers allow makes its stream late, whatever the runner's speed.
 func TestPaceKeepsEventsWithinTheAllowedPause(t *testing.T) {
 	for _, speed := range speeds() {
