Loads ahead of demand and loads of requests are kept apart

Cause: five faults where the parts meet. - A request of higher precedence displaced a pending load ahead of demand although that has no adapter slot of its own. The request was admitted without a slot and waited in vain. - The wait in a refusal for want of a slot included loads ahead of demand. - Refusals for the prompts before a request did not count as demand where they carry a wait, that is, wherever requests are ordered by priority. Homes planned too few replicas there. - A load ahead of demand checked the demand for the adapter that it would evict when it was accepted, but not when it evicted one, up to a second later. - A slow runner accepted loads ahead of demand up to the limit of a runner of usual speed. Also, a load whose order was rejected counted as ordered until the next order, and could not be displaced by higher precedence.

Change: displaceLoad leaves out loads ahead, noFreeSlot counts requested loads, isBusy looks into wrapped errors, plan drops a load ahead that would evict an adapter with at least as much demand, PrefetchAhead uses the limits at the runner's speed, and the key of the load being ordered is cleared after the order.

Result: TestLoadAheadHasNoSlotToGiveUp, TestRefusalsWithAWaitCountAsDemand, TestPendingLoadAheadEvictsNoAdapterWithMoreDemand, TestSlowRunnerTakesOnFewerAdaptersAhead and TestLoadWhoseOrderWasRejectedCanBeDisplaced fail without the change; the tests of internal/adapters pass.

--- a/internal/adapters/ahead.go
+++ b/internal/adapters/ahead.go
@@ -9,6 +9,7 @@
 	"github.com/cherrystage/cherrystage/internal/placing"
 	"github.com/cherrystage/cherrystage/internal/replication"
 	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/pkg/errors"
 )
 
 // Loads ahead of demand, see docs/design/replication.md. Everything here has an effect only while
@@ -83,7 +84,7 @@
 }
 
 // isBusy reports whether a request was refused because the runner has too much to do.
-func isBusy(err error) bool { return err == ErrBusy || err == ErrPromptBacklog }
+func isBusy(err error) bool { return errors.Is(err, ErrBusy) || errors.Is(err, ErrPromptBacklog) }
 
 // replicaConfirmed records that another runner holds an adapter whose home is this runner; c.mu
 // must be held.
@@ -248,9 +249,11 @@
 	key := load.Key
 	now := c.Now()
 	view := c.RunnerView(c.runner.ID, now)
-	limits := placing.LimitsFor(c.runner.Slots, c.Utilization())
+	utilization := c.Utilization()
+	typical := c.TypicalPrefill()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	limits := placing.LimitsAt(c.runner.Slots, utilization, c.relativeSpeed(view, typical))
 	if c.refusal != nil {
 		return time.Time{}, c.refusal
 	}
@@ -275,7 +278,7 @@
 	}
 	c.lastSeq++
 	c.pending = append(c.pending, &pendingLoad{
-		key: key, ahead: true, seq: c.lastSeq, lastAskedAt: now, usefulUntil: now.Add(aheadTTL), dueAt: now.Add(prefetchBudget), slotExpectedAt: now,
+		key: key, ahead: true, perSecond: load.PerSecond, seq: c.lastSeq, lastAskedAt: now, usefulUntil: now.Add(aheadTTL), dueAt: now.Add(prefetchBudget), slotExpectedAt: now,
 	})
 	c.wakeUp()
 	return now.Add(c.estimateLoad(c.slots.HeldRecently(key))), nil
@@ -308,12 +311,19 @@
 	if free > spareSlots {
 		return nil
 	}
-	if _, demand, found := c.leastWanted(now); !found || demand >= perSecond {
+	if !c.mayEvictAhead(perSecond, now) {
 		return ErrNoFreeSlot
 	}
 	return nil
 }
 
+// mayEvictAhead reports whether there is an idle adapter with less demand than the given one, which
+// a load ahead of demand may evict; c.mu must be held.
+func (c *Controller) mayEvictAhead(perSecond float64, now time.Time) bool {
+	_, demand, found := c.leastWanted(now)
+	return found && demand < perSecond
+}
+
 // mayLoadAhead reports whether a load that no request waits for may start; c.mu must be held.
 func (c *Controller) mayLoadAhead() bool {
 	inProgress, _ := c.slots.InProgress()
--- a/internal/adapters/ahead_test.go
+++ b/internal/adapters/ahead_test.go
@@ -229,3 +229,98 @@
 	c.RunnerRemoved("ready")
 	must.Eq(t, []string{"loading"}, named())
 }
+
+// All adapter slots are promised to loads that requests wait for, and a load ahead of demand is
+// pending. It has no slot to give up: a request that took its place would wait for a slot in vain.
+// The wait that a refusal names does not include it either.
+func TestLoadAheadHasNoSlotToGiveUp(t *testing.T) {
+	waitOfRefusal := func(ahead bool) time.Duration {
+		now := epoch
+		c := newContendedController(&now, 7, &fakeEngine{})
+		for i := range 3 {
+			c.slots.LoadAccepted(testKey(i), now, now)
+		}
+		now = now.Add(time.Second)
+		c.slots.Advance(now)
+		for i := range 3 {
+			ask := rankedRequest(i, 3, time.Second)
+			ask.ExpectedOutputTokens = 20 * (i + 1)
+			_, err := c.Admit(ask)
+			must.NoError(t, err)
+		}
+		if ahead {
+			_, err := c.PrefetchAhead(AheadLoad{Key: testKey(9), PerSecond: 50})
+			must.NoError(t, err)
+		}
+		for i := range 4 {
+			_, err := c.Admit(rankedRequest(20+i, 3, time.Second))
+			must.NoError(t, err)
+		}
+		_, err := c.Admit(rankedRequest(24, 3, time.Second))
+		must.ErrorIs(t, err, ErrNoFreeSlot)
+		must.Eq(t, 0, c.Contention.DisplacedLoads.Load())
+		must.Eq(t, ahead, c.isPending(testKey(9)))
+		return WaitOf(err)
+	}
+	must.Positive(t, waitOfRefusal(false))
+	must.Eq(t, waitOfRefusal(false), waitOfRefusal(true))
+}
+
+// The idle adapter with little demand, for which a load ahead of demand was accepted, is in use when
+// the load can start. The load must not evict one with more demand instead.
+func TestPendingLoadAheadEvictsNoAdapterWithMoreDemand(t *testing.T) {
+	now := epoch
+	engine := &fakeEngine{}
+	c := newContendedController(&now, 5, engine)
+	for i := range 5 {
+		c.slots.LoadAccepted(testKey(i), now, now)
+	}
+	for range 40 {
+		now = now.Add(300 * time.Millisecond)
+		c.slots.Advance(now)
+		for i := range 4 {
+			_, err := c.Admit(testRequest(i, time.Second))
+			must.NoError(t, err)
+			c.RequestsEnded(map[site.Adapter]int{testAdapter(i): 1})
+		}
+	}
+	_, err := c.PrefetchAhead(AheadLoad{Key: testKey(9), PerSecond: 2})
+	must.NoError(t, err)
+	_, err = c.Admit(testRequest(4, time.Second))
+	must.NoError(t, err)
+	c.runNext(t.Context())
+	must.SliceEmpty(t, engine.orders)
+	must.SliceEmpty(t, c.pending)
+}
+
+// A slow runner takes on fewer adapters ahead of demand too: their requests would wait for its slots
+// while faster runners have free ones.
+func TestSlowRunnerTakesOnFewerAdaptersAhead(t *testing.T) {
+	for percent, accepted := range map[int]bool{0: true, 100: false} {
+		now := epoch
+		c := newContendedController(&now, 8, &fakeEngine{})
+		c.runner.Slots = 16
+		c.TypicalPrefill = func() float64 { return 20_000 }
+		c.RunnerView = func(string, time.Time) board.View { return board.View{Load: 10, WorkPercent: percent} }
+		for range 20 {
+			c.ObservePrefillAt(40_000, percent)
+		}
+		_, err := c.PrefetchAhead(AheadLoad{Key: testKey(1), PerSecond: 5})
+		must.Eq(t, accepted, err == nil, must.Sprintf("%d%%: %v", percent, err))
+	}
+}
+
+// Refusals for the prompts before a request carry the wait where requests are ordered by priority.
+// If these did not count as refusals, homes would plan too few replicas there.
+func TestRefusalsWithAWaitCountAsDemand(t *testing.T) {
+	for _, ranked := range []bool{false, true} {
+		now := epoch
+		c := newContendedController(&now, 8, &fakeEngine{})
+		c.pacer.Admit(30_000, now)
+		ask := rankedRequest(1, 3, time.Second)
+		ask.Ranked = ranked
+		_, err := c.Admit(ask)
+		must.ErrorIs(t, err, ErrPromptBacklog)
+		must.Positive(t, c.ahead.demand.Rate(ask.Key.Adapter, now.Add(time.Second)).RefusedPerSecond, must.Sprint(ranked))
+	}
+}
--- a/internal/adapters/contended_loads_test.go
+++ b/internal/adapters/contended_loads_test.go
@@ -254,3 +254,17 @@
 	wait, _ := r.c.line.TooLate(r.c.turnOf(behind), r.c.prefillState(now), now)
 	must.GreaterEq(t, r.c.pacer.Wait(800, now)+r.c.pacer.cost(3000), wait)
 }
+
+// The runner rejects the order of a load, which is queued again. Guards against a load that keeps
+// its slot from higher precedence as if it had been ordered.
+func TestLoadWhoseOrderWasRejectedCanBeDisplaced(t *testing.T) {
+	now := epoch
+	c := newTestController(&now, 1, &fakeEngine{answers: []Outcome{OutcomeRejected}})
+	_, err := c.Admit(rankedRequest(0, 5, 5*time.Second))
+	must.NoError(t, err)
+	c.Step(t.Context())
+	must.SliceLen(t, 1, c.pending)
+	_, err = c.Admit(rankedRequest(1, 0, 5*time.Second))
+	must.NoError(t, err)
+	must.Eq(t, 1, c.Contention.DisplacedLoads.Load())
+}
--- a/internal/adapters/contention.go
+++ b/internal/adapters/contention.go
@@ -1,7 +1,6 @@
 package adapters
 
 import (
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -50,7 +49,8 @@
 	queued := make([]precedence.QueuedLoad, 0, len(c.pending))
 	var loads []*pendingLoad
 	for _, load := range c.pending {
-		if _, ordered := c.slots.entries[load.key.Adapter]; ordered || load.key == c.ordering {
+		// Loads ahead of demand have no slot of their own, see slotLeft.
+		if _, ordered := c.slots.entries[load.key.Adapter]; ordered || load.ahead || load.key == c.ordering {
 			continue
 		}
 		loads = append(loads, load)
@@ -65,7 +65,7 @@
 	if wait+loadTime > c.maxLoadWait(ask) {
 		return 0, false
 	}
-	c.pending = slices.DeleteFunc(c.pending, func(load *pendingLoad) bool { return load == displaced })
+	c.removePending(displaced)
 	c.Contention.DisplacedLoads.Add(1)
 	c.log.Info("queued load displaced", "adapter", displaced.key.String(), "requests", displaced.requests, "precedence", displaced.rank.Precedence, "for", ask.Key.String(), "for_precedence", rank.Precedence)
 	return wait, true
@@ -125,7 +125,7 @@
 	if !c.line.Active(now) {
 		return ErrNoFreeSlot
 	}
-	at, ok := c.slots.SlotsFreeAt(1+len(c.pending), now)
+	at, ok := c.slots.SlotsFreeAt(1+c.requestedLoads(), now)
 	if !ok {
 		return ErrNoFreeSlot
 	}
--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -85,10 +85,10 @@
 	synced bool
 	// modelHeld is set once the base model is loaded.
 	modelHeld bool
-	// pending are the loads that requests wait for.
+	// pending are the loads that the runner has not accepted yet.
 	pending []*pendingLoad
 	lastSeq uint64
-	// ordering is the adapter whose load is the next order or has been ordered last.
+	// ordering is the adapter whose load is being ordered, the zero Key if none is.
 	ordering Key
 	// refusal is the reason to refuse all requests, nil once the runner's report has
 	// been read.
@@ -369,6 +369,11 @@
 		return task{action: actionLoad, key: load.key}
 	}
 	victim, found := c.victim(now)
+	if found && load.ahead && !c.mayEvictAhead(load.perSecond, now) {
+		// The adapters with less demand have been evicted or requested since the load was queued.
+		c.removePending(load)
+		return task{}
+	}
 	if !found && now.Before(load.slotExpectedAt.Add(overdueExtension)) {
 		return task{pause: loadPollInterval}
 	}
--- a/internal/adapters/orders.go
+++ b/internal/adapters/orders.go
@@ -78,6 +78,7 @@
 	outcome := c.orderLoad(ctx, key)
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.ordering = Key{}
 	now := c.Now()
 	switch outcome {
 	case OutcomeAccepted:
--- a/internal/adapters/queue.go
+++ b/internal/adapters/queue.go
@@ -8,7 +8,7 @@
 	"github.com/cherrystage/cherrystage/internal/site"
 )
 
-// pendingLoad is a load that requests wait for.
+// pendingLoad is a load that is not accepted by the runner yet.
 type pendingLoad struct {
 	key Key
 	// lastAskedAt is when a request last asked for the load. It is of use until
@@ -25,8 +25,10 @@
 	requests int
 	// rank is the highest of their ranks.
 	rank precedence.Rank
-	// ahead is set if no request waits for the load.
-	ahead bool
+	// ahead is set for a load ahead of demand, which no request waits for. perSecond is the
+	// demand that is expected for its adapter.
+	ahead     bool
+	perSecond float64
 }
 
 // timeUntilLoaded estimates how long it takes until a load is done, including the
@@ -292,6 +294,11 @@
 	})
 }
 
+// removePending removes a load from the queue; c.mu must be held.
+func (c *Controller) removePending(load *pendingLoad) {
+	c.pending = slices.DeleteFunc(c.pending, func(other *pendingLoad) bool { return other == load })
+}
+
 func (c *Controller) dropPending(key Key) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
