The forecast of free adapter slots includes deferred requests

Cause: an adapter is kept for a request that was deferred, but the forecast counted it as evictable at once. A reload was told of a free slot, waited longer than its request knew, and was dropped in the end; refusals for want of a slot named no wait.

Change: freeAt is not before the time until which the adapter is kept. Nothing changes without deferred requests.

Result: the added check in TestAdapterOfDeferredRequestStays fails without the change; the tests of internal/adapters pass.

--- a/internal/adapters/contended_loads_test.go
+++ b/internal/adapters/contended_loads_test.go
@@ -185,6 +185,10 @@
 	must.False(t, evictable)
 	_, evictable = c.slots.Victim(admitted.At.Add(time.Second))
 	must.True(t, evictable)
+	// A load that is told of the slot before then would wait longer than its request was told.
+	free, ok := c.slots.SlotsFreeAt(1, now)
+	must.True(t, ok)
+	must.Eq(t, admitted.At.Add(deferredGrace), free)
 }
 
 // Guards against refusals that tell callers nothing of the wait, and against a change where
--- a/internal/adapters/forecast.go
+++ b/internal/adapters/forecast.go
@@ -88,7 +88,7 @@
 
 // freeAt returns when a resident adapter is expected to be evictable.
 func (slot *adapterSlot) freeAt(now time.Time) time.Time {
-	stay := laterOf(now, slot.readyAt.Add(minResidence))
+	stay := laterOf(laterOf(now, slot.deferredUntil), slot.readyAt.Add(minResidence))
 	if slot.requests == 0 {
 		return stay
 	}
