Plainer names and comments in package precedence

Ask.Patience is WaitLimit, lastCall is minSpareTime. Comments give the units of the prompt's length and say what maxCredit bounds. No change of behaviour.

--- a/internal/adapters/turns.go
+++ b/internal/adapters/turns.go
@@ -20,7 +20,7 @@
 func (c *Controller) turnOf(ask AdmissionRequest) precedence.Ask {
 	return precedence.Ask{
 		Ticket: ask.Ticket, Waited: ask.Waited, LastResort: ask.LastResort, Size: ask.PromptTokens, Ranked: ask.Ranked, Precedence: ask.Precedence,
-		Cost: c.pacer.cost(ask.PromptTokens), Slack: ask.LatencyBudget, Left: ask.MaxWait, Patience: maxPromptWait(ask),
+		Cost: c.pacer.cost(ask.PromptTokens), Slack: ask.LatencyBudget, Left: ask.MaxWait, WaitLimit: maxPromptWait(ask),
 	}
 }
 
--- a/internal/precedence/line.go
+++ b/internal/precedence/line.go
@@ -28,8 +28,8 @@
 	// overdueShare is the share of its time for which a request may be deferred. The
 	// rest is left for the runners that its host tries next.
 	overdueShare = 0.5
-	// lastCall is the spare time below which a request is not deferred.
-	lastCall = 100 * time.Millisecond
+	// minSpareTime is the spare time below which a request is not deferred.
+	minSpareTime = 100 * time.Millisecond
 	// askGrace is how long after its time a request that has not asked again still
 	// counts as waiting, entryTTL how long it is remembered.
 	askGrace = 60 * time.Millisecond
@@ -49,17 +49,18 @@
 	Waited bool
 	// LastResort is set if no other runner takes the request.
 	LastResort bool
-	// Size is the length of the prompt. A ticket of another owner, for a prompt of
-	// another length, is not taken for one of this.
+	// Size is the length of the prompt in tokens. A ticket of another owner, for a prompt
+	// of another length, is not taken for one of this.
 	Size int
 	// Ranked is false if its host knows no precedence.
 	Ranked     bool
 	Precedence site.Precedence
-	Cost       time.Duration
+	// Cost is the time that the prefill takes at the runner's pace.
+	Cost time.Duration
 	// Slack is the time within which the prefill has to begin for the request to be on
-	// time, Left the time within which it has to begin to be of use, and Patience how
+	// time, Left the time within which it has to begin to be of use, and WaitLimit how
 	// long the request may wait on this runner.
-	Slack, Left, Patience time.Duration
+	Slack, Left, WaitLimit time.Duration
 }
 
 // Verdict is the decision on a request that asks for its turn.
@@ -237,13 +238,13 @@
 	if wait <= beginWithin {
 		return wait, false
 	}
-	if w.Protected && prefill.Wait(w.Cost, 0) <= ask.Patience {
+	if w.Protected && prefill.Wait(w.Cost, 0) <= ask.WaitLimit {
 		return wait, false
 	}
 	if !ask.Waited {
 		wait = l.withHigher(w, wait, now)
 	}
-	return wait, wait > ask.Patience
+	return wait, wait > ask.WaitLimit
 }
 
 // withHigher adds to a wait the requests of higher precedence that are expected to
@@ -278,7 +279,7 @@
 		w.Overdue = true
 		wait = l.waitOf(w, prefill, now)
 	}
-	if wait <= beginWithin || w.asks >= maxAsks || ask.Left-wait < lastCall {
+	if wait <= beginWithin || w.asks >= maxAsks || ask.Left-wait < minSpareTime {
 		return l.begin(w, own, "deferred long enough", now)
 	}
 	w.asks++
--- a/internal/precedence/line_test.go
+++ b/internal/precedence/line_test.go
@@ -67,7 +67,7 @@
 }
 
 func liveAsk(workspace int) Ask {
-	return Ask{Ranked: true, Precedence: site.Precedence{Workspace: workspace}, Size: 826, Cost: shortCost, Slack: 400 * time.Millisecond, Left: 2 * time.Second, Patience: 300 * time.Millisecond}
+	return Ask{Ranked: true, Precedence: site.Precedence{Workspace: workspace}, Size: 826, Cost: shortCost, Slack: 400 * time.Millisecond, Left: 2 * time.Second, WaitLimit: 300 * time.Millisecond}
 }
 
 func TestRequestBeginsAtOnceWhereLittleIsBeforeIt(t *testing.T) {
--- a/internal/precedence/order.go
+++ b/internal/precedence/order.go
@@ -5,8 +5,8 @@
 // It addresses a load in which requests with little time and requests with much time
 // share runners, and in which there are more of them for seconds at a time than the
 // runners can serve. In the order of arrival, long prompts whose callers can wait go
-// ahead of short ones whose callers can't, and whoever was loaded an adapter in time may
-// be late because of other prompts.
+// ahead of short ones whose callers can't, and a request whose adapter was loaded in time
+// may be late because of other prompts.
 package precedence
 
 import (
--- a/internal/precedence/share.go
+++ b/internal/precedence/share.go
@@ -16,8 +16,9 @@
 	// a kind that no runner takes in time, a third of the overall share is served whatever
 	// else waits. No kind may get less than a quarter of it.
 	creditPerAsk = 1.0 / 3 / lastResortAsks
-	// minCredit is where a kind stands whose requests are all served. Twelve have
-	// to ask in vain until one is protected, so that a single busy moment protects none.
+	// minCredit is the credit of a kind whose requests are all served. Twelve have to be
+	// refused until one is protected, so that a short overload protects none. maxCredit
+	// bounds how many of a kind are protected in a row.
 	minCredit = -1
 	maxCredit = 2
 	// workHalfLife is the half-life of the work counted by kind: shorter than the
