A pending load ahead of demand leaves the reserved adapter slots

Cause: the number of adapter slots that are left to requests was checked when a load ahead of demand was accepted. If requests used more adapters before it started, up to a second later, it took one of these slots. docs/design/replication.md says that such a load does not start.

Change: mayLoadAhead checks the reserve before the order.

Result: TestPendingLoadAheadLeavesAdapterSlotsToRequests fails without the change; the tests of internal/adapters pass.

--- a/internal/adapters/ahead.go
+++ b/internal/adapters/ahead.go
@@ -325,9 +325,12 @@
 }
 
 // mayLoadAhead reports whether a load that no request waits for may start; c.mu must be held.
-func (c *Controller) mayLoadAhead() bool {
+func (c *Controller) mayLoadAhead(now time.Time) bool {
 	inProgress, _ := c.slots.InProgress()
-	return inProgress < maxAheadLoads && aheadRoom(c.StoreLoad()) > 0
+	if inProgress >= maxAheadLoads || aheadRoom(c.StoreLoad()) == 0 {
+		return false
+	}
+	return c.slots.Free()+c.slots.IdleCount(now) > c.reservedSlots()
 }
 
 // isPending reports whether a load of an adapter is pending; c.mu must be held.
--- a/internal/adapters/ahead_test.go
+++ b/internal/adapters/ahead_test.go
@@ -161,6 +161,32 @@
 	must.ErrorIs(t, err, ErrNoFreeSlot)
 }
 
+// After a load ahead of demand was accepted, requests use so many adapters that it would take a slot
+// that is left to them. It must not start.
+func TestPendingLoadAheadLeavesAdapterSlotsToRequests(t *testing.T) {
+	now := epoch
+	engine := &fakeEngine{}
+	c := newContendedController(&now, 7, engine)
+	for i := range 4 {
+		c.slots.LoadAccepted(testKey(i), now, now)
+	}
+	now = now.Add(time.Second)
+	c.slots.Advance(now)
+	for i := range 3 {
+		_, err := c.Admit(testRequest(i, time.Second))
+		must.NoError(t, err)
+	}
+	_, err := c.PrefetchAhead(AheadLoad{Key: testKey(9), PerSecond: 50})
+	must.NoError(t, err)
+	_, err = c.Admit(testRequest(3, time.Second))
+	must.NoError(t, err)
+	must.Eq(t, loadPollInterval, c.runNext(t.Context()))
+	must.SliceEmpty(t, engine.orders)
+	c.RequestsEnded(map[site.Adapter]int{testAdapter(0): 1})
+	must.Eq(t, 0, c.runNext(t.Context()))
+	must.SliceLen(t, 1, engine.orders)
+}
+
 // The idle adapters of a runner have more demand than a replica would get. It is refused.
 func TestLoadAheadEvictsNoAdapterWithMoreDemand(t *testing.T) {
 	now := epoch
--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -361,7 +361,7 @@
 	if load == nil {
 		return c.planSpareSlot(now)
 	}
-	if !c.mayLoad(load.key) || load.ahead && !c.mayLoadAhead() {
+	if !c.mayLoad(load.key) || load.ahead && !c.mayLoadAhead(now) {
 		return task{pause: loadPollInterval}
 	}
 	if _, replaces := c.slots.entries[load.key.Adapter]; replaces || c.slots.Free() > 0 {
