--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -122,9 +122,9 @@
 	ModelLoads *ModelLoadLimiter
 	HostCount  func() int
 	// Contended reports whether the deployment calls for scheduling under contention, see
-	// docs/design/contention.md.
+	// docs/design/contention.md. It may be nil, which stands for never.
 	Contended func() bool
-	// Contention counts decisions of all controllers of the host.
+	// Contention counts decisions of all controllers of the host. It may be nil.
 	Contention *ContentionCounters
 	// Replication counts the decisions on replicas. It may be nil.
 	Replication *ReplicationCounters
--- a/internal/adapters/owner.go
+++ b/internal/adapters/owner.go
@@ -92,10 +92,12 @@
 		now: deps.Now, log: deps.Log, times: NewLoadTimes(), controllers: map[string]*runningController{}, lateOrders: map[string]LateOrders{},
 	}
 	o.deps = ControllerDeps{
-		Holder: deps.Host, Engines: deps.Engines, Authority: deps.Authority, Times: o.times, StoreLoad: o.storeLoad, RunnerView: deps.RunnerView,
-		Utilization: deps.Utilization, TypicalPrefill: deps.TypicalPrefill, ModelLoads: NewModelLoadLimiter(deps.ModelLoads), HostCount: deps.HostCount, Contended: deps.Contended, Contention: &o.Contention, OnRestart: deps.OnRestart, OnSignal: deps.OnSignal, OnWork: deps.OnWork, Now: deps.Now, Log: deps.Log,
+		Holder: deps.Host, Engines: deps.Engines, Authority: deps.Authority, Times: o.times, StoreLoad: o.storeLoad,
+		RunnerView: deps.RunnerView, Utilization: deps.Utilization, TypicalPrefill: deps.TypicalPrefill,
+		ModelLoads: NewModelLoadLimiter(deps.ModelLoads), HostCount: deps.HostCount,
+		Contended: deps.Contended, Contention: &o.Contention, Replication: &o.replication,
+		OnRestart: deps.OnRestart, OnSignal: deps.OnSignal, OnWork: deps.OnWork, Now: deps.Now, Log: deps.Log,
 	}
-	o.deps.Replication = &o.replication
 	return o
 }
 
