--- a/internal/adapters/contended_loads_test.go
+++ b/internal/adapters/contended_loads_test.go
@@ -185,6 +185,10 @@
 	must.False(t, evictable)
 	_, evictable = c.slots.Victim(admitted.At.Add(time.Second))
 	must.True(t, evictable)
+	// A load that is told of the slot before then would wait longer than its request was told.
+	free, ok := c.slots.SlotsFreeAt(1, now)
+	must.True(t, ok)
+	must.Eq(t, admitted.At.Add(deferredGrace), free)
 }
 
 // Guards against refusals that tell callers nothing of the wait, and against a change where
@@ -212,3 +216,59 @@
 		must.Eq(t, ErrLoadTooSlow.Error(), err.Error())
 	}
 }
+
+// Guards against a refused request that others go on waiting for.
+func TestRefusedRequestLeavesTheLine(t *testing.T) {
+	now := epoch
+	c := newTestController(&now, 4, &fakeEngine{})
+	load := 0
+	c.RunnerView = func(string, time.Time) board.View { return board.View{Load: load} }
+	c.pacer.Admit(10_000, now)
+	ask := rankedRequest(1, 0, 2*time.Second)
+	ask.Key.Name = ""
+	deferred, err := c.Admit(ask)
+	must.NoError(t, err)
+	must.Positive(t, deferred.Ticket)
+	now = deferred.At
+	load = 1000
+	ask.Waited, ask.Ticket = true, deferred.Ticket
+	_, err = c.Admit(ask)
+	must.ErrorIs(t, err, ErrBusy)
+	must.Eq(t, 0, c.line.Deferred(now))
+	must.Eq(t, 1, c.Contention.DeferralsRefused.Load())
+}
+
+// A runner slows down while requests are deferred, so that their prompts take longer. Guards against
+// a wait worked out with the previous pace, after which a request is told to wait and refused later.
+func TestDeferredRequestsCostWhatTheCurrentPaceSays(t *testing.T) {
+	r := newWorkRunner()
+	r.c.pacer.Admit(12_000, r.now)
+	before := rankedRequest(1, 0, 2*time.Second)
+	before.Key.Name, before.PromptTokens = "", 3000
+	deferred, err := r.c.Admit(before)
+	must.NoError(t, err)
+	must.Positive(t, deferred.Ticket)
+	r.percent = 350
+	behind := rankedRequest(1, 5, 2*time.Second)
+	behind.Key.Name, behind.LastResort, behind.MaxWait = "", true, time.Minute
+	behind.LatencyBudget = 3 * time.Second
+	_, err = r.c.Admit(behind)
+	must.NoError(t, err)
+	now := r.now
+	wait, _ := r.c.line.TooLate(r.c.turnOf(behind), r.c.prefillState(now), now)
+	must.GreaterEq(t, r.c.pacer.Wait(800, now)+r.c.pacer.cost(3000), wait)
+}
+
+// The runner rejects the order of a load, which is queued again. Guards against a load that keeps
+// its slot from higher precedence as if it had been ordered.
+func TestLoadWhoseOrderWasRejectedCanBeDisplaced(t *testing.T) {
+	now := epoch
+	c := newTestController(&now, 1, &fakeEngine{answers: []Outcome{OutcomeRejected}})
+	_, err := c.Admit(rankedRequest(0, 5, 5*time.Second))
+	must.NoError(t, err)
+	c.Step(t.Context())
+	must.SliceLen(t, 1, c.pending)
+	_, err = c.Admit(rankedRequest(1, 0, 5*time.Second))
+	must.NoError(t, err)
+	must.Eq(t, 1, c.Contention.DisplacedLoads.Load())
+}
--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -85,10 +85,10 @@
 	synced bool
 	// modelHeld is set once the base model is loaded.
 	modelHeld bool
-	// pending are the loads that requests wait for.
+	// pending are the loads that the runner has not accepted yet.
 	pending []*pendingLoad
 	lastSeq uint64
-	// ordering is the adapter whose load is the next order or has been ordered last.
+	// ordering is the adapter whose load is being ordered, the zero Key if none is.
 	ordering Key
 	// refusal is the reason to refuse all requests, nil once the runner's report has
 	// been read.
@@ -122,9 +122,9 @@
 	ModelLoads *ModelLoadLimiter
 	HostCount  func() int
 	// Contended reports whether the deployment calls for scheduling under contention, see
-	// docs/design/contention.md.
+	// docs/design/contention.md. It may be nil, which stands for never.
 	Contended func() bool
-	// Contention counts decisions of all controllers of the host.
+	// Contention counts decisions of all controllers of the host. It may be nil.
 	Contention *ContentionCounters
 	// Replication counts the decisions on replicas. It may be nil.
 	Replication *ReplicationCounters
@@ -361,7 +361,7 @@
 	if load == nil {
 		return c.planSpareSlot(now)
 	}
-	if !c.mayLoad(load.key) || load.ahead && !c.mayLoadAhead() {
+	if !c.mayLoad(load.key) || load.ahead && !c.mayLoadAhead(now) {
 		return task{pause: loadPollInterval}
 	}
 	if _, replaces := c.slots.entries[load.key.Adapter]; replaces || c.slots.Free() > 0 {
@@ -369,6 +369,11 @@
 		return task{action: actionLoad, key: load.key}
 	}
 	victim, found := c.victim(now)
+	if found && load.ahead && !c.mayEvictAhead(load.perSecond, now) {
+		// The adapters with less demand have been evicted or requested since the load was queued.
+		c.removePending(load)
+		return task{}
+	}
 	if !found && now.Before(load.slotExpectedAt.Add(overdueExtension)) {
 		return task{pause: loadPollInterval}
 	}
