Requests that need a load count the prompts of those that wait for loads

Cause: a request that needs a load chose its runner by the backlog of prompts at that moment. Prompts longer than a slowed-down runner has room for were sent to it as if they had the usual length, and paused all its streams.

Change: a runner remembers the prompts that are due when loads are done; a request that would be late for them goes to another runner, unless no other takes it. A prompt that alone would make a slowed-down runner's streams pause too long counts with its own length.

--- a/internal/adapters/admission.go
+++ b/internal/adapters/admission.go
@@ -112,6 +112,9 @@
 	// times as often as those with fewer than 1,000 (0.29 and 0.04 of them).
 	ask.LatencyBudget -= c.promptTime(ask.PromptTokens)
 	c.noteAsk(ask, now)
+	if ask.Waited {
+		c.incoming.remove(ask.PromptTokens)
+	}
 	admitted, err := AdmissionResult{}, c.checkLoad(ask, view, limits)
 	if err == nil {
 		admitted, err = c.admit(ask, now)
@@ -169,6 +172,7 @@
 		}
 	}
 	if readyAt.Sub(now) > turnLead {
+		c.incoming.add(readyAt, ask.PromptTokens, now)
 		return AdmissionResult{At: readyAt, AskAgain: true}, nil
 	}
 	if deferred, again, err := c.deferTurn(ask, now); again || err != nil {
--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -70,6 +70,8 @@
 	spec  Spec
 	slots *AdapterSlots
 	pacer Pacer
+	// incoming are the prompts of the requests that wait for loads.
+	incoming incomingPrompts
 	// line orders the requests that wait for their turn at prefill.
 	line *precedence.Line
 	// prefill estimates how fast the runner runs prefill.
--- a/internal/adapters/pace.go
+++ b/internal/adapters/pace.go
@@ -26,9 +26,9 @@
 	BurstTokens float64
 	// EventRoom is the number of prompt tokens that one event has room for.
 	EventRoom float64
-	// UsualPerMS is the rate at the usual work time, and UsualBurst the burst without a reserve.
+	// UsualPerMS is the rate at the usual work time, and UsualRoom what EventRoom is then.
 	UsualPerMS float64
-	UsualBurst float64
+	UsualRoom  float64
 }
 
 const (
@@ -64,7 +64,7 @@
 func PaceFor(speed Speed) Pace {
 	pace := Pace{Known: true, EventRoom: speed.eventRoom(speed.plannedGapMS(), speed.Work)}
 	usualRoom := speed.eventRoom(speed.plannedGapMS(), 1)
-	pace.UsualBurst = burstShare * usualRoom
+	pace.UsualRoom = usualRoom
 	reserve := max(minReserveTokens, speed.eventRoom(inMS(speed.Gap), max(speed.Work, speed.Peak)))
 	pace.BurstTokens = burstShare * min(pace.EventRoom, reserve)
 	pace.TokensPerMS = (1 - burstShare) * min(pace.EventRoom/speed.plannedGapMS(), reserve/inMS(slowdownLag))
@@ -88,11 +88,11 @@
 
 func inMS(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// blocks reports whether a prompt would make the running streams pause too long because the
-// runner is slowed down. A prompt longer than the usual burst counts as one of that length: it is
-// sent alone, and at its usual speed a runner blocks no prompt.
+// blocks reports whether a prompt alone would make the running streams pause too long because the
+// runner is slowed down. A prompt that no runner of usual speed has room for counts as one that just
+// fits: at its usual speed a runner blocks no prompt.
 func (p Pace) blocks(tokens int) bool {
-	return p.Known && min(float64(tokens), p.UsualBurst) > p.EventRoom
+	return p.Known && min(float64(tokens), p.UsualRoom) > p.EventRoom
 }
 
 // minPacedPerMS is the rate at which prompts are sent at least. A request that no other runner
--- a/internal/adapters/pace_test.go
+++ b/internal/adapters/pace_test.go
@@ -89,6 +89,7 @@
 	slow.Work, fast.Work = 2.5, 2.5
 	must.True(t, PaceFor(slow).blocks(prompt))
 	must.False(t, PaceFor(fast).blocks(prompt))
+	must.True(t, PaceFor(fast).blocks(7000), must.Sprint("alone it would take longer than callers allow"))
 	fast.Work = 100
 	must.True(t, PaceFor(fast).blocks(prompt))
 	must.False(t, Pace{}.blocks(prompt))
--- a/internal/adapters/queue.go
+++ b/internal/adapters/queue.go
@@ -116,6 +116,9 @@
 func (c *Controller) requestLoad(ask AdmissionRequest, now time.Time) (time.Time, error) {
 	if readyAt, ok := c.slots.Ready(ask.Key); ok {
 		c.slots.Touch(ask.Key.Adapter, now)
+		if readyAt.Sub(now) > turnLead {
+			return readyAt, c.checkTurnAfterLoad(ask, readyAt, now)
+		}
 		return readyAt, nil
 	}
 	rank := c.rankOf(ask, now)
@@ -132,6 +135,9 @@
 	if loadTime > c.maxLoadWait(ask) {
 		return time.Time{}, c.loadTooSlow(ask, loadTime, now)
 	}
+	if err := c.checkTurnAfterLoad(ask, now.Add(loadTime), now); err != nil {
+		return time.Time{}, err
+	}
 	if !known {
 		wait, ok := c.slotWait(ask, loadTime, now)
 		if !ok {
