Precedence of a request is read from its own log field only

Cause: cherryctl analyze also took a pair in the field rank as the precedence, and accepted a text "W,R" that no host logs. rank is the runner's position in the adapter's order. Change: only precedence, as [W,R], is read. Result: TestOutcomesByRankAndWorkspace has a pair in rank and failed before.

--- a/cmd/cherryctl/analyze_test.go
+++ b/cmd/cherryctl/analyze_test.go
@@ -14,7 +14,7 @@
 func TestAnalyzeByWorkspaceIsBoundedInWidth(t *testing.T) {
 	name := strings.Repeat("harbour", 40)
 	log := filepath.Join(t.TempDir(), "host.log")
-	line := `{"@message":"request","id":"a","workspace":"` + name + `","precedence":"1,2","status":200,"complete":true}` + "\n"
+	line := `{"@message":"request","id":"a","workspace":"` + name + `","precedence":[1,2],"status":200,"complete":true}` + "\n"
 	must.NoError(t, os.WriteFile(log, []byte(line+line), 0o600))
 	printed, err := output(t, "analyze", "--by", "workspace", log)
 	must.NoError(t, err)
--- a/internal/losses/losses.go
+++ b/internal/losses/losses.go
@@ -67,10 +67,8 @@
 	NotAdmitted string `json:"not_admitted"`
 	// FailureCause is the cause of the last failed attempt.
 	FailureCause string `json:"cause"`
-	// Precedence is absent where requests aren't ordered by priority. Rank is the same where a
-	// line has it by this name.
+	// Precedence is absent where requests aren't ordered by priority.
 	Precedence Precedence `json:"precedence"`
-	Rank       Precedence `json:"rank"`
 }
 
 // Cause returns the reason why a request was not served on time, or OnTime.
--- a/internal/losses/outcomes.go
+++ b/internal/losses/outcomes.go
@@ -45,16 +45,11 @@
 	Known bool
 }
 
-// UnmarshalJSON accepts "W,R" and [W,R]. Anything else leaves the precedence unknown: lines have
-// another number named rank, the runner's position in the adapter's order.
+// UnmarshalJSON accepts [W,R]. Anything else leaves the precedence unknown, so that the rest of the
+// line is still counted.
 func (p *Precedence) UnmarshalJSON(raw []byte) error {
-	var text string
 	var pair []int
-	switch {
-	case json.Unmarshal(raw, &text) == nil:
-		count, err := fmt.Sscanf(text, "%d,%d", &p.Workspace, &p.Route)
-		p.Known = err == nil && count == 2
-	case json.Unmarshal(raw, &pair) == nil && len(pair) == 2:
+	if json.Unmarshal(raw, &pair) == nil && len(pair) == 2 {
 		*p = Precedence{Workspace: pair[0], Route: pair[1], Known: true}
 	}
 	return nil
@@ -79,14 +74,6 @@
 	return cmp.Or(cmp.Compare(p.Workspace, other.Workspace), cmp.Compare(p.Route, other.Route))
 }
 
-// precedence returns the request's precedence from whichever field has it.
-func (r Request) precedence() Precedence {
-	if r.Precedence.Known {
-		return r.Precedence
-	}
-	return r.Rank
-}
-
 // CountOutcomes counts the requests that match a filter by group and outcome. Precedences are
 // sorted, highest first, and workspaces by the number of requests, most first. It returns an error
 // if no line tells the group.
@@ -100,7 +87,7 @@
 		if byGroup[group] == nil {
 			byGroup[group] = &Outcomes{Group: group}
 			if by == ByRank {
-				byGroup[group].Precedence = request.precedence()
+				byGroup[group].Precedence = request.Precedence
 			}
 		}
 		byGroup[group].add(request.Cause())
@@ -123,7 +110,7 @@
 
 func (r Request) group(by Grouping) string {
 	if by == ByRank {
-		return r.precedence().String()
+		return r.Precedence.String()
 	}
 	return cmp.Or(r.Workspace, noGroup)
 }
--- a/internal/losses/outcomes_test.go
+++ b/internal/losses/outcomes_test.go
@@ -7,14 +7,14 @@
 	"github.com/shoenig/test/must"
 )
 
-const rankedLines = `{"@message":"request","id":"a","workspace":"harbour","precedence":"0,2","rank":3,"status":200,"complete":true,"first_ms":900,"target_ms":600}
-{"@message":"request","id":"b","workspace":"harbour","precedence":"0,2","rank":0,"status":200,"complete":true}
-{"@message":"request","id":"c","workspace":"pilots","rank":[1,0],"status":503,"answered":"no runner"}
-{"@message":"request","id":"d","workspace":"harbour","precedence":"0,10","status":499}
-{"@message":"request","id":"e","rank":7,"status":200,"complete":true,"gap_ms":400,"target_gap_ms":300}`
+const rankedLines = `{"@message":"request","id":"a","workspace":"harbour","precedence":[0,2],"rank":3,"status":200,"complete":true,"first_ms":900,"target_ms":600}
+{"@message":"request","id":"b","workspace":"harbour","precedence":[0,2],"rank":0,"status":200,"complete":true}
+{"@message":"request","id":"c","workspace":"pilots","rank":[2,0],"precedence":[1,0],"status":503,"answered":"no runner"}
+{"@message":"request","id":"d","workspace":"harbour","precedence":[0,10],"status":499}
+{"@message":"request","id":"e","rank":[7,0],"status":200,"complete":true,"gap_ms":400,"target_gap_ms":300}`
 
-// Guards against outcomes in the wrong group: the precedence is not confused with the runner's
-// position in the adapter's order, which lines name rank as well, and is sorted by number.
+// Guards against outcomes in the wrong group: the precedence is not taken from the field rank, the
+// runner's position in the adapter's order, and is sorted by number.
 func TestOutcomesByRankAndWorkspace(t *testing.T) {
 	requests, unreadable, err := ReadRequests(strings.NewReader(rankedLines))
 	must.NoError(t, err)
