Hosts fill all parts of contention on the metrics page

Cause: adapters, evictions, slot ledgers and prompt backlogs were absent from the page that cherryctl contention merges, and on the page under other names instead. Evictions were counted only if the runner had done the unload at once, in contended deployments. Change: contention.Sources gets the hottest adapters, evictions by reason, the ledgers' status and each runner's prefill backlog. The variables hot_adapters, adapters_evicted and slot_ledgers, which told the same, are dropped; a ledger's hold_ms, promoted and refused_by_runner are on the page. Result: TestAllPartsOfContentionAreOnMetricsPages on whole hosts, TestContentionOfHostPages for the command on such pages; TestEvictionsAreCountedByPurpose. Known before this change and not touched: TestPlainRequestsShareSlotsOfAllHosts and TestLedgerHostIsKilledUnderLoad of package platform fail.

--- a/cmd/cherryctl/contention_test.go
+++ b/cmd/cherryctl/contention_test.go
@@ -61,3 +61,20 @@
 	_, err = output(t, "contention", "127.0.0.1:1")
 	must.ErrorContains(t, err, "no host answered")
 }
+
+// Guards against parts of a host's page that the command doesn't print. The pages are those of two
+// hosts in TestAllPartsOfContentionAreOnMetricsPages of package platform.
+func TestContentionOfHostPages(t *testing.T) {
+	server := httptest.NewServer(http.FileServer(http.Dir("testdata")))
+	t.Cleanup(server.Close)
+	printed, err := output(t, "contention", server.URL+"/contention-h1.json", server.URL+"/contention-h3.json")
+	must.NoError(t, err)
+	fields := strings.Join(strings.Fields(printed), " ")
+	for _, want := range []string{
+		"base/a1 13.2/s 0.0/s 3 6 i-llm3,i-llm4,i-llm5,i-llm6,…", "spare slot 47",
+		"i-llm6 " + server.URL + "/contention-h1.json 1.00 - 35.0/ms 166ms 6 64 -",
+		"api " + server.URL + "/contention-h3.json 0 128 0 0ms 1 0 0 -",
+	} {
+		must.StrContains(t, fields, want)
+	}
+}
--- a/internal/adapters/admission.go
+++ b/internal/adapters/admission.go
@@ -235,6 +235,14 @@
 	return c.prefill.PerToken()
 }
 
+// PrefillBacklog returns how long the prefill takes of the prompts that the runner has admitted and
+// not processed yet.
+func (c *Controller) PrefillBacklog() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.prefillState(c.Now()).Backlog
+}
+
 // RequestsEnded records how many requests have ended for each adapter.
 func (c *Controller) RequestsEnded(adapters map[site.Adapter]int) {
 	c.mu.Lock()
--- a/internal/adapters/ahead.go
+++ b/internal/adapters/ahead.go
@@ -37,9 +37,12 @@
 	Planned, Loaded, Refused, Unreachable atomic.Int64
 	// Recovered counts loads of what a lost runner held.
 	Recovered atomic.Int64
-	// Evicted counts evictions by demand. EvictedWanted are those of adapters with at least
-	// replication.MinReportedPerSecond requests per second.
-	Evicted, EvictedWanted atomic.Int64
+	// EvictedForLoad counts evictions for loads that requests wait for, EvictedForAhead those for
+	// loads ahead of demand, and EvictedForSpare those that free a slot in advance.
+	EvictedForLoad, EvictedForAhead, EvictedForSpare atomic.Int64
+	// EvictedWanted counts the evictions of adapters with at least
+	// replication.MinReportedPerSecond requests per second, in a contended deployment.
+	EvictedWanted atomic.Int64
 }
 
 // aheadState is a controller's state for loads ahead of demand. It is guarded by Controller.mu.
--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -328,8 +328,8 @@
 	action action
 	key    Key
 	pause  time.Duration
-	// evicted describes why an adapter is unloaded, for the log.
-	evicted []any
+	// evictedFor is what an adapter is unloaded for.
+	evictedFor string
 }
 
 // runNext carries out the next task and returns the pause after it.
@@ -339,7 +339,7 @@
 	case actionLoad:
 		return c.loadAdapter(ctx, planned.key)
 	case actionUnload:
-		return c.unload(ctx, planned.key.Adapter, planned.evicted)
+		return c.unload(ctx, planned.key.Adapter, planned.evictedFor)
 	case actionDrop:
 		c.dropPending(planned.key)
 		return 0
@@ -375,7 +375,7 @@
 	if !found {
 		return task{action: actionDrop, key: load.key}
 	}
-	return task{action: actionUnload, key: Key{Adapter: victim}, evicted: c.evictionFields(victim, load.purpose(), now)}
+	return task{action: actionUnload, key: Key{Adapter: victim}, evictedFor: load.purpose()}
 }
 
 // planSpareSlot returns the unload that frees a slot in advance, or a pause; c.mu must
@@ -388,7 +388,7 @@
 	if !found {
 		return task{pause: idleInterval}
 	}
-	return task{action: actionUnload, key: Key{Adapter: victim}, evicted: c.evictionFields(victim, evictedForSpare, now)}
+	return task{action: actionUnload, key: Key{Adapter: victim}, evictedFor: evictedForSpare}
 }
 
 // mayLoad reports whether one more load may start; c.mu must be held.
--- a/internal/adapters/eviction.go
+++ b/internal/adapters/eviction.go
@@ -1,13 +1,14 @@
 package adapters
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/replication"
 	"github.com/cherrystage/cherrystage/internal/site"
 )
 
-// What an adapter is evicted for, as the log line names it.
+// What an adapter is evicted for, as the log line and the metrics name it.
 const (
 	evictedForLoad  = "load"
 	evictedForAhead = "load ahead"
@@ -44,17 +45,38 @@
 	return []any{"evicted_for", purpose, "demand", c.ahead.demand.Rate(adapter, now).PerSecond}
 }
 
-// countEviction counts an eviction by the demand for the adapter; c.mu must be held.
-func (c *Controller) countEviction(adapter site.Adapter) {
+// countEviction counts an eviction by its purpose and, in a contended deployment, by the demand for
+// the adapter; c.mu must be held.
+func (c *Controller) countEviction(adapter site.Adapter, purpose string) {
+	switch purpose {
+	case evictedForLoad:
+		c.Replication.EvictedForLoad.Add(1)
+	case evictedForAhead:
+		c.Replication.EvictedForAhead.Add(1)
+	case evictedForSpare:
+		c.Replication.EvictedForSpare.Add(1)
+	}
 	if !c.contended() {
 		return
 	}
-	c.Replication.Evicted.Add(1)
 	if c.ahead.demand.Rate(adapter, c.Now()).PerSecond >= replication.MinReportedPerSecond {
 		c.Replication.EvictedWanted.Add(1)
 	}
 }
 
+// Evictions returns the number of evictions by what they made room for, without those that are 0.
+func (r *ReplicationCounters) Evictions() map[string]int64 {
+	evictions := map[string]int64{}
+	for purpose, counter := range map[string]*atomic.Int64{
+		evictedForLoad: &r.EvictedForLoad, evictedForAhead: &r.EvictedForAhead, evictedForSpare: &r.EvictedForSpare,
+	} {
+		if count := counter.Load(); count > 0 {
+			evictions[purpose] = count
+		}
+	}
+	return evictions
+}
+
 // leastWanted returns the idle adapter with the least demand and this demand per second; c.mu must
 // be held. Ties are broken by last use.
 func (c *Controller) leastWanted(now time.Time) (victim site.Adapter, perSecond float64, found bool) {
--- a/internal/adapters/eviction_test.go
+++ b/internal/adapters/eviction_test.go
@@ -88,12 +88,12 @@
 		must.True(t, found)
 		must.Eq(t, testAdapter(want), victim)
 		must.Eq(t, []any{"evicted_for", evictedForSpare, "demand", c.ahead.demand.Rate(victim, now).PerSecond}, c.evictionFields(victim, evictedForSpare, now))
-		c.countEviction(victim)
+		c.countEviction(victim, evictedForSpare)
 		c.slots.Unloaded(victim)
 	}
 	_, found := c.victim(now)
 	must.False(t, found)
-	must.Eq(t, 3, c.Replication.Evicted.Load())
+	must.Eq(t, map[string]int64{evictedForSpare: 3}, c.Replication.Evictions())
 	must.Eq(t, 0, c.Replication.EvictedWanted.Load())
 }
 
@@ -132,3 +132,21 @@
 	_, err = home.PrefetchAhead(AheadLoad{Key: testKey(3), PerSecond: 2, Lost: "r"})
 	must.ErrorIs(t, err, ErrHeldElsewhere)
 }
+
+// Guards against evictions that the metrics miss: an unload that the runner has accepted but not done
+// yet is one as well, in any deployment. An order that was not carried out is none.
+func TestEvictionsAreCountedByPurpose(t *testing.T) {
+	for _, contended := range []bool{false, true} {
+		now := epoch
+		engine := &fakeEngine{answers: []Outcome{OutcomeAccepted, OutcomeDone, OutcomeFenced}}
+		c := newContendedController(&now, 4, engine)
+		c.Contended = func() bool { return contended }
+		for i := range 3 {
+			c.slots.LoadAccepted(testKey(i), now, now)
+		}
+		c.unload(t.Context(), testAdapter(0), evictedForLoad)
+		c.unload(t.Context(), testAdapter(1), evictedForSpare)
+		c.unload(t.Context(), testAdapter(2), evictedForLoad)
+		must.Eq(t, map[string]int64{evictedForLoad: 1, evictedForSpare: 1}, c.Replication.Evictions())
+	}
+}
--- a/internal/adapters/hottest.go
+++ b/internal/adapters/hottest.go
@@ -8,6 +8,8 @@
 // HomeAdapter is an adapter with much demand, with its home runner.
 type HomeAdapter struct {
 	Home string
+	// Held reports whether the home runner holds the adapter.
+	Held bool
 	HotAdapter
 }
 
@@ -16,7 +18,7 @@
 	var hottest []HomeAdapter
 	for id, controller := range o.controllersByID() {
 		for _, hot := range controller.HottestAtHome(limit) {
-			hottest = append(hottest, HomeAdapter{Home: id, HotAdapter: hot})
+			hottest = append(hottest, HomeAdapter{Home: id, Held: controller.Holds(hot.Key.Adapter), HotAdapter: hot})
 		}
 	}
 	slices.SortFunc(hottest, func(a, b HomeAdapter) int {
--- a/internal/adapters/orders.go
+++ b/internal/adapters/orders.go
@@ -130,17 +130,21 @@
 }
 
 // unload orders the unload of an adapter, records its outcome and returns the pause
-// after it. details are added to the log line.
-func (c *Controller) unload(ctx context.Context, adapter site.Adapter, details []any) time.Duration {
+// after it.
+func (c *Controller) unload(ctx context.Context, adapter site.Adapter, purpose string) time.Duration {
+	c.mu.Lock()
+	details := c.evictionFields(adapter, purpose, c.Now())
+	c.mu.Unlock()
 	outcome := c.order(ctx, false, Key{Adapter: adapter}, details...)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch outcome {
 	case OutcomeDone:
-		c.countEviction(adapter)
+		c.countEviction(adapter, purpose)
 		c.slots.Unloaded(adapter)
 		return 0
 	case OutcomeAccepted:
+		c.countEviction(adapter, purpose)
 		c.slots.UnloadAccepted(adapter, c.Now())
 		c.synced = false
 		return syncRetryInterval
--- a/internal/contention/contention.go
+++ b/internal/contention/contention.go
@@ -8,8 +8,8 @@
 type Page struct {
 	// Requests counts callers' requests on the host.
 	Requests []Requests `json:"requests,omitempty"`
-	// Adapters lists at most MaxAdapters adapters, those with the most demand on the runners
-	// that the host owns.
+	// Adapters lists at most MaxAdapters adapters, those with the most demand whose homes are
+	// runners that the host owns.
 	Adapters []Adapter `json:"adapters,omitempty"`
 	// Evictions counts the evictions of adapters on these runners, by reason.
 	Evictions map[string]int64 `json:"evictions,omitempty"`
@@ -60,15 +60,16 @@
 	r.Refused += other.Refused
 }
 
-// Adapter is the demand for an adapter on the runners that a host owns.
+// Adapter is the demand for an adapter at its homes among the runners that a host owns.
 type Adapter struct {
 	// Adapter is the adapter as MODEL/NAME.
 	Adapter string `json:"adapter"`
-	// PerS is the decayed number of admissions per second, RefusedPerS that of refusals.
+	// PerS is the decayed number of requests per second that asked the home, RefusedPerS that of
+	// those that it refused as busy.
 	PerS        float64 `json:"per_s"`
 	RefusedPerS float64 `json:"refused_per_s,omitempty"`
-	// Replicas are the runners that are known to hold the adapter, Planned the number that its
-	// home plans, 0 if this host is not its home.
+	// Replicas are the runners that are known to hold the adapter, Planned the number of the home's
+	// last plan, 0 if it made none.
 	Replicas []string `json:"replicas,omitempty"`
 	Planned  int      `json:"planned,omitempty"`
 }
@@ -96,17 +97,22 @@
 type SlotLedger struct {
 	Service string `json:"service"`
 	// Slots is the number of request slots of the service's runners, Granted the number of
-	// those that are in use now, and Queued the number of requests that wait for one now, the
-	// first of them for LongestWaitMS.
+	// those that are in use now, and Queued the number of requests that wait for one now, one of
+	// them for LongestWaitMS.
 	Slots         int   `json:"slots"`
 	Granted       int   `json:"granted"`
 	Queued        int   `json:"queued"`
 	LongestWaitMS int64 `json:"longest_wait_ms,omitempty"`
+	// HoldMS is the mean time for which a slot is held.
+	HoldMS int64 `json:"hold_ms,omitempty"`
 	// Grants counts the slots granted, Refused the requests refused, and Expired the grants that
-	// no release ended.
-	Grants  int64 `json:"grants"`
-	Refused int64 `json:"refused,omitempty"`
-	Expired int64 `json:"expired,omitempty"`
+	// no release ended. Promoted counts the requests that went before others of higher precedence
+	// because theirs had too few slots, RefusedByRunner the granted requests that runners refused.
+	Grants          int64 `json:"grants"`
+	Refused         int64 `json:"refused,omitempty"`
+	Expired         int64 `json:"expired,omitempty"`
+	Promoted        int64 `json:"promoted,omitempty"`
+	RefusedByRunner int64 `json:"refused_by_runner,omitempty"`
 	// Full lists the runners that are treated as full although the ledger shows free slots.
 	Full []string `json:"full,omitempty"`
 }
--- a/internal/contention/merge.go
+++ b/internal/contention/merge.go
@@ -123,6 +123,8 @@
 	total.Grants += ledger.Grants
 	total.Refused += ledger.Refused
 	total.Expired += ledger.Expired
+	total.Promoted += ledger.Promoted
+	total.RefusedByRunner += ledger.RefusedByRunner
 }
 
 // mergeRunners lists the runners of all hosts. While a runner changes hands, two hosts may list it;
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -124,7 +124,7 @@
 	e := &Entry{cfg: cfg, log: log, now: now, started: now(), wake: make(chan struct{}, 1)}
 	e.grace.Store(int64(cfg.ShutdownGrace))
 	e.requestCounts = contention.NewCounters()
-	e.contentionSources.Runners = e.runnerStates
+	e.contentionSources = contention.Sources{Adapters: e.adapterStates, Evictions: e.evictions, Runners: e.runnerStates, Slots: e.slotLedgerStates}
 	identity := peer.Identity{Host: cfg.Host, Incarnation: newIncarnation()}
 	pool := peer.NewPool(identity, cfg.PeerKey, peer.Dialer(dial), log)
 	e.directory = directory.New(platform.Decoder, now, log)
@@ -452,7 +452,6 @@
 	vars.Set("quarantine_size", expvar.Func(func() any { return e.quarantineSync.quarantine.Size() }))
 	vars.Set("workspaces", expvar.Func(func() any { return e.quotas.workspaceUse() }))
 	vars.Set("quota_parts_counted", expvar.Func(func() any { return e.quotas.counting.counter.Size() }))
-	vars.Set("slot_ledgers", expvar.Func(func() any { return e.slots.ledgers.status() }))
 	vars.Set("runners_limited", expvar.Func(func() any { return e.board.LimitedCount() }))
 	vars.Set("contention", expvar.Func(func() any { return e.contentionSources.Page(e.requestCounts) }))
 	vars.Set("config_version", expvar.Func(func() any { return e.configVersion() }))
--- a/internal/entry/replicator_test.go
+++ b/internal/entry/replicator_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"expvar"
 	"fmt"
 	"slices"
@@ -158,11 +157,12 @@
 		vars := new(expvar.Map).Init()
 		replicationVars(vars, r.owner)
 		must.Eq(t, fmt.Sprint(len(asked)), vars.Get("replicas_loaded").String())
-		var shown []hotAdapter
-		must.NoError(t, json.Unmarshal([]byte(vars.Get("hot_adapters").String()), &shown))
+		shown := hotAdapters(r.owner)
 		must.SliceLen(t, 1, shown)
-		must.Eq(t, "r0", shown[0].Home)
-		must.SliceLen(t, len(asked), shown[0].Replicas)
+		must.Eq(t, key.String(), shown[0].Adapter)
+		must.Positive(t, shown[0].PerS)
+		must.SliceLen(t, 1+len(asked), shown[0].Replicas)
+		must.Eq(t, "r0", shown[0].Replicas[0])
 		must.Eq(t, 1+len(asked), shown[0].Planned)
 	})
 }
--- a/internal/entry/slotledgers.go
+++ b/internal/entry/slotledgers.go
@@ -136,7 +136,7 @@
 	}
 	delete(s.byService, ledger.service)
 	close(ledger.ended)
-	status := ledger.Status()
+	status := ledger.Status(s.now())
 	s.log.Info("slot ledger ended", "service", ledger.service, "epoch", ledger.epoch, "reason", reason, "running", status.Running, "waiting", status.Waiting)
 }
 
@@ -341,8 +341,9 @@
 // status returns the state of the ledgers that this host keeps, by service.
 func (s *slotLedgers) status() map[string]slotledger.Status {
 	status := map[string]slotledger.Status{}
+	now := s.now()
 	for _, ledger := range s.all() {
-		status[ledger.service] = ledger.Status()
+		status[ledger.service] = ledger.Status(now)
 	}
 	return status
 }
--- a/internal/slotledger/ledger.go
+++ b/internal/slotledger/ledger.go
@@ -84,27 +84,29 @@
 
 // Counts counts a ledger's decisions since it began.
 type Counts struct {
-	Granted int64 `json:"granted"`
-	// Queued counts the requests that did not get a slot at once.
-	Queued  int64 `json:"queued"`
-	Refused int64 `json:"refused"`
+	Granted int64
+	Refused int64
 	// Promoted counts the requests that went first because the slots of their precedence fell
 	// short of the least share.
-	Promoted int64 `json:"promoted"`
+	Promoted int64
 	// Expired counts the grants that were not returned in time.
-	Expired int64 `json:"expired"`
+	Expired int64
 	// RefusedByRunner counts the refusals of runners with a free slot by the ledger.
-	RefusedByRunner int64 `json:"refused_by_runner"`
+	RefusedByRunner int64
 }
 
 // Status is the state of a ledger for operators.
 type Status struct {
 	Counts
-	Slots   int `json:"slots"`
-	Running int `json:"running"`
-	Waiting int `json:"waiting"`
-	// HoldMS is the mean time in milliseconds for which a slot is held.
-	HoldMS int64 `json:"hold_ms"`
+	Slots   int
+	Running int
+	Waiting int
+	// LongestWait is how long the request waits that has waited longest, 0 if none waits.
+	LongestWait time.Duration
+	// MeanHold is the mean time for which a slot is held.
+	MeanHold time.Duration
+	// Full lists the runners that count as full because they refused a request.
+	Full []string
 }
 
 // New returns a ledger without grants.
@@ -129,7 +131,6 @@
 	w.attendedUntil = now.Add(attendance)
 	decisions := l.grantFree(now)
 	if !known && l.waiting[request.ID] == w {
-		l.counts.Queued++
 		decisions = append(decisions, l.refuseNew(w, now)...)
 	}
 	return l.takeOwn(request.ID, decisions, now)
@@ -279,12 +280,19 @@
 }
 
 // Status returns the state of the ledger.
-func (l *Ledger) Status() Status {
+func (l *Ledger) Status(now time.Time) Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	status := Status{Counts: l.counts, Running: len(l.grants), Waiting: len(l.queue), HoldMS: l.holds.mean().Milliseconds()}
+	status := Status{Counts: l.counts, Running: len(l.grants), Waiting: len(l.queue), MeanHold: l.holds.mean()}
+	for _, w := range l.queue {
+		status.LongestWait = max(status.LongestWait, now.Sub(w.arrivedAt))
+	}
 	for _, r := range l.runners {
 		status.Slots += r.slots
+		if now.Before(r.fullUntil) {
+			status.Full = append(status.Full, r.id)
+		}
 	}
+	slices.Sort(status.Full)
 	return status
 }
--- a/internal/slotledger/ledger_test.go
+++ b/internal/slotledger/ledger_test.go
@@ -138,7 +138,7 @@
 	release := []Release{{ID: requestFor(1, 0).ID}}
 	must.Eq(t, []uint64{2}, numbers(l.Release(release, start), Granted))
 	must.SliceEmpty(t, l.Release(release, start))
-	must.Eq(t, 1, l.Status().Running)
+	must.Eq(t, 1, l.Status(start).Running)
 }
 
 // Guards against a slot that is granted to a request whose caller has gone.
@@ -148,7 +148,7 @@
 	mustAcquire(t, l, requestFor(2, 0, "a"), start, Queued)
 	must.Eq(t, []uint64{2}, numbers(l.Release([]Release{{ID: requestFor(2, 0).ID}}, start), Withdrawn))
 	must.SliceEmpty(t, l.Release([]Release{{ID: requestFor(1, 0).ID}}, start))
-	must.Eq(t, 0, l.Status().Running)
+	must.Eq(t, 0, l.Status(start).Running)
 }
 
 // Guards against a slot that is counted as taken for ever when its release is lost.
@@ -159,10 +159,10 @@
 		request.Lifetime = lifetime
 		mustAcquire(t, l, request, start, Granted)
 		l.Advance(start.Add(want - time.Millisecond))
-		must.Eq(t, 1, l.Status().Running)
+		must.Eq(t, 1, l.Status(start).Running)
 		l.Advance(start.Add(want))
-		must.Eq(t, 0, l.Status().Running)
-		must.Eq(t, 1, l.Status().Expired)
+		must.Eq(t, 0, l.Status(start).Running)
+		must.Eq(t, 1, l.Status(start).Expired)
 	}
 }
 
@@ -178,8 +178,8 @@
 	mustAcquire(t, l, request, start, Queued)
 	must.SliceEmpty(t, l.Advance(start.Add(fullPeriod-time.Millisecond)))
 	must.Eq(t, []uint64{2}, numbers(l.Advance(start.Add(fullPeriod)), Granted))
-	must.Eq(t, 1, l.Status().RefusedByRunner)
-	must.Eq(t, initialHold.Milliseconds(), l.Status().HoldMS, must.Sprint("a refusal tells nothing of how long requests run"))
+	must.Eq(t, 1, l.Status(start).RefusedByRunner)
+	must.Eq(t, initialHold, l.Status(start).MeanHold, must.Sprint("a refusal tells nothing of how long requests run"))
 }
 
 // Guards against slots that stay taken by a host that has died, and waits of it that get slots.
@@ -402,3 +402,21 @@
 	must.SliceEmpty(t, numbers(l.Advance(now.Add(2*minGrowthInterval-1)), Granted))
 	must.Eq(t, []uint64{4}, numbers(l.Advance(now.Add(2*minGrowthInterval)), Granted))
 }
+
+// Guards against a status that hides from operators how long requests wait and which runners refuse.
+func TestStatusShowsTheLongestWaitAndFullRunners(t *testing.T) {
+	l := New()
+	mustAcquire(t, l, requestFor(1, 0, "a"), start, Granted)
+	mustAcquire(t, l, requestFor(2, 0, "b"), start, Granted)
+	mustAcquire(t, l, requestFor(3, 0, "a"), start, Queued)
+	mustAcquire(t, l, requestFor(4, 0, "a"), start.Add(20*time.Millisecond), Queued)
+	now := start.Add(30 * time.Millisecond)
+	l.Release([]Release{{ID: requestFor(2, 0).ID, Refused: true}}, now)
+	status := l.Status(now)
+	must.Eq(t, 2, status.Slots)
+	must.Eq(t, 1, status.Running)
+	must.Eq(t, 2, status.Waiting)
+	must.Eq(t, 30*time.Millisecond, status.LongestWait)
+	must.Eq(t, []string{"b"}, status.Full)
+	must.SliceEmpty(t, l.Status(now.Add(fullPeriod)).Full)
+}
--- a/internal/slotledger/queue.go
+++ b/internal/slotledger/queue.go
@@ -17,7 +17,8 @@
 	// precedence that gets a little less than it asks for are answered late.
 	overdue bool
 	// arrival orders requests that are equal otherwise.
-	arrival uint64
+	arrival   uint64
+	arrivedAt time.Time
 	// giveUpAt is the end of the time that the request can wait.
 	giveUpAt time.Time
 	// attendedUntil is when the request is dropped if its holder does not ask for it again.
@@ -65,7 +66,7 @@
 func (l *Ledger) enqueue(request Request, now time.Time) *waiter {
 	l.arrivals++
 	w := &waiter{
-		request: request, runners: l.nameRunners(request.Runners, now), arrival: l.arrivals, promoted: l.shares.fallsShort(request.Precedence, now),
+		request: request, runners: l.nameRunners(request.Runners, now), arrival: l.arrivals, arrivedAt: now, promoted: l.shares.fallsShort(request.Precedence, now),
 		giveUpAt: now.Add(min(request.MaxWait, maxExpectedWait)), attendedUntil: now.Add(attendance),
 	}
 	w.request.Runners = nil
