Adapters of a leaving runner are loaded elsewhere once

Cause: each change of a leaving runner's entry, several a second, started another recovery of all its adapters, each of up to 15 rounds of messages. Change: a recovery begins once for each runner until it is gone.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -276,10 +276,7 @@
 
 func (e *Entry) runnerChanged(runner *site.Runner, gone bool) {
 	if gone || runner.Leaving {
-		// Taken now, since the runner's controller is stopped soon.
-		if lost := e.replicator.lostAdapters(runner, e.directory.Snapshot()); len(lost) > 0 {
-			go e.replicator.recover(context.Background(), runner, lost, e.directory.Snapshot)
-		}
+		e.replicator.runnerLost(runner, gone, e.directory.Snapshot)
 	}
 	if gone {
 		e.board.Forget(runner.ID, e.now())
--- a/internal/entry/recovery.go
+++ b/internal/entry/recovery.go
@@ -19,6 +19,32 @@
 	recoveryAttempts = 15
 )
 
+// runnerLost has the adapters of a runner that leaves or is gone loaded elsewhere, in the background.
+// It does so once for each runner, since the entry of a leaving runner changes with each of its
+// adapters.
+func (r *replicator) runnerLost(runner *site.Runner, gone bool, snapshot func() *directory.Snapshot) {
+	// Taken now, since the runner's controller is stopped soon.
+	lost := r.lostAdapters(runner, snapshot())
+	if r.beginRecovery(runner.ID, gone, len(lost) > 0) {
+		go r.recover(context.Background(), runner, lost, snapshot)
+	}
+}
+
+// beginRecovery reports whether to recover a runner's adapters now: there are some, and it was not
+// done before. A runner that is gone is forgotten.
+func (r *replicator) beginRecovery(runner string, gone, needed bool) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	begins := needed && !r.recovered[runner]
+	switch {
+	case gone:
+		delete(r.recovered, runner)
+	case begins:
+		r.recovered[runner] = true
+	}
+	return begins
+}
+
 // lostAdapters returns the adapters that are lost with a runner of this host.
 func (r *replicator) lostAdapters(runner *site.Runner, snapshot *directory.Snapshot) []adapters.AheadLoad {
 	controller, ok := r.owner.Controller(runner.ID)
--- a/internal/entry/replicator.go
+++ b/internal/entry/replicator.go
@@ -36,10 +36,14 @@
 	contended func() bool
 	now       func() time.Time
 	log       hclog.Logger
+
+	mu sync.Mutex
+	// recovered holds the leaving runners whose adapters were loaded elsewhere.
+	recovered map[string]bool
 }
 
 func newReplicator(owner *adapters.Owner, owners *ownerClient, b *board.Board, contended func() bool, now func() time.Time) *replicator {
-	return &replicator{owner: owner, owners: owners, board: b, contended: contended, now: now, log: owners.log}
+	return &replicator{owner: owner, owners: owners, board: b, contended: contended, now: now, log: owners.log, recovered: map[string]bool{}}
 }
 
 // plan starts the loads of missing replicas. It does not wait for their answers.
--- a/internal/entry/replicator_test.go
+++ b/internal/entry/replicator_test.go
@@ -290,3 +290,21 @@
 		must.SliceEmpty(t, r.lostAdapters(runner, r.snapshot))
 	})
 }
+
+// The entry of a leaving runner changes with each of its adapters, and is removed in the end. What it
+// holds is loaded elsewhere once, not again with each change.
+func TestAdaptersOfALeavingRunnerAreRecoveredOnce(t *testing.T) {
+	withReplicator(t, []string{"r0"}, func(r *replicating) {
+		r.ask("r0", r.adapterOf("r0", 0), 4, true)
+		runner := r.snapshot.ByService["llm"][0]
+		current := func() *directory.Snapshot { return r.snapshot }
+		for range 5 {
+			r.runnerLost(runner, false, current)
+			time.Sleep(10 * time.Millisecond)
+		}
+		r.runnerLost(runner, true, current)
+		time.Sleep(time.Second)
+		must.SliceLen(t, 1, r.asked())
+		must.MapEmpty(t, r.recovered)
+	})
+}
