A replica that was evicted is asked for like a new one

Cause: a runner that held an adapter earlier stayed marked as named to requests. Change: a request to a runner whose replica is no longer confirmed clears the mark.

--- a/internal/replication/home.go
+++ b/internal/replication/home.go
@@ -140,6 +140,10 @@
 // it as well. It counts as being loaded until readyAt.
 func (h *Home[K]) Requested(key K, runner string, readyAt, now time.Time) {
 	found := h.holder(key, runner, now)
+	if now.Sub(found.confirmedAt) > holderTTL {
+		// It held the adapter earlier, and requests no longer go there.
+		found.announced = false
+	}
 	found.readyAt, found.confirmedAt = readyAt, laterOf(now, readyAt)
 	h.change(key)
 }
--- a/internal/replication/home_test.go
+++ b/internal/replication/home_test.go
@@ -186,3 +186,26 @@
 	must.LessEq(t, MaxKeys, h.asks.Len())
 	must.LessEq(t, MaxKeys, len(h.changed))
 }
+
+// A runner that held the adapter earlier, and evicted it since, is asked again. If it refuses, it does
+// not count as a replica; if it accepts, requests are told when the replica is ready.
+func TestReplicaThatWasEvictedIsLikeANewOne(t *testing.T) {
+	for _, accepts := range []bool{false, true} {
+		h, now := askedHome(80)
+		h.Confirmed(1, "before", now)
+		now = now.Add(holderTTL + time.Millisecond)
+		readyAt := now.Add(300 * time.Millisecond)
+		h.Requested(1, "before", readyAt, now)
+		if !accepts {
+			h.Refused(1, "before", now)
+			h.Asked(1, request, now)
+			plan := h.plan(1, roomy, now)
+			must.Eq(t, 1, plan.Held, must.Sprint("the home's only"))
+			must.Eq(t, 0, plan.Loading)
+			continue
+		}
+		h.Accepted(1, "before", readyAt, now)
+		must.SliceEmpty(t, h.TakeReady(1, now))
+		must.Eq(t, []string{"before"}, h.TakeReady(1, readyAt))
+	}
+}
