Waits for a shared slot that are given up leave the ledger's queue

Cause: a request kept its place when all its runners were paused meanwhile, when its ledger's host was found silent by another request or its caller left between two asks, and when the answer that it waits came too late. Change: the ledger drops a request that names no usable runner; a host gives the place up before it stops asking, and after a late answer that the request waits.

--- a/internal/entry/slotledgers.go
+++ b/internal/entry/slotledgers.go
@@ -151,6 +151,8 @@
 	request := params.request(from, now)
 	request.Runners = s.offered(params.Runners, now)
 	if len(request.Runners) == 0 {
+		// The request is placed without a slot, and may wait here from an earlier call.
+		ledger.deliver(ledger.Release([]slotledger.Release{{ID: request.ID}}, now))
 		return SlotAcquireResult{}, errNoneOffered
 	}
 	decided := ledger.hold(request.ID)
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -86,9 +86,14 @@
 // at two messages a second for each request.
 func (m *slotManager) acquire(ctx context.Context, ask slotAsk) serve.SlotGrant {
 	grant := serve.SlotGrant{Service: ask.Service, Number: ask.number}
+	queuedAt := ""
 	for {
 		host, address := m.mesh.LeaderFor(slotKey(ask.Service))
 		grant.Host = host
+		if ctx.Err() != nil || !m.mayAsk(host, address) {
+			m.leaveQueue(queuedAt, ask)
+			return grant
+		}
 		result, err := m.ask(ctx, host, address, ask)
 		if err != nil {
 			return grant
@@ -106,6 +111,7 @@
 			grant.Outcome = serve.SlotRefused
 			return grant
 		}
+		queuedAt = host
 		if ask.hold == firstHold {
 			m.waited.Add(1)
 			ask.hold = slotledger.HoldLimit
@@ -113,25 +119,30 @@
 	}
 }
 
-var (
-	errNoLedgerHost     = errors.New("no reachable host keeps the ledger of the service's slots")
-	errLedgerHostSilent = errors.New("the ledger's host does not answer in time")
-)
+// mayAsk reports whether a host keeps the ledger and can be reached as far as is known.
+func (m *slotManager) mayAsk(host, address string) bool {
+	if host == m.identity.Host {
+		return true
+	}
+	return host != "" && address != "" && !m.backoff.active(host, m.now())
+}
+
+// leaveQueue gives up a request's place at the host where it waits, if it does. The place would be
+// granted a slot that nobody uses.
+func (m *slotManager) leaveQueue(host string, ask slotAsk) {
+	if host != "" {
+		m.giveBack(host, ask, true)
+	}
+}
+
+var errLedgerHostSilent = errors.New("the ledger's host does not answer in time")
 
 // ask asks the ledger's host once. Without an answer the request must be placed without a slot; one
 // that is granted later is returned.
 func (m *slotManager) ask(ctx context.Context, host, address string, ask slotAsk) (SlotAcquireResult, error) {
-	if ctx.Err() != nil {
-		return SlotAcquireResult{}, ctx.Err()
-	}
 	params := m.params(ask)
-	switch {
-	case host == "":
-		return SlotAcquireResult{}, errNoLedgerHost
-	case host == m.identity.Host:
+	if host == m.identity.Host {
 		return m.askLocal(ctx, ask, params)
-	case address == "" || m.backoff.active(host, m.now()):
-		return SlotAcquireResult{}, errNoLedgerHost
 	}
 	answers := make(chan slotAnswer, 1)
 	go func() { answers <- m.call(host, address, params) }()
@@ -231,10 +242,10 @@
 	m.backoff.set(host, now.Add(slotBackoff))
 }
 
-// giveBackLate returns a slot that was granted too late for its request. The earlier return may
-// have overtaken the request.
+// giveBackLate returns a slot, or a place in the queue, that was granted too late for its request. The
+// earlier return may have overtaken the request.
 func (m *slotManager) giveBackLate(host string, ask slotAsk, answers <-chan slotAnswer) {
-	if answer := <-answers; answer.err == nil && answer.result.Runner != "" {
+	if answer := <-answers; answer.err == nil && !answer.result.Refused {
 		m.giveBack(host, ask, true)
 	}
 }
--- a/internal/entry/slots_test.go
+++ b/internal/entry/slots_test.go
@@ -454,8 +454,10 @@
 
 // fakeLedgerHost answers requests for slots after a delay.
 type fakeLedgerHost struct {
-	mu       sync.Mutex
-	delay    time.Duration
+	mu    sync.Mutex
+	delay time.Duration
+	// queues is set if it answers that requests wait.
+	queues   bool
 	asked    []SlotAcquireParams
 	returned []SlotRelease
 }
@@ -485,6 +487,9 @@
 				defer fake.mu.Unlock()
 				fake.asked = append(fake.asked, p)
 				fake.returned = append(fake.returned, p.Released...)
+				if fake.queues {
+					return SlotAcquireResult{}, nil
+				}
 				return SlotAcquireResult{Runner: "p0"}, nil
 			})
 			peer.Handle(mux, methodSlotsRelease, func(_ context.Context, _ peer.Identity, p SlotReleaseParams) (struct{}, error) {
@@ -512,19 +517,21 @@
 	})
 }
 
-// The ledger's host grants a slot too late: the request has been placed without it, and the slot is
-// returned after the grant.
+// The ledger's host grants a slot or queues the request too late: the request has been placed without
+// it, and the slot or the place is returned after the answer.
 func TestLateGrantIsReturned(t *testing.T) {
-	fake := &fakeLedgerHost{delay: 200 * time.Millisecond}
-	withFakeLedgerHost(t, fake, true, func(m *slotManager) {
-		grant := m.Acquire(context.Background(), slotRequest(time.Second))
-		must.Eq(t, serve.SlotUnknown, grant.Outcome)
-		time.Sleep(100 * time.Millisecond)
-		before := len(fake.returns())
-		time.Sleep(time.Second)
-		must.Len(t, before+1, fake.returns())
-		must.Eq(t, SlotRelease{Service: plainService, Number: grant.Number}, fake.returns()[before])
-	})
+	for _, queues := range []bool{false, true} {
+		fake := &fakeLedgerHost{delay: 200 * time.Millisecond, queues: queues}
+		withFakeLedgerHost(t, fake, true, func(m *slotManager) {
+			grant := m.Acquire(context.Background(), slotRequest(time.Second))
+			must.Eq(t, serve.SlotUnknown, grant.Outcome)
+			time.Sleep(100 * time.Millisecond)
+			before := len(fake.returns())
+			time.Sleep(time.Second)
+			must.Len(t, before+1, fake.returns())
+			must.Eq(t, SlotRelease{Service: plainService, Number: grant.Number}, fake.returns()[before])
+		})
+	}
 }
 
 // A host of the previous version lacks the method: requests are placed without it, and it is not
@@ -613,3 +620,40 @@
 	must.Eq(t, 0, request.MaxWait)
 	must.Eq(t, time.Hour, request.Lifetime)
 }
+
+// A request waits, and then all its runners are paused: it is placed without a slot, and its place in
+// the queue is given up. A slot granted to it later would be idle until the grant expires.
+func TestWaitForPausedRunnersLeavesTheQueue(t *testing.T) {
+	withSlotFleet(t, func(f *slotFleet) {
+		grants := f.asker.acquireAll(t)
+		waiting := f.other.acquireLater(context.Background(), 2*time.Second)
+		time.Sleep(10 * time.Millisecond)
+		f.pause("p0")
+		f.pause("p1")
+		must.Eq(t, serve.SlotUnknown, (<-waiting).Outcome)
+		time.Sleep(10 * time.Millisecond)
+		for _, grant := range grants {
+			f.asker.Release(grant, false)
+		}
+		time.Sleep(100 * time.Millisecond)
+		must.Eq(t, 0, f.running())
+	})
+}
+
+// A request waits, and another request of its host finds the ledger's host silent. The request is
+// placed without a slot, and gives its place up once the ledger's host answers again.
+func TestWaitAtASilentLedgerHostIsGivenUp(t *testing.T) {
+	withSlotFleet(t, func(f *slotFleet) {
+		grants := f.other.acquireAll(t)
+		waiting := f.asker.acquireLater(context.Background(), 2*time.Second)
+		time.Sleep(10 * time.Millisecond)
+		f.asker.backoff.set(f.leader.name, time.Now().Add(slotBackoff))
+		must.Eq(t, serve.SlotUnknown, (<-waiting).Outcome)
+		time.Sleep(10 * time.Millisecond)
+		for _, grant := range grants {
+			f.other.Release(grant, false)
+		}
+		time.Sleep(100 * time.Millisecond)
+		must.Eq(t, 0, f.running())
+	})
+}
