A refusal beyond a runner's slots never closes the runner

Cause: if another request of the runner ended before the refusal of one beyond its slots was known, the ledger took the refusal for one of a runner with free slots: it closed the runner for 100 ms and went on granting beyond its slots at the same pace. Change: a grant records whether it was beyond the slots. Result: TestLateRefusalBeyondTheSlotsDoesNotCloseTheRunner, which failed before.

--- a/internal/slotledger/ledger.go
+++ b/internal/slotledger/ledger.go
@@ -65,13 +65,14 @@
 	r.queueGrowsAt = now.Add(r.growthInterval)
 }
 
-// refused records that the runner refused a granted request, after the end of its grant.
-func (r *runner) refused(now time.Time) {
-	if r.granted < r.slots {
+// refused records that the runner refused a granted request, after the end of its grant. beyond is
+// set if the grant was beyond the runner's slots. Others may have ended since.
+func (r *runner) refused(beyond bool, now time.Time) {
+	if !beyond && r.granted < r.slots {
 		r.fullUntil = now.Add(fullPeriod)
 		return
 	}
-	r.queue = min(r.queue, r.granted-r.slots)
+	r.queue = min(r.queue, max(0, r.granted-r.slots))
 	r.growthInterval = min(2*r.growthInterval, maxGrowthInterval)
 	r.queueGrowsAt = now.Add(r.growthInterval)
 }
@@ -80,6 +81,8 @@
 	runner  *runner
 	at      time.Time
 	expires time.Time
+	// beyondSlots is set if all slots of the runner were granted already.
+	beyondSlots bool
 }
 
 // Counts counts a ledger's decisions since it began.
@@ -188,7 +191,7 @@
 	}
 	l.endGrant(release.ID, held)
 	if release.Refused {
-		held.runner.refused(now)
+		held.runner.refused(held.beyondSlots, now)
 		l.counts.RefusedByRunner++
 	} else {
 		l.holds.observe(now.Sub(held.at))
--- a/internal/slotledger/ledger_test.go
+++ b/internal/slotledger/ledger_test.go
@@ -420,3 +420,24 @@
 	must.Eq(t, []string{"b"}, status.Full)
 	must.SliceEmpty(t, l.Status(now.Add(fullPeriod)).Full)
 }
+
+// A runner refuses a request beyond its slots, and another of its requests ends before the refusal is
+// known. The runner is not closed for a while, it is granted fewer beyond its slots.
+func TestLateRefusalBeyondTheSlotsDoesNotCloseTheRunner(t *testing.T) {
+	l := New()
+	queueing := func(number uint64) Request {
+		request := requestFor(number, 0)
+		request.Runners = []Runner{{ID: "a", Slots: 2, Queue: 1}}
+		return request
+	}
+	mustAcquire(t, l, queueing(1), start, Granted)
+	mustAcquire(t, l, queueing(2), start, Granted)
+	mustAcquire(t, l, queueing(3), start, Queued)
+	must.Eq(t, []uint64{3}, numbers(l.Advance(start), Granted))
+	now := start.Add(10 * time.Millisecond)
+	l.Release([]Release{{ID: queueing(1).ID}, {ID: queueing(3).ID, Refused: true}}, now)
+	must.SliceEmpty(t, l.Status(now).Full)
+	mustAcquire(t, l, queueing(4), now, Granted)
+	mustAcquire(t, l, queueing(5), now, Queued)
+	must.SliceEmpty(t, numbers(l.Advance(now.Add(2*minGrowthInterval-1)), Granted))
+}
--- a/internal/slotledger/queue.go
+++ b/internal/slotledger/queue.go
@@ -203,7 +203,7 @@
 
 func (l *Ledger) grant(request Request, r *runner, now time.Time) {
 	lifetime := min(max(minLifetime, request.Lifetime), maxLifetime)
-	held := &grant{runner: r, at: now, expires: now.Add(lifetime)}
+	held := &grant{runner: r, at: now, expires: now.Add(lifetime), beyondSlots: r.granted >= r.slots}
 	l.grants[request.ID] = held
 	r.granted++
 	if held.expires.Before(l.nextExpiry) {
