The model plays replicas ahead of demand and tickets in all contended scenarios

Cause: the model's owners decided by demand and precedence where a scenario has priorities or slowdowns, but its homes planned replicas only where the scenario said so, and its deferred requests did not return their tickets, so that they lost their turns. Change: one condition for all of it; requests keep the ticket of the last answer. TestContendedScenariosHaveReplicasLoadedAhead and TestDeferredRequestOfTheModelReturnsItsTicket failed before; the uncontended scenarios' tests pass unchanged.

--- a/internal/experiment/ahead_test.go
+++ b/internal/experiment/ahead_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/cherrystage/cherrystage/internal/adapters"
 	"github.com/shoenig/test/must"
 )
 
@@ -51,3 +52,26 @@
 		must.Eq(t, 0, r.Planned+r.ReplicasLoaded+r.ReplicasRefused)
 	}
 }
+
+// Guards against a model that plays half of the decisions under contention: wherever owners decide by
+// demand and precedence, homes also have replicas loaded ahead.
+func TestContendedScenariosHaveReplicasLoadedAhead(t *testing.T) {
+	for _, scenario := range []string{"contention", "uneven-runners"} {
+		r := runScenario(t, scenario, Product, func(cfg *Config) { cfg.LengthS = 4 })
+		must.Positive(t, r.Planned, must.Sprint(scenario))
+		must.Positive(t, r.ReplicasLoaded, must.Sprint(scenario))
+	}
+}
+
+// Guards against deferred requests of the model that lose their place: they return the ticket of the
+// last answer, as hosts do.
+func TestDeferredRequestOfTheModelReturnsItsTicket(t *testing.T) {
+	cfg, err := Scenario("contention")
+	must.NoError(t, err)
+	sim := newSimulation(cfg, Product, nil)
+	now := sim.clock.now
+	q := &request{sim: sim, kind: &cfg.Kinds[0], host: sim.hosts[0], begun: now, arrived: now, runners: sim.runners}
+	q.admitted(sim.runners[0], adapters.AdmissionResult{At: now, AskAgain: true, Ticket: 7})
+	sim.clock.run(now)
+	must.Eq(t, 7, q.ticket)
+}
--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -61,9 +61,10 @@
 	runners []*site.Runner
 	step    placing.Step
 	// lastResort is set if every other runner has refused; waited is set once the owner has
-	// told the host to ask again.
+	// told the host to ask again, with a ticket if the request was deferred.
 	lastResort bool
 	waited     bool
+	ticket     uint64
 	sends      int
 	engine     *engine
 	run        *engineRun
@@ -204,7 +205,7 @@
 		if r.tried[runner.ID] || (!lastResort && r.host.board.View(runner.ID, sim.clock.now).Suspect) {
 			continue
 		}
-		r.step, r.lastResort, r.waited = step, lastResort, false
+		r.step, r.lastResort, r.waited, r.ticket = step, lastResort, false, 0
 		r.askOwner()
 		return
 	}
@@ -226,7 +227,7 @@
 			Key: r.key, PromptTokens: r.prompt, MaxOutputTokens: r.output, ExpectedOutputTokens: r.output, PromptWait: target / promptWaitDivisor,
 			LatencyBudget: r.arrived.Add(target - firstEventReserve).Sub(sim.clock.now), MaxWait: r.timeLeft(), LastResort: r.lastResort,
 			Home: r.step.Home && r.key.Name != "" && sim.policy == Product, Retry: r.step.Retry, Waited: r.waited,
-			Ranked: sim.cfg.ordersByPriority(), Precedence: r.precedence(),
+			Ranked: sim.cfg.ordersByPriority(), Precedence: r.precedence(), Ticket: r.ticket,
 		})
 		sim.lastAsker[r.key] = r
 		sim.scheduleStep(c, 0)
@@ -285,7 +286,7 @@
 			return
 		}
 		if admitted.AskAgain {
-			r.waited = true
+			r.waited, r.ticket = true, admitted.Ticket
 			r.askOwner()
 			return
 		}
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -339,7 +339,7 @@
 		sim.clock.at(sim.started.Add(seconds(loss.AtS)), func() { sim.stopHosts(loss) })
 	}
 	sim.clock.after(suspicionInterval, sim.shareSuspicions)
-	if sim.cfg.Contended {
+	if sim.contended() {
 		sim.clock.after(planInterval, sim.planReplicas)
 		sim.clock.after(reportInterval, sim.reportDemand)
 	}
