A runner's speed, work time and backlog are on one part of the metrics page

Cause: runner_speeds repeated work_percent, work_age_ms, the learned prefill speed and the prompt backlog of contention.runners, the last two under other names and in other units. Change: runner_speeds keeps what only it has.

--- a/internal/adapters/speedreport.go
+++ b/internal/adapters/speedreport.go
@@ -2,22 +2,16 @@
 
 import "math"
 
-// RunnerSpeed is what the owner of a runner knows of its speed, for the metrics.
+// RunnerSpeed is what the owner of a runner knows of its speed, for the metrics, besides what
+// contention.Runner has.
 type RunnerSpeed struct {
-	// PrefillPerMS is the learned number of prompt tokens per millisecond at the usual work time,
-	// 0 if it is not known yet.
-	PrefillPerMS float64 `json:"prefill_per_ms"`
-	// WorkPercent is the work time that the runner announced WorkAgeMS ago, PeakPercent the
-	// longest of lately. Ignored is set while the figure is not believed.
-	WorkPercent int   `json:"work_percent"`
-	WorkAgeMS   int64 `json:"work_age_ms"`
-	PeakPercent int   `json:"peak_percent"`
-	Ignored     bool  `json:"ignored,omitempty"`
-	// TokensPerMS and BurstTokens are the pace of prompts as of the last request, BacklogTokens
-	// the prompts that were admitted and are not processed yet at that pace.
-	TokensPerMS   float64 `json:"tokens_per_ms"`
-	BurstTokens   float64 `json:"burst_tokens"`
-	BacklogTokens float64 `json:"backlog_tokens"`
+	// PeakPercent is the longest work time of lately in percent of the usual one. Ignored is set
+	// while the announced work time is not believed.
+	PeakPercent int  `json:"peak_percent"`
+	Ignored     bool `json:"ignored,omitempty"`
+	// TokensPerMS and BurstTokens are the pace of prompts as of the last request.
+	TokensPerMS float64 `json:"tokens_per_ms"`
+	BurstTokens float64 `json:"burst_tokens"`
 	// Refused counts the requests that were refused because the runner was slowed down, Probes
 	// and ProbesFailed the probes of its work time.
 	Refused      int64 `json:"refused"`
@@ -46,11 +40,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	speed := RunnerSpeed{
-		WorkPercent: view.WorkPercent, WorkAgeMS: view.WorkAge.Milliseconds(), PeakPercent: int(100 * c.work.peakAt(now)), Ignored: c.work.ignored,
-		BacklogTokens: math.Round(c.pacer.backlogTokens(now)), Refused: c.work.refused, Probes: c.probes.sent.Load(), ProbesFailed: c.probes.failed.Load(),
-	}
-	if perToken := c.prefill.PerToken(); perToken > 0 {
-		speed.PrefillPerMS = rounded(1e6 / perToken)
+		PeakPercent: int(100 * c.work.peakAt(now)), Ignored: c.work.ignored,
+		Refused: c.work.refused, Probes: c.probes.sent.Load(), ProbesFailed: c.probes.failed.Load(),
 	}
 	if pace := c.pacer.pace; pace.Known {
 		speed.TokensPerMS, speed.BurstTokens = rounded(pace.rate()), math.Round(pace.BurstTokens)
--- a/internal/adapters/worktime_test.go
+++ b/internal/adapters/worktime_test.go
@@ -326,12 +326,11 @@
 	}
 	speed, ok := r.c.speed()
 	must.True(t, ok)
-	must.Eq(t, 40, speed.PrefillPerMS)
-	must.Eq(t, 250, speed.WorkPercent)
+	must.Eq(t, 40, rounded(1e6/r.c.PrefillPerToken()))
 	must.Eq(t, 250, speed.PeakPercent)
 	must.Between(t, 4, speed.TokensPerMS, 7)
 	must.Between(t, 500, speed.BurstTokens, 1000)
-	must.Positive(t, speed.BacklogTokens)
+	must.Positive(t, r.c.PrefillBacklog())
 	r.percent = 0
 	_, ok = r.c.speed()
 	must.False(t, ok)
