Planned replicas count only those that a runner is asked for

Cause: replicas_planned rose by the missing replicas with each plan, ten times a second, while all runners held the adapter or were avoided. Change: it counts the replicas for which a runner is asked, also in the model; a test's comment names its load and no customer. Result: TestReplicasThatNoRunnerCanLoadAreNotCounted, which failed before.

--- a/internal/adapters/contended_test.go
+++ b/internal/adapters/contended_test.go
@@ -12,7 +12,7 @@
 	"github.com/shoenig/test/must"
 )
 
-// contendedRoute is one kind of requests of customer A, see docs/design/contention.md.
+// contendedRoute is one kind of requests of the load under contention, see docs/design/contention.md.
 type contendedRoute struct {
 	name             string
 	share            float64
--- a/internal/entry/replicator.go
+++ b/internal/entry/replicator.go
@@ -72,13 +72,14 @@
 	ranked := serve.RankRunners(plan.Key.PlacementKey(), serve.WithModel(runners, plan.Key.Model))
 	order := candidateOrder(ranked, home)
 	chosen := replication.Choose(r.candidates(order), plan.Unavailable, plan.Missing)
-	r.owner.Replication().Planned.Add(int64(plan.Missing))
+	replicas := min(plan.Missing, len(chosen))
+	r.owner.Replication().Planned.Add(int64(replicas))
 	next := &candidateQueue{runners: chosen}
 	byID := make(map[string]*site.Runner, len(ranked))
 	for _, runner := range ranked {
 		byID[runner.ID] = runner
 	}
-	for range min(plan.Missing, len(chosen)) {
+	for range replicas {
 		go func() {
 			for id, ok := next.take(); ok; id, ok = next.take() {
 				if r.loadOn(ctx, controller, home, plan, byID[id], ranked) {
--- a/internal/entry/replicator_test.go
+++ b/internal/entry/replicator_test.go
@@ -308,3 +308,16 @@
 		must.MapEmpty(t, r.recovered)
 	})
 }
+
+// Guards against a counter of planned replicas that rises with each plan, ten times a second, while no
+// runner can be asked for one.
+func TestReplicasThatNoRunnerCanLoadAreNotCounted(t *testing.T) {
+	withReplicator(t, []string{"r0"}, func(r *replicating) {
+		key := r.adapterOf("r0", 0)
+		r.ask("r0", key, 16, true)
+		r.snapshot.ByService["llm"] = r.snapshot.ByService["llm"][:1]
+		r.plan(context.Background(), r.snapshot)
+		must.Eq(t, 0, r.owner.Replication().Planned.Load())
+		must.SliceEmpty(t, r.asked())
+	})
+}
--- a/internal/experiment/ahead.go
+++ b/internal/experiment/ahead.go
@@ -21,11 +21,11 @@
 			continue
 		}
 		for _, plan := range c.PlanReplicas() {
-			sim.result.Planned += plan.Missing
 			chosen := replication.Choose(sim.replicaCandidates(plan.Key, runner), plan.Unavailable, plan.Missing)
-			next := &chosen
-			for range min(plan.Missing, len(chosen)) {
-				sim.loadReplica(c, runner, plan, next)
+			replicas := min(plan.Missing, len(chosen))
+			sim.result.Planned += replicas
+			for range replicas {
+				sim.loadReplica(c, runner, plan, &chosen)
 			}
 		}
 	}
