--- a/internal/entry/replicator.go
+++ b/internal/entry/replicator.go
@@ -36,10 +36,14 @@
 	contended func() bool
 	now       func() time.Time
 	log       hclog.Logger
+
+	mu sync.Mutex
+	// recovered holds the leaving runners whose adapters were loaded elsewhere.
+	recovered map[string]bool
 }
 
 func newReplicator(owner *adapters.Owner, owners *ownerClient, b *board.Board, contended func() bool, now func() time.Time) *replicator {
-	return &replicator{owner: owner, owners: owners, board: b, contended: contended, now: now, log: owners.log}
+	return &replicator{owner: owner, owners: owners, board: b, contended: contended, now: now, log: owners.log, recovered: map[string]bool{}}
 }
 
 // plan starts the loads of missing replicas. It does not wait for their answers.
@@ -68,13 +72,14 @@
 	ranked := serve.RankRunners(plan.Key.PlacementKey(), serve.WithModel(runners, plan.Key.Model))
 	order := candidateOrder(ranked, home)
 	chosen := replication.Choose(r.candidates(order), plan.Unavailable, plan.Missing)
-	r.owner.Replication().Planned.Add(int64(plan.Missing))
+	replicas := min(plan.Missing, len(chosen))
+	r.owner.Replication().Planned.Add(int64(replicas))
 	next := &candidateQueue{runners: chosen}
 	byID := make(map[string]*site.Runner, len(ranked))
 	for _, runner := range ranked {
 		byID[runner.ID] = runner
 	}
-	for range min(plan.Missing, len(chosen)) {
+	for range replicas {
 		go func() {
 			for id, ok := next.take(); ok; id, ok = next.take() {
 				if r.loadOn(ctx, controller, home, plan, byID[id], ranked) {
--- a/internal/entry/replicator_test.go
+++ b/internal/entry/replicator_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"expvar"
 	"fmt"
 	"slices"
@@ -158,11 +157,12 @@
 		vars := new(expvar.Map).Init()
 		replicationVars(vars, r.owner)
 		must.Eq(t, fmt.Sprint(len(asked)), vars.Get("replicas_loaded").String())
-		var shown []hotAdapter
-		must.NoError(t, json.Unmarshal([]byte(vars.Get("hot_adapters").String()), &shown))
+		shown := hotAdapters(r.owner)
 		must.SliceLen(t, 1, shown)
-		must.Eq(t, "r0", shown[0].Home)
-		must.SliceLen(t, len(asked), shown[0].Replicas)
+		must.Eq(t, key.String(), shown[0].Adapter)
+		must.Positive(t, shown[0].PerS)
+		must.SliceLen(t, 1+len(asked), shown[0].Replicas)
+		must.Eq(t, "r0", shown[0].Replicas[0])
 		must.Eq(t, 1+len(asked), shown[0].Planned)
 	})
 }
@@ -290,3 +290,34 @@
 		must.SliceEmpty(t, r.lostAdapters(runner, r.snapshot))
 	})
 }
+
+// The entry of a leaving runner changes with each of its adapters, and is removed in the end. What it
+// holds is loaded elsewhere once, not again with each change.
+func TestAdaptersOfALeavingRunnerAreRecoveredOnce(t *testing.T) {
+	withReplicator(t, []string{"r0"}, func(r *replicating) {
+		r.ask("r0", r.adapterOf("r0", 0), 4, true)
+		runner := r.snapshot.ByService["llm"][0]
+		current := func() *directory.Snapshot { return r.snapshot }
+		for range 5 {
+			r.runnerLost(runner, false, current)
+			time.Sleep(10 * time.Millisecond)
+		}
+		r.runnerLost(runner, true, current)
+		time.Sleep(time.Second)
+		must.SliceLen(t, 1, r.asked())
+		must.MapEmpty(t, r.recovered)
+	})
+}
+
+// Guards against a counter of planned replicas that rises with each plan, ten times a second, while no
+// runner can be asked for one.
+func TestReplicasThatNoRunnerCanLoadAreNotCounted(t *testing.T) {
+	withReplicator(t, []string{"r0"}, func(r *replicating) {
+		key := r.adapterOf("r0", 0)
+		r.ask("r0", key, 16, true)
+		r.snapshot.ByService["llm"] = r.snapshot.ByService["llm"][:1]
+		r.plan(context.Background(), r.snapshot)
+		must.Eq(t, 0, r.owner.Replication().Planned.Load())
+		must.SliceEmpty(t, r.asked())
+	})
+}
--- a/internal/slotledger/ledger.go
+++ b/internal/slotledger/ledger.go
@@ -67,13 +67,14 @@
 	r.queueGrowsAt = now.Add(r.growthInterval)
 }
 
-// refused records that the runner refused a granted request, after the end of its grant.
-func (r *runner) refused(now time.Time) {
-	if r.granted < r.slots {
+// refused records that the runner refused a granted request, after the end of its grant. beyond is
+// set if the grant was beyond the runner's slots. Others may have ended since.
+func (r *runner) refused(beyond bool, now time.Time) {
+	if !beyond && r.granted < r.slots {
 		r.fullUntil = now.Add(fullPeriod)
 		return
 	}
-	r.queue = min(r.queue, r.granted-r.slots)
+	r.queue = min(r.queue, max(0, r.granted-r.slots))
 	r.growthInterval = min(2*r.growthInterval, maxGrowthInterval)
 	r.queueGrowsAt = now.Add(r.growthInterval)
 }
@@ -82,31 +83,35 @@
 	runner  *runner
 	at      time.Time
 	expires time.Time
+	// beyondSlots is set if all slots of the runner were granted already.
+	beyondSlots bool
 }
 
 // Counts counts a ledger's decisions since it began.
 type Counts struct {
-	Granted int64 `json:"granted"`
-	// Queued counts the requests that did not get a slot at once.
-	Queued  int64 `json:"queued"`
-	Refused int64 `json:"refused"`
+	Granted int64
+	Refused int64
 	// Promoted counts the requests that went first because the slots of their precedence fell
 	// short of the least share.
-	Promoted int64 `json:"promoted"`
+	Promoted int64
 	// Expired counts the grants that were not returned in time.
-	Expired int64 `json:"expired"`
+	Expired int64
 	// RefusedByRunner counts the refusals of runners with a free slot by the ledger.
-	RefusedByRunner int64 `json:"refused_by_runner"`
+	RefusedByRunner int64
 }
 
 // Status is the state of a ledger for operators.
 type Status struct {
 	Counts
-	Slots   int `json:"slots"`
-	Running int `json:"running"`
-	Waiting int `json:"waiting"`
-	// HoldMS is the mean time in milliseconds for which a slot is held.
-	HoldMS int64 `json:"hold_ms"`
+	Slots   int
+	Running int
+	Waiting int
+	// LongestWait is how long the request waits that has waited longest, 0 if none waits.
+	LongestWait time.Duration
+	// MeanHold is the mean time for which a slot is held.
+	MeanHold time.Duration
+	// Full lists the runners that count as full because they refused a request.
+	Full []string
 }
 
 // New returns a ledger without grants.
@@ -131,7 +136,6 @@
 	w.attendedUntil = now.Add(attendance)
 	decisions := l.grantFree(now)
 	if !known && l.waiting[request.ID] == w {
-		l.counts.Queued++
 		decisions = append(decisions, l.refuseNew(w, now)...)
 	}
 	return l.takeOwn(request.ID, decisions, now)
@@ -189,7 +193,7 @@
 	}
 	l.endGrant(release.ID, held)
 	if release.Refused {
-		held.runner.refused(now)
+		held.runner.refused(held.beyondSlots, now)
 		l.counts.RefusedByRunner++
 	} else {
 		l.holds.observe(now.Sub(held.at))
@@ -289,12 +293,19 @@
 }
 
 // Status returns the state of the ledger.
-func (l *Ledger) Status() Status {
+func (l *Ledger) Status(now time.Time) Status {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	status := Status{Counts: l.counts, Running: len(l.grants), Waiting: len(l.queue), HoldMS: l.holds.mean().Milliseconds()}
+	status := Status{Counts: l.counts, Running: len(l.grants), Waiting: len(l.queue), MeanHold: l.holds.mean()}
+	for _, w := range l.queue {
+		status.LongestWait = max(status.LongestWait, now.Sub(w.arrivedAt))
+	}
 	for _, r := range l.runners {
 		status.Slots += r.slots
+		if now.Before(r.fullUntil) {
+			status.Full = append(status.Full, r.id)
+		}
 	}
+	slices.Sort(status.Full)
 	return status
 }
--- a/internal/slotledger/ledger_test.go
+++ b/internal/slotledger/ledger_test.go
@@ -138,7 +138,7 @@
 	release := []Release{{ID: requestFor(1, 0).ID}}
 	must.Eq(t, []uint64{2}, numbers(l.Release(release, start), Granted))
 	must.SliceEmpty(t, l.Release(release, start))
-	must.Eq(t, 1, l.Status().Running)
+	must.Eq(t, 1, l.Status(start).Running)
 }
 
 // Guards against a slot that is granted to a request whose caller has gone.
@@ -148,7 +148,7 @@
 	mustAcquire(t, l, requestFor(2, 0, "a"), start, Queued)
 	must.Eq(t, []uint64{2}, numbers(l.Release([]Release{{ID: requestFor(2, 0).ID}}, start), Withdrawn))
 	must.SliceEmpty(t, l.Release([]Release{{ID: requestFor(1, 0).ID}}, start))
-	must.Eq(t, 0, l.Status().Running)
+	must.Eq(t, 0, l.Status(start).Running)
 }
 
 // Guards against a slot that is counted as taken for ever when its release is lost.
@@ -159,10 +159,10 @@
 		request.Lifetime = lifetime
 		mustAcquire(t, l, request, start, Granted)
 		l.Advance(start.Add(want - time.Millisecond))
-		must.Eq(t, 1, l.Status().Running)
+		must.Eq(t, 1, l.Status(start).Running)
 		l.Advance(start.Add(want))
-		must.Eq(t, 0, l.Status().Running)
-		must.Eq(t, 1, l.Status().Expired)
+		must.Eq(t, 0, l.Status(start).Running)
+		must.Eq(t, 1, l.Status(start).Expired)
 	}
 }
 
@@ -178,8 +178,8 @@
 	mustAcquire(t, l, request, start, Queued)
 	must.SliceEmpty(t, l.Advance(start.Add(fullPeriod-time.Millisecond)))
 	must.Eq(t, []uint64{2}, numbers(l.Advance(start.Add(fullPeriod)), Granted))
-	must.Eq(t, 1, l.Status().RefusedByRunner)
-	must.Eq(t, initialHold.Milliseconds(), l.Status().HoldMS, must.Sprint("a refusal tells nothing of how long requests run"))
+	must.Eq(t, 1, l.Status(start).RefusedByRunner)
+	must.Eq(t, initialHold, l.Status(start).MeanHold, must.Sprint("a refusal tells nothing of how long requests run"))
 }
 
 // Guards against slots that stay taken by a host that has died, and waits of it that get slots.
@@ -413,3 +413,42 @@
 	must.SliceEmpty(t, attend(now.Add(2*minGrowthInterval-1)))
 	must.Eq(t, []uint64{4}, attend(now.Add(2*minGrowthInterval)))
 }
+
+// Guards against a status that hides from operators how long requests wait and which runners refuse.
+func TestStatusShowsTheLongestWaitAndFullRunners(t *testing.T) {
+	l := New()
+	mustAcquire(t, l, requestFor(1, 0, "a"), start, Granted)
+	mustAcquire(t, l, requestFor(2, 0, "b"), start, Granted)
+	mustAcquire(t, l, requestFor(3, 0, "a"), start, Queued)
+	mustAcquire(t, l, requestFor(4, 0, "a"), start.Add(20*time.Millisecond), Queued)
+	now := start.Add(30 * time.Millisecond)
+	l.Release([]Release{{ID: requestFor(2, 0).ID, Refused: true}}, now)
+	status := l.Status(now)
+	must.Eq(t, 2, status.Slots)
+	must.Eq(t, 1, status.Running)
+	must.Eq(t, 2, status.Waiting)
+	must.Eq(t, 30*time.Millisecond, status.LongestWait)
+	must.Eq(t, []string{"b"}, status.Full)
+	must.SliceEmpty(t, l.Status(now.Add(fullPeriod)).Full)
+}
+
+// A runner refuses a request beyond its slots, and another of its requests ends before the refusal is
+// known. The runner is not closed for a while, it is granted fewer beyond its slots.
+func TestLateRefusalBeyondTheSlotsDoesNotCloseTheRunner(t *testing.T) {
+	l := New()
+	queueing := func(number uint64) Request {
+		request := requestFor(number, 0)
+		request.Runners = []Runner{{ID: "a", Slots: 2, Queue: 1}}
+		return request
+	}
+	mustAcquire(t, l, queueing(1), start, Granted)
+	mustAcquire(t, l, queueing(2), start, Granted)
+	mustAcquire(t, l, queueing(3), start, Queued)
+	must.Eq(t, []uint64{3}, numbers(l.Advance(start), Granted))
+	now := start.Add(10 * time.Millisecond)
+	l.Release([]Release{{ID: queueing(1).ID}, {ID: queueing(3).ID, Refused: true}}, now)
+	must.SliceEmpty(t, l.Status(now).Full)
+	mustAcquire(t, l, queueing(4), now, Granted)
+	mustAcquire(t, l, queueing(5), now, Queued)
+	must.SliceEmpty(t, numbers(l.Advance(now.Add(2*minGrowthInterval-1)), Granted))
+}
