--- a/internal/adapters/interplay_test.go
+++ b/internal/adapters/interplay_test.go
@@ -147,7 +147,8 @@
 		must.Eq(t, len(r.c.slots.entries), r.c.slots.IdleCount(r.now))
 		deferrals += r.c.Contention.Deferrals.Load()
 		displaced += r.c.Contention.DisplacedLoads.Load()
-		evicted += r.c.Replication.Evicted.Load()
+		counters := r.c.Replication
+		evicted += counters.EvictedForLoad.Load() + counters.EvictedForAhead.Load() + counters.EvictedForSpare.Load()
 	}
 	for name, count := range map[string]int64{"deferrals": deferrals, "displaced loads": displaced, "evictions": evicted} {
 		must.Positive(t, count, must.Sprint(name))
