--- a/internal/entry/slots_test.go
+++ b/internal/entry/slots_test.go
@@ -209,8 +209,8 @@
 	})
 }
 
-// Guards against a request that waits without hope: it is refused at once, with the expected time
-// until a slot is free.
+// Guards against a request that waits although it cannot begin in time: it is refused at once, with
+// the expected time until a slot is free.
 func TestSlotIsRefusedIfNoneIsFreeInTime(t *testing.T) {
 	withSlotFleet(t, func(f *slotFleet) {
 		f.asker.acquireAll(t)
