--- a/internal/adapters/admission.go
+++ b/internal/adapters/admission.go
@@ -120,7 +120,7 @@
 		admitted, err = c.admit(ask, now)
 	}
 	if err != nil {
-		c.leaveLine(ask)
+		c.leaveQueue(ask)
 	}
 	c.recordDemand(ask, err, now)
 	if err != nil && ask.Home && !ask.Retry {
--- a/internal/adapters/contended_loads_test.go
+++ b/internal/adapters/contended_loads_test.go
@@ -79,7 +79,7 @@
 			}
 			load := c.nextPending()
 			served := precedence.KindOf(asks[load.key].Precedence, asks[load.key].PromptTokens)
-			c.line.Shares.Served(served, true, 0, now)
+			c.turns.Shares.Served(served, true, 0, now)
 			c.dropPending(load.key)
 			c.slots.LoadAccepted(load.key, now.Add(each), now)
 			free = now.Add(each)
@@ -234,7 +234,7 @@
 	ask.Waited, ask.Ticket = true, deferred.Ticket
 	_, err = c.Admit(ask)
 	must.ErrorIs(t, err, ErrBusy)
-	must.Eq(t, 0, c.line.Deferred(now))
+	must.Eq(t, 0, c.turns.Deferred(now))
 	must.Eq(t, 1, c.Contention.DeferralsRefused.Load())
 }
 
@@ -255,7 +255,7 @@
 	_, err = r.c.Admit(behind)
 	must.NoError(t, err)
 	now := r.now
-	wait, _ := r.c.line.TooLate(r.c.turnOf(behind), r.c.prefillState(now), now)
+	wait, _ := r.c.turns.TooLate(r.c.turnOf(behind), r.c.prefillState(now), now)
 	must.GreaterEq(t, r.c.pacer.Wait(800, now)+r.c.pacer.cost(3000), wait)
 }
 
--- a/internal/adapters/contended_test.go
+++ b/internal/adapters/contended_test.go
@@ -150,7 +150,7 @@
 		if !event.at.Before(now) {
 			for _, c := range controllers {
 				from := laterOf(now, c.pacer.freeAt)
-				if c.line.Deferred(event.at) > 0 && event.at.After(from) && event.at.Before(epoch.Add(l.duration)) {
+				if c.turns.Deferred(event.at) > 0 && event.at.After(from) && event.at.Before(epoch.Add(l.duration)) {
 					result.idleWhileDeferred += event.at.Sub(from)
 				}
 			}
--- a/internal/adapters/contention.go
+++ b/internal/adapters/contention.go
@@ -23,7 +23,7 @@
 // ordersByRank reports whether loads are ordered by the ranks of their requests: while
 // the weight store is saturated. c.mu must be held.
 func (c *Controller) ordersByRank(now time.Time) bool {
-	if !c.line.Active(now) {
+	if !c.turns.Active(now) {
 		return false
 	}
 	store := c.StoreLoad()
@@ -32,10 +32,10 @@
 
 // rankOf returns the rank of a request's load; c.mu must be held.
 func (c *Controller) rankOf(ask AdmissionRequest, now time.Time) precedence.Rank {
-	if ask.proactive || !c.line.Active(now) {
+	if ask.proactive || !c.turns.Active(now) {
 		return precedence.Rank{}
 	}
-	return c.line.RankOf(c.turnOf(ask), now)
+	return c.turns.RankOf(c.turnOf(ask), now)
 }
 
 // displaceLoad removes the queued load of the lowest rank to make room for a load of a
@@ -43,7 +43,7 @@
 // such load or the slot is free too late. Adapters that are loaded or being loaded stay.
 // c.mu must be held.
 func (c *Controller) displaceLoad(ask AdmissionRequest, rank precedence.Rank, loadTime time.Duration, now time.Time) (time.Duration, bool) {
-	if !c.line.Active(now) {
+	if !c.turns.Active(now) {
 		return 0, false
 	}
 	queued := make([]precedence.QueuedLoad, 0, len(c.pending))
@@ -74,7 +74,7 @@
 // keepsLastSlots reports whether the free request slots are kept for requests of higher
 // precedence; c.mu must be held. A request that was told to ask again has its slot.
 func (c *Controller) keepsLastSlots(ask AdmissionRequest, load int, now time.Time) bool {
-	if load < placing.Unreserved(c.runner.Slots) || ask.Waited || !c.line.Reserved(c.turnOf(ask), now) {
+	if load < placing.Unreserved(c.runner.Slots) || ask.Waited || !c.turns.Reserved(c.turnOf(ask), now) {
 		return false
 	}
 	c.Contention.ReservedSlots.Add(1)
@@ -114,7 +114,7 @@
 // loadTooSlow refuses a request whose adapter would be loaded after loadTime; c.mu must
 // be held.
 func (c *Controller) loadTooSlow(ask AdmissionRequest, loadTime time.Duration, now time.Time) error {
-	if !c.line.Active(now) {
+	if !c.turns.Active(now) {
 		return ErrLoadTooSlow
 	}
 	return delayed(ErrLoadTooSlow, loadTime-c.idleLoadTime(ask.Key))
@@ -122,7 +122,7 @@
 
 // noFreeSlot refuses a request for whose adapter there is no slot; c.mu must be held.
 func (c *Controller) noFreeSlot(now time.Time) error {
-	if !c.line.Active(now) {
+	if !c.turns.Active(now) {
 		return ErrNoFreeSlot
 	}
 	at, ok := c.slots.SlotsFreeAt(1+c.requestedLoads(), now)
--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -72,8 +72,8 @@
 	pacer Pacer
 	// incoming are the prompts of the requests that wait for loads.
 	incoming incomingPrompts
-	// line orders the requests that wait for their turn at prefill.
-	line *precedence.Line
+	// turns orders the requests that wait for their turn at prefill.
+	turns *precedence.Queue
 	// prefill estimates how fast the runner runs prefill.
 	prefill PrefillEstimator
 	// work judges the work time that the runner announces.
@@ -156,7 +156,7 @@
 		spec:           spec,
 		slots:          NewAdapterSlots(spec.Capacity),
 		replicas:       NewReplicas(),
-		line:           precedence.NewLine(uint64(deps.Now().UnixNano())),
+		turns:          precedence.NewQueue(uint64(deps.Now().UnixNano())),
 		ahead:          newAheadState(),
 		wake:           make(chan struct{}, 1),
 	}
--- a/internal/adapters/interplay_test.go
+++ b/internal/adapters/interplay_test.go
@@ -143,7 +143,7 @@
 		must.SliceEmpty(t, r.waiting)
 		must.SliceEmpty(t, r.running)
 		must.SliceEmpty(t, r.c.pending)
-		must.Eq(t, 0, r.c.line.Deferred(r.now))
+		must.Eq(t, 0, r.c.turns.Deferred(r.now))
 		must.Eq(t, len(r.c.slots.entries), r.c.slots.IdleCount(r.now))
 		deferrals += r.c.Contention.Deferrals.Load()
 		displaced += r.c.Contention.DisplacedLoads.Load()
--- a/internal/adapters/turns.go
+++ b/internal/adapters/turns.go
@@ -27,14 +27,14 @@
 // noteAsk counts a request that asks for admission; c.mu must be held.
 func (c *Controller) noteAsk(ask AdmissionRequest, now time.Time) {
 	if !ask.Barred {
-		c.line.Asked(c.turnOf(ask), now)
+		c.turns.Asked(c.turnOf(ask), now)
 	}
 }
 
 // checkBacklog refuses a request that would wait too long for other prompts; c.mu must
 // be held.
 func (c *Controller) checkBacklog(ask AdmissionRequest, now time.Time) error {
-	if !c.line.Active(now) {
+	if !c.turns.Active(now) {
 		if c.pacer.Wait(ask.PromptTokens, now) > maxPromptWait(ask) {
 			return ErrPromptBacklog
 		}
@@ -44,16 +44,16 @@
 		// deferTurn refuses it for the same reason.
 		return nil
 	}
-	if wait, tooLate := c.line.TooLate(c.turnOf(ask), c.prefillState(now), now); tooLate {
+	if wait, tooLate := c.turns.TooLate(c.turnOf(ask), c.prefillState(now), now); tooLate {
 		return delayed(ErrPromptBacklog, wait)
 	}
 	return nil
 }
 
-// leaveLine forgets the deferral of a request that is refused, so that others no longer wait for
+// leaveQueue forgets the deferral of a request that is refused, so that others no longer wait for
 // it; c.mu must be held.
-func (c *Controller) leaveLine(ask AdmissionRequest) {
-	if c.line.Leave(ask.Ticket) {
+func (c *Controller) leaveQueue(ask AdmissionRequest) {
+	if c.turns.Leave(ask.Ticket) {
 		c.Contention.DeferralsRefused.Add(1)
 	}
 }
@@ -61,10 +61,10 @@
 // deferTurn defers a request whose adapter is loaded while others go first; again is
 // false if it takes its turn now. c.mu must be held.
 func (c *Controller) deferTurn(ask AdmissionRequest, now time.Time) (deferred AdmissionResult, again bool, err error) {
-	if !c.line.Active(now) {
+	if !c.turns.Active(now) {
 		return AdmissionResult{}, false, nil
 	}
-	turn := c.line.Turn(c.turnOf(ask), c.prefillState(now), now)
+	turn := c.turns.Turn(c.turnOf(ask), c.prefillState(now), now)
 	switch turn.Verdict {
 	case precedence.Refuse:
 		return AdmissionResult{}, false, delayed(ErrPromptBacklog, turn.Wait)
--- a/internal/adapters/worktime.go
+++ b/internal/adapters/worktime.go
@@ -168,7 +168,7 @@
 		return
 	}
 	c.pacer.setPace(pace, now)
-	c.line.Recost(c.pacer.cost)
+	c.turns.Recost(c.pacer.cost)
 }
 
 // trackWork takes in a fresh figure; c.mu must be held.
--- a/internal/precedence/bench_test.go
+++ b/internal/precedence/bench_test.go
@@ -7,7 +7,7 @@
 
 // The cost of a decision while as many requests are deferred as may be.
 func BenchmarkTurn(b *testing.B) {
-	line := NewLine(0)
+	line := NewQueue(0)
 	prefill := Prefill{Backlog: 400 * time.Millisecond, Burst: burst}
 	for i := range maxDeferred - 1 {
 		ask := liveAsk(i % 16)
--- a/internal/precedence/loads.go
+++ b/internal/precedence/loads.go
@@ -66,12 +66,12 @@
 }
 
 // RankOf returns the rank of a request's load.
-func (l *Line) RankOf(ask Ask, now time.Time) Rank {
-	kind := l.kindOf(ask, now)
-	return Rank{Awaited: true, Precedence: kind.Precedence, Protected: l.Shares.Protected(kind)}
+func (q *Queue) RankOf(ask Ask, now time.Time) Rank {
+	kind := q.kindOf(ask, now)
+	return Rank{Awaited: true, Precedence: kind.Precedence, Protected: q.Shares.Protected(kind)}
 }
 
 // Reserved reports whether the last request slots of the runner are kept from a request.
-func (l *Line) Reserved(ask Ask, now time.Time) bool {
-	return l.Active(now) && l.Shares.Reserved(l.kindOf(ask, now), now)
+func (q *Queue) Reserved(ask Ask, now time.Time) bool {
+	return q.Active(now) && q.Shares.Reserved(q.kindOf(ask, now), now)
 }
--- a/internal/precedence/line.go
+++ b/internal/precedence/queue.go
@@ -101,8 +101,8 @@
 	nextAsk time.Time
 }
 
-// Line is the queue for the prefill of one runner. It is not safe for concurrent use.
-type Line struct {
+// Queue is the queue for the prefill of one runner. It is not safe for concurrent use.
+type Queue struct {
 	Shares   Shares
 	deferred map[uint64]*waiting
 	last     uint64
@@ -111,43 +111,43 @@
 	rankedAt time.Time
 }
 
-// NewLine returns a line without requests. Tickets are numbered from first on, which
+// NewQueue returns a queue without requests. Tickets are numbered from first on, which
 // should differ from owner to owner.
-func NewLine(first uint64) *Line { return &Line{last: first, deferred: map[uint64]*waiting{}} }
+func NewQueue(first uint64) *Queue { return &Queue{last: first, deferred: map[uint64]*waiting{}} }
 
 // Asked counts a request that asks for admission.
-func (l *Line) Asked(ask Ask, now time.Time) {
+func (q *Queue) Asked(ask Ask, now time.Time) {
 	if ask.Ranked {
-		l.ranked, l.rankedAt = true, now
+		q.ranked, q.rankedAt = true, now
 	}
-	if ask.Waited || !l.Active(now) {
+	if ask.Waited || !q.Active(now) {
 		return
 	}
-	l.Shares.Asked(l.kindOf(ask, now), ask.LastResort, now)
+	q.Shares.Asked(q.kindOf(ask, now), ask.LastResort, now)
 }
 
 // Active reports whether the order counts on the runner: a ranked request asked lately.
 // Elsewhere all decisions are as without the order.
-func (l *Line) Active(now time.Time) bool { return l.ranked && now.Sub(l.rankedAt) < activeFor }
+func (q *Queue) Active(now time.Time) bool { return q.ranked && now.Sub(q.rankedAt) < activeFor }
 
 // PrecedenceOf returns the precedence of a request. One whose host knows none counts as
 // having the lowest that was seen.
-func (l *Line) PrecedenceOf(ranked bool, p site.Precedence, now time.Time) site.Precedence {
+func (q *Queue) PrecedenceOf(ranked bool, p site.Precedence, now time.Time) site.Precedence {
 	if ranked {
 		return p
 	}
-	lowest, _ := l.Shares.Lowest(now)
+	lowest, _ := q.Shares.Lowest(now)
 	return lowest
 }
 
-func (l *Line) kindOf(ask Ask, now time.Time) Kind {
-	return KindOf(l.PrecedenceOf(ask.Ranked, ask.Precedence, now), ask.Size)
+func (q *Queue) kindOf(ask Ask, now time.Time) Kind {
+	return KindOf(q.PrecedenceOf(ask.Ranked, ask.Precedence, now), ask.Size)
 }
 
 // Deferred returns the number of deferred requests that are expected to ask again.
-func (l *Line) Deferred(now time.Time) int {
+func (q *Queue) Deferred(now time.Time) int {
 	count := 0
-	for _, w := range l.deferred {
+	for _, w := range q.deferred {
 		if w.waits(now) {
 			count++
 		}
@@ -159,42 +159,42 @@
 func (w *waiting) waits(now time.Time) bool { return now.Sub(w.nextAsk) <= askGrace }
 
 // Leave forgets a deferred request, and reports whether there was one.
-func (l *Line) Leave(ticket uint64) bool {
-	_, there := l.deferred[ticket]
-	delete(l.deferred, ticket)
+func (q *Queue) Leave(ticket uint64) bool {
+	_, there := q.deferred[ticket]
+	delete(q.deferred, ticket)
 	return there
 }
 
 // Recost updates the costs of the deferred prompts when the pace of the runner has changed. cost
 // returns the time that the prefill of a prompt with a number of tokens takes.
-func (l *Line) Recost(cost func(tokens int) time.Duration) {
-	for _, w := range l.deferred {
+func (q *Queue) Recost(cost func(tokens int) time.Duration) {
+	for _, w := range q.deferred {
 		w.Cost = cost(w.size)
 	}
 }
 
 // expire forgets requests that did not ask again.
-func (l *Line) expire(now time.Time) {
-	for ticket, w := range l.deferred {
+func (q *Queue) expire(now time.Time) {
+	for ticket, w := range q.deferred {
 		if now.Sub(w.nextAsk) > entryTTL || now.After(w.End) {
-			delete(l.deferred, ticket)
+			delete(q.deferred, ticket)
 		}
 	}
 }
 
 // candidate returns the queue's entry of a request that asks, or a new one.
-func (l *Line) candidate(ask Ask, now time.Time) *waiting {
-	w := l.deferred[ask.Ticket]
+func (q *Queue) candidate(ask Ask, now time.Time) *waiting {
+	w := q.deferred[ask.Ticket]
 	if !ask.Ranked && ask.Waited {
-		w = l.nextUnranked(ask.Size)
+		w = q.nextUnranked(ask.Size)
 	}
 	if w == nil || w.ranked != ask.Ranked || w.size != ask.Size {
 		w = &waiting{ranked: ask.Ranked, size: ask.Size, askedAt: now, overdue: now.Add(max(ask.Slack, time.Duration(overdueShare*float64(ask.Left))))}
-		w.Seq = l.last + 1
+		w.Seq = q.last + 1
 	}
-	kind := l.kindOf(ask, now)
+	kind := q.kindOf(ask, now)
 	w.Precedence = kind.Precedence
-	w.Protected = w.Protected || l.Shares.Protected(kind)
+	w.Protected = w.Protected || q.Shares.Protected(kind)
 	w.lastResort = ask.LastResort
 	w.Cost, w.Due, w.End = ask.Cost, now.Add(ask.Slack), now.Add(ask.Left)
 	w.Overdue = w.Protected && ask.Slack < 0
@@ -203,9 +203,9 @@
 
 // waitOf returns how long a request waits for those that go before it. Those that ask
 // again only after it can begin do not count: the runner would idle until they ask.
-func (l *Line) waitOf(w *waiting, prefill Prefill, now time.Time) time.Duration {
-	prompts := make([]*Prompt, 0, len(l.deferred)+1)
-	for _, other := range l.deferred {
+func (q *Queue) waitOf(w *waiting, prefill Prefill, now time.Time) time.Duration {
+	prompts := make([]*Prompt, 0, len(q.deferred)+1)
+	for _, other := range q.deferred {
 		if other.Seq != w.Seq && other.waits(now) {
 			prompts = append(prompts, &other.Prompt)
 		}
@@ -218,7 +218,7 @@
 		if p.Seq == w.Seq {
 			break
 		}
-		if l.deferred[p.Seq].nextAsk.Sub(now) <= prefill.Wait(p.Cost, before)+beginWithin {
+		if q.deferred[p.Seq].nextAsk.Sub(now) <= prefill.Wait(p.Cost, before)+beginWithin {
 			before += p.Cost
 		}
 	}
@@ -231,10 +231,10 @@
 // Requests of higher precedence that arrive meanwhile go before it as well. If they were
 // not counted, requests of low precedence would be told to wait and be refused after
 // half of their time, when other runners can help them no more.
-func (l *Line) TooLate(ask Ask, prefill Prefill, now time.Time) (time.Duration, bool) {
-	l.expire(now)
-	w := l.candidate(ask, now)
-	wait := l.waitOf(w, prefill, now)
+func (q *Queue) TooLate(ask Ask, prefill Prefill, now time.Time) (time.Duration, bool) {
+	q.expire(now)
+	w := q.candidate(ask, now)
+	wait := q.waitOf(w, prefill, now)
 	if wait <= beginWithin {
 		return wait, false
 	}
@@ -242,15 +242,15 @@
 		return wait, false
 	}
 	if !ask.Waited {
-		wait = l.withHigher(w, wait, now)
+		wait = q.withHigher(w, wait, now)
 	}
 	return wait, wait > ask.WaitLimit
 }
 
 // withHigher adds to a wait the requests of higher precedence that are expected to
 // arrive meanwhile.
-func (l *Line) withHigher(w *waiting, wait time.Duration, now time.Time) time.Duration {
-	return time.Duration(float64(wait) / (1 - l.Shares.HigherWork(w.Precedence, now)))
+func (q *Queue) withHigher(w *waiting, wait time.Duration, now time.Time) time.Duration {
+	return time.Duration(float64(wait) / (1 - q.Shares.HigherWork(w.Precedence, now)))
 }
 
 // Turn decides whether a request takes its turn now.
@@ -259,44 +259,44 @@
 // arrival, whatever time the others have. So a request takes its turn only when little
 // is before it, and is told until then to ask again. The queue decides anew each time,
 // so requests with less time go before it, but not for more than half of its time.
-func (l *Line) Turn(ask Ask, prefill Prefill, now time.Time) Decision {
-	l.expire(now)
-	w := l.candidate(ask, now)
+func (q *Queue) Turn(ask Ask, prefill Prefill, now time.Time) Decision {
+	q.expire(now)
+	w := q.candidate(ask, now)
 	own := prefill.Wait(w.Cost, 0)
-	wait := l.waitOf(w, prefill, now)
+	wait := q.waitOf(w, prefill, now)
 	switch {
 	case wait <= beginWithin:
-		return l.begin(w, own, "first", now)
-	case len(l.deferred) >= maxDeferred && l.deferred[w.Seq] == nil:
-		return l.withoutPlace(w, own, wait, ask, now)
+		return q.begin(w, own, "first", now)
+	case len(q.deferred) >= maxDeferred && q.deferred[w.Seq] == nil:
+		return q.withoutPlace(w, own, wait, ask, now)
 	case wait > ask.Left && (!w.Protected || own > ask.Left):
 		return Decision{Verdict: Refuse, Wait: wait, Reason: "backlog"}
 	}
 	if !now.Before(w.overdue) {
-		if !w.Protected && l.withHigher(w, wait, now) > ask.Left {
+		if !w.Protected && q.withHigher(w, wait, now) > ask.Left {
 			return Decision{Verdict: Refuse, Wait: wait, Reason: "backlog"}
 		}
 		w.Overdue = true
-		wait = l.waitOf(w, prefill, now)
+		wait = q.waitOf(w, prefill, now)
 	}
 	if wait <= beginWithin || w.asks >= maxAsks || ask.Left-wait < minSpareTime {
-		return l.begin(w, own, "deferred long enough", now)
+		return q.begin(w, own, "deferred long enough", now)
 	}
 	w.asks++
 	pause := w.pause(wait, ask, now)
 	w.nextAsk = now.Add(pause)
-	l.deferred[w.Seq] = w
-	l.last = max(l.last, w.Seq)
+	q.deferred[w.Seq] = w
+	q.last = max(q.last, w.Seq)
 	return Decision{Verdict: Defer, Pause: pause, Ticket: w.Seq, Wait: wait, Reason: "others first"}
 }
 
 // withoutPlace decides on a request that would have to be deferred while as many are as
 // may be: it takes its turn if it could be on time.
-func (l *Line) withoutPlace(w *waiting, own, wait time.Duration, ask Ask, now time.Time) Decision {
+func (q *Queue) withoutPlace(w *waiting, own, wait time.Duration, ask Ask, now time.Time) Decision {
 	if wait > ask.Slack {
-		return Decision{Verdict: Refuse, Wait: wait, Reason: "line full"}
+		return Decision{Verdict: Refuse, Wait: wait, Reason: "queue full"}
 	}
-	return l.begin(w, own, "line full", now)
+	return q.begin(w, own, "queue full", now)
 }
 
 // pause returns when a request asks again that is expected to wait for so long.
@@ -318,18 +318,18 @@
 }
 
 // begin counts a request that takes its turn.
-func (l *Line) begin(w *waiting, wait time.Duration, reason string, now time.Time) Decision {
-	delete(l.deferred, w.Seq)
-	l.Shares.Served(KindOf(w.Precedence, w.size), w.lastResort, w.Cost, now)
+func (q *Queue) begin(w *waiting, wait time.Duration, reason string, now time.Time) Decision {
+	delete(q.deferred, w.Seq)
+	q.Shares.Served(KindOf(w.Precedence, w.size), w.lastResort, w.Cost, now)
 	return Decision{Verdict: Begin, Wait: wait, Reason: reason}
 }
 
 // nextUnranked returns, of the deferred requests with prompts of this length whose hosts
 // know no precedence, the one that asks next, or nil. These hosts return no tickets. If
 // two such requests are taken for each other, only the counts of their asks change places.
-func (l *Line) nextUnranked(size int) *waiting {
+func (q *Queue) nextUnranked(size int) *waiting {
 	var next *waiting
-	for _, w := range l.deferred {
+	for _, w := range q.deferred {
 		if !w.ranked && w.size == size && (next == nil || w.nextAsk.Before(next.nextAsk) || w.nextAsk.Equal(next.nextAsk) && w.Seq < next.Seq) {
 			next = w
 		}
--- a/internal/precedence/line_test.go
+++ b/internal/precedence/queue_test.go
@@ -71,7 +71,7 @@
 }
 
 func TestRequestBeginsAtOnceWhereLittleIsBeforeIt(t *testing.T) {
-	line := NewLine(0)
+	line := NewQueue(0)
 	must.Eq(t, Begin, line.Turn(liveAsk(0), Prefill{Backlog: 130 * time.Millisecond, Burst: burst}, epoch).Verdict)
 	turn := line.Turn(liveAsk(0), Prefill{Backlog: 300 * time.Millisecond, Burst: burst}, epoch)
 	must.Eq(t, Defer, turn.Verdict)
@@ -82,7 +82,7 @@
 // Guards against requests that are told to ask again without end.
 func TestAsksAreBounded(t *testing.T) {
 	for _, slack := range []time.Duration{-time.Second, 0, 400 * time.Millisecond, 1800 * time.Millisecond} {
-		line := NewLine(0)
+		line := NewQueue(0)
 		now, ask := epoch, liveAsk(5)
 		ask.Slack = slack
 		asks := 0
@@ -106,7 +106,7 @@
 
 // Guards against a runner that idles until a request asks that was told to ask later.
 func TestRequestThatAsksLaterBlocksNoOther(t *testing.T) {
-	line := NewLine(0)
+	line := NewQueue(0)
 	first := line.Turn(liveAsk(0), Prefill{Backlog: time.Second, Burst: burst}, epoch)
 	must.Eq(t, Defer, first.Verdict)
 	must.Greater(t, 100*time.Millisecond, first.Pause)
@@ -115,7 +115,7 @@
 
 // Guards against a queue that keeps the places of requests whose hosts have gone.
 func TestRequestsThatDoNotAskAgainAreForgotten(t *testing.T) {
-	line := NewLine(0)
+	line := NewQueue(0)
 	prefill := Prefill{Backlog: 200 * time.Millisecond, Burst: burst}
 	var last Decision
 	for range 5 {
@@ -130,7 +130,7 @@
 // Guards against requests of low precedence that wait on a runner for half of their time
 // and are refused then.
 func TestExpectedHigherWorkCounts(t *testing.T) {
-	line := NewLine(0)
+	line := NewQueue(0)
 	for i := range 100 {
 		line.Shares.Served(Kind{}, false, shortCost, epoch.Add(time.Duration(i)*60*time.Millisecond))
 	}
@@ -176,7 +176,7 @@
 
 // A host of the previous version sends no rank.
 func TestUnrankedCountsAsLowestSeen(t *testing.T) {
-	line := NewLine(0)
+	line := NewQueue(0)
 	must.False(t, line.Active(epoch))
 	line.Asked(Ask{}, epoch)
 	must.False(t, line.Active(epoch), must.Sprint("no ranked request asked"))
@@ -200,7 +200,7 @@
 
 // A ticket of a lost owner must not stand for another request.
 func TestTicketsOfOtherOwnersAreUnknown(t *testing.T) {
-	line := NewLine(uint64(epoch.UnixNano()))
+	line := NewQueue(uint64(epoch.UnixNano()))
 	ask := liveAsk(0)
 	ask.Ticket, ask.Waited = 1, true
 	turn := line.Turn(ask, Prefill{Backlog: 300 * time.Millisecond, Burst: burst}, epoch)
@@ -210,7 +210,7 @@
 
 // Guards against state that grows with the requests that ask.
 func TestDeferredRequestsAreBounded(t *testing.T) {
-	line := NewLine(0)
+	line := NewQueue(0)
 	prefill := Prefill{Backlog: 300 * time.Millisecond, Burst: burst}
 	for i := range 2 * maxDeferred {
 		ask := liveAsk(i % 16)
