--- a/internal/adapters/interplay_test.go
+++ b/internal/adapters/interplay_test.go
@@ -126,7 +126,7 @@
 }
 
 // A runner is asked for more than it can do for 20 s, and for nothing afterwards. Guards against
-// requests that are deferred for ever, and against adapters, loads and places in the line that are
+// requests that are deferred for ever, and against adapters, loads and places in the queue that are
 // kept for requests that have ended.
 func TestNothingIsKeptAfterAnOverload(t *testing.T) {
 	var deferrals, displaced, evicted int64
--- a/internal/precedence/bench_test.go
+++ b/internal/precedence/bench_test.go
@@ -7,15 +7,15 @@
 
 // The cost of a decision while as many requests are deferred as may be.
 func BenchmarkTurn(b *testing.B) {
-	line := NewQueue(0)
+	queue := NewQueue(0)
 	prefill := Prefill{Backlog: 400 * time.Millisecond, Burst: burst}
 	for i := range maxDeferred - 1 {
 		ask := liveAsk(i % 16)
 		ask.Left = time.Minute
-		line.Turn(ask, prefill, epoch)
+		queue.Turn(ask, prefill, epoch)
 	}
 	ask := liveAsk(0)
 	for b.Loop() {
-		line.TooLate(ask, prefill, epoch)
+		queue.TooLate(ask, prefill, epoch)
 	}
 }
--- a/internal/precedence/queue_test.go
+++ b/internal/precedence/queue_test.go
@@ -71,9 +71,9 @@
 }
 
 func TestRequestBeginsAtOnceWhereLittleIsBeforeIt(t *testing.T) {
-	line := NewQueue(0)
-	must.Eq(t, Begin, line.Turn(liveAsk(0), Prefill{Backlog: 130 * time.Millisecond, Burst: burst}, epoch).Verdict)
-	turn := line.Turn(liveAsk(0), Prefill{Backlog: 300 * time.Millisecond, Burst: burst}, epoch)
+	queue := NewQueue(0)
+	must.Eq(t, Begin, queue.Turn(liveAsk(0), Prefill{Backlog: 130 * time.Millisecond, Burst: burst}, epoch).Verdict)
+	turn := queue.Turn(liveAsk(0), Prefill{Backlog: 300 * time.Millisecond, Burst: burst}, epoch)
 	must.Eq(t, Defer, turn.Verdict)
 	must.Positive(t, turn.Ticket)
 	must.Between(t, 10*time.Millisecond, turn.Pause, 170*time.Millisecond)
@@ -82,13 +82,13 @@
 // Guards against requests that are told to ask again without end.
 func TestAsksAreBounded(t *testing.T) {
 	for _, slack := range []time.Duration{-time.Second, 0, 400 * time.Millisecond, 1800 * time.Millisecond} {
-		line := NewQueue(0)
+		queue := NewQueue(0)
 		now, ask := epoch, liveAsk(5)
 		ask.Slack = slack
 		asks := 0
 		for {
 			// However often it asks, others have taken their turns.
-			turn := line.Turn(ask, Prefill{Backlog: 400 * time.Millisecond, Burst: burst}, now)
+			turn := queue.Turn(ask, Prefill{Backlog: 400 * time.Millisecond, Burst: burst}, now)
 			asks++
 			if turn.Verdict != Defer {
 				must.Eq(t, Begin, turn.Verdict)
@@ -100,45 +100,45 @@
 		}
 		must.LessEq(t, maxAsks+1, asks)
 		must.Less(t, 2*time.Second, now.Sub(epoch), must.Sprint("it can still be served"))
-		must.Eq(t, 0, line.Deferred(now))
+		must.Eq(t, 0, queue.Deferred(now))
 	}
 }
 
 // Guards against a runner that idles until a request asks that was told to ask later.
 func TestRequestThatAsksLaterBlocksNoOther(t *testing.T) {
-	line := NewQueue(0)
-	first := line.Turn(liveAsk(0), Prefill{Backlog: time.Second, Burst: burst}, epoch)
+	queue := NewQueue(0)
+	first := queue.Turn(liveAsk(0), Prefill{Backlog: time.Second, Burst: burst}, epoch)
 	must.Eq(t, Defer, first.Verdict)
 	must.Greater(t, 100*time.Millisecond, first.Pause)
-	must.Eq(t, Begin, line.Turn(liveAsk(9), Prefill{Burst: burst}, epoch).Verdict)
+	must.Eq(t, Begin, queue.Turn(liveAsk(9), Prefill{Burst: burst}, epoch).Verdict)
 }
 
 // Guards against a queue that keeps the places of requests whose hosts have gone.
 func TestRequestsThatDoNotAskAgainAreForgotten(t *testing.T) {
-	line := NewQueue(0)
+	queue := NewQueue(0)
 	prefill := Prefill{Backlog: 200 * time.Millisecond, Burst: burst}
 	var last Decision
 	for range 5 {
-		last = line.Turn(liveAsk(0), prefill, epoch)
+		last = queue.Turn(liveAsk(0), prefill, epoch)
 		must.Eq(t, Defer, last.Verdict)
 	}
 	now := epoch.Add(last.Pause + askGrace + time.Millisecond)
-	must.Eq(t, Begin, line.Turn(liveAsk(9), Prefill{Burst: burst}, now).Verdict)
-	must.Eq(t, 0, line.Deferred(epoch.Add(5*time.Second)))
+	must.Eq(t, Begin, queue.Turn(liveAsk(9), Prefill{Burst: burst}, now).Verdict)
+	must.Eq(t, 0, queue.Deferred(epoch.Add(5*time.Second)))
 }
 
 // Guards against requests of low precedence that wait on a runner for half of their time
 // and are refused then.
 func TestExpectedHigherWorkCounts(t *testing.T) {
-	line := NewQueue(0)
+	queue := NewQueue(0)
 	for i := range 100 {
-		line.Shares.Served(Kind{}, false, shortCost, epoch.Add(time.Duration(i)*60*time.Millisecond))
+		queue.Shares.Served(Kind{}, false, shortCost, epoch.Add(time.Duration(i)*60*time.Millisecond))
 	}
 	now := epoch.Add(6 * time.Second)
 	prefill := Prefill{Backlog: 300 * time.Millisecond, Burst: burst}
-	wait, tooLate := line.TooLate(liveAsk(0), prefill, now)
+	wait, tooLate := queue.TooLate(liveAsk(0), prefill, now)
 	must.False(t, tooLate)
-	low, tooLate := line.TooLate(liveAsk(9), prefill, now)
+	low, tooLate := queue.TooLate(liveAsk(9), prefill, now)
 	must.True(t, tooLate)
 	must.Greater(t, wait, low)
 }
@@ -176,54 +176,54 @@
 
 // A host of the previous version sends no rank.
 func TestUnrankedCountsAsLowestSeen(t *testing.T) {
-	line := NewQueue(0)
-	must.False(t, line.Active(epoch))
-	line.Asked(Ask{}, epoch)
-	must.False(t, line.Active(epoch), must.Sprint("no ranked request asked"))
-	line.Asked(liveAsk(3), epoch)
-	line.Asked(liveAsk(7), epoch)
-	must.True(t, line.Active(epoch))
-	must.False(t, line.Active(epoch.Add(activeFor)))
-	must.Eq(t, site.Precedence{Workspace: 7}, line.PrecedenceOf(false, site.Precedence{}, epoch))
+	queue := NewQueue(0)
+	must.False(t, queue.Active(epoch))
+	queue.Asked(Ask{}, epoch)
+	must.False(t, queue.Active(epoch), must.Sprint("no ranked request asked"))
+	queue.Asked(liveAsk(3), epoch)
+	queue.Asked(liveAsk(7), epoch)
+	must.True(t, queue.Active(epoch))
+	must.False(t, queue.Active(epoch.Add(activeFor)))
+	must.Eq(t, site.Precedence{Workspace: 7}, queue.PrecedenceOf(false, site.Precedence{}, epoch))
 	ask := liveAsk(0)
 	ask.Ranked = false
 	prefill := Prefill{Backlog: 300 * time.Millisecond, Burst: burst}
 	now, asks := epoch, 1
-	for turn := line.Turn(ask, prefill, now); turn.Verdict == Defer; turn = line.Turn(ask, prefill, now) {
-		must.Eq(t, 1, line.Deferred(now))
+	for turn := queue.Turn(ask, prefill, now); turn.Verdict == Defer; turn = queue.Turn(ask, prefill, now) {
+		must.Eq(t, 1, queue.Deferred(now))
 		now, asks = now.Add(turn.Pause), asks+1
 		ask.Waited, ask.Slack, ask.Left = true, ask.Slack-turn.Pause, ask.Left-turn.Pause
 	}
 	must.LessEq(t, maxAsks+1, asks)
-	must.Eq(t, 0, line.Deferred(now))
+	must.Eq(t, 0, queue.Deferred(now))
 }
 
 // A ticket of a lost owner must not stand for another request.
 func TestTicketsOfOtherOwnersAreUnknown(t *testing.T) {
-	line := NewQueue(uint64(epoch.UnixNano()))
+	queue := NewQueue(uint64(epoch.UnixNano()))
 	ask := liveAsk(0)
 	ask.Ticket, ask.Waited = 1, true
-	turn := line.Turn(ask, Prefill{Backlog: 300 * time.Millisecond, Burst: burst}, epoch)
+	turn := queue.Turn(ask, Prefill{Backlog: 300 * time.Millisecond, Burst: burst}, epoch)
 	must.Eq(t, Defer, turn.Verdict)
 	must.Greater(t, uint64(1), turn.Ticket)
 }
 
 // Guards against state that grows with the requests that ask.
 func TestDeferredRequestsAreBounded(t *testing.T) {
-	line := NewQueue(0)
+	queue := NewQueue(0)
 	prefill := Prefill{Backlog: 300 * time.Millisecond, Burst: burst}
 	for i := range 2 * maxDeferred {
 		ask := liveAsk(i % 16)
 		ask.Left = time.Minute
-		line.Turn(ask, prefill, epoch)
+		queue.Turn(ask, prefill, epoch)
 	}
-	must.Eq(t, maxDeferred, line.Deferred(epoch))
+	must.Eq(t, maxDeferred, queue.Deferred(epoch))
 	last := liveAsk(16)
 	last.Left, last.Slack = time.Minute, 10*time.Millisecond
-	must.Eq(t, Refuse, line.Turn(last, prefill, epoch).Verdict)
-	must.Eq(t, Begin, line.Turn(liveAsk(-1), prefill, epoch).Verdict)
+	must.Eq(t, Refuse, queue.Turn(last, prefill, epoch).Verdict)
+	must.Eq(t, Begin, queue.Turn(liveAsk(-1), prefill, epoch).Verdict)
 	for i := range 2 * maxLevels {
-		line.Shares.Asked(KindOf(site.Precedence{Workspace: i}, 826), false, epoch.Add(time.Duration(i)))
+		queue.Shares.Asked(KindOf(site.Precedence{Workspace: i}, 826), false, epoch.Add(time.Duration(i)))
 	}
-	must.Eq(t, maxLevels, len(line.Shares.levels))
+	must.Eq(t, maxLevels, len(queue.Shares.levels))
 }
