Log lines tell the software version of runners, and which stream a request continues

Both are read now and logged: 'runner listed', 'attempt failed' and 'request' name software_version, 'request' resume_after and resumes. No decision uses them yet. Entries of runners that hosts pass on grow by the version field.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -216,7 +216,7 @@
 	}
 	d.runners[runner.Instance] = runnerEntry{Runner: runner, revision: revision}
 	if !known || before.ID != runner.ID || before.Leaving != runner.Leaving {
-		d.log.Info("runner listed", "runner", runner.ID, "service", runner.Service, "address", runner.Address, "data_centre", runner.DataCentre, "leaving", runner.Leaving, "revision", revision)
+		d.log.Info("runner listed", "runner", runner.ID, "service", runner.Service, "address", runner.Address, "data_centre", runner.DataCentre, "leaving", runner.Leaving, "software_version", runner.SoftwareVersion, "revision", revision)
 	}
 	if d.OnRunner != nil {
 		d.OnRunner(runner, false)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -43,6 +43,9 @@
 	ClientTimeout time.Duration
 	// ResumeAfter is the ID of the last event that the caller received in an earlier response.
 	ResumeAfter string
+	// Resumes is the ID of the caller's request whose response brought the first event of the
+	// stream that this request continues, "" if the caller names none.
+	Resumes string
 }
 
 // TokenCounts is the number of tokens in prompt and response together, as the caller
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -107,11 +107,14 @@
 	fields = append(fields, l.chargeLogFields()...)
 	if l.runner != nil {
 		view := l.s.Board.View(l.runner.ID, now)
-		fields = append(fields, "runner", l.runner.ID, "runner_load", view.Load, "runner_suspect", view.Suspect, "runner_limited", view.Limited, "runner_limit_per_s", view.Rate, "owner", l.s.Owners.OwnerOf(l.runner))
+		fields = append(fields, "runner", l.runner.ID, "software_version", l.runner.SoftwareVersion, "runner_load", view.Load, "runner_suspect", view.Suspect, "runner_limited", view.Limited, "runner_limit_per_s", view.Rate, "owner", l.s.Owners.OwnerOf(l.runner))
 	}
 	if l.via != "" {
 		fields = append(fields, "via", l.via)
 	}
+	if l.request.ResumeAfter != "" {
+		fields = append(fields, "resume_after", l.request.ResumeAfter, "resumes", l.request.Resumes)
+	}
 	if l.key.Name != "" {
 		fields = append(fields, "adapter", l.key.String(), "prompt_tokens", l.request.PromptTokens, "version", l.key.Version, "rank", l.rank, "near", l.near, "load_ordered", l.waitedForLoad, "load_wait_ms", l.waited.Milliseconds())
 	}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -222,8 +222,11 @@
 	Service    string
 	Address    string
 	DataCentre string
-	Slots      int
-	Leaving    bool
+	// SoftwareVersion is the version of the runner's software, "" if it tells none. Versions have
+	// no order. It is unrelated to the versions of adapters.
+	SoftwareVersion string
+	Slots           int
+	Leaving         bool
 	// Models are the base models that were loaded when the runner last described itself.
 	Models []string
 }
