Streams go on only at the software version that began them

Cause: one service's runners were taken to be alike in the middle of a stream.

Now the first event fixes the stream's version. The host remembers it, and while a second version is known, or its list of runners is older than 2 s, tells three hosts by rendezvous of the request's ID before it passes that event on (held for 60 ms at most). A host that takes a stream up looks, asks five, and else goes on only if a single version can have begun it: a version begins resumable streams only once it stands in a record in the store, written 3 s after it was first listed, so a host whose list is younger than that, and has read the record, misses none. Otherwise it refuses at once. A runner that restarted under its name counts for no version until its entry tells.

A fleet of one version sends no message about streams; it writes one record a service, once.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -233,7 +233,9 @@
 	if !ok || startedMS <= known.StartedMS {
 		return
 	}
-	d.putRunner(known.WithStart(startedMS), known.revision)
+	restarted := known.WithStart(startedMS)
+	restarted.SoftwareUnknown = true
+	d.putRunner(restarted, known.revision)
 	d.publish()
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -87,6 +87,7 @@
 	owners         *ownerClient
 	replicator     *replicator
 	quarantineSync *quarantineSync
+	streams        *streamOrigins
 	quotas         *quotaManager
 	backpressure   *backpressure
 	slots          *slotManager
@@ -154,6 +155,7 @@
 	e.owners = newOwnerClient(cfg.Host, e.state, pool, e.board, now, log)
 	e.owners.brittle, e.owners.directory = e.backpressure.brittle, e.directory
 	e.quarantineSync = newQuarantineSync(cfg.Host, e.state, pool, platform.Store, e.board, now, log)
+	e.streams = newStreamOrigins(cfg.Host, e.state, pool, platform.Store, now, log)
 	e.quotas = newQuotaManager(cfg.Host, e.state, pool, e.directory, cfg.QuotaTolerance, now, log)
 	e.slots = newSlotManager(identity, e.state, pool, newSlotLedgers(e.state, e.board, e.backpressure.brittle, e.directory, now, log), now, log)
 	statuses := &peerStatuses{
@@ -177,15 +179,18 @@
 			platform.RunnerKind:  e.directory.Runners,
 			platform.VersionKind: e.directory.Versions,
 		},
-		Pool: pool, Statuses: statuses, Runners: e.engineRunners, Reach: e.reachesOwned, OtherChanges: e.quarantineSync.applyRecords, Now: now, Log: log,
+		Pool: pool, Statuses: statuses, Runners: e.engineRunners, Reach: e.reachesOwned, OtherChanges: e.applyOtherRecords, Now: now, Log: log,
 	})
 	e.quarantineSync.liveness = e.runnerLiveness
 	e.quarantineSync.broadcast, e.quarantineSync.records = e.mesh.HeartbeatNow, e.mesh.Fleet()
+	e.streams.records = e.mesh.Fleet()
+	e.streams.age = func() time.Duration { return e.mesh.Age(platform.RunnerKind) }
 	e.createFollowers(platform)
 	mux := peer.NewMux()
 	e.mesh.Register(mux)
 	e.owners.register(mux)
 	e.quarantineSync.register(mux)
+	e.streams.register(mux)
 	e.quotas.register(mux)
 	e.backpressure.register(mux)
 	e.slots.ledgers.register(mux)
@@ -195,7 +200,7 @@
 		DataCentre: cfg.DataCentre, Directory: e.directory, Board: e.board, Owners: e.owners, Backpressure: e.backpressure,
 		Client: e.client, Quarantine: e.quarantineSync.quarantine, RetryLimit: cfg.RetryLimit, Quotas: e.quotas, Ages: func() (config, runners time.Duration) {
 			return e.mesh.Age(platform.ConfigKind), e.mesh.Age(platform.RunnerKind)
-		}, HostCount: e.sharingHosts, Slots: e.slots, Brittle: e.backpressure.isBrittle, Contention: e.requestCounts, Now: now, Log: log,
+		}, HostCount: e.sharingHosts, Slots: e.slots, Streams: e.streams, Brittle: e.backpressure.isBrittle, Contention: e.requestCounts, Now: now, Log: log,
 	})
 	e.callerServer = (&ingress.Ingress{
 		Dialect: platform.Dialect, Directory: e.directory, Serve: e.serve, Now: now, Log: log, Closing: e.stopping.Load, Refusing: e.rejecting.Load,
@@ -204,6 +209,12 @@
 	return e
 }
 
+// applyOtherRecords applies records of the fleet's kind that are neither of hosts nor of owners.
+func (e *Entry) applyOtherRecords(changes []registry.Change) {
+	e.quarantineSync.applyRecords(changes)
+	e.streams.applyRecords(changes)
+}
+
 // sharingHosts returns the number of hosts among which deployment-wide bounds are
 // shared, 0 until the store or a peer has provided the host list.
 func (e *Entry) sharingHosts() int {
@@ -350,6 +361,7 @@
 	}
 	go e.mesh.Run(ctx)
 	go e.quarantineSync.run(ctx)
+	go e.streams.run(ctx)
 	go e.quotas.run(ctx)
 	go e.backpressure.run(ctx)
 	go e.slots.ledgers.run(ctx)
@@ -366,6 +378,7 @@
 	for ctx.Err() == nil {
 		e.directory.Expire()
 		snapshot := e.directory.Snapshot()
+		e.streams.observe(snapshot)
 		if snapshot.Config != nil {
 			e.owner.Reconcile(ctx, snapshot.Config, snapshot.ByService)
 		}
@@ -452,6 +465,11 @@
 		"retries_denied":     counters.RetriesDenied.Load,
 		"quarantine_refused": counters.Quarantined.Load,
 		"quota_refused":      counters.OverQuota.Load,
+		"streams_continued":  counters.StreamsContinued.Load,
+		"origins_unknown":    counters.OriginsUnknown.Load,
+		"origins_asked":      e.streams.asked.Load,
+		"origins_told":       e.streams.announced.Load,
+		"origins_untold":     e.streams.unannounced.Load,
 		"connections_dialed": e.connector.Dialed,
 		"connections_probed": e.connector.Probes,
 		"tunnels_used":       e.connector.Relayed,
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -15,7 +15,10 @@
 // Counters counts requests by outcome.
 type Counters struct {
 	Served, Refused, Failed, Canceled, RetriesDenied, Quarantined, OverQuota atomic.Int64
-	FirstByte                                                                Histogram
+	// StreamsContinued counts requests that continue a stream, OriginsUnknown those refused because
+	// it was not known what began it.
+	StreamsContinued, OriginsUnknown atomic.Int64
+	FirstByte                        Histogram
 }
 
 // refuseOrFail ends a request that is not sent to another runner: as refused if no runner can
@@ -113,7 +116,10 @@
 		fields = append(fields, "via", l.via)
 	}
 	if l.request.ResumeAfter != "" {
-		fields = append(fields, "resume_after", l.request.ResumeAfter, "resumes", l.request.Resumes)
+		fields = append(fields, "resume_after", l.request.ResumeAfter, "resumes", l.request.Resumes, "origin_source", string(l.originSource))
+	}
+	if l.origin != nil {
+		fields = append(fields, "began_at_version", l.origin.Version)
 	}
 	if l.key.Name != "" {
 		fields = append(fields, "adapter", l.key.String(), "prompt_tokens", l.request.PromptTokens, "version", l.key.Version, "rank", l.rank, "near", l.near, "load_ordered", l.waitedForLoad, "load_wait_ms", l.waited.Milliseconds())
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -55,7 +55,7 @@
 	l.recordSignal(answer, failure)
 	if failure == nil {
 		l.s.Board.RecordResponse(runner.ID, l.sentAt)
-		failure = l.relay(answer, silence)
+		failure = l.relay(ctx, answer, silence)
 	}
 	l.recordOutcome(ctx, failure)
 	l.recordCompletion(ctx, failure)
@@ -177,10 +177,10 @@
 }
 
 // relay passes a runner's answer on to the caller.
-func (l *lifecycle) relay(answer *forward.Response, silence *time.Timer) *forward.Failure {
+func (l *lifecycle) relay(ctx context.Context, answer *forward.Response, silence *time.Timer) *forward.Failure {
 	defer func() { _ = answer.Body.Close() }()
 	if answer.Status == http.StatusOK && isEventStream(answer.Header) {
-		return l.relayEvents(answer, silence)
+		return l.relayEvents(ctx, answer, silence)
 	}
 	return l.relayWhole(answer)
 }
@@ -228,7 +228,7 @@
 }
 
 // relayEvents relays complete events as they arrive.
-func (l *lifecycle) relayEvents(answer *forward.Response, silence *time.Timer) *forward.Failure {
+func (l *lifecycle) relayEvents(ctx context.Context, answer *forward.Response, silence *time.Timer) *forward.Failure {
 	flusher := http.NewResponseController(l.w)
 	var held []byte
 	chunk := make([]byte, readBufferBytes)
@@ -237,7 +237,7 @@
 		held = append(held, chunk[:n]...)
 		if length := completeEventsLen(held); length > 0 {
 			l.resetSilence(silence)
-			if failure := l.writeEvents(answer, flusher, held[:length]); failure != nil {
+			if failure := l.writeEvents(ctx, answer, flusher, held[:length]); failure != nil {
 				return failure
 			}
 			held = append(held[:0], held[length:]...)
@@ -265,8 +265,9 @@
 	silence.Reset(max(minEventTimeout, eventTimeoutFactor*l.route.TargetGap))
 }
 
-func (l *lifecycle) writeEvents(answer *forward.Response, flusher *http.ResponseController, events []byte) *forward.Failure {
+func (l *lifecycle) writeEvents(ctx context.Context, answer *forward.Response, flusher *http.ResponseController, events []byte) *forward.Failure {
 	if !l.headerWritten {
+		l.beginStream(ctx)
 		copyHeader(l.w.Header(), answer.Header)
 		l.writeHeader(answer.Status)
 		if l.via == "" {
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -14,7 +14,11 @@
 // the request and returns false.
 func (l *lifecycle) place(ctx context.Context) bool {
 	snapshot := l.s.Directory.Snapshot()
-	runners := snapshot.ByService[l.service.Name]
+	runners := l.eligible(snapshot.ByService[l.service.Name])
+	if l.origin != nil && len(runners) == 0 {
+		l.refuseOrFail(versionGoneRetryAfter, reasonVersionGone)
+		return false
+	}
 	if l.service.Engine == nil {
 		return l.placePlain(ctx, runners)
 	}
@@ -39,7 +43,7 @@
 			return false
 		case SlotUnknown:
 			// The request may have waited.
-			runners = l.s.Directory.Snapshot().ByService[l.service.Name]
+			runners = l.eligible(l.s.Directory.Snapshot().ByService[l.service.Name])
 		}
 	}
 	return l.placeByLoad(runners)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -20,6 +20,7 @@
 	"github.com/cherrystage/cherrystage/internal/quarantine"
 	"github.com/cherrystage/cherrystage/internal/retrybudget"
 	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/cherrystage/cherrystage/internal/streams"
 	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/cherrystage/cherrystage/internal/verdict"
 	"github.com/hashicorp/go-hclog"
@@ -78,6 +79,9 @@
 	// Slots grants the request slots of plain runners where requests are ordered by priority. It
 	// may be nil if they never are.
 	Slots SharedSlots
+	// Streams knows which software version began a stream. It may be nil, which stands for
+	// runners that are all alike.
+	Streams Streams
 	// Brittle reports whether a service's runners fall over if they have to turn away many
 	// requests. It may be nil, which stands for never.
 	Brittle func(service string) bool
@@ -206,7 +210,11 @@
 	callerGone  bool
 	complete    bool
 	lastEventID string
-	status      int
+	// origin is what began the stream, nil before its first event; originSource is how that is
+	// known of a stream that the request continues.
+	origin       *streams.Origin
+	originSource OriginSource
+	status       int
 	// reason is why this host generated the answer itself, empty if a runner answered.
 	reason        string
 	waitedForLoad bool
@@ -252,7 +260,11 @@
 	l.ranked, l.precedence = snapshot.Config.OrdersByPriority(), site.PrecedenceOf(request.Caller.Workspace, route)
 	l.beginCount()
 	defer l.endCount()
-	name := route.PickService(rand.Float64())
+	if !l.findOrigin(ctx) {
+		l.logRequest(ctx)
+		return
+	}
+	name := l.pickService(rand.Float64())
 	l.service = snapshot.Config.Services[name]
 	if l.service == nil {
 		l.refuse(retryAfterLong, "the route's service is not configured")
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -68,7 +68,11 @@
 	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
 }
 
-func (r *Route) sendsTo(service string) bool {
+// Key identifies the route across versions of the configuration.
+func (r *Route) Key() string { return r.Host + r.Prefix }
+
+// SendsTo reports whether a service is one of the route's targets.
+func (r *Route) SendsTo(service string) bool {
 	return slices.ContainsFunc(r.Targets, func(target Target) bool { return target.Service == service })
 }
 
@@ -183,7 +187,7 @@
 	var least time.Duration
 	for _, routes := range c.byHost {
 		for _, route := range routes {
-			if route.TargetGap > 0 && (least == 0 || route.TargetGap < least) && route.sendsTo(service) {
+			if route.TargetGap > 0 && (least == 0 || route.TargetGap < least) && route.SendsTo(service) {
 				least = route.TargetGap
 			}
 		}
@@ -191,6 +195,22 @@
 	return least
 }
 
+// StreamTargets returns the services of each streaming route, by the route's key.
+func (c *Config) StreamTargets() map[string][]string {
+	targets := map[string][]string{}
+	for _, routes := range c.byHost {
+		for _, route := range routes {
+			if route.Kind != Streaming {
+				continue
+			}
+			for _, target := range route.Targets {
+				targets[route.Key()] = append(targets[route.Key()], target.Service)
+			}
+		}
+	}
+	return targets
+}
+
 // Len returns the number of routes.
 func (c *Config) Len() int { return c.routes }
 
@@ -225,6 +245,8 @@
 	// SoftwareVersion is the version of the runner's software, "" if it tells none. Versions have
 	// no order. It is unrelated to the versions of adapters.
 	SoftwareVersion string
+	// SoftwareUnknown is set after a restart until the runner's entry tells its software version.
+	SoftwareUnknown bool
 	Slots           int
 	Leaving         bool
 	// Models are the base models that were loaded when the runner last described itself.
