--- a/internal/directory/restart_test.go
+++ b/internal/directory/restart_test.go
@@ -110,3 +110,16 @@
 		})
 	}
 }
+
+// A runner restarts under its instance with other software, and says so to its owner before its
+// entry shows it. The version of its former entry must not count for it.
+func TestRestartedRunnerHasNoKnownSoftware(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newDirectory(&now)
+	d.Runners.Listed([]registry.Record{record("a", `{"born":100,"address":"a:1"}`, 1)}, registry.Position{Revision: 1})
+	must.False(t, d.Snapshot().Runners["a~100"].SoftwareUnknown)
+	d.MarkRestarted("a", 300)
+	must.True(t, d.Snapshot().Runners["a~300"].SoftwareUnknown)
+	d.Runners.Changed([]registry.Change{{Record: record("a", `{"born":300,"address":"a:1"}`, 2)}}, registry.Position{Revision: 2})
+	must.False(t, d.Snapshot().Runners["a~300"].SoftwareUnknown)
+}
