Hosts warn each other of runners that crashed again

Now a host is silent only where a relay reaches the runner, or where it is cut off and no relay was found to fail: then the fault is its path. TestHostsWarnOfRunnersThatCrashed failed before in two of five cases; the tests of cut-off hosts, relays and crashes in package platform pass (49 s).

--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -82,8 +82,8 @@
 		}
 	}
 	for id, left := range s.board.Suspects(s.now()) {
-		// A host that does not reach a runner directly knows too little of it to warn others.
-		if runner := snapshot.Runners[id]; runner == nil || s.paths.Works(runner.Address) {
+		// Where a relay reaches the runner, the fault is this host's path; others are not warned.
+		if runner := snapshot.Runners[id]; runner == nil || s.paths.Blames(runner.Address) {
 			current.SuspectMS[id] = left.Milliseconds()
 		}
 	}
--- a/internal/entry/status_test.go
+++ b/internal/entry/status_test.go
@@ -7,6 +7,10 @@
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
 	"github.com/cherrystage/cherrystage/internal/board"
+	"github.com/cherrystage/cherrystage/internal/directory"
+	"github.com/cherrystage/cherrystage/internal/reach"
+	"github.com/cherrystage/cherrystage/internal/registry"
+	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
 )
@@ -65,3 +69,55 @@
 	must.Eq(t, 2, runners)
 	must.Eq(t, 0.25, s.utilization())
 }
+
+// runnerDecoder decodes any record as a runner.
+type runnerDecoder struct{ directory.Decoder }
+
+func (runnerDecoder) Runner(name string, _ json.RawMessage) (*site.Runner, error) {
+	return &site.Runner{ID: name, Instance: name, Service: "s", Address: name + ":1"}, nil
+}
+
+func (runnerDecoder) StripRunner(spec json.RawMessage) json.RawMessage { return spec }
+
+// A runner crashes, and the host that finds out warns the others: each of them would else send it
+// a request of its own. A host that only lost its own path to a runner warns nobody: the others
+// reach the runner and would avoid it for nothing.
+func TestHostsWarnOfRunnersThatCrashed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	runners := directory.New(runnerDecoder{}, func() time.Time { return now }, hclog.NewNullLogger())
+	runners.Runners.Listed([]registry.Record{{Name: "r", Revision: 1, Spec: json.RawMessage(`{}`)}}, registry.Position{Revision: 1})
+	runner := runners.Snapshot().Runners["r"]
+	must.NotNil(t, runner)
+	for _, row := range []struct {
+		name  string
+		paths func(p *reach.Paths)
+		warns bool
+	}{
+		{"its path works", func(*reach.Paths) {}, true},
+		{"the runner's process ended", func(p *reach.Paths) { p.DirectFailed(runner.Address, 9, false, now) }, true},
+		{"no relay reaches it either", func(p *reach.Paths) {
+			p.DirectFailed(runner.Address, 9, false, now)
+			p.RelayFailed(runner.Address, now)
+		}, true},
+		{"a relay reaches it", func(p *reach.Paths) {
+			p.DirectFailed(runner.Address, 9, false, now)
+			p.RelayWorked(runner.Address, "h2", now)
+		}, false},
+		{"the host is cut off", func(p *reach.Paths) {
+			for _, address := range []string{"a", "b", "c", "d"} {
+				p.DirectFailed(address, 4, true, now)
+			}
+			must.True(t, p.IsCutOff())
+		}, false},
+	} {
+		t.Run(row.name, func(t *testing.T) {
+			s := newPeerStatuses(&now)
+			s.directory, s.paths = runners, reach.NewPaths()
+			s.localDigest, s.brittle = func() uint64 { return 0 }, func() []board.BrittleReport { return nil }
+			row.paths(s.paths)
+			s.board.RecordFailure("r", true, now)
+			_, warns := s.Status().(status).SuspectMS["r"]
+			must.Eq(t, row.warns, warns)
+		})
+	}
+}
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -277,6 +277,19 @@
 	return path != nil && !path.relayedAt.IsZero()
 }
 
+// Blames reports whether the failures that this host sees at a runner are the runner's as far as is
+// known: its own path works, or no relay reaches the runner either.
+func (p *Paths) Blames(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	path := p.failing[address]
+	if path == nil {
+		return !p.cutOff
+	}
+	noRelay := path.relayedAt.IsZero() && path.backoff > 0
+	return noRelay || path.relayedAt.IsZero() && !p.cutOff
+}
+
 // Forget drops the state of runners that are not listed any more.
 func (p *Paths) Forget(listed func(address string) bool) {
 	p.mu.Lock()
