Log lines tell the parts of a request's prompt, and how many truncated responses are reported

'request' and 'attempt failed' now name the parts that other requests may share; 'reporting truncated responses' counts them, a line a batch. No decision uses them yet.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -185,6 +185,7 @@
 	if len(due) == 0 {
 		return
 	}
+	s.log.Info("reporting truncated responses", "cuts", len(due), "runner", due[0].Runner)
 	reports := make([]*truncationReport, 0, len(due))
 	for _, truncation := range due {
 		s.countTruncation(truncation, s.host)
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -115,6 +115,9 @@
 	if l.via != "" {
 		fields = append(fields, "via", l.via)
 	}
+	if len(l.request.PromptParts) > 0 {
+		fields = append(fields, "parts", strings.Join(l.request.PromptParts, ","))
+	}
 	if l.request.ResumeAfter != "" {
 		fields = append(fields, "resume_after", l.request.ResumeAfter, "resumes", l.request.Resumes, "origin_source", string(l.originSource))
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -427,7 +428,7 @@
 		l.giveUp(ctx)
 		return false
 	}
-	l.s.Log.Info("attempt failed", "id", l.request.ID, "content", l.fingerprint.String(), "runner", l.runner.ID, "software_version", l.runner.SoftwareVersion, "last_event", l.lastEventID, "send", l.sends, "reason", string(l.failure.Reason),
+	l.s.Log.Info("attempt failed", "id", l.request.ID, "content", l.fingerprint.String(), "parts", strings.Join(l.request.PromptParts, ","), "runner", l.runner.ID, "software_version", l.runner.SoftwareVersion, "last_event", l.lastEventID, "send", l.sends, "reason", string(l.failure.Reason),
 		"verdict", l.failure.Verdict.String(), "cause", l.failure.Error(), "via", l.via, "left_ms", l.timeLeft().Milliseconds())
 	if l.failure.Verdict == verdict.NotRun {
 		return l.retryNotRun(ctx)
