Parts of prompts that crash runners are quarantined

Cause: what crashes a runner was taken to be a whole request (first hypothesis): the quarantine counts by a fingerprint of the whole content, and of 175 answers that broke off with 15 runners 174 had different ones. Ruled out: lost reports (the one request that came twice was counted at four hosts) and slowness (nothing was blocked in 72 s).

Now crashes are counted against each subject of a request: its content, and each part of its prompt that others may share, wherever it stands. Of subjects with the same crashes the likeliest is blocked: the most crashes, then the shortest time to the crash (bystanders had run for longer), then the narrowest. A part is cleared by any whole answer after its first crash, on any host, and may become suspect again. Runners that are lost at one moment count as one crash against a part. A blocked part that was sound before is tried three times by one host, since nothing else could clear one that was only always there.

Also of the class: an answer whose end is only the end of its connection looked whole if the runner crashed between two events, and would have cleared the cause; it counts once its runner is known to live, or as a crash if it is known to be gone. One that ended inside an event was not counted as cut off.

While no answer is truncated nothing is sent; each whole answer costs a look-up for each part.

--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -95,8 +95,10 @@
 	runner := e.directory.Snapshot().Runners[id]
 	paths := e.connector.Paths
 	switch {
-	case runner == nil || e.board.RespondedSince(id, since):
-		return e.quarantineSync.livenessByResponses(id, since)
+	case e.board.RespondedSince(id, since):
+		return quarantine.Alive
+	case runner == nil:
+		return quarantine.Gone
 	case paths.Lost(runner.Address):
 		return quarantine.Alive
 	case paths.Works(runner.Address) && paths.ReachedSince(since):
@@ -106,7 +108,8 @@
 	case e.connector.MayRelay(runner.Address):
 		e.connector.ProveRelay(runner.Address)
 	default:
-		return quarantine.Silent
+		// Neither this host nor a relay can connect to it.
+		return quarantine.Gone
 	}
 	return quarantine.Unknown
 }
--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -55,21 +55,23 @@
 // TruncationParams is a truncated response.
 type TruncationParams struct {
 	Content quarantine.Fingerprint `json:"content"`
-	Runner  string                 `json:"runner"`
-	AgeMS   int64                  `json:"age_ms"`
+	// Depth is as in quarantine.Subject.
+	Depth  int    `json:"depth,omitempty"`
+	Runner string `json:"runner"`
+	AgeMS  int64  `json:"age_ms"`
 	// LastedMS is how long the runner had been processing the request.
 	LastedMS int64 `json:"lasted_ms"`
 }
 
 func (p TruncationParams) truncation(now time.Time) quarantine.Truncation {
 	return quarantine.Truncation{
-		Content: p.Content, Runner: p.Runner, At: now.Add(-time.Duration(p.AgeMS) * time.Millisecond),
+		Content: p.Content, Depth: p.Depth, Runner: p.Runner, At: now.Add(-time.Duration(p.AgeMS) * time.Millisecond),
 		Elapsed: time.Duration(p.LastedMS) * time.Millisecond,
 	}
 }
 
 func newTruncationParams(truncation quarantine.Truncation, now time.Time) TruncationParams {
-	return TruncationParams{Content: truncation.Content, Runner: truncation.Runner, AgeMS: now.Sub(truncation.At).Milliseconds(), LastedMS: truncation.Elapsed.Milliseconds()}
+	return TruncationParams{Content: truncation.Content, Depth: truncation.Depth, Runner: truncation.Runner, AgeMS: now.Sub(truncation.At).Milliseconds(), LastedMS: truncation.Elapsed.Milliseconds()}
 }
 
 // EntriesResult holds a host's quarantine entries.
@@ -118,6 +120,10 @@
 		host: host, quarantine: quarantine.New(), mesh: state, pool: pool, store: store, board: b, now: now, log: log,
 	}
 	s.liveness = s.livenessByResponses
+	s.quarantine.SetTrialDecider(func(content quarantine.Fingerprint) bool {
+		ranked := s.rankedHosts(content)
+		return len(ranked) > 0 && ranked[0] == host
+	})
 	return s
 }
 
@@ -247,7 +253,7 @@
 func (s *quarantineSync) countTruncation(truncation quarantine.Truncation, from string) {
 	counted := s.quarantine.Count(truncation, s.now())
 	if counted.Crashes > 1 || counted.Suspected {
-		s.log.Info("request crashes runners", "content", truncation.Content.String(), "ends", counted.Crashes, "runner", truncation.Runner, "reported_by", from,
+		s.log.Info("request crashes runners", "content", truncation.Content.String(), "depth", truncation.Depth, "ends", counted.Crashes, "runner", truncation.Runner, "reported_by", from,
 			"age_ms", s.now().Sub(truncation.At).Milliseconds(), "lasted_ms", truncation.Elapsed.Milliseconds(), "suspected", counted.Suspected)
 	}
 }
@@ -300,7 +306,7 @@
 	if update.Cleared {
 		message = "request cleared: it received a complete response"
 	}
-	s.log.Info(message, "content", update.Content.String(), "round", update.Round, "age_ms", update.AgeMS, "ends", len(update.Crashes), "from", from)
+	s.log.Info(message, "content", update.Content.String(), "depth", update.Depth, "round", update.Round, "age_ms", update.AgeMS, "ends", len(update.Crashes), "from", from)
 }
 
 // applyRecords applies persistent records to the quarantine.
--- a/internal/entry/quarantine_test.go
+++ b/internal/entry/quarantine_test.go
@@ -215,7 +215,7 @@
 		must.True(t, held)
 
 		for _, host := range hosts {
-			host.quarantine.RecordCompletion(poison, time.Now())
+			host.quarantine.RecordCompletion(quarantine.Subject{Fingerprint: poison}, time.Now())
 		}
 		time.Sleep(2 * time.Second)
 		store.locked(func() { must.MapEmpty(t, store.records) })
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -152,6 +152,9 @@
 	Body     io.ReadCloser
 	// ContentLength is the body's length, -1 if unknown.
 	ContentLength int64
+	// EndsWithConnection reports that the body has neither a length nor chunks: its end and the
+	// end of the runner's process look the same.
+	EndsWithConnection bool
 	// Relay is the host through which the request was sent, "" if it was sent directly.
 	Relay string
 }
@@ -283,7 +286,9 @@
 		Metadata:      metadata,
 		Body:          response.Body,
 		ContentLength: response.ContentLength,
-		Relay:         sent.relay(),
+
+		EndsWithConnection: response.ContentLength < 0 && len(response.TransferEncoding) == 0,
+		Relay:              sent.relay(),
 	}, nil
 }
 
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -5,6 +5,10 @@
 // with a new ID and through another host. Every attempt crashes one more runner and loses the
 // responses to all requests on it. Requests are therefore identified by their content rather
 // than their ID, and crashes are counted across all hosts.
+//
+// What crashes a runner may also be one part of a prompt, whatever else the request holds. Crashes
+// are counted against each part that requests may share as well, and the likeliest of all these
+// subjects is blocked.
 package quarantine
 
 import (
@@ -19,6 +23,32 @@
 // Fingerprint identifies the content of a request, regardless of the caller and the attempt.
 type Fingerprint uint64
 
+// Subject is what may be to blame for a crash: the whole content of a request, or one part of its
+// prompt.
+type Subject struct {
+	Fingerprint
+	// Depth is 0 for a whole request, and the place of a part in its prompt, from 1.
+	Depth int
+}
+
+// SubjectsOf returns the subjects of a request: its content, and the parts of its prompt that other
+// requests may share, in order.
+func SubjectsOf(content Content, parts []string) []Subject {
+	subjects := make([]Subject, 1, 1+len(parts))
+	subjects[0] = Subject{Fingerprint: content.Fingerprint()}
+	for place, part := range parts {
+		subjects = append(subjects, Subject{Fingerprint: partFingerprint(part), Depth: place + 1})
+	}
+	return subjects
+}
+
+// partFingerprint returns the fingerprint of a part of a prompt, the same in all requests.
+func partFingerprint(id string) Fingerprint {
+	// No content begins so: its first length is that of a method.
+	sum := sha256.Sum256([]byte("part of a prompt\x00" + id))
+	return Fingerprint(binary.BigEndian.Uint64(sum[:]))
+}
+
 // Content is the part of a request that determines its fingerprint.
 type Content struct {
 	Method string
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -14,6 +14,8 @@
 	// attributed to the same crash. Hosts notice a crash within milliseconds of each other, and
 	// a runner takes seconds to restart.
 	sameCrashWindow = time.Second
+	// sameLossWindow is the time within which the hosts notice crashes of the same moment.
+	sameLossWindow = 100 * time.Millisecond
 	// maxCrashes bounds the crashes kept for a request, to as many as hosts may add before all
 	// of them know that it is suspect.
 	maxCrashes = 8
@@ -24,12 +26,17 @@
 
 // Truncation is a response that broke off, most likely because its runner crashed.
 type Truncation struct {
+	// Content is what may be to blame, Depth is as in Subject.
 	Content Fingerprint
+	Depth   int
 	// Runner is the runner's instance ID.
 	Runner string
 	At     time.Time
 	// Elapsed is the time from sending the request to the truncation.
 	Elapsed time.Duration
+	// LooksWhole is set if only the end of the connection marked the end of the response: it was
+	// whole unless the runner crashed.
+	LooksWhole bool
 }
 
 // crash is the crash of a runner that was executing a request.
@@ -50,11 +57,13 @@
 	crashes []crash
 	// maxElapsed is the longest time that a runner had the request before it crashed.
 	maxElapsed time.Duration
+	// depth is as in Subject, the greatest where a part has several places.
+	depth int
 }
 
 // union combines the evidence, counting a crash that both contain once.
 func (v evidence) union(other evidence) evidence {
-	result := evidence{crashes: slices.Clone(v.crashes), maxElapsed: max(v.maxElapsed, other.maxElapsed)}
+	result := evidence{crashes: slices.Clone(v.crashes), maxElapsed: max(v.maxElapsed, other.maxElapsed), depth: max(v.depth, other.depth)}
 	for _, c := range other.crashes {
 		if len(result.crashes) < maxCrashes && !slices.ContainsFunc(result.crashes, c.sameAs) {
 			result.crashes = append(result.crashes, c)
@@ -85,7 +94,7 @@
 
 // since returns the evidence without crashes before t.
 func (v evidence) since(t time.Time) evidence {
-	kept := evidence{maxElapsed: v.maxElapsed}
+	kept := evidence{maxElapsed: v.maxElapsed, depth: v.depth}
 	for _, c := range v.crashes {
 		if !c.at.Before(t) {
 			kept.crashes = append(kept.crashes, c)
@@ -94,6 +103,35 @@
 	return kept
 }
 
+// suffices reports whether the evidence makes its subject suspect. Runners that are lost together
+// may have had a popular part in common; they count as one crash against a part.
+func (v evidence) suffices() bool {
+	if len(v.crashes) < crashThreshold {
+		return false
+	}
+	return v.depth == 0 || !v.isOneLoss()
+}
+
+// isOneLoss reports whether all crashes came at the same moment.
+func (v evidence) isOneLoss() bool {
+	first := v.firstCrash()
+	for _, c := range v.crashes {
+		if c.at.Sub(first) > sameLossWindow {
+			return false
+		}
+	}
+	return true
+}
+
+// clearedSince returns the time from which a completion clears the subject: some time before the
+// first crash for a whole request, and the first crash for a part, which many requests complete.
+func (v evidence) clearedSince(first time.Time) time.Time {
+	if v.depth > 0 {
+		return first
+	}
+	return first.Add(-contentCompletionGrace)
+}
+
 // firstCrash returns the time of the earliest crash, the zero time if there is none.
 func (v evidence) firstCrash() time.Time {
 	var first time.Time
@@ -107,7 +145,7 @@
 
 // evidenceOf returns the evidence of a single truncation.
 func evidenceOf(truncation Truncation) evidence {
-	return evidence{crashes: []crash{{runner: truncation.Runner, at: truncation.At}}, maxElapsed: truncation.Elapsed}
+	return evidence{crashes: []crash{{runner: truncation.Runner, at: truncation.At}}, maxElapsed: truncation.Elapsed, depth: truncation.Depth}
 }
 
 // ledger holds the evidence on requests that are not suspect yet. It is not safe for concurrent
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -23,10 +24,14 @@
 	halfOpenDuration   = 10 * time.Minute
 	// clearedDuration is how long a cleared request cannot become suspect again.
 	clearedDuration = time.Minute
-	// completionGrace is how long before the first crash a completion still clears a request: a
-	// request that runners have just completed does not crash them. When three runners are lost
+	// contentCompletionGrace is how long before the first crash a completion still clears a request:
+	// a request that runners have just completed does not crash them. When three runners are lost
 	// at once, a popular request may have no time to complete in between.
-	completionGrace = 10 * time.Second
+	contentCompletionGrace = 10 * time.Second
+	// partCompletionGrace is how long after a completion a host reports no truncation against a part
+	// of prompts. A part that many requests share completes all the time, until no runner bears it
+	// any more.
+	partCompletionGrace = 500 * time.Millisecond
 	// ownCrashThreshold is the number of crashes not explained by other requests that keeps a
 	// request blocked. One may be coincidence.
 	ownCrashThreshold = 2
@@ -48,6 +53,8 @@
 	// that one of them had it.
 	Crashes   []Crash `json:"ends,omitempty"`
 	ElapsedMS int64   `json:"lasted_ms,omitempty"`
+	// Depth is as in Subject.
+	Depth int `json:"depth,omitempty"`
 }
 
 // Crash is the crash of a runner.
@@ -79,8 +86,9 @@
 	if e.cleared || age >= quarantineDuration {
 		return 0, false
 	}
-	// In later rounds other hosts have had the first round to clear the request.
-	if e.round == 1 && age < confirmationDelay {
+	// In later rounds other hosts have had the first round to clear a request. A part that was
+	// cleared may have become bad, or be a bystander again.
+	if (e.round == 1 || e.depth > 0) && age < confirmationDelay {
 		return 0, false
 	}
 	return quarantineDuration - age, true
@@ -116,13 +124,13 @@
 // signature is equal for equivalent entries. It omits times, which differ slightly between
 // hosts.
 func (e entry) signature() string {
-	return fmt.Sprint(e.round, e.cleared, len(e.crashes), e.maxElapsed.Milliseconds())
+	return fmt.Sprint(e.round, e.cleared, len(e.crashes), e.maxElapsed.Milliseconds(), e.depth)
 }
 
 func (e entry) export(content Fingerprint, now time.Time) Entry {
 	exported := Entry{
 		Content: content, Round: e.round, Cleared: e.cleared,
-		AgeMS: now.Sub(e.changedAt).Milliseconds(), ElapsedMS: e.maxElapsed.Milliseconds(),
+		AgeMS: now.Sub(e.changedAt).Milliseconds(), ElapsedMS: e.maxElapsed.Milliseconds(), Depth: e.depth,
 	}
 	for _, crash := range e.crashes {
 		exported.Crashes = append(exported.Crashes, Crash{Runner: crash.runner, AgeMS: now.Sub(crash.at).Milliseconds()})
@@ -134,12 +142,22 @@
 	ago := func(ms int64) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
 	e := entry{round: received.Round, cleared: received.Cleared, changedAt: ago(received.AgeMS)}
 	e.maxElapsed = time.Duration(received.ElapsedMS) * time.Millisecond
+	e.depth = received.Depth
 	for _, c := range received.Crashes[:min(maxCrashes, len(received.Crashes))] {
 		e.crashes = append(e.crashes, crash{runner: c.Runner, at: ago(c.AgeMS)})
 	}
 	return e
 }
 
+// narrowness orders subjects by how few requests hold them: a whole request is the narrowest, and
+// requests that share a part share those before it as well.
+func (e entry) narrowness() int {
+	if e.depth == 0 {
+		return math.MaxInt
+	}
+	return e.depth
+}
+
 // list holds the suspect and cleared requests. It is immutable.
 type list struct {
 	entries map[Fingerprint]entry
@@ -163,8 +181,8 @@
 // against it. If both were blocked, the harmless one could not complete and be cleared. Of
 // requests with the same crashes only the likeliest cause is therefore blocked: the one with the
 // most crashes, then the one that runners had for the shortest time, since it crashes them
-// immediately. If that is the wrong one, the other causes a crash of its own next and the two
-// change places.
+// immediately, then the one that the fewest requests hold. If that is the wrong one, the other
+// causes a crash of its own next and the two change places.
 func explained(entries map[Fingerprint]entry) map[Fingerprint]bool {
 	var suspected []Fingerprint
 	for content, e := range entries {
@@ -174,7 +192,7 @@
 	}
 	slices.SortFunc(suspected, func(a, b Fingerprint) int {
 		x, y := entries[a], entries[b]
-		return cmp.Or(len(y.crashes)-len(x.crashes), cmp.Compare(x.maxElapsed, y.maxElapsed), cmp.Compare(a, b))
+		return cmp.Or(len(y.crashes)-len(x.crashes), cmp.Compare(x.maxElapsed, y.maxElapsed), y.narrowness()-x.narrowness(), cmp.Compare(a, b))
 	})
 	result := map[Fingerprint]bool{}
 	explaining := crashesByRunner{}
--- /dev/null
+++ b/internal/quarantine/parts_test.go
@@ -0,0 +1,179 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	first  Fingerprint = 11 // a part that many requests share
+	middle Fingerprint = 12 // a part of fewer requests
+	whole  Fingerprint = 13
+)
+
+// countAt counts the crash of a runner against subjects at a time.
+func countAt(q *Quarantine, runner string, at time.Duration, elapsed time.Duration, subjects ...Subject) (last CountResult) {
+	for _, subject := range subjects {
+		last = q.Count(Truncation{Content: subject.Fingerprint, Depth: subject.Depth, Runner: runner, At: after(at), Elapsed: elapsed}, after(at))
+	}
+	return last
+}
+
+func TestSubjectsOfARequest(t *testing.T) {
+	content := Content{Method: "POST", Authority: "h", RequestURI: "/a", Body: []byte("x")}
+	subjects := SubjectsOf(content, []string{"5c1e07a2", "91bd3f06"})
+	must.Len(t, 3, subjects)
+	must.Eq(t, Subject{Fingerprint: content.Fingerprint()}, subjects[0])
+	must.Eq(t, []int{0, 1, 2}, []int{subjects[0].Depth, subjects[1].Depth, subjects[2].Depth})
+	elsewhere := SubjectsOf(Content{Method: "GET"}, []string{"91bd3f06"})
+	must.Eq(t, subjects[2].Fingerprint, elsewhere[1].Fingerprint, must.Sprint("whatever else the request holds"))
+	must.Len(t, 1, SubjectsOf(content, nil))
+}
+
+// Runners are lost together while a popular part is on each: that is one crash against the part.
+// One that ends runners one by one is known after the third.
+func TestRunnersLostTogetherAreOneCrashAgainstAPart(t *testing.T) {
+	together, one := New(), New()
+	part := Subject{Fingerprint: first, Depth: 1}
+	for i := range 5 {
+		must.False(t, countAt(together, fmt.Sprintf("r%d", i), time.Duration(i)*10*time.Millisecond, 0, part).Suspected)
+	}
+	must.True(t, countAt(together, "r9", 5*time.Second, 0, part).Suspected)
+	for i := range 2 {
+		must.False(t, countAt(one, fmt.Sprintf("r%d", i), time.Duration(i)*300*time.Millisecond, 0, part).Suspected)
+	}
+	must.True(t, countAt(one, "r2", 600*time.Millisecond, 0, part).Suspected)
+}
+
+// A first part and a rarer one come together in all requests that crashed runners, and no answer
+// tells them apart yet. The rarer one is blocked; if a request without it crashes a runner, the first.
+func TestOfPartsWithTheSameCrashesTheNarrowestIsBlocked(t *testing.T) {
+	q := New()
+	both := []Subject{{Fingerprint: first, Depth: 1}, {Fingerprint: middle, Depth: 2}}
+	for i := range 3 {
+		countAt(q, fmt.Sprintf("r%d", i), time.Duration(i)*time.Second, 50*time.Millisecond, both...)
+	}
+	must.False(t, blocked(q, first, 4*time.Second))
+	must.True(t, blocked(q, middle, 4*time.Second))
+	countAt(q, "r5", 5*time.Second, 50*time.Millisecond, both[0])
+	must.True(t, blocked(q, first, 6*time.Second))
+	must.False(t, blocked(q, middle, 6*time.Second), must.Sprint("given back"))
+}
+
+// The same request crashes three runners: it is the narrowest. Another one with the same part shows
+// that the part is to blame.
+func TestRequestIsBlockedBeforeItsParts(t *testing.T) {
+	q := New()
+	request, part := Subject{Fingerprint: whole}, Subject{Fingerprint: middle, Depth: 2}
+	for i := range 3 {
+		countAt(q, fmt.Sprintf("r%d", i), time.Duration(i)*time.Second, 50*time.Millisecond, request, part)
+	}
+	must.True(t, blocked(q, whole, 4*time.Second))
+	must.False(t, blocked(q, middle, 4*time.Second))
+	countAt(q, "r3", 5*time.Second, 50*time.Millisecond, part)
+	must.True(t, blocked(q, middle, 6*time.Second))
+}
+
+// A part is cleared by an answer, and from then on no runner bears it.
+func TestClearedPartMayBecomeSuspectAgain(t *testing.T) {
+	q := New()
+	part := Subject{Fingerprint: middle, Depth: 2}
+	for i := range 3 {
+		countAt(q, fmt.Sprintf("r%d", i), time.Duration(i)*time.Second, 0, part)
+	}
+	q.RecordCompletion(part, after(2500*time.Millisecond))
+	must.False(t, blocked(q, middle, 4*time.Second))
+	for i := range 3 {
+		must.Eq(t, i == 2, countAt(q, fmt.Sprintf("s%d", i), time.Duration(5+i)*time.Second, 0, part).Suspected)
+	}
+	must.False(t, blocked(q, middle, 7*time.Second+confirmationDelay-1), must.Sprint("other hosts may clear it first"))
+	must.True(t, blocked(q, middle, 7*time.Second+confirmationDelay))
+}
+
+// Completions of a part do not displace those of whole requests, which are remembered for longer.
+func TestCompletionsOfPartsAndRequestsAreApart(t *testing.T) {
+	q := New()
+	q.RecordCompletion(Subject{Fingerprint: whole, Depth: 1}, after(0))
+	q.RecordTruncation(Truncation{Content: whole, Runner: "r", At: after(time.Second)})
+	must.True(t, q.Pending())
+	q = New()
+	q.RecordCompletion(Subject{Fingerprint: whole}, after(0))
+	q.RecordTruncation(Truncation{Content: whole, Runner: "r", At: after(time.Second)})
+	must.False(t, q.Pending())
+	q.RecordCompletion(Subject{Fingerprint: middle, Depth: 2}, after(0))
+	q.RecordTruncation(Truncation{Content: middle, Depth: 2, Runner: "r", At: after(partCompletionGrace - 1)})
+	must.False(t, q.Pending())
+	q.RecordTruncation(Truncation{Content: middle, Depth: 2, Runner: "r", At: after(partCompletionGrace)})
+	must.True(t, q.Pending())
+}
+
+// Only the end of its connection marked the end of a response. It was whole if the runner lives,
+// broke off if the runner is known to be gone, and says nothing otherwise.
+func TestResponsesThatLookWhole(t *testing.T) {
+	for _, row := range []struct {
+		liveness Liveness
+		reported bool
+		complete bool
+	}{{Alive, false, true}, {Gone, true, false}, {Silent, false, false}, {Unknown, false, false}} {
+		q := New()
+		countCrashes(q, 1, 3, 0)
+		q.RecordTruncation(Truncation{Content: 1, Runner: "r", At: after(2500 * time.Millisecond), LooksWhole: true})
+		tell := func(string, time.Time) Liveness { return row.liveness }
+		due, _ := q.TakeDue(after(2500*time.Millisecond+livenessDelay), tell)
+		later, _ := q.TakeDue(after(2500*time.Millisecond+maxLivenessDelay), tell)
+		must.Eq(t, row.reported, len(due)+len(later) == 1, must.Sprint(row.liveness))
+		must.False(t, q.Pending())
+		must.Eq(t, !row.complete, blocked(q, 1, 5*time.Second), must.Sprint(row.liveness))
+	}
+}
+
+// The truncations of one crash are reported once for each subject, with the longest time.
+func TestTruncationsOfOneCrashAreJoined(t *testing.T) {
+	q := New()
+	for i := range 5 {
+		q.RecordTruncations([]Subject{{Fingerprint: Fingerprint(100 + i)}, {Fingerprint: first, Depth: 1}},
+			Truncation{Runner: "r", At: after(0), Elapsed: time.Duration(i) * time.Second})
+	}
+	due, _ := q.TakeDue(after(time.Second), func(string, time.Time) Liveness { return Silent })
+	must.Len(t, 6, due)
+	for _, truncation := range due {
+		if truncation.Content == first {
+			must.Eq(t, 4*time.Second, truncation.Elapsed)
+		}
+	}
+}
+
+// A blocked part that was sound before is tried three times by one host, ever later; one that never
+// was is not.
+func TestTrialsOfABlockedPart(t *testing.T) {
+	q, other := New(), New()
+	q.SetTrialDecider(func(Fingerprint) bool { return true })
+	part := Subject{Fingerprint: middle, Depth: 2}
+	request := []Subject{{Fingerprint: whole}, part}
+	for _, host := range []*Quarantine{q, other} {
+		host.RecordCompletion(part, after(-time.Minute))
+		for i := range 3 {
+			countAt(host, fmt.Sprintf("r%d", i), time.Duration(i)*time.Second, 0, part)
+		}
+	}
+	blockedAt := 2 * time.Second
+	must.False(t, q.TakeTrial(request, after(blockedAt+trialDelays[0]-1)))
+	for _, delay := range trialDelays {
+		must.False(t, other.TakeTrial(request, after(blockedAt+delay)), must.Sprint("not its turn"))
+		must.True(t, q.TakeTrial(request, after(blockedAt+delay)))
+		must.False(t, q.TakeTrial(request, after(blockedAt+delay)))
+	}
+	must.False(t, q.TakeTrial(request, after(blockedAt+5*time.Minute)))
+	q.RecordCompletion(part, after(blockedAt+5*time.Minute))
+	must.False(t, blocked(q, middle, blockedAt+5*time.Minute))
+
+	never := New()
+	never.SetTrialDecider(func(Fingerprint) bool { return true })
+	for i := range 3 {
+		countAt(never, fmt.Sprintf("r%d", i), time.Duration(i)*time.Second, 0, part)
+	}
+	must.False(t, never.TakeTrial(request, after(time.Minute)))
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -15,8 +15,8 @@
 	// maxLivenessDelay is the same where nothing is known of the runner.
 	maxLivenessDelay = 1200 * time.Millisecond
 	// maxPending bounds the truncations that wait for livenessDelay: ten times as many as one
-	// crash causes on a host.
-	maxPending = 256
+	// crash causes on a host, with the parts of the prompts that were cut off.
+	maxPending = 1024
 )
 
 // Quarantine is one host's state of requests that crash runners. Its methods take the current
@@ -27,7 +27,10 @@
 // notify all others. A host that has completed the request clears it; otherwise all hosts block
 // it. A popular request that merely ran on the crashed runners thus stays available.
 type Quarantine struct {
-	completions completions
+	// completions are those of whole requests, partCompletions those of parts of prompts. The
+	// latter would displace the former, which have to be remembered for longer.
+	completions     completions
+	partCompletions completions
 	// list is replaced as a whole: every request reads it, and it rarely changes.
 	list    atomic.Pointer[list]
 	wakeups chan struct{}
@@ -36,11 +39,15 @@
 	ledger  ledger
 	pending []Truncation
 	dropped int
+	// trials counts the trials of blocked parts; decidesTrials reports whether this host is the
+	// one that may make them.
+	trials        map[Fingerprint]int
+	decidesTrials func(content Fingerprint) bool
 }
 
 // New returns an empty quarantine.
 func New() *Quarantine {
-	q := &Quarantine{wakeups: make(chan struct{}, 1), ledger: ledger{}}
+	q := &Quarantine{wakeups: make(chan struct{}, 1), ledger: ledger{}, trials: map[Fingerprint]int{}, decidesTrials: func(Fingerprint) bool { return false }}
 	q.list.Store(newList(map[Fingerprint]entry{}))
 	return q
 }
@@ -60,9 +67,31 @@
 	return q.list.Load().blockedFor(content, now)
 }
 
-// RecordCompletion records that a request was answered completely, which clears it.
-func (q *Quarantine) RecordCompletion(content Fingerprint, now time.Time) {
-	q.completions.record(content, now)
+// Blocked returns for how long any of a request's subjects is still blocked, and whether one is.
+func (q *Quarantine) Blocked(subjects []Subject, now time.Time) (remaining time.Duration, blocked bool) {
+	l := q.list.Load()
+	if len(l.entries) == 0 {
+		return 0, false
+	}
+	for _, subject := range subjects {
+		if left, held := l.blockedFor(subject.Fingerprint, now); held {
+			remaining, blocked = max(remaining, left), true
+		}
+	}
+	return remaining, blocked
+}
+
+// RecordCompletions records that a request was answered completely, which clears its subjects.
+func (q *Quarantine) RecordCompletions(subjects []Subject, now time.Time) {
+	for _, subject := range subjects {
+		q.RecordCompletion(subject, now)
+	}
+}
+
+// RecordCompletion records that a request with a subject was answered completely, which clears it.
+func (q *Quarantine) RecordCompletion(subject Subject, now time.Time) {
+	content := subject.Fingerprint
+	q.completionsOf(subject.Depth).record(content, now)
 	if !q.suspected(content) {
 		return
 	}
@@ -74,6 +103,13 @@
 	}
 }
 
+func (q *Quarantine) completionsOf(depth int) *completions {
+	if depth > 0 {
+		return &q.partCompletions
+	}
+	return &q.completions
+}
+
 func (q *Quarantine) suspected(content Fingerprint) bool {
 	e, ok := q.list.Load().entries[content]
 	return ok && !e.cleared
@@ -86,14 +122,31 @@
 	q.wake()
 }
 
+// RecordTruncations records that the response to a request broke off, most likely because its
+// runner crashed, against each of its subjects.
+func (q *Quarantine) RecordTruncations(subjects []Subject, truncation Truncation) {
+	for _, subject := range subjects {
+		truncation.Content, truncation.Depth = subject.Fingerprint, subject.Depth
+		q.RecordTruncation(truncation)
+	}
+}
+
 // RecordTruncation records that the response to a request broke off, most likely because its
 // runner crashed.
 func (q *Quarantine) RecordTruncation(truncation Truncation) {
-	if at, ok := q.completions.lastCompletion(truncation.Content); ok && truncation.At.Sub(at) < completionGrace {
+	at, ok := q.completionsOf(truncation.Depth).lastCompletion(truncation.Content)
+	grace := contentCompletionGrace
+	if truncation.Depth > 0 {
+		grace = partCompletionGrace
+	}
+	if ok && truncation.At.Sub(at) < grace {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if q.joinPending(truncation) {
+		return
+	}
 	if len(q.pending) >= maxPending {
 		q.dropped++
 		return
@@ -102,6 +155,21 @@
 	q.wake()
 }
 
+// joinPending adds a truncation to one that is pending for the same subject and crash, and reports
+// whether there was one. The caller holds q.mu.
+func (q *Quarantine) joinPending(truncation Truncation) bool {
+	for i := range q.pending {
+		known := &q.pending[i]
+		if known.Content != truncation.Content || known.Runner != truncation.Runner || known.LooksWhole != truncation.LooksWhole ||
+			truncation.At.Sub(known.At) >= sameCrashWindow {
+			continue
+		}
+		known.Elapsed, known.Depth = max(known.Elapsed, truncation.Elapsed), max(known.Depth, truncation.Depth)
+		return true
+	}
+	return false
+}
+
 // Liveness is what a host knows of a runner since one of its responses was truncated.
 type Liveness uint8
 
@@ -112,11 +180,25 @@
 	Alive
 	// Unknown: this host has not reached any runner since, so the fault may be its own.
 	Unknown
+	// Gone: no connection to the runner can be opened, or its entry is gone.
+	Gone
 )
 
 // TakeDue removes and returns the truncations to report: those whose runner is silent. It also
 // returns the number that were dropped. Where nothing is known of a runner, it waits for longer.
+//
+// A response that looks whole counts only if its runner is known to have crashed: where responses
+// end with their connections, each of them would count otherwise. It counts as a completion only if
+// the runner is known to live.
 func (q *Quarantine) TakeDue(now time.Time, liveness func(runner string, since time.Time) Liveness) (due []Truncation, dropped int) {
+	whole, due, dropped := q.takeDue(now, liveness)
+	for _, truncation := range whole {
+		q.RecordCompletion(Subject{Fingerprint: truncation.Content, Depth: truncation.Depth}, now)
+	}
+	return due, dropped
+}
+
+func (q *Quarantine) takeDue(now time.Time, liveness func(runner string, since time.Time) Liveness) (whole, due []Truncation, dropped int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	waiting := q.pending[:0]
@@ -126,16 +208,20 @@
 			waiting = append(waiting, truncation)
 			continue
 		}
-		switch known := liveness(truncation.Runner, truncation.At); {
-		case known == Unknown && age < maxLivenessDelay:
+		known := liveness(truncation.Runner, truncation.At)
+		undecided := known == Unknown || truncation.LooksWhole && known == Silent
+		switch {
+		case undecided && age < maxLivenessDelay:
 			waiting = append(waiting, truncation)
-		case known != Alive:
+		case known == Alive && truncation.LooksWhole:
+			whole = append(whole, truncation)
+		case known != Alive && (!truncation.LooksWhole || known == Gone):
 			due = append(due, truncation)
 		}
 	}
 	q.pending = waiting
 	dropped, q.dropped = q.dropped, 0
-	return due, dropped
+	return whole, due, dropped
 }
 
 // Pending reports whether truncations are waiting for livenessDelay.
@@ -161,8 +247,12 @@
 	switch {
 	case !listed || known.expired(now):
 		found := q.ledger.add(truncation, now)
-		suspected := len(found.crashes) >= crashThreshold && q.suspect(truncation.Content, 1, found, now)
+		suspected := found.suffices() && q.suspect(truncation.Content, 1, found, now)
 		return CountResult{Crashes: len(found.crashes), Suspected: suspected}
+	case known.cleared && known.depth > 0:
+		// It was sound, and may have become bad since.
+		found := q.ledger.add(truncation, now).since(known.changedAt)
+		return CountResult{Crashes: len(found.crashes), Suspected: found.suffices() && q.suspect(truncation.Content, known.round+1, found, now)}
 	case known.cleared:
 		return CountResult{}
 	case known.halfOpen(now):
@@ -193,8 +283,8 @@
 
 // served reports whether this host has answered the request completely since its crashes began.
 func (q *Quarantine) served(content Fingerprint, e entry) bool {
-	at, ok := q.completions.lastCompletion(content)
-	return ok && at.After(e.firstSeen().Add(-completionGrace))
+	at, ok := q.completionsOf(e.depth).lastCompletion(content)
+	return ok && at.After(e.clearedSince(e.firstSeen()))
 }
 
 // Merge applies entries received from a peer and returns those that changed the list.
@@ -260,6 +350,11 @@
 	if unexpired := q.list.Load().unexpired(now); len(unexpired.entries) < q.Size() {
 		q.list.Store(unexpired)
 	}
+	for content := range q.trials {
+		if _, listed := q.list.Load().entries[content]; !listed {
+			delete(q.trials, content)
+		}
+	}
 }
 
 // Snapshot returns the rounds of the blocked requests, for the persistent record: everything
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -68,7 +68,7 @@
 // clears it before any caller is refused.
 func TestPopularRequestIsCleared(t *testing.T) {
 	counting, serving := New(), New()
-	serving.RecordCompletion(1, after(time.Second))
+	serving.RecordCompletion(Subject{Fingerprint: 1}, after(time.Second))
 	countCrashes(counting, 1, 3, 0)
 	changed := serving.Merge(counting.Entries(after(2200*time.Millisecond)), after(2200*time.Millisecond))
 	must.Len(t, 1, changed)
@@ -85,7 +85,7 @@
 // become suspect, neither on the host that completed it nor on others.
 func TestSimultaneousLossDoesNotBlockCompletedRequest(t *testing.T) {
 	counting, serving := New(), New()
-	serving.RecordCompletion(1, epoch)
+	serving.RecordCompletion(Subject{Fingerprint: 1}, epoch)
 	for i := range 3 {
 		at := after(5 * time.Second)
 		counting.Count(Truncation{Content: 1, Runner: fmt.Sprintf("r%d", i), At: at}, at)
@@ -104,7 +104,7 @@
 	q := New()
 	countCrashes(q, 1, 3, 0)
 	must.True(t, blocked(q, 1, 5*time.Second))
-	q.RecordCompletion(1, after(6*time.Second))
+	q.RecordCompletion(Subject{Fingerprint: 1}, after(6*time.Second))
 	must.False(t, blocked(q, 1, 6*time.Second))
 }
 
@@ -155,7 +155,7 @@
 	}
 	must.Eq(t, maxEntries, q.Size())
 	for i := range 10 * completionShards * completionsPerShard {
-		q.RecordCompletion(Fingerprint(i), epoch)
+		q.RecordCompletion(Subject{Fingerprint: Fingerprint(i)}, epoch)
 	}
 	for i := range q.completions.shards {
 		must.LessEq(t, 2*completionsPerShard, len(q.completions.shards[i].current)+len(q.completions.shards[i].previous))
@@ -184,7 +184,7 @@
 		return q
 	}
 	right := both()
-	right.RecordCompletion(slow, after(5*time.Second))
+	right.RecordCompletion(Subject{Fingerprint: slow}, after(5*time.Second))
 	must.True(t, blocked(right, quick, time.Minute))
 	must.False(t, blocked(right, slow, time.Minute))
 
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -101,7 +101,7 @@
 	snapshot := l.s.Directory.Snapshot()
 	configAge, runnersAge := l.s.Ages()
 	fields := []any{
-		"id", l.request.ID, "content", l.fingerprint.String(), "from", l.request.ClientAddr, "route", l.route.Name, "kind", l.route.Kind.String(), "status", l.status, "complete", l.complete,
+		"id", l.request.ID, "content", l.subjects[0].String(), "from", l.request.ClientAddr, "route", l.route.Name, "kind", l.route.Kind.String(), "status", l.status, "complete", l.complete,
 		"sends", l.sends, "may_have_run", l.mayHaveRunCount, "ms", now.Sub(l.arrived).Milliseconds(),
 		"target_ms", l.route.TargetLatency.Milliseconds(), "target_gap_ms", l.route.TargetGap.Milliseconds(),
 		"left_ms", l.deadline.Sub(now).Milliseconds(), "config", snapshot.Config.Version,
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -58,7 +58,7 @@
 		failure = l.relay(ctx, answer, silence)
 	}
 	l.recordOutcome(ctx, failure)
-	l.recordCompletion(ctx, failure)
+	l.recordCompletion(ctx, answer, failure)
 	return failure
 }
 
@@ -94,13 +94,17 @@
 
 // recordCompletion tells the quarantine that the answer was complete, or that it was cut off
 // and not canceled by this host or the caller.
-func (l *lifecycle) recordCompletion(ctx context.Context, failure *forward.Failure) {
+func (l *lifecycle) recordCompletion(ctx context.Context, answer *forward.Response, failure *forward.Failure) {
 	now := l.s.Now()
+	cut := quarantine.Truncation{Runner: l.runner.ID, At: now, Elapsed: now.Sub(l.sentAt)}
 	switch {
+	case failure == nil && l.complete && l.status/100 == 2 && answer.EndsWithConnection:
+		cut.LooksWhole = true
+		l.s.Quarantine.RecordTruncations(l.subjects, cut)
 	case failure == nil && l.complete && l.status/100 == 2:
-		l.s.Quarantine.RecordCompletion(l.fingerprint, now)
+		l.s.Quarantine.RecordCompletions(l.subjects, now)
 	case failure != nil && failure.ConnectionLost && ctx.Err() == nil:
-		l.s.Quarantine.RecordTruncation(quarantine.Truncation{Content: l.fingerprint, Runner: l.runner.ID, At: now, Elapsed: now.Sub(l.sentAt)})
+		l.s.Quarantine.RecordTruncations(l.subjects, cut)
 	}
 }
 
@@ -247,14 +251,23 @@
 			return nil
 		}
 		if err != nil || len(held) > maxEventBytes {
-			if err == nil || err == io.EOF {
-				err = errors.New("the stream ended within an event")
-			}
-			return forward.TruncatedResponse(answer.Metadata, err)
+			return forward.TruncatedResponse(answer.Metadata, streamError(answer, err))
 		}
 	}
 }
 
+// streamError returns why a stream is not complete, given the error with which reading ended.
+func streamError(answer *forward.Response, err error) error {
+	switch {
+	case err == io.EOF && answer.EndsWithConnection:
+		return errors.Wrap(io.ErrUnexpectedEOF, "the connection ended within an event")
+	case err == nil || err == io.EOF:
+		return errors.New("the stream ended within an event")
+	default:
+		return err
+	}
+}
+
 // resetSilence restarts the timeout for the next event. Only a stream that another runner
 // may continue is canceled for a runner's silence.
 func (l *lifecycle) resetSilence(silence *time.Timer) {
--- a/internal/serve/quarantine_test.go
+++ b/internal/serve/quarantine_test.go
@@ -102,7 +102,7 @@
 		}
 		w.quarantineRequest()
 		must.Eq(t, http.StatusServiceUnavailable, w.serveRepeatable().Code)
-		w.server.Quarantine.RecordCompletion(due[0].Content, time.Now())
+		w.server.Quarantine.RecordCompletion(quarantine.Subject{Fingerprint: due[0].Content}, time.Now())
 		w.runnerHandler = nil
 		must.Eq(t, http.StatusOK, w.serveRepeatable().Code)
 	})
--- a/internal/serve/search.go
+++ b/internal/serve/search.go
@@ -196,7 +196,7 @@
 		if l.superseded() {
 			return errSuperseded
 		}
-		if _, held := l.s.Quarantine.BlockedFor(l.fingerprint, l.s.Now()); held {
+		if _, held := l.s.Quarantine.Blocked(l.subjects, l.s.Now()); held && !l.trial {
 			return errQuarantined
 		}
 		left := end.Sub(l.s.Now())
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -181,8 +181,10 @@
 	brittle bool
 	// counted is the request as counted for the metrics page.
 	counted *contention.Request
-	// fingerprint identifies the request's content for the quarantine.
-	fingerprint quarantine.Fingerprint
+	// subjects is what the quarantine may block the request for, its whole content first.
+	subjects []quarantine.Subject
+	// trial is set while the request may be sent although a part of its prompt is blocked.
+	trial bool
 
 	// tried holds the IDs of runners to which the request is not sent again.
 	tried map[string]bool
@@ -256,7 +258,7 @@
 func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, route *site.Route, request *forward.Request, arrived time.Time) {
 	l := &lifecycle{s: s, w: w, route: route, request: request, arrived: arrived, tried: map[string]bool{}, adapterMisses: map[string]int{}}
 	l.deadline = arrived.Add(requestTimeout(route, request))
-	l.fingerprint = contentOf(request).Fingerprint()
+	l.subjects = quarantine.SubjectsOf(contentOf(request), request.PromptParts)
 	snapshot := s.Directory.Snapshot()
 	l.ranked, l.precedence = snapshot.Config.OrdersByPriority(), site.PrecedenceOf(request.Caller.Workspace, route)
 	l.beginCount()
@@ -333,6 +335,7 @@
 			return
 		}
 		l.failure = l.attempt(ctx)
+		l.trial = false
 		if l.failure == nil {
 			return
 		}
@@ -342,15 +345,20 @@
 	}
 }
 
-// rejectIfQuarantined answers a request whose content has crashed runners, with the time
+// rejectIfQuarantined answers a request whose content, or a part of it, has crashed runners, with the time
 // until the quarantine ends, and reports whether it did.
 //
 // Retried by its caller under a new ID each time, such a request crashes one runner after
 // the other and cuts off all requests that run there. Every host checks before every send,
 // so after the third crash it is sent only until the hosts have agreed.
 func (l *lifecycle) rejectIfQuarantined() bool {
-	left, held := l.s.Quarantine.BlockedFor(l.fingerprint, l.s.Now())
-	if !held {
+	left, held := l.s.Quarantine.Blocked(l.subjects, l.s.Now())
+	if !held || l.trial {
+		return false
+	}
+	if l.arrivals == 0 && l.s.Quarantine.TakeTrial(l.subjects, l.s.Now()) {
+		l.trial = true
+		l.s.Log.Info("trying a blocked part of a prompt", "id", l.request.ID, "parts", strings.Join(l.request.PromptParts, ","))
 		return false
 	}
 	l.s.Counters.Quarantined.Add(1)
@@ -428,7 +436,7 @@
 		l.giveUp(ctx)
 		return false
 	}
-	l.s.Log.Info("attempt failed", "id", l.request.ID, "content", l.fingerprint.String(), "parts", strings.Join(l.request.PromptParts, ","), "runner", l.runner.ID, "software_version", l.runner.SoftwareVersion, "last_event", l.lastEventID, "send", l.sends, "reason", string(l.failure.Reason),
+	l.s.Log.Info("attempt failed", "id", l.request.ID, "content", l.subjects[0].String(), "parts", strings.Join(l.request.PromptParts, ","), "runner", l.runner.ID, "software_version", l.runner.SoftwareVersion, "last_event", l.lastEventID, "send", l.sends, "reason", string(l.failure.Reason),
 		"verdict", l.failure.Verdict.String(), "cause", l.failure.Error(), "via", l.via, "left_ms", l.timeLeft().Milliseconds())
 	if l.failure.Verdict == verdict.NotRun {
 		return l.retryNotRun(ctx)
