A suspect takes the place of a cleared one in a full quarantine

Parts that many requests share are suspected and cleared again while runners end. A full list, 256 entries, accepted no further suspect, so the part to blame could have stayed unblocked for a minute. TestSuspectTakesThePlaceOfAClearedOne failed before.

--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -218,6 +218,23 @@
 
 func (l *list) full() bool { return len(l.entries) >= maxEntries }
 
+// oldestCleared returns the entry that was cleared first, and false if none is cleared.
+func (l *list) oldestCleared() (oldest Fingerprint, ok bool) {
+	for content, e := range l.entries {
+		if e.cleared && (!ok || e.changedAt.Before(l.entries[oldest].changedAt)) {
+			oldest, ok = content, true
+		}
+	}
+	return oldest, ok
+}
+
+// withoutEntry returns a copy of the list without a request.
+func (l *list) withoutEntry(content Fingerprint) *list {
+	entries := maps.Clone(l.entries)
+	delete(entries, content)
+	return newList(entries)
+}
+
 // withEntry returns a copy of the list in which the request has the given entry.
 func (l *list) withEntry(content Fingerprint, e entry) *list {
 	entries := maps.Clone(l.entries)
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -177,3 +177,22 @@
 	}
 	must.False(t, never.TakeTrial(request, after(time.Minute)))
 }
+
+// Many popular parts were suspected and cleared while runners ended. The one that is to blame must
+// still find room.
+func TestSuspectTakesThePlaceOfAClearedOne(t *testing.T) {
+	q := New()
+	for i := range maxEntries {
+		part := Subject{Fingerprint: Fingerprint(1000 + i), Depth: 1}
+		for crash := range 3 {
+			countAt(q, fmt.Sprintf("r%d", crash), time.Duration(crash)*time.Second, 0, part)
+		}
+		q.RecordCompletion(part, after(3*time.Second+time.Duration(i)*time.Millisecond))
+	}
+	must.Eq(t, maxEntries, q.Size())
+	for i := range 3 {
+		countAt(q, fmt.Sprintf("s%d", i), time.Duration(5+i)*time.Second, 0, Subject{Fingerprint: middle, Depth: 2})
+	}
+	must.True(t, blocked(q, middle, 8*time.Second))
+	must.Eq(t, maxEntries, q.Size())
+}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -268,12 +268,16 @@
 	}
 }
 
-// suspect marks a request as suspect, or as cleared if this host has completed it. It does
-// nothing if the list is full. The caller holds q.mu.
+// suspect marks a request as suspect, or as cleared if this host has completed it. In a full list it
+// takes the place of a cleared one, and does nothing if there is none. The caller holds q.mu.
 func (q *Quarantine) suspect(content Fingerprint, round int, found evidence, now time.Time) bool {
 	l := q.list.Load()
 	if _, listed := l.entries[content]; !listed && l.full() {
-		return false
+		oldest, ok := l.oldestCleared()
+		if !ok {
+			return false
+		}
+		q.list.Store(l.withoutEntry(oldest))
 	}
 	e := entry{round: round, changedAt: now, evidence: found}
 	e.cleared = q.served(content, e)
