The model knows software versions of engines, and parts of prompts that end them

[[versions]] replaces engines and lets callers continue streams at other hosts, [[bad_parts]] sends requests with a part that ends each engine that begins on it; hosts decide by the product's packages streams and quarantine over lists and reports that are late. Also: what is learnt of an adapter's runners is kept apart where only some may run a request; the ranks differ.

--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -9,7 +9,9 @@
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
 	"github.com/cherrystage/cherrystage/internal/placing"
+	"github.com/cherrystage/cherrystage/internal/quarantine"
 	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/cherrystage/cherrystage/internal/streams"
 	"github.com/pkg/errors"
 )
 
@@ -53,6 +55,19 @@
 	output  int
 	begun   time.Time
 	retried bool
+	// bad is set for a request whose prompt holds a bad part. subjects are those of the quarantine,
+	// empty if no part is bad.
+	bad      *BadPartConfig
+	subjects []quarantine.Subject
+	// id names the stream, continues is the request whose stream this one continues, origin what is
+	// known of its begin, and beganAt the version that began it. The caller leaves early if leaves is
+	// set.
+	id        string
+	continues *request
+	origin    *streams.Origin
+	beganAt   string
+	leaves    bool
+	events    int
 	// firstTry is where the request's first try counts, nil if it does not.
 	firstTry *FirstTries
 
@@ -124,6 +139,10 @@
 		r.prompt = min(r.prompt, kind.MostRead)
 	}
 	r.output = max(1, lognormal(sim.demand, kind.Events, outputSpread)*sim.cfg.Engines.Stride)
+	if len(sim.cfg.BadParts) > 0 {
+		r.setSubjects(sim.cfg.BadParts[0].WholeRequests)
+	}
+	r.drawLeaving()
 	sim.result.countAsked(r)
 	r.startAttempt()
 }
@@ -158,6 +177,10 @@
 		r.retryOrRefuse()
 		return
 	}
+	if r.isBlocked() || !r.findOrigin() {
+		r.finished = true
+		return
+	}
 	if !r.retried {
 		if r.firstTry = sim.firstTries(r.host); r.firstTry != nil {
 			r.firstTry.Asked++
@@ -184,7 +207,7 @@
 	if r.key.Name == "" {
 		key = "any" + strconv.Itoa(r.sim.choices.IntN(1<<20))
 	}
-	r.runners = r.sim.rankRunners(key)
+	r.runners = r.usable(r.sim.rankRunners(key))
 	r.search = r.host.spreads.Search(key, len(r.runners))
 	if r.search.PreferLocal() {
 		r.runners = slices.Clone(r.runners)
@@ -326,6 +349,10 @@
 // send sends the request to the runner that admitted it.
 func (r *request) send(runner *site.Runner) {
 	sim := r.sim
+	if r.isBlocked() {
+		sim.reportEnd(runner.ID, r.key)
+		return
+	}
 	r.sends++
 	delay, setUp, reached := sim.path(r.host, runner)
 	if !reached {
@@ -348,6 +375,10 @@
 		e := sim.byID[runner.ID]
 		sent := &engineRun{key: r.key, unread: r.prompt, remaining: r.output, sentAt: sentAt}
 		sent.event = func() {
+			if r.bad != nil {
+				sim.endEngine(e, *r.bad)
+				return
+			}
 			if !viaRelay && h.cuts != cuts {
 				return // the connection dropped all data since the cut
 			}
@@ -363,6 +394,7 @@
 			})
 		}
 		r.engine, r.run = e, sent
+		r.recordBadSend()
 		if why := e.submit(sent); why != accepted {
 			sim.clock.after(delay, func() {
 				h.board.RecordEnd(runner.ID)
@@ -421,11 +453,13 @@
 	r.host.board.RecordActivity(runner.ID, now)
 	if r.first.IsZero() {
 		r.first = now
+		r.recordFirst(runner)
 		r.sim.observePrefill(runner.ID, r.prompt, now.Sub(sent.sentAt))
 	} else {
 		r.gap = max(r.gap, now.Sub(r.lastSeen))
 	}
 	r.lastSeen = now
+	r.leaveIfDue()
 }
 
 func (r *request) end(sent *engineRun, runner *site.Runner, whole bool) {
@@ -434,6 +468,7 @@
 	}
 	r.finished = true
 	now := r.sim.clock.now
+	r.recordEnd(runner.ID, whole, sent.sentAt)
 	if !whole {
 		r.host.board.RecordFailure(runner.ID, false, now)
 		r.sim.ownerBoard.RecordFailure(runner.ID, false, now)
--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -51,8 +51,12 @@
 	Silences []FaultConfig `toml:"silences"`
 	Losses   []FaultConfig `toml:"losses"`
 	// Cuts cut hosts off from all runners.
-	Cuts    []CutConfig `toml:"cuts"`
-	Retries RetryConfig `toml:"retries"`
+	Cuts []CutConfig `toml:"cuts"`
+	// BadParts send requests with a part of a prompt that ends engines.
+	BadParts []BadPartConfig `toml:"bad_parts"`
+	// Versions replace engines by ones of other software versions.
+	Versions []VersionConfig `toml:"versions"`
+	Retries  RetryConfig     `toml:"retries"`
 	// Contended turns on the scheduling under contention, see docs/design/contention.md.
 	Contended bool `toml:"contended"`
 }
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -80,6 +80,10 @@
 	// seconds after the cut.
 	CutOff    FirstTries `json:"cut_off,omitzero"`
 	NotCutOff FirstTries `json:"not_cut_off,omitzero"`
+	// BadPart counts what parts of prompts that end engines caused.
+	BadPart BadPartResult `json:"bad_part,omitzero"`
+	// Versions counts the streams that callers continued at other hosts.
+	Versions VersionResult `json:"versions,omitzero"`
 	// Fill is the mean share of the slots in use, over all steps.
 	Fill float64 `json:"fill"`
 }
@@ -89,6 +93,9 @@
 }
 
 func (r *Result) tally(q *request, count func(t *Tally)) {
+	if q.bad != nil || q.continues != nil {
+		return
+	}
 	r.tallyClasses(q, count)
 	if q.surge {
 		count(&r.Surging)
@@ -133,7 +140,9 @@
 	if q.firstTry != nil && !q.retried {
 		q.firstTry.Served++
 	}
-	q.sim.recordFirstEvent(q)
+	if q.bad == nil && q.continues == nil {
+		q.sim.recordFirstEvent(q)
+	}
 	inTime := q.first.Sub(q.begun) <= millis(q.kind.TargetMS) && (q.kind.GapMS == 0 || q.gap <= millis(q.kind.GapMS))
 	r.tally(q, func(t *Tally) {
 		if inTime {
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -12,9 +12,11 @@
 	"github.com/cherrystage/cherrystage/internal/board"
 	"github.com/cherrystage/cherrystage/internal/fleet"
 	"github.com/cherrystage/cherrystage/internal/placing"
+	"github.com/cherrystage/cherrystage/internal/quarantine"
 	"github.com/cherrystage/cherrystage/internal/reach"
 	"github.com/cherrystage/cherrystage/internal/retrybudget"
 	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/cherrystage/cherrystage/internal/streams"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 )
@@ -57,8 +59,15 @@
 	// demand draws the load and faults the faults, both the same for every policy; choices
 	// draws everything else.
 	demand, faults, choices *rand.Rand
-	// shifts draws the adapters that become popular.
-	shifts *rand.Rand
+	// shifts draws the adapters that become popular, badDraws the requests with a bad part.
+	shifts, badDraws *rand.Rand
+	// versionDraws draws what happens with versions. replaced holds the versions of engines by
+	// address where they are not the first, listed the history of the versions that are present.
+	versionDraws *rand.Rand
+	replaced     map[string]string
+	listed       []listedAt
+	// contents counts the requests by which the quarantine knows them.
+	contents int
 
 	clock  *clock
 	store  *weightStore
@@ -108,6 +117,14 @@
 	board   *board.Board
 	budget  *retrybudget.Budget
 	paths   *reach.Paths
+	// quarantine knows what ends engines.
+	quarantine *quarantine.Quarantine
+	// versions and origins know which versions began streams; listAsOf is how old the host's list
+	// of engines is, generation that of versions when it was last looked at.
+	versions   *streams.Versions
+	origins    *streams.Origins
+	listAsOf   time.Time
+	generation int
 	// cutOff is set while the host reaches no runner, cuts counts how often that began.
 	cutOff bool
 	cuts   int
@@ -155,7 +172,8 @@
 		ranked: map[string][]*site.Runner{}, load: map[string]int{}, ownerBoard: board.New(), loadTimes: map[string]*adapters.LoadTimes{},
 		fetchedTo: map[adapters.Key]map[string]bool{}, started: epoch.Add(warmUp),
 	}
-	sim.shifts = sim.faults
+	sim.shifts, sim.badDraws = sim.faults, rand.New(rand.NewPCG(cfg.Seed, 6))
+	sim.versionDraws, sim.replaced = rand.New(rand.NewPCG(cfg.Seed, 7)), map[string]string{}
 	if loss != nil {
 		// Otherwise a loss of engines would change which adapters become popular.
 		sim.shifts = rand.New(rand.NewPCG(cfg.Seed, 4))
@@ -191,6 +209,7 @@
 		h.spreads = placing.NewSpreadEstimator()
 		h.board = board.New()
 		h.paths = reach.NewPaths()
+		h.quarantine = quarantine.New()
 		h.budget = retrybudget.New(limit, sim.clock.now)
 	}
 }
@@ -198,7 +217,7 @@
 func (sim *simulation) addEngine(address, centre string) {
 	sim.instances++
 	id := fmt.Sprintf("i%d", sim.instances)
-	runner := &site.Runner{ID: id, Instance: id, Address: address, DataCentre: centre, Slots: sim.cfg.Engines.Slots}
+	runner := &site.Runner{ID: id, Instance: id, Address: address, DataCentre: centre, Slots: sim.cfg.Engines.Slots, SoftwareVersion: sim.versionOf(address)}
 	e := newEngine(sim, sim.cfg.Engines, runner)
 	sim.engines = append(sim.engines, e)
 	sim.byAddress[address] = e
@@ -217,6 +236,9 @@
 		}
 	}
 	sim.ranked = map[string][]*site.Runner{}
+	if sim.resumable() {
+		sim.noteVersions()
+	}
 }
 
 func (sim *simulation) rankRunners(key string) []*site.Runner {
@@ -342,6 +364,16 @@
 	for _, cut := range sim.cfg.Cuts {
 		sim.clock.at(sim.started.Add(seconds(cut.AtS)), func() { sim.cutHosts(cut) })
 	}
+	if sim.resumable() {
+		sim.startVersions()
+	}
+	for i, replacement := range sim.cfg.Versions {
+		sim.clock.at(sim.started.Add(seconds(replacement.AtS)), func() { sim.replaceEngines(replacement, i) })
+	}
+	for _, bad := range sim.cfg.BadParts {
+		begins := sim.started.Add(seconds(bad.AtS))
+		sim.clock.at(begins, func() { sim.generateBadRequests(bad, begins.Add(seconds(bad.ForS))) })
+	}
 	for _, loss := range sim.cfg.Losses {
 		sim.clock.at(sim.started.Add(seconds(loss.AtS)), func() { sim.stopHosts(loss) })
 	}
--- a/internal/serve/search.go
+++ b/internal/serve/search.go
@@ -15,7 +15,7 @@
 // placeOnEngine asks the owners of runners to admit the request. If none does, it answers the
 // request and returns false.
 func (l *lifecycle) placeOnEngine(ctx context.Context, runners []*site.Runner) bool {
-	search := l.s.spreads.Search(l.placementKey(), len(runners))
+	search := l.s.spreads.Search(l.placementKey()+l.restriction, len(runners))
 	if search.PreferLocal() {
 		runners = NearFirst(runners, l.s.DataCentre)
 	}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -217,7 +217,10 @@
 	// known of a stream that the request continues.
 	origin       *streams.Origin
 	originSource OriginSource
-	status       int
+	// restriction tells apart what is learnt of an adapter's runners where only some of them may
+	// run the request; "" stands for all.
+	restriction string
+	status      int
 	// reason is why this host generated the answer itself, empty if a runner answered.
 	reason        string
 	waitedForLoad bool
--- a/internal/serve/streams.go
+++ b/internal/serve/streams.go
@@ -84,10 +84,16 @@
 	if l.s.Streams == nil || l.origin == nil && !l.mayBeContinued() {
 		return runners
 	}
+	l.restriction = ""
 	first := slices.IndexFunc(runners, func(runner *site.Runner) bool { return !l.isEligible(runner) })
 	if first < 0 {
 		return runners
 	}
+	// The ranks of an adapter's runners differ from those among all of them.
+	l.restriction = " of some versions"
+	if l.origin != nil {
+		l.restriction = " of version " + l.origin.Version
+	}
 	kept := slices.Clone(runners[:first])
 	for _, runner := range runners[first+1:] {
 		if l.isEligible(runner) {
