A host that gets too little processor time closes new connections unread

The balancer may hand most new connections to one host for seconds. A host that reads them all beyond its processor is late for all, and a first try that was read counts; callers whose connections end unread go to another host at once. The host is overloaded while timers of its main loop typically fire 50 ms late (median of five; one suspension does not count; no wake-up more than before). connections_shed counts what it closed.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -96,6 +96,7 @@
 	connector      *reach.Connector
 	relay          *reach.Relay
 	callerServer   *http.Server
+	pressure       ingress.Pressure
 	peerServer     *peer.Server
 	started        time.Time
 	stopping       atomic.Bool
@@ -387,13 +388,19 @@
 	}
 }
 
+// waitForChange waits for a change, or for reconcileInterval. How late its timer fires tells whether
+// the host gets too little processor time.
 func (e *Entry) waitForChange(ctx context.Context) {
+	due := time.Now().Add(reconcileInterval)
 	timer := time.NewTimer(reconcileInterval)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 	case <-e.wake:
 	case <-timer.C:
+		if late := time.Since(due); e.pressure.Observe(late) {
+			e.log.Warn("overload changed", "overloaded", e.pressure.High(), "late_ms", late.Milliseconds(), "requests", e.openRequests.Load(), "connections_shed", e.pressure.Shed.Load())
+		}
 	}
 }
 
@@ -410,7 +417,7 @@
 
 // ServeCallers serves callers on listener until Shutdown.
 func (e *Entry) ServeCallers(listener net.Listener) error {
-	return e.callerServer.Serve(ingress.WrapListener(listener))
+	return e.callerServer.Serve(ingress.WrapListener(e.pressure.WrapListener(listener)))
 }
 
 // ServePeers serves the other hosts until listener is closed.
@@ -471,6 +478,7 @@
 		"origins_told":       e.streams.announced.Load,
 		"origins_untold":     e.streams.unannounced.Load,
 		"connections_dialed": e.connector.Dialed,
+		"connections_shed":   e.pressure.Shed.Load,
 		"connections_probed": e.connector.Probes,
 		"tunnels_used":       e.connector.Relayed,
 		"tunnels_open":       e.relay.Open,
