A relay that reached a runner before it ended does not prove that it lives

Trace: an engine was back after a crash, one host still reached it through another host, as its own path counted as failing, and the engine ended again. That a relay had reached it, at whatever time, was taken for life, so the crash was not counted, at no host, since the others had nothing on that engine.

--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -99,7 +99,7 @@
 		return quarantine.Alive
 	case runner == nil:
 		return quarantine.Gone
-	case paths.Lost(runner.Address):
+	case paths.RelayedSince(runner.Address, since):
 		return quarantine.Alive
 	case paths.Works(runner.Address) && paths.ReachedSince(since):
 		return quarantine.Silent
--- a/internal/reach/paths.go
+++ b/internal/reach/paths.go
@@ -277,6 +277,15 @@
 	return path != nil && !path.relayedAt.IsZero()
 }
 
+// RelayedSince reports whether a relay has reached a runner after a time. Where it did so before only,
+// the runner may have ended since.
+func (p *Paths) RelayedSince(address string, t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	path := p.failing[address]
+	return path != nil && path.relayedAt.After(t)
+}
+
 // Blames reports whether the failures that this host sees at a runner are the runner's as far as is
 // known: its own path works, or no relay reaches the runner either.
 func (p *Paths) Blames(address string) bool {
--- a/internal/reach/paths_test.go
+++ b/internal/reach/paths_test.go
@@ -77,3 +77,17 @@
 	must.False(t, p.IsCutOff())
 	must.SliceEmpty(t, p.Failing())
 }
+
+// A relay reached a runner that this host does not reach. Whether the runner lives since is not known
+// until the relay reaches it again.
+func TestRelayedSince(t *testing.T) {
+	p, now := NewPaths(), time.Unix(1000, 0)
+	must.False(t, p.RelayedSince("r", now.Add(-time.Hour)))
+	p.DirectFailed("r", 5, false, now)
+	must.False(t, p.RelayedSince("r", now.Add(-time.Hour)))
+	p.RelayWorked("r", "h2", now.Add(time.Second))
+	must.True(t, p.RelayedSince("r", now))
+	must.False(t, p.RelayedSince("r", now.Add(time.Second)))
+	p.RelayFailed("r", now.Add(2*time.Second))
+	must.False(t, p.RelayedSince("r", now))
+}
