--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -196,3 +196,23 @@
 	must.True(t, blocked(q, middle, 8*time.Second))
 	must.Eq(t, maxEntries, q.Size())
 }
+
+func BenchmarkSubjectsOfFourParts(b *testing.B) {
+	content := Content{Method: "POST", Authority: "h", RequestURI: "/a", Body: make([]byte, 2048)}
+	parts := []string{"5c1e07a2", "91bd3f06", "e4402b7d", "77aa01c3"}
+	for _, n := range []int{0, len(parts)} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				SubjectsOf(content, parts[:n])
+			}
+		})
+	}
+}
+
+func BenchmarkCompletionOfFourParts(b *testing.B) {
+	q := New()
+	subjects := SubjectsOf(Content{Method: "POST"}, []string{"5c1e07a2", "91bd3f06", "e4402b7d", "77aa01c3"})
+	for b.Loop() {
+		q.RecordCompletions(subjects, epoch)
+	}
+}
