Log lines and counters tell why a begun stream was cut, and when a host stood still

Cause: once an answer's header has been sent, the reason for which a host ends it (budget, place, adapter, time) was neither logged nor counted, nor was there any sign of a host that could not run itself.

Change: the fields cut, events, silent_ms and stood_still_ms; the counters streams_cut, standstills and standstill_ms; package standstill, a monitor fed by a tick each 50 ms. No decision uses it yet.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"github.com/cherrystage/cherrystage/internal/retrybudget"
 	"github.com/cherrystage/cherrystage/internal/serve"
 	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/cherrystage/cherrystage/internal/standstill"
 	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/hashicorp/go-hclog"
 )
@@ -97,6 +98,7 @@
 	relay          *reach.Relay
 	callerServer   *http.Server
 	pressure       ingress.Pressure
+	standstill     standstill.Monitor
 	peerServer     *peer.Server
 	started        time.Time
 	stopping       atomic.Bool
@@ -201,7 +203,7 @@
 		DataCentre: cfg.DataCentre, Directory: e.directory, Board: e.board, Owners: e.owners, Backpressure: e.backpressure,
 		Client: e.client, Quarantine: e.quarantineSync.quarantine, RetryLimit: cfg.RetryLimit, Quotas: e.quotas, Ages: func() (config, runners time.Duration) {
 			return e.mesh.Age(platform.ConfigKind), e.mesh.Age(platform.RunnerKind)
-		}, HostCount: e.sharingHosts, Slots: e.slots, Streams: e.streams, Brittle: e.backpressure.isBrittle, Contention: e.requestCounts, Now: now, Log: log,
+		}, HostCount: e.sharingHosts, Slots: e.slots, Streams: e.streams, Brittle: e.backpressure.isBrittle, Contention: e.requestCounts, Standstill: &e.standstill, Now: now, Log: log,
 	})
 	e.callerServer = (&ingress.Ingress{
 		Dialect: platform.Dialect, Directory: e.directory, Serve: e.serve, Now: now, Log: log, Closing: e.stopping.Load, Refusing: e.rejecting.Load,
@@ -357,6 +359,7 @@
 
 // Background runs the host's watches, peer exchange and reconciliation until ctx is done.
 func (e *Entry) Background(ctx context.Context) {
+	go timing.Every(ctx, standstill.Interval, e.observeStandstill)
 	for _, follower := range e.followers {
 		go follower.Run(ctx)
 	}
@@ -388,6 +391,17 @@
 	}
 }
 
+// loggedStandstill is the length from which a standstill is logged: that of the shortest silence from
+// which a host draws a conclusion.
+const loggedStandstill = 300 * time.Millisecond
+
+// observeStandstill records that this process is running, and logs for how long it did not.
+func (e *Entry) observeStandstill() {
+	if stood := e.standstill.Tick(e.now()); stood >= loggedStandstill {
+		e.log.Warn("this host stood still", "stood_still_ms", stood.Milliseconds(), "requests", e.openRequests.Load(), "config", e.configVersion())
+	}
+}
+
 // waitForChange waits for a change, or for reconcileInterval. How late its timer fires tells whether
 // the host gets too little processor time.
 func (e *Entry) waitForChange(ctx context.Context) {
@@ -454,6 +468,16 @@
 	e.log.Info("requests drained", "left", e.openRequests.Load(), "took_ms", e.now().Sub(start).Milliseconds())
 }
 
+func (e *Entry) standstillCount() int64 {
+	count, _ := e.standstill.Totals()
+	return count
+}
+
+func (e *Entry) standstillMS() int64 {
+	_, total := e.standstill.Totals()
+	return total.Milliseconds()
+}
+
 // SetShutdownGrace changes the grace period, which may change while the process runs.
 // The order gap and the retry budget's share are agreed between processes and stay
 // fixed for the life of a process.
@@ -474,6 +498,9 @@
 		"quota_refused":      counters.OverQuota.Load,
 		"streams_continued":  counters.StreamsContinued.Load,
 		"origins_unknown":    counters.OriginsUnknown.Load,
+		"streams_cut":        counters.StreamsCut.Load,
+		"standstills":        e.standstillCount,
+		"standstill_ms":      e.standstillMS,
 		"origins_asked":      e.streams.asked.Load,
 		"origins_told":       e.streams.announced.Load,
 		"origins_untold":     e.streams.unannounced.Load,
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -18,7 +18,10 @@
 	// StreamsContinued counts requests that continue a stream, OriginsUnknown those refused because
 	// it was not known what began it.
 	StreamsContinued, OriginsUnknown atomic.Int64
-	FirstByte                        Histogram
+	// StreamsCut counts the streams that this host ended after their first event without their end,
+	// though their callers were there.
+	StreamsCut atomic.Int64
+	FirstByte  Histogram
 }
 
 // refuseOrFail ends a request that is not sent to another runner: as refused if no runner can
@@ -38,6 +41,7 @@
 
 func (l *lifecycle) refuseWithStatus(status int, wait time.Duration, reason string) {
 	if l.headerWritten {
+		l.cut(reason)
 		return
 	}
 	l.s.Counters.Refused.Add(1)
@@ -51,14 +55,20 @@
 		l.refuse(l.retryAfter(), reason)
 		return
 	}
+	l.s.Counters.Failed.Add(1)
 	if l.headerWritten {
-		l.s.Counters.Failed.Add(1)
+		l.cut(reason)
 		return
 	}
-	l.s.Counters.Failed.Add(1)
 	l.writePlain(http.StatusBadGateway, reason)
 }
 
+// cut records why an answer that has begun ends without its end.
+func (l *lifecycle) cut(reason string) {
+	l.cutReason = reason
+	l.s.Counters.StreamsCut.Add(1)
+}
+
 // giveUp ends a request whose deadline has passed or whose caller has disconnected.
 func (l *lifecycle) giveUp(ctx context.Context) {
 	if l.callerGone || errors.Is(ctx.Err(), context.Canceled) {
@@ -72,11 +82,15 @@
 		return
 	}
 	l.s.Counters.Failed.Add(1)
-	if !l.headerWritten {
-		l.writePlain(http.StatusGatewayTimeout, "no answer within the request's time")
+	if l.headerWritten {
+		l.cut(reasonTimeOut)
+		return
 	}
+	l.writePlain(http.StatusGatewayTimeout, reasonTimeOut)
 }
 
+const reasonTimeOut = "no answer within the request's time"
+
 // statusClientClosedRequest is logged for a caller that closed its connection.
 const statusClientClosedRequest = 499
 
@@ -144,8 +158,31 @@
 	if l.reason != "" {
 		fields = append(fields, "answered", l.reason)
 	}
+	if l.cutReason != "" {
+		fields = append(fields, "cut", l.cutReason)
+		fields = append(fields, l.silenceLogFields()...)
+	}
 	if l.failure != nil {
 		fields = append(fields, "verdict", l.failure.Verdict.String(), "cause", l.failure.Error())
 	}
 	l.s.Log.Info("request", fields...)
 }
+
+// silenceLogFields tell how long the answer has been silent, and for how much of that this host stood
+// still itself.
+func (l *lifecycle) silenceLogFields() []any {
+	now, since := l.s.Now(), l.heardAt()
+	return []any{
+		"events", l.events, "silent_ms", now.Sub(since).Milliseconds(),
+		"stood_still_ms", (now.Sub(since) - l.s.Standstill.Awake(since, now)).Milliseconds(),
+	}
+}
+
+// heardAt returns when the latest event of the answer was passed on, or else when the latest attempt
+// was sent.
+func (l *lifecycle) heardAt() time.Time {
+	if l.lastWriteAt.After(l.sentAt) {
+		return l.lastWriteAt
+	}
+	return l.sentAt
+}
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -311,6 +311,7 @@
 		l.longestGapEnd = now
 	}
 	l.lastWriteAt = now
+	l.events++
 }
 
 // completeEventsLen returns the length of the complete events at the start of held.
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -21,6 +21,7 @@
 	"github.com/cherrystage/cherrystage/internal/quarantine"
 	"github.com/cherrystage/cherrystage/internal/retrybudget"
 	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/cherrystage/cherrystage/internal/standstill"
 	"github.com/cherrystage/cherrystage/internal/streams"
 	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/cherrystage/cherrystage/internal/verdict"
@@ -88,6 +89,8 @@
 	Brittle func(service string) bool
 	// Contention counts the requests for the metrics page; nil counts nothing.
 	Contention *contention.Counters
+	// Standstill knows for which time this process could not run; nil stands for never.
+	Standstill *standstill.Monitor
 	Now        func() time.Time
 	Log        hclog.Logger
 }
@@ -222,7 +225,9 @@
 	restriction string
 	status      int
 	// reason is why this host generated the answer itself, empty if a runner answered.
-	reason        string
+	reason string
+	// cutReason is why this host ended an answer that had begun, empty if it did not.
+	cutReason     string
 	waitedForLoad bool
 	// deferrals counts how often an owner told the request to ask again because others
 	// go first, deferred is how long it waited for that.
@@ -251,7 +256,9 @@
 	sentAt time.Time
 	// lastWriteAt is the time of the latest write of events; longestGap is the longest
 	// pause between two writes, which ended at longestGapEnd.
-	lastWriteAt   time.Time
+	lastWriteAt time.Time
+	// events counts the writes of events.
+	events        int
 	longestGap    time.Duration
 	longestGapEnd time.Time
 }
@@ -439,8 +446,11 @@
 		l.giveUp(ctx)
 		return false
 	}
-	l.s.Log.Info("attempt failed", "id", l.request.ID, "content", l.subjects[0].String(), "parts", strings.Join(l.request.PromptParts, ","), "runner", l.runner.ID, "software_version", l.runner.SoftwareVersion, "last_event", l.lastEventID, "send", l.sends, "reason", string(l.failure.Reason),
-		"verdict", l.failure.Verdict.String(), "cause", l.failure.Error(), "via", l.via, "left_ms", l.timeLeft().Milliseconds())
+	fields := []any{
+		"id", l.request.ID, "content", l.subjects[0].String(), "parts", strings.Join(l.request.PromptParts, ","), "runner", l.runner.ID, "software_version", l.runner.SoftwareVersion, "last_event", l.lastEventID, "send", l.sends, "reason", string(l.failure.Reason),
+		"verdict", l.failure.Verdict.String(), "cause", l.failure.Error(), "via", l.via, "left_ms", l.timeLeft().Milliseconds(),
+	}
+	l.s.Log.Info("attempt failed", append(fields, l.silenceLogFields()...)...)
 	if l.failure.Verdict == verdict.NotRun {
 		return l.retryNotRun(ctx)
 	}
