Calls to peers outlast a standstill of the calling host

What callers saw: a host that was suspended for 1.5 s woke with its calls to peers past their deadlines while the answers lay in its sockets. It closed the connections as silent, which failed all other calls on them, and for a second it took the owners of runners for unreachable: requests for adapters that were not known to be on a runner found none.

Cause: the deadline of a call counts the time for which this process stood still. Ruled out: longer deadlines, which would make requests wait for hosts that are dead.

Change: package awake, time limits that count the time for which the process was running, by the monitor of package standstill. A call whose deadline has passed over a standstill waits on for what is left of its limit. Nothing changes without a standstill.

Measured: without it TestCallOutlastsAStandstill fails at 1.5 and 3 s; with it both calls are answered. Tests of awake, peer and entry green.

--- /dev/null
+++ b/internal/awake/awake_test.go
@@ -0,0 +1,80 @@
+package awake
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/standin"
+	"github.com/shoenig/test/must"
+)
+
+// withSuspension runs a test with the clock of a process that is suspended for a time after 100 ms.
+func withSuspension(t *testing.T, length time.Duration, run func(clock Clock)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		defer time.Sleep(2 * time.Hour)
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		process := standin.StartProcess(ctx)
+		time.AfterFunc(100*time.Millisecond, func() { process.Suspend(length) })
+		run(Clock{Now: time.Now, Standstill: &process.Monitor})
+	})
+}
+
+// receive waits 250 ms for a value that is there after a delay, and returns how long it waited.
+func receive(clock Clock, delay time.Duration) (time.Duration, error) {
+	value := make(chan int, 1)
+	begin := time.Now()
+	go func() {
+		time.Sleep(delay)
+		value <- 1
+	}()
+	_, err := Receive(context.Background(), clock.NewLimit(250*time.Millisecond), value)
+	return time.Since(begin), err
+}
+
+// A process waits for others while it is suspended. What arrived meanwhile is read after it woke.
+func TestWaitGoesOnAfterAStandstill(t *testing.T) {
+	for _, length := range []time.Duration{1500 * time.Millisecond, 3 * time.Second} {
+		withSuspension(t, length, func(clock Clock) {
+			waited, err := receive(clock, length+50*time.Millisecond)
+			must.NoError(t, err)
+			must.Eq(t, length+50*time.Millisecond, waited)
+		})
+	}
+}
+
+// What does not arrive either in the time in which the process was running is not waited for.
+func TestWaitEndsAfterTheTimeAwake(t *testing.T) {
+	withSuspension(t, 1500*time.Millisecond, func(clock Clock) {
+		waited, err := receive(clock, 10*time.Second)
+		must.ErrorIs(t, err, ErrExpired)
+		must.Between(t, 1600*time.Millisecond, waited, 1800*time.Millisecond)
+	})
+	withSuspension(t, 0, func(Clock) {
+		waited, err := receive(Clock{}, time.Second)
+		must.ErrorIs(t, err, ErrExpired)
+		must.Eq(t, 250*time.Millisecond, waited)
+	})
+}
+
+// A process that stops does not tell its monitor any more that it runs: its waits end nevertheless.
+func TestWaitOfAStoppedProcessEnds(t *testing.T) {
+	withSuspension(t, time.Hour, func(clock Clock) {
+		limit := clock.NewLimit(250 * time.Millisecond)
+		begin := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), 250*time.Millisecond)
+		defer cancel()
+		err := limit.Await(ctx, func(ctx context.Context) error {
+			<-ctx.Done()
+			return ctx.Err()
+		})
+		must.ErrorIs(t, err, context.DeadlineExceeded)
+		must.Less(t, maxExtension+time.Second, time.Since(begin))
+		waited, err := receive(clock, time.Hour)
+		must.ErrorIs(t, err, ErrExpired)
+		must.Less(t, maxExtension+time.Second, waited)
+	})
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
+	"github.com/cherrystage/cherrystage/internal/awake"
 	"github.com/cherrystage/cherrystage/internal/board"
 	"github.com/cherrystage/cherrystage/internal/contention"
 	"github.com/cherrystage/cherrystage/internal/directory"
@@ -147,7 +148,9 @@
 	e.requestCounts = contention.NewCounters()
 	e.contentionSources = contention.Sources{Adapters: e.adapterStates, Evictions: e.evictions, Runners: e.runnerStates, Slots: e.slotLedgerStates}
 	identity := peer.Identity{Host: cfg.Host, Incarnation: newIncarnation()}
+	running := awake.Clock{Now: now, Standstill: &e.standstill}
 	pool := peer.NewPool(identity, cfg.PeerKey, peer.Dialer(dial.Hosts), log)
+	pool.Clock = running
 	e.directory = directory.New(platform.Decoder, now, log)
 	e.directory.OnRunner = func(runner *site.Runner, gone bool) { e.runnerChanged(runner, gone) }
 	e.directory.OnVersion = func(version site.AdapterVersion) { go e.prefetchVersion(version) }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/awake"
 	"github.com/cherrystage/cherrystage/internal/standin"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -183,3 +184,54 @@
 		must.NoError(t, <-long)
 	})
 }
+
+// A host is suspended while two calls to a peer wait for their answers, which lie in its socket when
+// it wakes. The first call's deadline passed meanwhile. If it closed the connection as silent, both
+// calls would fail, and the host would take the peer for unreachable.
+func TestCallOutlastsAStandstill(t *testing.T) {
+	for _, length := range []time.Duration{1500 * time.Millisecond, 3 * time.Second} {
+		withPeers(t, "the right key", func(t *testing.T, pool *Pool, _ *Server, network *standin.Network) {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			process := standin.StartProcess(ctx)
+			pool.Clock = awake.Clock{Now: time.Now, Standstill: &process.Monitor}
+			_, err := call(pool, "echo", echoParams{}, time.Second)
+			must.NoError(t, err)
+			other := make(chan error, 1)
+			go func() {
+				_, err := call(pool, "echo", echoParams{WaitMS: 100}, 10*time.Second)
+				other <- err
+			}()
+			time.AfterFunc(10*time.Millisecond, func() {
+				process.Suspend(length)
+				network.Silence("a", length)
+			})
+			begin := time.Now()
+			_, err = call(pool, "echo", echoParams{WaitMS: 50}, 250*time.Millisecond)
+			must.NoError(t, err)
+			must.Eq(t, length+10*time.Millisecond, time.Since(begin))
+			must.NoError(t, <-other)
+		})
+	}
+}
+
+// A peer is silent before and after a standstill: the call ends once it has waited for its time limit
+// without the standstill, and the connection is replaced.
+func TestSilentConnectionIsReplacedAfterAStandstill(t *testing.T) {
+	withPeers(t, "the right key", func(t *testing.T, pool *Pool, _ *Server, network *standin.Network) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		process := standin.StartProcess(ctx)
+		pool.Clock = awake.Clock{Now: time.Now, Standstill: &process.Monitor}
+		_, err := call(pool, "echo", echoParams{}, time.Second)
+		must.NoError(t, err)
+		network.Blackhole("a", "b")
+		time.AfterFunc(10*time.Millisecond, func() { process.Suspend(1500 * time.Millisecond) })
+		begin := time.Now()
+		_, err = call(pool, "echo", echoParams{}, 250*time.Millisecond)
+		must.ErrorIs(t, err, context.DeadlineExceeded)
+		must.Between(t, 1600*time.Millisecond, time.Since(begin), 1800*time.Millisecond)
+		_, err = call(pool, "echo", echoParams{}, 250*time.Millisecond)
+		must.NoError(t, err)
+	})
+}
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/awake"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -22,6 +23,9 @@
 	key  []byte
 	dial Dialer
 	log  hclog.Logger
+	// Clock tells for how long this process was running during a call. It may be set before the
+	// first call.
+	Clock awake.Clock
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -69,6 +73,10 @@
 // and no data arrived during the call, the connection is closed: it may stay silent while a new
 // one would work. A connection on which other answers arrive is only slow; closing it would fail
 // the other calls too.
+//
+// The time for which this process stood still does not count: the answer may lie unread in the
+// socket. Otherwise a host that wakes from a suspension would close its connections to all peers and
+// take them for unreachable.
 func (p *Pool) Call(ctx context.Context, address, method string, params, result any) error {
 	return p.call(ctx, address, method, params, result, true)
 }
@@ -81,12 +89,17 @@
 
 func (p *Pool) call(ctx context.Context, address, method string, params, result any, closeOnDeadline bool) error {
 	l := p.link(address)
-	rpc, err := l.connect(ctx, p, address)
+	limit := p.Clock.LimitOf(ctx)
+	var rpc *jsonrpc2.Conn
+	err := limit.Await(ctx, func(ctx context.Context) (err error) {
+		rpc, err = l.connect(ctx, p, address)
+		return err
+	})
 	if err != nil {
 		return errors.Wrapf(err, "peer %s", address)
 	}
 	start := time.Now()
-	err = rpc.Call(ctx, method, params, result)
+	err = waitForAnswer(ctx, limit, rpc, method, params, result)
 	if err == nil {
 		return nil
 	}
@@ -97,6 +110,15 @@
 	return errors.Wrapf(err, "peer %s: %s", address, method)
 }
 
+// waitForAnswer calls a method and waits for the answer.
+func waitForAnswer(ctx context.Context, limit awake.Limit, rpc *jsonrpc2.Conn, method string, params, result any) error {
+	waiter, err := rpc.DispatchCall(ctx, method, params)
+	if err != nil {
+		return err
+	}
+	return limit.Await(ctx, func(ctx context.Context) error { return waiter.Wait(ctx, result) })
+}
+
 func (p *Pool) link(address string) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
