A permission to send is not used long after it was given

What callers would see: a host waits on for an answer over its own standstill. If it then used a permission under a runner's rate limit that was given seconds ago, it and the hosts that used the limit since would exceed it together, and the runner would refuse requests.

Cause: the wait goes on by the time for which the host was running, but the right to send is one of its own and ages by the clock. Ruled out: asking without waiting on, which takes the counting host for unreachable for a second.

Change: a permission that is older than the time limit of the call is dropped, and its host is asked again after the usual pause. An owner that answers after a standstill is not taken for unreachable, which a test shows as well.

--- a/internal/entry/backpressure.go
+++ b/internal/entry/backpressure.go
@@ -13,6 +13,7 @@
 	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -210,18 +211,27 @@
 	return time.Duration(result.WaitMS) * time.Millisecond, result.Granted
 }
 
+var errPermissionOld = errors.New("the permission was given too long ago")
+
 // call asks another host. As with admissions, a caller that disconnects does not cancel
 // the call.
+//
+// A permission that this host reads long after it was given, because it stood still, is not used:
+// hosts that have used it since would exceed the runner's limit together with this one.
 func (p *backpressure) call(ctx context.Context, address string, params LimitParams) (LimitResult, error) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), ownerTimeout)
 	defer cancel()
 	var result LimitResult
+	sent := p.now()
 	err := p.pool.Call(ctx, address, methodLimit, params, &result)
+	if err == nil && result.Granted && p.now().Sub(sent) > ownerTimeout {
+		return LimitResult{}, errPermissionOld
+	}
 	return result, err
 }
 
 func (p *backpressure) noteTakeFailure(runner *site.Runner, host string, err error) {
-	if !peer.IsRefusal(err) && host != p.counting.host {
+	if !peer.IsRefusal(err) && !errors.Is(err, errPermissionOld) && host != p.counting.host {
 		p.backoff.set(host, p.now().Add(ownerBackoff))
 	}
 	p.log.Info("could not take from runner rate limit", "runner", runner.ID, "counting_host", host, "passed_over_ms", limitRetryPause.Milliseconds(), "error", err.Error())
--- /dev/null
+++ b/internal/entry/standstill_test.go
@@ -0,0 +1,120 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/awake"
+	"github.com/cherrystage/cherrystage/internal/board"
+	"github.com/cherrystage/cherrystage/internal/directory"
+	"github.com/cherrystage/cherrystage/internal/mesh"
+	"github.com/cherrystage/cherrystage/internal/peer"
+	"github.com/cherrystage/cherrystage/internal/registry"
+	"github.com/cherrystage/cherrystage/internal/standin"
+	"github.com/hashicorp/go-hclog"
+	"github.com/shoenig/test/must"
+)
+
+// standstills are the lengths of the suspensions that the tests play.
+var standstills = []time.Duration{1500 * time.Millisecond, 3 * time.Second}
+
+// suspendedHost is host "a", which can be suspended. It asks host "b" for everything; b answers after
+// answerTime.
+type suspendedHost struct {
+	state   *mesh.State
+	pool    *peer.Pool
+	running awake.Clock
+	process *standin.Process
+	network *standin.Network
+}
+
+const answerTime = 20 * time.Millisecond
+
+// withSuspendedHost runs a test for each length of a suspension.
+func withSuspendedHost(t *testing.T, run func(h *suspendedHost, length time.Duration)) {
+	t.Helper()
+	for _, length := range standstills {
+		synctest.Test(t, func(t *testing.T) {
+			defer time.Sleep(time.Minute)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			network := standin.NewNetwork()
+			defer network.Close()
+			key := []byte("key")
+			server := peer.NewServer(peer.Identity{Host: "b", Incarnation: "1"}, key, answeringMux(), hclog.NewNullLogger())
+			defer server.Close()
+			listener, err := network.Host("b").Listen("1")
+			must.NoError(t, err)
+			defer func() { _ = listener.Close() }()
+			go func() { _ = server.Serve(listener) }()
+			state := mesh.NewState("a", mesh.Timing{Lease: mesh.DefaultLease, OrderGap: 3 * time.Second, Margin: mesh.DefaultMargin}, time.Now())
+			state.Apply([]registry.Change{
+				recordOf(t, "host.b", mesh.HostRecord{Address: "b:1", Epoch: 1}),
+				recordOf(t, "runner.r-80", mesh.OwnerRecord{Host: "b", Epoch: 1}),
+			}, time.Now())
+			process := standin.StartProcess(ctx)
+			pool := peer.NewPool(peer.Identity{Host: "a", Incarnation: "1"}, key, network.Host("a").Dial, hclog.NewNullLogger())
+			defer pool.Close()
+			pool.Clock = awake.Clock{Now: time.Now, Standstill: &process.Monitor}
+			run(&suspendedHost{state: state, pool: pool, running: pool.Clock, process: process, network: network}, length)
+		})
+	}
+}
+
+func answeringMux() *peer.Mux {
+	mux := peer.NewMux()
+	peer.Handle(mux, methodAdmit, func(context.Context, peer.Identity, AdmitParams) (AdmitResult, error) {
+		time.Sleep(answerTime)
+		return AdmitResult{}, nil
+	})
+	peer.Handle(mux, methodLimit, func(_ context.Context, _ peer.Identity, p LimitParams) (LimitResult, error) {
+		time.Sleep(answerTime)
+		return LimitResult{Granted: true, Limit: p.Limit}, nil
+	})
+	return mux
+}
+
+// suspendSoon suspends the host before the answers to questions that it asks now arrive.
+func (h *suspendedHost) suspendSoon(length time.Duration) {
+	time.AfterFunc(answerTime/2, func() {
+		h.process.Suspend(length)
+		h.network.Silence("a", length)
+	})
+}
+
+// A host is suspended while it asks a runner's owner for admission. The answer lies in its socket when
+// it wakes. If it took the owner for unreachable, requests for adapters that it does not know to be
+// on the runner would be turned away for a second.
+func TestOwnerIsNotUnreachableAfterAStandstill(t *testing.T) {
+	withSuspendedHost(t, func(h *suspendedHost, length time.Duration) {
+		o := newOwnerClient("a", h.state, h.pool, board.New(), time.Now, hclog.NewNullLogger())
+		_, err := o.Admit(context.Background(), remoteRunner, admissionFor("known"))
+		must.NoError(t, err)
+		h.suspendSoon(length)
+		_, err = o.Admit(context.Background(), remoteRunner, admissionFor("cold"))
+		must.NoError(t, err)
+		must.False(t, o.backoff.active("b", time.Now()))
+	})
+}
+
+// A host is suspended after the host that counts a runner's rate limit permitted it to send a request.
+// The limit has been used by others since, so the request must not be sent by the old permission; but
+// the host that gave it is asked again.
+func TestOldPermissionIsNotUsedAfterAStandstill(t *testing.T) {
+	withSuspendedHost(t, func(h *suspendedHost, length time.Duration) {
+		b := board.New()
+		b.RecordSignal(remoteRunner.ID, board.Signal{Limited: true, Rate: 5}, time.Time{}, time.Now())
+		p := newBackpressure("a", h.state, h.pool, b, directory.New(runnerDecoder{}, time.Now, hclog.NewNullLogger()), time.Now, hclog.NewNullLogger())
+		_, granted := p.Acquire(context.Background(), remoteRunner)
+		must.True(t, granted)
+		h.suspendSoon(length)
+		_, granted = p.Acquire(context.Background(), remoteRunner)
+		must.False(t, granted)
+		must.False(t, p.backoff.active("b", time.Now()))
+		time.Sleep(limitRetryPause)
+		_, granted = p.Acquire(context.Background(), remoteRunner)
+		must.True(t, granted)
+	})
+}
