Counting hosts and ledger hosts are not unreachable after a standstill

What callers saw: a host that was suspended while it asked for units of a quota took the counting host for unreachable for half a second, and refused requests of workspaces far below their quotas, or told them to come back later. A host that was suspended while a request waited for a slot placed its requests for a second without the ledger, on runners whose slots were taken.

Cause: the timers of 30 to 530 ms beside these calls fire late, before the answers that lie in the socket are read.

Change: these waits count the time for which the host was running. The monitor notices the beginning of a standstill up to 75 ms late, more than the shortest of these waits; a wait with a standstill in it goes on for 100 ms more.

Measured: without it the tests of both fail at 1.5 and 3 s; with it the answer is used. Tests of awake, peer and entry green.

--- a/internal/awake/awake.go
+++ b/internal/awake/awake.go
@@ -14,6 +14,9 @@
 // process that stops: nobody tells the monitor then that the process is running.
 const maxExtension = 5 * time.Second
 
+// resolution is how late the monitor may notice the beginning of a standstill.
+const resolution = 2 * standstill.Interval
+
 // Clock tells the time for which this process was running. The zero value knows of no standstill.
 // It is safe for concurrent use.
 type Clock struct {
@@ -54,7 +57,17 @@
 }
 
 // Left returns how much of the limit is left, 0 or less if it has passed.
-func (l Limit) Left() time.Duration { return l.length - l.clock.Since(l.since) }
+//
+// The monitor notices the beginning of a standstill late. Without resolution a limit that is shorter
+// than that would have passed whenever the process stood still.
+func (l Limit) Left() time.Duration {
+	now := l.clock.now()
+	running := l.clock.Standstill.Awake(l.since, now)
+	if running < now.Sub(l.since) {
+		running -= resolution
+	}
+	return l.length - running
+}
 
 // Await calls wait with ctx, and again with a later deadline while the limit has not passed although
 // that of ctx has: then this process stood still, and what it waits for may lie unread in a socket.
--- a/internal/entry/quotas.go
+++ b/internal/entry/quotas.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/awake"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/mesh"
 	"github.com/cherrystage/cherrystage/internal/peer"
@@ -73,6 +74,7 @@
 	allowances *quota.Allowances
 	backoff    hostBackoff
 	now        func() time.Time
+	running    awake.Clock
 	log        hclog.Logger
 	// nextPart selects the part to ask first, round-robin.
 	nextPart atomic.Uint32
@@ -221,15 +223,13 @@
 	}
 	answers := make(chan grantResult, 1)
 	go func() { answers <- q.call(address, request) }()
-	timer := time.NewTimer(hedgeDelay)
-	defer timer.Stop()
-	select {
-	case result := <-answers:
+	result, err := awake.Receive(ctx, q.running.NewLimit(hedgeDelay), answers)
+	switch {
+	case err == nil:
 		q.noteCallResult(host, result.err)
 		return result.answer, host, result.err
-	case <-timer.C:
+	case errors.Is(err, awake.ErrExpired):
 		q.backoff.set(host, q.now().Add(quotaBackoff))
-	case <-ctx.Done():
 	}
 	go q.keepLateGrant(request, answers)
 	return quota.GrantResponse{}, host, errNoCounter
--- a/internal/entry/slots.go
+++ b/internal/entry/slots.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/awake"
 	"github.com/cherrystage/cherrystage/internal/mesh"
 	"github.com/cherrystage/cherrystage/internal/peer"
 	"github.com/cherrystage/cherrystage/internal/serve"
@@ -42,6 +43,7 @@
 	returns  *pendingReturns
 	backoff  hostBackoff
 	now      func() time.Time
+	running  awake.Clock
 	log      hclog.Logger
 	number   atomic.Uint64
 
@@ -146,18 +148,15 @@
 	}
 	answers := make(chan slotAnswer, 1)
 	go func() { answers <- m.call(host, address, params) }()
-	timer := time.NewTimer(max(slotTimeout, ask.hold+slotTimeout-firstHold))
-	defer timer.Stop()
-	var err error
-	select {
-	case answer := <-answers:
+	limit := m.running.NewLimit(max(slotTimeout, ask.hold+slotTimeout-firstHold))
+	answer, err := awake.Receive(ctx, limit, answers)
+	if err == nil {
 		m.noteAnswer(host, ask, answer.err)
 		return answer.result, answer.err
-	case <-timer.C:
+	}
+	if errors.Is(err, awake.ErrExpired) {
 		err = errLedgerHostSilent
 		m.noteUnreachable(host, err)
-	case <-ctx.Done():
-		err = ctx.Err()
 	}
 	m.giveBack(host, ask, true)
 	go m.giveBackLate(host, ask, answers)
--- a/internal/entry/standstill_test.go
+++ b/internal/entry/standstill_test.go
@@ -11,7 +11,10 @@
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/mesh"
 	"github.com/cherrystage/cherrystage/internal/peer"
+	"github.com/cherrystage/cherrystage/internal/quota"
 	"github.com/cherrystage/cherrystage/internal/registry"
+	"github.com/cherrystage/cherrystage/internal/serve"
+	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/cherrystage/cherrystage/internal/standin"
 	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
@@ -69,10 +72,21 @@
 		time.Sleep(answerTime)
 		return AdmitResult{}, nil
 	})
+	peer.Handle(mux, methodQuota, func(_ context.Context, _ peer.Identity, p QuotaParams) (QuotaResult, error) {
+		time.Sleep(answerTime)
+		return QuotaResult{Granted: p.Cost}, nil
+	})
 	peer.Handle(mux, methodLimit, func(_ context.Context, _ peer.Identity, p LimitParams) (LimitResult, error) {
 		time.Sleep(answerTime)
 		return LimitResult{Granted: true, Limit: p.Limit}, nil
 	})
+	peer.Handle(mux, methodSlotsAcquire, func(_ context.Context, _ peer.Identity, p SlotAcquireParams) (SlotAcquireResult, error) {
+		time.Sleep(answerTime)
+		if milliseconds(p.HoldMS) == firstHold {
+			return SlotAcquireResult{}, nil
+		}
+		return SlotAcquireResult{Runner: "p0"}, nil
+	})
 	return mux
 }
 
@@ -99,6 +113,34 @@
 	})
 }
 
+// A host is suspended while it asks the host that counts a quota for units. If it took that host for
+// unreachable, it would refuse requests of a workspace that is far below its quota.
+func TestCountingHostIsNotUnreachableAfterAStandstill(t *testing.T) {
+	withSuspendedHost(t, func(h *suspendedHost, length time.Duration) {
+		q := newQuotaManager("a", h.state, h.pool, nil, quota.Tolerance{}, time.Now, hclog.NewNullLogger())
+		q.running = h.running
+		workspace := &site.Workspace{Name: "w", Quota: site.Quota{Rate: 100, Burst: 100}}
+		must.Eq(t, serve.ChargeGranted, q.Charge(context.Background(), workspace, 1, 400*time.Millisecond).Outcome)
+		h.suspendSoon(length)
+		must.Eq(t, serve.ChargeGranted, q.Charge(context.Background(), workspace, 1, 400*time.Millisecond).Outcome)
+		must.False(t, q.backoff.active("b", time.Now()))
+	})
+}
+
+// A host is suspended while a request of it waits for a slot at the host of the ledger. If it took that host for
+// unreachable, it would place its requests for a second without the ledger, on runners whose slots
+// are taken.
+func TestLedgerHostIsNotUnreachableAfterAStandstill(t *testing.T) {
+	withSuspendedHost(t, func(h *suspendedHost, length time.Duration) {
+		m := newSlotManager(peer.Identity{Host: "a", Incarnation: "1"}, h.state, h.pool, nil, time.Now, hclog.NewNullLogger())
+		m.running = h.running
+		must.Eq(t, serve.SlotGranted, m.Acquire(context.Background(), slotRequest(10*time.Second)).Outcome)
+		time.AfterFunc(answerTime, func() { h.suspendSoon(length) })
+		must.Eq(t, serve.SlotGranted, m.Acquire(context.Background(), slotRequest(10*time.Second)).Outcome)
+		must.False(t, m.backoff.active("b", time.Now()))
+	})
+}
+
 // A host is suspended after the host that counts a runner's rate limit permitted it to send a request.
 // The limit has been used by others since, so the request must not be sent by the old permission; but
 // the host that gave it is asked again.
