A standstill while connecting is no failure of a path or a relay

What callers saw: a host that was suspended while it connected to a runner took the path for failing when it woke, sent the runner's requests through another host, and marked the sound runner suspect, of which its next heartbeats warned all others. With several such dials it found itself cut off from all runners. Where it was connecting through another host, it took the runner for gone: responses of it that broke off counted as crashes at once, and a warning was told although a relay reaches it.

Change: where the limit has passed by the clock but more than a quarter of it was not time in which the process was running, the dial returns ErrStoodStill and nothing is believed. The request tries that path once more, with the time that it has left by then, which the runner is told. Ruled out: dialing again below the request, since the runner would be told the time that was left before the standstill.

A runner that hangs counts from the first dial after the standstill. Delays of a few milliseconds are no standstill. A host that lacks a quarter of its processor time all along draws no conclusion from dials; its requests still go to the relay and then elsewhere.

--- a/internal/awake/awake.go
+++ b/internal/awake/awake.go
@@ -63,10 +63,18 @@
 func (l Limit) Left() time.Duration {
 	now := l.clock.now()
 	running := l.clock.Standstill.Awake(l.since, now)
-	if running < now.Sub(l.since) {
-		running -= resolution
-	}
-	return l.length - running
+	stood := now.Sub(l.since) - running
+	return l.length - running + min(stood, resolution)
+}
+
+// unusedShare is the part of a time limit, in the denominator, in which a process must not have been
+// running before what did not happen within the limit says nothing.
+const unusedShare = 4
+
+// StoodStill reports whether the limit has passed by the clock but not by the time for which this
+// process was running.
+func (l Limit) StoodStill() bool {
+	return l.clock.now().Sub(l.since) >= l.length && l.Left() > l.length/unusedShare
 }
 
 // Await calls wait with ctx, and again with a later deadline while the limit has not passed although
--- a/internal/awake/awake_test.go
+++ b/internal/awake/awake_test.go
@@ -100,3 +100,19 @@
 	}
 	must.NonPositive(t, limit.Left())
 }
+
+// A process that is a little late now and then was running for most of a time limit: what did not
+// happen within the limit counts.
+func TestSmallDelaysAreNoStandstill(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := &standstill.Monitor{}
+	m.Tick(now)
+	limit := Clock{Now: func() time.Time { return now }, Standstill: m}.NewLimit(400 * time.Millisecond)
+	for range 5 {
+		now = now.Add(80 * time.Millisecond)
+		must.Eq(t, 5*time.Millisecond, m.Tick(now))
+	}
+	must.False(t, limit.StoodStill())
+	now = now.Add(time.Second)
+	must.False(t, limit.StoodStill(), must.Sprint("a standstill after the limit had passed"))
+}
--- a/internal/entry/paths.go
+++ b/internal/entry/paths.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/awake"
 	"github.com/cherrystage/cherrystage/internal/quarantine"
 	"github.com/cherrystage/cherrystage/internal/reach"
 	"github.com/cherrystage/cherrystage/internal/timing"
@@ -14,10 +15,10 @@
 const tunnelDrainInterval = 50 * time.Millisecond
 
 // createPaths creates the connections to runners and the relay for other hosts.
-func (e *Entry) createPaths(dial Dialers) {
+func (e *Entry) createPaths(dial Dialers, running awake.Clock) {
 	e.connector = reach.NewConnector(reach.ConnectorDeps{
 		Dial: reach.DialFunc(dial.Runners), DialHost: reach.DialFunc(dial.Hosts), Key: e.cfg.PeerKey, Runners: e.runnerAddresses, Relays: e.relaysTo,
-		OnCutOff: func() { e.client.CloseIdleConnections() }, Now: e.now, Log: e.log,
+		OnCutOff: func() { e.client.CloseIdleConnections() }, Now: e.now, Running: running, Log: e.log,
 	})
 	e.relay = &reach.Relay{Key: e.cfg.PeerKey, Dial: e.connector.DialDirect, Reaches: func(address string) bool { return !e.connector.Paths.Fails(address) }, IsRunner: e.isRunner, Log: e.log}
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -312,18 +312,23 @@
 
 // roundTrip sends the request directly, or through a relay if no direct connection can be made, or
 // the other way round where a relay is more likely to reach the runner. A request that was given a
-// connection is not sent again.
+// connection is not sent again. Where this host stood still while it connected, it tries that path
+// once more.
 func (c *Client) roundTrip(ctx context.Context, address string, request *Request, attempt Attempt) (*http.Response, *trip) {
 	first, second := c.sendDirect, c.sendRelayed
 	if !c.paths.Direct(address) {
 		first, second = second, first
 	}
-	began := time.Now()
+	began, remaining := time.Now(), attempt.Remaining
 	response, tried := first(ctx, address, request, attempt)
+	if errors.Is(tried.err, reach.ErrStoodStill) && !tried.connected() && ctx.Err() == nil {
+		attempt.Remaining = remaining - time.Since(began)
+		response, tried = first(ctx, address, request, attempt)
+	}
 	if tried.err == nil || tried.connected() || ctx.Err() != nil {
 		return response, tried
 	}
-	attempt.Remaining -= time.Since(began)
+	attempt.Remaining = remaining - time.Since(began)
 	if response, other := second(ctx, address, request, attempt); other.err == nil || other.connected() {
 		return response, other
 	}
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"bufio"
 	"context"
 	"io"
 	"net"
@@ -8,6 +9,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/reach"
@@ -129,3 +131,63 @@
 		})
 	}
 }
+
+// remainingDialect notes the time that each attempt has left.
+type remainingDialect struct {
+	stubDialect
+	remaining []time.Duration
+}
+
+func (d *remainingDialect) SetRequestHeaders(_, _ http.Header, _ RequestMetadata, attempt Attempt) {
+	d.remaining = append(d.remaining, attempt.Remaining)
+}
+
+// suspendedPaths play a host that is suspended during its first dial to a runner, which lasts for a
+// time; the runner answers the second.
+type suspendedPaths struct {
+	length         time.Duration
+	dials, relayed int
+}
+
+func (p *suspendedPaths) Direct(string) bool   { return true }
+func (p *suspendedPaths) MayRelay(string) bool { return true }
+func (p *suspendedPaths) Heard()               {}
+
+func (p *suspendedPaths) DialRelayed(context.Context, string, string) (net.Conn, error) {
+	p.relayed++
+	return nil, errors.New("no relay")
+}
+
+func (p *suspendedPaths) DialDirect(context.Context, string, string) (net.Conn, error) {
+	p.dials++
+	if p.dials == 1 {
+		time.Sleep(p.length)
+		return nil, errors.Wrap(reach.ErrStoodStill, "timeout")
+	}
+	local, remote := net.Pipe()
+	go func() {
+		_, _ = http.ReadRequest(bufio.NewReader(remote))
+		_, _ = io.WriteString(remote, "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")
+	}()
+	return local, nil
+}
+
+// A host is suspended while it connects to a runner for a request. The connection is tried again. The
+// runner has to learn how much of the request's time is left by then; otherwise it would work on for
+// a caller that has left.
+func TestRequestIsSentAfterAStandstill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		paths, dialect := &suspendedPaths{length: 1500 * time.Millisecond}, &remainingDialect{}
+		client := NewClient(dialect, paths)
+		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+		defer cancel()
+		request := &Request{Method: http.MethodGet, Host: "h", Target: "/x", Header: http.Header{}}
+		answer, failure := client.Do(ctx, "r:80", request, Attempt{Remaining: 4 * time.Second})
+		must.Nil(t, failure)
+		_ = answer.Body.Close()
+		client.CloseIdleConnections()
+		must.Eq(t, []time.Duration{4 * time.Second, 2500 * time.Millisecond}, dialect.remaining)
+		must.Eq(t, 2, paths.dials)
+		must.Eq(t, 0, paths.relayed)
+	})
+}
--- a/internal/reach/connector.go
+++ b/internal/reach/connector.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/awake"
 	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -56,7 +57,9 @@
 	// OnCutOff is called when no runner can be reached directly any more. It may be nil.
 	OnCutOff func()
 	Now      func() time.Time
-	Log      hclog.Logger
+	// Running tells for how long this process was running while it connected.
+	Running awake.Clock
+	Log     hclog.Logger
 }
 
 // Connector connects to runners, directly or through a relay, and probes failing paths. It is
@@ -110,6 +113,10 @@
 // Heard records that a runner answered on a direct connection.
 func (c *Connector) Heard() { c.Paths.Heard(c.Now()) }
 
+// ErrStoodStill is returned if a connection was not set up in time because this process stood still.
+// It tells nothing of the other side.
+var ErrStoodStill = errors.New("this host stood still while it connected")
+
 // DialDirect connects to a runner directly.
 func (c *Connector) DialDirect(ctx context.Context, network, address string) (net.Conn, error) {
 	return c.dialDirect(ctx, network, address, false)
@@ -117,19 +124,29 @@
 
 // dialDirect connects to a runner directly. probe is set for a probe of a runner that is not known
 // to fail.
+//
+// A host that was suspended while it connected finds the time limits of all its dials passed when it
+// wakes, also where the connections are set up. If it took these paths for failing, it would find
+// itself cut off from runners, send requests through other hosts and warn them of sound runners.
 func (c *Connector) dialDirect(ctx context.Context, network, address string, probe bool) (net.Conn, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, c.Paths.ConnectTimeout())
+	timeout := c.Paths.ConnectTimeout()
+	limit := c.Running.NewLimit(timeout)
+	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	c.dialed.Add(1)
 	conn, err := c.Dial(dialCtx, network, address)
-	if err == nil {
+	switch {
+	case err == nil:
 		c.noteDirect(address)
 		return conn, nil
-	}
-	if ctx.Err() == nil {
+	case ctx.Err() != nil:
+		return nil, err
+	case limit.StoodStill():
+		return nil, errors.Wrap(ErrStoodStill, err.Error())
+	default:
 		c.noteDirectFailed(address, probe, err)
+		return nil, err
 	}
-	return nil, err
 }
 
 func (c *Connector) noteDirect(address string) {
@@ -188,6 +205,7 @@
 	defer cancel()
 	err := errNoRelay
 	for _, relay := range c.candidates(address) {
+		limit := c.Running.NewLimit(tunnelTimeout)
 		conn, failure := openTunnel(ctx, c.DialHost, c.Key, relay.Address, address)
 		if failure == nil {
 			c.Paths.RelayWorked(address, relay.Name, c.Now())
@@ -195,6 +213,9 @@
 			conn.(*tunnelConn).relay = relay.Name
 			return conn, nil
 		}
+		if limit.StoodStill() {
+			return nil, errors.Wrap(ErrStoodStill, failure.Error())
+		}
 		err = errors.Wrapf(failure, "relay %s", relay.Name)
 		c.noteRelayFailed(relay.Name)
 		if ctx.Err() != nil {
