A standstill of a host is no silence of a runner whose response broke off

What callers saw: a host that was suspended right after connections to a runner broke reported crashes of that runner as soon as it woke, before it had read the responses that show that the runner lives. Three such reports block a sound request for all callers.

Cause: the 200 ms in which a runner may prove that it lives, and the 1.2 s where nothing is known of it, counted the time for which the host stood still.

Change: the age of a truncated response is the time for which the host was running since. Not changed: the time that the report names, by the clock.

Measured: the new test fails without it at 1.5 and 3 s for all three states of what is known of a runner; a runner that stays silent for 250 ms afterwards counts.

--- a/internal/awake/awake.go
+++ b/internal/awake/awake.go
@@ -17,6 +17,16 @@
 // resolution is how late the monitor may notice the beginning of a standstill.
 const resolution = 2 * standstill.Interval
 
+// Between returns for how long the process was certainly running between two times.
+//
+// The monitor notices the beginning of a standstill late. Without resolution a time limit that is
+// shorter than that would have passed whenever the process stood still.
+func Between(m *standstill.Monitor, from, to time.Time) time.Duration {
+	running := m.Awake(from, to)
+	stood := to.Sub(from) - running
+	return running - min(stood, resolution)
+}
+
 // Clock tells the time for which this process was running. The zero value knows of no standstill.
 // It is safe for concurrent use.
 type Clock struct {
@@ -32,9 +42,6 @@
 	return c.Now()
 }
 
-// Since returns for how long the process was running since a time.
-func (c Clock) Since(from time.Time) time.Duration { return c.Standstill.Awake(from, c.now()) }
-
 // Limit is a time limit that counts from when it was made.
 type Limit struct {
 	clock  Clock
@@ -57,14 +64,8 @@
 }
 
 // Left returns how much of the limit is left, 0 or less if it has passed.
-//
-// The monitor notices the beginning of a standstill late. Without resolution a limit that is shorter
-// than that would have passed whenever the process stood still.
 func (l Limit) Left() time.Duration {
-	now := l.clock.now()
-	running := l.clock.Standstill.Awake(l.since, now)
-	stood := now.Sub(l.since) - running
-	return l.length - running + min(stood, resolution)
+	return l.length - Between(l.clock.Standstill, l.since, l.clock.now())
 }
 
 // unusedShare is the part of a time limit, in the denominator, in which a process must not have been
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -188,7 +188,7 @@
 		},
 		Pool: pool, Statuses: statuses, Runners: e.engineRunners, Reach: e.reachesOwned, OtherChanges: e.applyOtherRecords, Now: now, Log: log,
 	})
-	e.quarantineSync.liveness = e.runnerLiveness
+	e.quarantineSync.liveness, e.quarantineSync.quarantine.Standstill = e.runnerLiveness, &e.standstill
 	e.quarantineSync.broadcast, e.quarantineSync.records = e.mesh.HeartbeatNow, e.mesh.Fleet()
 	e.streams.records = e.mesh.Fleet()
 	e.streams.age = func() time.Duration { return e.mesh.Age(platform.RunnerKind) }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -5,6 +5,9 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cherrystage/cherrystage/internal/awake"
+	"github.com/cherrystage/cherrystage/internal/standstill"
 )
 
 const (
@@ -27,6 +30,9 @@
 // notify all others. A host that has completed the request clears it; otherwise all hosts block
 // it. A popular request that merely ran on the crashed runners thus stays available.
 type Quarantine struct {
+	// Standstill knows for which time this process could not run; nil stands for never.
+	Standstill *standstill.Monitor
+
 	// completions are those of whole requests, partCompletions those of parts of prompts. The
 	// latter would displace the former, which have to be remembered for longer.
 	completions     completions
@@ -187,6 +193,10 @@
 // TakeDue removes and returns the truncations to report: those whose runner is silent. It also
 // returns the number that were dropped. Where nothing is known of a runner, it waits for longer.
 //
+// The time for which this host stood still does not count: responses that show that the runner lives
+// may lie unread in their sockets. Otherwise a request whose connections broke just before would be
+// blocked for crashes that did not happen.
+//
 // A response that looks whole counts only if its runner is known to have crashed: where responses
 // end with their connections, each of them would count otherwise. It counts as a completion only if
 // the runner is known to live.
@@ -203,7 +213,7 @@
 	defer q.mu.Unlock()
 	waiting := q.pending[:0]
 	for _, truncation := range q.pending {
-		age := now.Sub(truncation.At)
+		age := awake.Between(q.Standstill, truncation.At, now)
 		if age < livenessDelay {
 			waiting = append(waiting, truncation)
 			continue
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/standstill"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 )
@@ -136,6 +137,29 @@
 	must.Len(t, 1, due)
 }
 
+// Connections to a runner break, and the host is suspended before the runner can respond to anything
+// else. When it wakes, that response lies in a socket. If the time of the suspension counted, the host
+// would report a crash, and three such reports would block the request for all callers.
+func TestRunnerMayProveThatItLivesAfterAStandstill(t *testing.T) {
+	for _, length := range []time.Duration{1500 * time.Millisecond, 3 * time.Second} {
+		q := New()
+		q.Standstill = &standstill.Monitor{}
+		q.Standstill.Tick(epoch)
+		for content, liveness := range map[Fingerprint]Liveness{1: Silent, 2: Unknown, 3: Gone} {
+			q.RecordTruncation(Truncation{Content: content, Runner: "r", At: epoch})
+			due, _ := q.TakeDue(after(length), func(string, time.Time) Liveness { return liveness })
+			must.SliceEmpty(t, due)
+		}
+		must.True(t, q.Pending())
+		q.Standstill.Tick(after(length))
+		for ms := time.Duration(50); ms <= 1200; ms += 50 {
+			q.Standstill.Tick(after(length + ms*time.Millisecond))
+		}
+		due, _ := q.TakeDue(after(length+livenessDelay+50*time.Millisecond), func(string, time.Time) Liveness { return Silent })
+		must.Len(t, 3, due, must.Sprint("runners that stayed silent"))
+	}
+}
+
 // After the loss of all runners of a data centre, the state that a host keeps is bounded and the
 // number of dropped truncations is returned.
 func TestRetainedStateIsBounded(t *testing.T) {
