A standstill of a host does not use up the grace period of missing runners

What callers saw: the store came back after an outage, and a host was suspended before it heard that the runners had written their entries again. When it woke, the 2.3 s of grace had passed, and it removed the runners before it read the changes that lay in its socket: its callers were refused for lack of runners, and its knowledge of what is loaded where was dropped. In the same way it trusted a restored store again about runners that had left.

Cause: both periods are ends by the clock. Change: they are kept by their beginning, and the time for which the host stood still does not count.

What was ruled out: a shorter watch pause after waking, since the first answer may still be the one from before.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -10,8 +10,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/awake"
 	"github.com/cherrystage/cherrystage/internal/registry"
 	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/cherrystage/cherrystage/internal/standstill"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -71,6 +73,10 @@
 	Runners  *registry.Replica
 	Versions *registry.Replica
 
+	// Standstill knows for which time this process could not run; nil stands for never. It must
+	// be set before the replicas receive data.
+	Standstill *standstill.Monitor
+
 	// OnRunner and OnVersion are called on changes. They may be nil and must be set
 	// before the replicas receive data.
 	OnRunner  func(changed *site.Runner, removed bool)
@@ -78,21 +84,22 @@
 
 	mu     sync.Mutex
 	config *site.Config
-	// runners holds the runners' entries by instance. lapsedUntil holds the instances
-	// whose entries are missing after a store outage or a restore, with the end of their
+	// runners holds the runners' entries by instance. lapsed holds the instances whose
+	// entries are missing after a store outage or a restore, with the beginning of their
 	// grace period.
-	runners     map[string]runnerEntry
-	lapsedUntil map[string]time.Time
+	runners map[string]runnerEntry
+	lapsed  map[string]time.Time
 	// leavingSince holds the lifetimes that reported that they are leaving, and when.
 	leavingSince map[string]time.Time
-	// removedAt holds the lifetimes whose entries were removed, and when. distrustedUntil
-	// holds those that are treated as leaving whatever the store says, and until when.
-	removedAt       map[string]time.Time
-	distrustedUntil map[string]time.Time
-	versions        map[site.Adapter]int64
-	runnersKnown    bool
-	graceUntil      time.Time
-	snapshot        atomic.Pointer[Snapshot]
+	// removedAt holds the lifetimes whose entries were removed, and when. distrusted holds
+	// those that are treated as leaving whatever the store says, and since when.
+	removedAt    map[string]time.Time
+	distrusted   map[string]time.Time
+	versions     map[site.Adapter]int64
+	runnersKnown bool
+	// graceSince is when the latest grace period for missing runners began.
+	graceSince time.Time
+	snapshot   atomic.Pointer[Snapshot]
 }
 
 // runnerEntry is a runner with the revision of its entry in the store.
@@ -104,18 +111,18 @@
 // New returns an empty directory.
 func New(decoder Decoder, now func() time.Time, log hclog.Logger) *Directory {
 	d := &Directory{
-		decoder:         decoder,
-		log:             log,
-		now:             now,
-		Configs:         registry.NewContentReplica(decoder.StripConfig),
-		Runners:         registry.NewContentReplica(decoder.StripRunner),
-		Versions:        registry.NewContentReplica(decoder.StripAdapterVersion),
-		runners:         map[string]runnerEntry{},
-		lapsedUntil:     map[string]time.Time{},
-		leavingSince:    map[string]time.Time{},
-		removedAt:       map[string]time.Time{},
-		distrustedUntil: map[string]time.Time{},
-		versions:        map[site.Adapter]int64{},
+		decoder:      decoder,
+		log:          log,
+		now:          now,
+		Configs:      registry.NewContentReplica(decoder.StripConfig),
+		Runners:      registry.NewContentReplica(decoder.StripRunner),
+		Versions:     registry.NewContentReplica(decoder.StripAdapterVersion),
+		runners:      map[string]runnerEntry{},
+		lapsed:       map[string]time.Time{},
+		leavingSince: map[string]time.Time{},
+		removedAt:    map[string]time.Time{},
+		distrusted:   map[string]time.Time{},
+		versions:     map[site.Adapter]int64{},
 	}
 	d.Configs.OnChange = d.handleConfigChanges
 	d.Runners.OnEra = d.handleNewEra
@@ -132,7 +139,14 @@
 func (d *Directory) OutageEnded() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.graceUntil = d.now().Add(outageGrace)
+	d.graceSince = d.now()
+}
+
+// graceLeft returns how much of a grace period is left that began at a time. The time for which this
+// host stood still does not count: runners have written their entries meanwhile, and the changes lie
+// unread in a socket. The lock is held.
+func (d *Directory) graceLeft(since, now time.Time) time.Duration {
+	return outageGrace - awake.Between(d.Standstill, since, now)
 }
 
 func (d *Directory) handleConfigChanges(changes []registry.Change, _ bool) {
@@ -180,9 +194,9 @@
 
 func (d *Directory) handleRunnerChange(change registry.Change, now time.Time) {
 	if change.Removed {
-		if now.Before(d.graceUntil) {
-			d.lapsedUntil[change.Name] = d.graceUntil
-			d.log.Info("runner missing after an outage or a restore of the store; keeping it for the grace period", "runner", change.Name, "believed_ms", d.graceUntil.Sub(now).Milliseconds())
+		if left := d.graceLeft(d.graceSince, now); left > 0 {
+			d.lapsed[change.Name] = d.graceSince
+			d.log.Info("runner missing after an outage or a restore of the store; keeping it for the grace period", "runner", change.Name, "believed_ms", left.Milliseconds())
 			return
 		}
 		d.recordRemoval(change.Name, now)
@@ -195,7 +209,7 @@
 		d.removeRunner(change.Name, "entry cannot be decoded")
 		return
 	}
-	delete(d.lapsedUntil, change.Name)
+	delete(d.lapsed, change.Name)
 	d.putRunner(runner, change.Revision)
 }
 
@@ -290,7 +304,7 @@
 // or while the store is not trusted about it. The lock is held.
 func (d *Directory) effectiveRunner(runner *site.Runner) *site.Runner {
 	_, leaving := d.leavingSince[runner.ID]
-	_, distrusted := d.distrustedUntil[runner.ID]
+	_, distrusted := d.distrusted[runner.ID]
 	if runner.Leaving || !leaving && !distrusted {
 		return runner
 	}
@@ -332,18 +346,18 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.now()
-	d.graceUntil = now.Add(outageGrace)
+	d.graceSince = now
 	for instance, runner := range d.runners {
 		// Revisions of the previous era cannot be compared with those of the new one.
 		runner.revision = 0
 		d.runners[instance] = runner
 		if d.effectiveRunner(runner.Runner).Leaving {
-			d.distrustedUntil[runner.ID] = now.Add(distrustPeriod)
+			d.distrusted[runner.ID] = now
 		}
 	}
 	for id, since := range d.removedAt {
 		if now.Sub(since) <= removalRetention {
-			d.distrustedUntil[id] = now.Add(distrustPeriod)
+			d.distrusted[id] = now
 		}
 	}
 }
@@ -355,7 +369,7 @@
 		return
 	}
 	delete(d.runners, instance)
-	delete(d.lapsedUntil, instance)
+	delete(d.lapsed, instance)
 	d.log.Info("runner gone", "runner", runner.ID, "service", runner.Service, "reason", reason)
 	if d.OnRunner != nil {
 		d.OnRunner(runner.Runner, true)
@@ -369,19 +383,19 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	changed := false
-	for instance, until := range d.lapsedUntil {
-		if now.Before(until) {
+	for instance, since := range d.lapsed {
+		if d.graceLeft(since, now) > 0 {
 			continue
 		}
 		d.removeRunner(instance, "still missing at the end of the grace period")
-		delete(d.lapsedUntil, instance)
+		delete(d.lapsed, instance)
 		changed = true
 	}
-	for id, until := range d.distrustedUntil {
-		if now.Before(until) {
+	for id, since := range d.distrusted {
+		if awake.Between(d.Standstill, since, now) < distrustPeriod {
 			continue
 		}
-		delete(d.distrustedUntil, id)
+		delete(d.distrusted, id)
 		changed = true
 	}
 	if changed {
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cherrystage/cherrystage/internal/registry"
 	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/cherrystage/cherrystage/internal/standstill"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
@@ -102,6 +103,50 @@
 	must.Eq(t, "a", runners[0].ID)
 }
 
+// The store comes back, and a host is suspended before it hears that the runners have written their
+// entries again. The changes lie in a socket when it wakes. If the grace period had passed meanwhile,
+// the host would remove all runners, refuse its callers, and forget what is loaded where.
+func TestStandstillDoesNotUseUpTheGracePeriod(t *testing.T) {
+	for _, lapsesBefore := range []bool{true, false} {
+		now := time.Unix(1000, 0)
+		d := newDirectory(&now)
+		d.Standstill = &standstill.Monitor{}
+		d.Standstill.Tick(now)
+		d.Runners.Listed([]registry.Record{record("a", "false", 1), record("b", "false", 2)}, registry.Position{Revision: 2})
+		d.OutageEnded()
+		if lapsesBefore {
+			d.Runners.Listed(nil, registry.Position{Revision: 5})
+		}
+		now = now.Add(3 * time.Second)
+		if !lapsesBefore {
+			d.Runners.Listed(nil, registry.Position{Revision: 5})
+		}
+		d.Expire()
+		must.Len(t, 2, d.Snapshot().ByService["s"])
+		d.Runners.Changed([]registry.Change{{Record: record("a", "false", 6)}}, registry.Position{Revision: 6})
+		for range 50 {
+			d.Standstill.Tick(now)
+			now = now.Add(standstill.Interval)
+		}
+		d.Expire()
+		must.Len(t, 1, d.Snapshot().ByService["s"], must.Sprint("a runner that stays missing"))
+	}
+}
+
+// The store is restored from a copy that lists a runner that has left, and a host is suspended. The
+// removal of the entry lies in a socket when it wakes: until it is read, the runner gets no work.
+func TestStandstillDoesNotEndTheDistrustOfARestoredStore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := newDirectory(&now)
+	d.Standstill = &standstill.Monitor{}
+	d.Standstill.Tick(now)
+	d.Runners.Listed([]registry.Record{record("a", "true", 3)}, registry.Position{Revision: 3})
+	d.Runners.Listed([]registry.Record{record("a", "false", 1)}, registry.Position{Era: 1, Revision: 1})
+	now = now.Add(distrustPeriod)
+	d.Expire()
+	must.SliceEmpty(t, d.Snapshot().ByService["s"])
+}
+
 // The store is restored from an older copy that lists a runner as ready that has left, and one
 // that was removed. They get no work until the entries of runners that no longer exist have
 // had time to expire; a runner that is still listed then is live.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -152,6 +152,7 @@
 	pool := peer.NewPool(identity, cfg.PeerKey, peer.Dialer(dial.Hosts), log)
 	pool.Clock = running
 	e.directory = directory.New(platform.Decoder, now, log)
+	e.directory.Standstill = &e.standstill
 	e.directory.OnRunner = func(runner *site.Runner, gone bool) { e.runnerChanged(runner, gone) }
 	e.directory.OnVersion = func(version site.AdapterVersion) { go e.prefetchVersion(version) }
 	e.board = board.New()
