A standstill of a witness is no silence of the host that it watches

What callers saw: a witness that was suspended for as long as a lease, the order gap and a margin (2.7 s at a gap of one second) agreed on waking to break the lease of a sound host, or asked the others to, before it had read that host's heartbeats. It then promised nothing until a newer record of the host was in the store. Without the store the host lost its lease, its runners got no orders, and requests for adapters that were not loaded were turned away. Where most witnesses of a host run on one machine that is suspended, they break its lease together.

Cause: silence is time by the clock since the last heartbeat and the last change of the record. Change: it is the time for which this host was running since. This is never more than before, so that a lease is never broken earlier and the gap between orders does not get shorter.

--- a/internal/mesh/breaking.go
+++ b/internal/mesh/breaking.go
@@ -15,7 +15,7 @@
 	defer s.mu.Unlock()
 	peer := s.peerOf(host)
 	silence := s.timing.breakTimeout()
-	if !peer.isDead(now, silence) || now.Sub(s.started) < silence || at.Era != s.era || peer.revision > at.Revision {
+	if !s.isDead(peer, now, silence) || now.Sub(s.started) < silence || at.Era != s.era || peer.revision > at.Revision {
 		return false
 	}
 	peer.agreeToBreak(at)
@@ -70,12 +70,13 @@
 }
 
 // mayBeDead reports whether a peer's record has not changed for so long that its renewal no
-// longer lets the peer give orders. The caller holds s.mu.
+// longer lets the peer give orders. A change may lie unread in a socket while this host stands still.
+// The caller holds s.mu.
 func (s *State) mayBeDead(host string, m member, now time.Time) bool {
 	if !s.eraSettled(now) {
 		return s.leaseKnownEnded(host, m)
 	}
-	return now.Sub(s.peerOf(host).changedAt) >= s.timing.breakTimeout()
+	return s.running(s.peerOf(host).changedAt, now) >= s.timing.breakTimeout()
 }
 
 func (s *State) breakable(host string, m member, now time.Time) (DeadHost, bool) {
@@ -83,7 +84,7 @@
 	if own >= 0 {
 		// The first witness begins; the others follow if it does not.
 		timeout := s.timing.breakTimeout() + time.Duration(own)*s.timing.Margin
-		if !s.peerOf(host).isDead(now, timeout) {
+		if !s.isDead(s.peerOf(host), now, timeout) {
 			return DeadHost{}, false
 		}
 	} else if !s.witnessesGone(m, now) || fleet.First(host, s.currentMembership().without(host)) != s.self {
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -14,7 +14,9 @@
 	"sync"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/awake"
 	"github.com/cherrystage/cherrystage/internal/registry"
+	"github.com/cherrystage/cherrystage/internal/standstill"
 )
 
 // Timing holds the durations of leases.
@@ -58,6 +60,11 @@
 // State holds a host's view of the fleet and decides on leases and ownership. It does no
 // I/O and takes the current time as an argument. It is safe for concurrent use.
 type State struct {
+	// Standstill knows for which time this process could not run; nil stands for never. What this
+	// host concludes from the silence of others counts only the time in which it was running. Its
+	// own rights end by the clock. It must be set before the first call.
+	Standstill *standstill.Monitor
+
 	self   string
 	timing Timing
 
@@ -155,9 +162,16 @@
 // refusalFactor times as long. Such a host lives and cannot order: the store refuses it, and its
 // witnesses want a newer record. If it counted as live, its runners would get no orders for as
 // long as it lives.
-func (p *peerState) isDead(now time.Time, silence time.Duration) bool {
-	isRefused := !p.refusedSince.IsZero() && now.Sub(p.refusedSince) >= refusalFactor*silence
-	return isRefused || now.Sub(p.heardAt) >= silence
+//
+// The time for which this host stood still does not count: the peer's heartbeats lie unread in sockets.
+func (s *State) isDead(p *peerState, now time.Time, silence time.Duration) bool {
+	isRefused := !p.refusedSince.IsZero() && s.running(p.refusedSince, now) >= refusalFactor*silence
+	return isRefused || s.running(p.heardAt, now) >= silence
+}
+
+// running returns for how long this host was certainly running between two times.
+func (s *State) running(from, to time.Time) time.Duration {
+	return awake.Between(s.Standstill, from, to)
 }
 
 // NewState returns the state of a host that knows no others.
