A host that stood still keeps its witnesses

What was seen: a host that was suspended for more than 2 s took all its witnesses for silent when it woke, and named others in its record. None of these had heard it or knew the record, so until they did the host renewed its lease in the store; hosts that are suspended together each wrote to it. Callers notice only while the store is away: the write fails then, and without the old witnesses' promises the host's runners would get no orders.

Cause: the time since a witness's latest promise counted the standstill. Change: it is the time for which the host was running since. What is in force is still what the record in the store says.

Measured: the new test fails without it at 3 s; witnesses that stay silent are replaced 2.1 s after the host woke.

--- a/internal/mesh/standstill_test.go
+++ b/internal/mesh/standstill_test.go
@@ -80,3 +80,31 @@
 		must.False(t, ok)
 	}
 }
+
+// A host is suspended for longer than a witness may leave heartbeats unanswered. When it wakes, it keeps
+// its witnesses: replaced, they would all have to learn its new record before they promise, and each
+// host that was suspended would write to the store.
+func TestStandstillDoesNotReplaceTheWitnesses(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k"}
+	now := testStart
+	a := newHosts(t, names...)["a"]
+	a.Standstill = &standstill.Monitor{}
+	before, _ := a.ChooseWitnesses(now)
+	a.Registered(1, before, now)
+	for ; now.Before(testStart.Add(5 * time.Second)); now = now.Add(standstill.Interval) {
+		a.Standstill.Tick(now)
+		for _, witness := range before {
+			a.PromiseReceived(witness, now)
+		}
+	}
+	woken := now.Add(3 * time.Second)
+	chosen, changed := a.ChooseWitnesses(woken)
+	must.False(t, changed)
+	must.Eq(t, before, chosen)
+	a.Standstill.Tick(woken)
+	for now = woken; now.Before(woken.Add(witnessTimeout + 100*time.Millisecond)); now = now.Add(standstill.Interval) {
+		a.Standstill.Tick(now)
+	}
+	_, changed = a.ChooseWitnesses(now)
+	must.True(t, changed, must.Sprint("witnesses that stay silent"))
+}
--- a/internal/mesh/witnesses.go
+++ b/internal/mesh/witnesses.go
@@ -199,11 +199,13 @@
 	return wanted, true
 }
 
-// selectWitnesses keeps the witnesses that answer and adds others up to maxWitnesses.
+// selectWitnesses keeps the witnesses that answer and adds others up to maxWitnesses. A host that stood
+// still could not hear its witnesses meanwhile. If it replaced them all at once, it would have none
+// left that has heard it before.
 func (s *State) selectWitnesses(now time.Time) []string {
 	var wanted []string
 	for _, host := range s.witnesses {
-		if m, ok := s.members[host]; ok && !m.Broken && now.Sub(s.peerOf(host).promisedAt) < witnessTimeout {
+		if m, ok := s.members[host]; ok && !m.Broken && s.running(s.peerOf(host).promisedAt, now) < witnessTimeout {
 			wanted = append(wanted, host)
 		}
 	}
