Statuses of peers keep over a standstill, and are as old as they are

What callers saw: a host that was suspended for 3 s took all its peers for gone when it woke, since their statuses are valid for 2 s. It then found the weight store idle and its runners the only ones, had as many adapters loaded as all hosts together may, and paced its loads by its own utilization: requests for cold adapters of all hosts waited. What lay in its sockets it took for new: for 300 ms it avoided runners that a peer had suspected seconds ago, and it put limits of runners in force again that had been lifted since, which it passed on as fresh.

Cause: the validity counted the standstill, and the time of a status was the time at which it was read, although the mesh estimates how long a heartbeat was queued.

Change: the validity counts the time for which this host was running since; a status comes with the time that its content had at least, by which suspicions, limits and brittleness are aged.

Measured: both new tests fail without it at 3 s; a peer that stays silent is dropped 2.1 s after the host woke. Tests of entry and mesh green.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -168,7 +168,7 @@
 	e.slots = newSlotManager(identity, e.state, pool, newSlotLedgers(e.state, e.board, e.backpressure.brittle, e.directory, now, log), now, log)
 	e.quotas.running, e.slots.running = running, running
 	statuses := &peerStatuses{
-		board: e.board, directory: e.directory, paths: e.connector.Paths, now: now, log: log, peers: map[string]receivedStatus{},
+		board: e.board, directory: e.directory, paths: e.connector.Paths, standstill: &e.standstill, now: now, log: log, peers: map[string]receivedStatus{},
 		localDigest: e.quarantineSync.quarantine.Digest, onDigest: e.quarantineSync.onPeerDigest, onLimit: e.backpressure.applyPeerLimit,
 		brittle: func() []board.BrittleReport { return e.backpressure.brittle.Reports(now()) }, onBrittle: e.backpressure.applyPeerBrittle, onLeaving: e.backpressure.applyPeerLeaving,
 	}
--- a/internal/entry/standstill_test.go
+++ b/internal/entry/standstill_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/cherrystage/cherrystage/internal/serve"
 	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/cherrystage/cherrystage/internal/standin"
+	"github.com/cherrystage/cherrystage/internal/standstill"
 	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
 )
@@ -160,3 +162,46 @@
 		must.True(t, granted)
 	})
 }
+
+// A host is suspended while its peers have adapters loaded. When it wakes, it has not heard of them for
+// longer than their statuses are valid. If it took them for gone, it would have as many adapters loaded
+// as all hosts together may, and each of its loads would wait for the weight store.
+func TestPeersAreNotGoneAfterAStandstill(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newPeerStatuses(&now)
+	s.standstill = &standstill.Monitor{}
+	s.standstill.Tick(now)
+	s.receive(t, "b", status{Transit: 3, Runners: 4})
+	now = now.Add(3 * time.Second)
+	transit, runners := s.peersInTransit()
+	must.Eq(t, 3, transit)
+	must.Eq(t, 4, runners)
+	for end := now.Add(statusTTL + 100*time.Millisecond); now.Before(end); now = now.Add(standstill.Interval) {
+		s.standstill.Tick(now)
+	}
+	transit, _ = s.peersInTransit()
+	must.Eq(t, 0, transit, must.Sprint("a peer that stays silent"))
+}
+
+// A peer suspected a runner, and knew its limit, while this host was suspended. The host reads the
+// status 3 s later. Meanwhile the suspicion has ended, and another peer has told that the limit was
+// lifted. If the status counted as new, requests would avoid a sound runner and wait for a limit that
+// is no more.
+func TestStatusReadAfterAStandstillIsOld(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := newPeerStatuses(&now)
+	s.onLimit = func(limit board.LimitReport, _ string) { s.board.MergePeerLimit(limit, now) }
+	limited, err := json.Marshal(status{SuspectMS: map[string]int64{"r": 300}, Limits: []board.LimitReport{{Runner: "r", Limited: true, Rate: 1}}})
+	must.NoError(t, err)
+	sent := now
+	now = now.Add(3 * time.Second)
+	s.receive(t, "c", status{Limits: []board.LimitReport{{Runner: "r", AgeMS: 1000}}})
+	s.ReceiveStatus("b", limited, sent)
+	view := s.board.View("r", now)
+	must.False(t, view.Suspect)
+	must.False(t, view.Limited)
+	s.ReceiveStatus("b", limited, now)
+	view = s.board.View("r", now)
+	must.True(t, view.Suspect)
+	must.True(t, view.Limited)
+}
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
+	"github.com/cherrystage/cherrystage/internal/awake"
 	"github.com/cherrystage/cherrystage/internal/board"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/reach"
+	"github.com/cherrystage/cherrystage/internal/standstill"
 	"github.com/hashicorp/go-hclog"
 )
 
@@ -40,7 +42,9 @@
 	Leaving []string `json:"leaving,omitempty"`
 }
 
-// statusTTL is how long a peer's status is valid.
+// statusTTL is how long a peer's status is valid while this host hears no other. The time for which it
+// stood still does not count: if it took its peers for gone, it would find the weight store idle and
+// load as many adapters as all of them together may.
 const statusTTL = 2 * time.Second
 
 // peerStatuses implements mesh.StatusExchange.
@@ -60,8 +64,10 @@
 	onBrittle func(report board.BrittleReport, host string)
 	// onLeaving handles a peer's report that a runner is leaving.
 	onLeaving func(runner, host string)
-	now       func() time.Time
-	log       hclog.Logger
+	// standstill knows for which time this process could not run; nil stands for never.
+	standstill *standstill.Monitor
+	now        func() time.Time
+	log        hclog.Logger
 
 	mu    sync.Mutex
 	peers map[string]receivedStatus
@@ -69,7 +75,7 @@
 
 type receivedStatus struct {
 	status
-	at time.Time
+	asOf time.Time
 }
 
 // Status implements mesh.StatusExchange.
@@ -100,28 +106,36 @@
 }
 
 // ReceiveStatus implements mesh.StatusExchange.
-func (s *peerStatuses) ReceiveStatus(host string, raw json.RawMessage) {
+//
+// What lay in a socket while this host stood still is not taken for new. Otherwise it would avoid
+// runners that a peer suspected seconds ago, and put limits in force that were lifted since.
+func (s *peerStatuses) ReceiveStatus(host string, raw json.RawMessage, asOf time.Time) {
 	var received status
 	if err := json.Unmarshal(raw, &received); err != nil {
 		s.log.Warn("malformed status from peer", "peer", host, "error", err.Error())
 		return
 	}
+	now := s.now()
+	age := max(0, now.Sub(asOf))
 	s.onDigest(host, received.Quarantine)
 	for _, limit := range received.Limits {
+		limit.AgeMS += age.Milliseconds()
 		s.onLimit(limit, host)
 	}
 	for _, report := range received.Brittle {
+		report.AgeMS += age.Milliseconds()
 		s.onBrittle(report, host)
 	}
 	for _, runner := range received.Leaving {
 		s.onLeaving(runner, host)
 	}
-	now := s.now()
 	for runner, running := range received.Running {
-		s.board.SetPeerRequests(host, runner, running, now)
+		s.board.SetPeerRequests(host, runner, running, asOf)
 	}
 	for runner, remainingMS := range received.SuspectMS {
-		s.board.MergePeerSuspicion(runner, time.Duration(remainingMS)*time.Millisecond, now)
+		if left := time.Duration(remainingMS)*time.Millisecond - age; left > 0 {
+			s.board.MergePeerSuspicion(runner, left, now)
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -130,7 +144,7 @@
 			s.board.SetPeerRequests(host, runner, 0, now)
 		}
 	}
-	s.peers[host] = receivedStatus{status: received, at: now}
+	s.peers[host] = receivedStatus{status: received, asOf: asOf}
 }
 
 // recentTotals returns the sums over the valid statuses of peers.
@@ -140,7 +154,7 @@
 	var total status
 	now := s.now()
 	for host, peerStatus := range s.peers {
-		if now.Sub(peerStatus.at) > statusTTL {
+		if awake.Between(s.standstill, peerStatus.asOf, now) > statusTTL {
 			delete(s.peers, host)
 			continue
 		}
--- a/internal/entry/status_test.go
+++ b/internal/entry/status_test.go
@@ -27,7 +27,7 @@
 	t.Helper()
 	raw, err := json.Marshal(sent)
 	must.NoError(t, err)
-	s.ReceiveStatus(host, raw)
+	s.ReceiveStatus(host, raw, s.now())
 }
 
 // A third of the runners is slow, and a host knows of a few runners only. The typical time
@@ -63,7 +63,7 @@
 	now := time.Unix(1000, 0)
 	s := newPeerStatuses(&now)
 	s.receive(t, "a", status{Transit: 3, Runners: 2, Load: 6, Slots: 24})
-	s.ReceiveStatus("a", json.RawMessage(`{"transit":"many"}`))
+	s.ReceiveStatus("a", json.RawMessage(`{"transit":"many"}`), now)
 	transit, runners := s.peersInTransit()
 	must.Eq(t, 3, transit)
 	must.Eq(t, 2, runners)
--- a/internal/mesh/breakattempt_test.go
+++ b/internal/mesh/breakattempt_test.go
@@ -121,8 +121,8 @@
 
 type noStatus struct{}
 
-func (noStatus) Status() any                           { return struct{}{} }
-func (noStatus) ReceiveStatus(string, json.RawMessage) {}
+func (noStatus) Status() any                                      { return struct{}{} }
+func (noStatus) ReceiveStatus(string, json.RawMessage, time.Time) {}
 
 // All other hosts of a fleet fall silent for good. The survivor is a witness of five of
 // them, and too few of their other witnesses answer to break their leases. While it asks
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -207,7 +207,7 @@
 		go s.fetchUntilCurrent(kind)
 	}
 	if len(status) > 0 {
-		s.Statuses.ReceiveStatus(host, status)
+		s.Statuses.ReceiveStatus(host, status, moment)
 	}
 }
 
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -54,8 +54,9 @@
 type StatusExchange interface {
 	// Status returns this host's status for its peers.
 	Status() any
-	// ReceiveStatus handles the status of a peer.
-	ReceiveStatus(host string, status json.RawMessage)
+	// ReceiveStatus handles the status that a peer had no earlier than asOf. A status that this
+	// host reads late is older than its content says.
+	ReceiveStatus(host string, status json.RawMessage, asOf time.Time)
 }
 
 // Service performs the I/O of the package: heartbeats, fetches and store writes.
