Failing tests of streams that are cut while a runner is silent

One host, two runners, virtual time. A runner pauses for 2.5 s in the middle of a stream and goes on. A stream that is older than callers wait for a first event is cut when its runner goes silent for good: the time to begin counts from its arrival.

--- a/internal/serve/testenv_test.go
+++ b/internal/serve/testenv_test.go
@@ -37,6 +37,8 @@
 	notRunHeader  = "Not-Run"
 	// instanceHeader names the runner that a request is for.
 	instanceHeader = "Instance"
+	// resumeHeader names the last event that the caller has.
+	resumeHeader = "Last-Event-Id"
 )
 
 // testDecoder decodes records that are the JSON of the site types.
@@ -72,6 +74,7 @@
 	header.Set("Id", metadata.ID)
 	header.Set(versionHeader, fmt.Sprint(attempt.AdapterVersion))
 	header.Set(instanceHeader, attempt.Instance)
+	header.Set(resumeHeader, attempt.ResumeAfter)
 }
 
 func (testDialect) ParseResponse(_ int, header http.Header) forward.ResponseMetadata {
