A silent attempt is kept until another one has something to pass on

Cause: silence of max(0.8 s, three gaps) canceled the attempt; only then was it asked whether another was to be had. The retry budget, a place, a permit, the adapter (421), the attempts left: whatever was missing cut the stream. The class: something that works is given up on suspicion, before its replacement is certain.

Silence begins a search beside the attempt, on a copy of the request that answers nobody. Where a runner takes it, the request is sent there as well; the first attempt with something to pass on is kept, the other is left. After 300 ms without either, a begun stream moves only to a runner that has sent this host something meanwhile; otherwise the first one keeps it. Where nothing is to be had, the host goes on listening and asks again each 0.25 s. While no runner at all is heard, no second attempt is made for a second. What may run once is never sent twice, as before.

Ruled out: giving up no stream for silence at all; a runner that is dead and says nothing would hold its streams until their callers leave.

Why it works: nothing that cuts is done before the other attempt has an event in hand.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -130,7 +130,7 @@
 	minSilentRequests = 2
 )
 
-func (e *entry) silent(now time.Time) bool {
+func (b *Board) silent(e *entry, now time.Time) bool {
 	return e.own >= minSilentRequests && now.Sub(e.lastActivity) > silenceThreshold
 }
 
@@ -147,25 +147,45 @@
 // DoubtfulPaths returns the runners to which this host's paths may have failed: they have sent
 // nothing for a while although requests wait for them.
 func (b *Board) DoubtfulPaths(now time.Time) []string {
-	var waiting, doubtful []string
+	waiting := b.silentFor(now, 1, hostSilence)
+	if len(waiting) >= minSilentRequests && b.nothingHeard(now) {
+		return waiting
+	}
+	return b.silentFor(now, minSilentRequests, runnerSilence)
+}
+
+// NoneHeard reports whether requests wait for several runners, and no runner at all has sent
+// anything for a while.
+func (b *Board) NoneHeard(now time.Time) bool {
+	return b.nothingHeard(now) && len(b.silentFor(now, 1, hostSilence)) >= minSilentRequests
+}
+
+// silentFor returns the runners for which at least the given number of requests wait, and which have
+// sent nothing for longer than the given time.
+func (b *Board) silentFor(now time.Time, requests int, silence time.Duration) []string {
+	var silent []string
 	for i := range b.shards {
 		s := &b.shards[i]
 		s.mu.Lock()
 		for runner, e := range s.entries {
-			silent := now.Sub(e.lastActivity)
-			if e.own > 0 && silent > hostSilence {
-				waiting = append(waiting, runner)
-			}
-			if e.own >= minSilentRequests && silent > runnerSilence {
-				doubtful = append(doubtful, runner)
+			if e.own >= requests && now.Sub(e.lastActivity) > silence {
+				silent = append(silent, runner)
 			}
 		}
 		s.mu.Unlock()
 	}
-	if len(waiting) >= minSilentRequests && now.Sub(b.heardAt()) > hostSilence {
-		return waiting
-	}
-	return doubtful
+	return silent
+}
+
+func (b *Board) nothingHeard(now time.Time) bool {
+	return now.Sub(b.heardAt()) > hostSilence
+}
+
+// HeardSince reports whether the runner has sent data for a request of this host since t.
+func (b *Board) HeardSince(runner string, t time.Time) bool {
+	var heard bool
+	b.withEntry(runner, func(e *entry) { heard = e.lastActivity.After(t) })
+	return heard
 }
 
 // heardAt returns when any runner last sent data for a request of this host.
@@ -241,7 +261,7 @@
 				view.Load += peer.running
 			}
 		}
-		view.Suspect = e.health.suspect(now) || e.silent(now)
+		view.Suspect = e.health.suspect(now) || b.silent(e, now)
 		if e.limit.limited {
 			view.Limited, view.Rate, view.LimitAge = true, e.limit.rate, now.Sub(e.limit.reportedAt)
 		}
--- a/internal/board/health.go
+++ b/internal/board/health.go
@@ -87,7 +87,7 @@
 			switch {
 			case e.health.suspect(now):
 				suspects[runner] = e.health.suspectUntil.Sub(now)
-			case e.silent(now):
+			case b.silent(e, now):
 				suspects[runner] = initialSuspicion
 			}
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -499,6 +499,7 @@
 		"streams_continued":  counters.StreamsContinued.Load,
 		"origins_unknown":    counters.OriginsUnknown.Load,
 		"streams_cut":        counters.StreamsCut.Load,
+		"hedges":             counters.Hedges.Load,
 		"standstills":        e.standstillCount,
 		"standstill_ms":      e.standstillMS,
 		"origins_asked":      e.streams.asked.Load,
--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -74,6 +74,14 @@
 	return true
 }
 
+// Has reports whether Take would succeed.
+func (b *Budget) Has(now time.Time, hosts int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now, hosts)
+	return b.tokens >= 1
+}
+
 // Denied returns the number of retries that were denied.
 func (b *Budget) Denied() int64 {
 	b.mu.Lock()
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -14,6 +14,8 @@
 
 // Counters counts requests by outcome.
 type Counters struct {
+	// Hedges counts the second attempts beside silent ones.
+	Hedges                                                                   atomic.Int64
 	Served, Refused, Failed, Canceled, RetriesDenied, Quarantined, OverQuota atomic.Int64
 	// StreamsContinued counts requests that continue a stream, OriginsUnknown those refused because
 	// it was not known what began it.
@@ -40,6 +42,10 @@
 }
 
 func (l *lifecycle) refuseWithStatus(status int, wait time.Duration, reason string) {
+	if l.hedging {
+		l.hedgeRefusal = reason
+		return
+	}
 	if l.headerWritten {
 		l.cut(reason)
 		return
@@ -51,6 +57,10 @@
 
 // fail answers that the request may have run, or refuses it if no runner has run it.
 func (l *lifecycle) fail(reason string) {
+	if l.hedging {
+		l.hedgeRefusal = reason
+		return
+	}
 	if l.mayHaveRunCount == 0 && (l.failure == nil || l.failure.Verdict == verdict.NotRun) {
 		l.refuse(l.retryAfter(), reason)
 		return
@@ -71,6 +81,10 @@
 
 // giveUp ends a request whose deadline has passed or whose caller has disconnected.
 func (l *lifecycle) giveUp(ctx context.Context) {
+	if l.hedging {
+		l.hedgeRefusal = reasonTimeOut
+		return
+	}
 	if l.callerGone || errors.Is(ctx.Err(), context.Canceled) {
 		l.s.Counters.Canceled.Add(1)
 		l.status = statusClientClosedRequest
@@ -89,7 +103,10 @@
 	l.writePlain(http.StatusGatewayTimeout, reasonTimeOut)
 }
 
-const reasonTimeOut = "no answer within the request's time"
+const (
+	reasonTimeOut     = "no answer within the request's time"
+	reasonBudgetSpent = "the retry budget is spent"
+)
 
 // statusClientClosedRequest is logged for a caller that closed its connection.
 const statusClientClosedRequest = 499
--- /dev/null
+++ b/internal/serve/exchange.go
@@ -0,0 +1,157 @@
+package serve
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/cherrystage/cherrystage/internal/forward"
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxHeldAnswerBytes bounds an answer that is buffered until it is complete.
+	maxHeldAnswerBytes = 8 << 20
+	// readBufferBytes is the size of a read from a stream, enough for several events.
+	readBufferBytes = 4 << 10
+	// maxEventBytes bounds the buffered part of an incomplete event.
+	maxEventBytes = 1 << 20
+)
+
+const eventStreamType = "text/event-stream"
+
+// exchange is one attempt: a request that was sent to a runner, and its answer as it arrives.
+type exchange struct {
+	// l is the request as it was placed for this attempt.
+	l      *lifecycle
+	ctx    context.Context
+	cancel context.CancelFunc
+	// parts delivers the answer in order; its last part has ended or failure set.
+	parts chan part
+	// unused is closed when nothing takes the parts any more.
+	unused chan struct{}
+	// answer is the runner's answer, nil until its header has been taken.
+	answer *forward.Response
+}
+
+// part is what arrived of an answer.
+type part struct {
+	// answer is set in the first part, which has no content.
+	answer *forward.Response
+	// content holds complete events, or the whole body of an answer that is no event stream.
+	content []byte
+	ended   bool
+	failure *forward.Failure
+}
+
+// send sends the request to the chosen runner.
+func (l *lifecycle) send(ctx context.Context) *exchange {
+	l.sends++
+	l.sentAt = l.s.Now()
+	l.s.Board.RecordStart(l.runner.ID, l.sentAt)
+	x := &exchange{l: l, parts: make(chan part), unused: make(chan struct{})}
+	x.ctx, x.cancel = context.WithCancel(ctx)
+	go x.run(l.s.Client, l.runner.Address, l.request, l.sendOptions())
+	return x
+}
+
+func (x *exchange) run(client *forward.Client, address string, request *forward.Request, options forward.Attempt) {
+	answer, failure := client.Do(x.ctx, address, request, options)
+	if failure != nil {
+		x.deliver(part{failure: failure})
+		return
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if !x.deliver(part{answer: answer}) {
+		return
+	}
+	if answer.Status == http.StatusOK && isEventStream(answer.Header) {
+		x.readEvents(answer)
+		return
+	}
+	x.readWhole(answer)
+}
+
+// deliver passes a part on, and reports whether something took it.
+func (x *exchange) deliver(p part) bool {
+	select {
+	case x.parts <- p:
+		return true
+	case <-x.unused:
+		return false
+	}
+}
+
+// leave cancels the attempt if it is under way, and takes no more of its answer.
+func (x *exchange) leave() {
+	x.cancel()
+	close(x.unused)
+}
+
+// readWhole reads an answer that is no event stream to its end before it passes it on: a truncated
+// answer must not look complete, and a repeatable request can still be retried.
+func (x *exchange) readWhole(answer *forward.Response) {
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeldAnswerBytes))
+	if err != nil {
+		x.deliver(part{failure: forward.TruncatedResponse(answer.Metadata, err)})
+		return
+	}
+	x.deliver(part{content: body, ended: true})
+}
+
+// readEvents passes complete events on as they arrive.
+func (x *exchange) readEvents(answer *forward.Response) {
+	var held []byte
+	chunk := make([]byte, readBufferBytes)
+	for {
+		n, err := answer.Body.Read(chunk)
+		held = append(held, chunk[:n]...)
+		if length := completeEventsLen(held); length > 0 {
+			if !x.deliver(part{content: bytes.Clone(held[:length])}) {
+				return
+			}
+			held = append(held[:0], held[length:]...)
+		}
+		if err == io.EOF && len(held) == 0 {
+			x.deliver(part{ended: true})
+			return
+		}
+		if err != nil || len(held) > maxEventBytes {
+			x.deliver(part{failure: forward.TruncatedResponse(answer.Metadata, streamError(answer, err))})
+			return
+		}
+	}
+}
+
+func isEventStream(header http.Header) bool {
+	kind, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.TrimSpace(kind) == eventStreamType
+}
+
+// streamError returns why a stream is not complete, given the error with which reading ended.
+func streamError(answer *forward.Response, err error) error {
+	switch {
+	case err == io.EOF && answer.EndsWithConnection:
+		return errors.Wrap(io.ErrUnexpectedEOF, "the connection ended within an event")
+	case err == nil || err == io.EOF:
+		return errNotWhole
+	default:
+		return err
+	}
+}
+
+var errNotWhole = errors.New("the stream ended within an event")
+
+// completeEventsLen returns the length of the complete events at the start of held.
+func completeEventsLen(held []byte) int {
+	end := 0
+	if i := bytes.LastIndex(held, []byte("\n\n")); i >= 0 {
+		end = i + 2
+	}
+	if i := bytes.LastIndex(held, []byte("\r\n\r\n")); i >= 0 {
+		end = max(end, i+4)
+	}
+	return end
+}
--- /dev/null
+++ b/internal/serve/hedge.go
@@ -0,0 +1,248 @@
+package serve
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/forward"
+	"github.com/cherrystage/cherrystage/internal/verdict"
+)
+
+const (
+	// eventTimeoutFactor times the target gap, but at least minEventTimeout, is how long a
+	// resumable stream waits for its next event before another runner is looked for. A
+	// request that its runner preempts waits some steps, far less than minEventTimeout.
+	eventTimeoutFactor = 3
+	minEventTimeout    = 800 * time.Millisecond
+	// hedgeRetryInterval is the time between two searches for another runner.
+	hedgeRetryInterval = 250 * time.Millisecond
+	// maxHedgeOverlap bounds how long two runners work on one request. The platform's
+	// specification allows 400 ms, which include the way of the cancellation.
+	maxHedgeOverlap = 300 * time.Millisecond
+	// maxSharedSilence is how much longer than others an attempt waits while no runner at all
+	// sends anything.
+	maxSharedSilence = time.Second
+)
+
+// onSilence judges the current attempt's silence.
+func (r *relaying) onSilence() {
+	l, limit, now := r.l, r.silenceLimit(), r.l.s.Now()
+	silent := now.Sub(r.quietSince)
+	if silent < limit {
+		r.silence.Reset(limit - silent)
+		return
+	}
+	if !r.suspected {
+		r.suspected = true
+		r.recordSilence()
+	}
+	if !l.mayUseAnotherRunner() || l.sends >= maxSends || r.hedge != nil || r.search != nil {
+		return
+	}
+	if silent < limit+maxSharedSilence && l.s.Board.NoneHeard(now) {
+		// A second attempt would win nothing and cost a retry.
+		r.silence.Reset(hedgeRetryInterval)
+		return
+	}
+	r.search = l.searchHedge(r.ctx)
+}
+
+// recordSilence records that the runner is silent to a request.
+func (r *relaying) recordSilence() {
+	l := r.l
+	if l.mayUseAnotherRunner() {
+		l.recordFailure(false)
+		return
+	}
+	l.s.Board.RecordFailure(l.runner.ID, false, l.s.Now())
+}
+
+// hedgeSearch looks for a runner for a second attempt in the background.
+type hedgeSearch struct {
+	found chan hedgeResult
+	stop  context.CancelFunc
+}
+
+// hedgeResult is the request as it was placed for a second attempt; ok is false if no runner takes
+// it.
+type hedgeResult struct {
+	l  *lifecycle
+	ok bool
+}
+
+// searchHedge looks for another runner for the request while its current attempt is silent.
+func (l *lifecycle) searchHedge(ctx context.Context) *hedgeSearch {
+	ctx, cancel := context.WithCancel(ctx)
+	s := &hedgeSearch{found: make(chan hedgeResult), stop: cancel}
+	fork := l.fork()
+	go func() {
+		ok := fork.prepareHedge(ctx)
+		select {
+		case s.found <- hedgeResult{l: fork, ok: ok}:
+		case <-ctx.Done():
+			if ok {
+				fork.releaseAdmission()
+			}
+		}
+	}()
+	return s
+}
+
+// result returns the channel of the search's result, which blocks if there is no search.
+func (s *hedgeSearch) result() <-chan hedgeResult {
+	if s == nil {
+		return nil
+	}
+	return s.found
+}
+
+// cancel ends the search, if there is one.
+func (s *hedgeSearch) cancel() {
+	if s != nil {
+		s.stop()
+	}
+}
+
+// fork returns a copy of the request for a second attempt, which counts the current one as one that
+// may have run. It writes no answer, and shares nothing that it changes.
+func (l *lifecycle) fork() *lifecycle {
+	fork := *l
+	fork.hedging = true
+	fork.w, fork.counted, fork.slot, fork.failure = nil, nil, nil, nil
+	fork.trial = false
+	fork.tried, fork.adapterMisses = maps.Clone(l.tried), maps.Clone(l.adapterMisses)
+	fork.tried[l.runner.ID] = true
+	fork.refusals, fork.refusedBy, fork.skipped = slices.Clip(l.refusals), slices.Clip(l.refusedBy), slices.Clip(l.skipped)
+	fork.mayHaveRunCount++
+	fork.arrivals = max(1, l.arrivals)
+	return &fork
+}
+
+// prepareHedge is prepare for a second attempt.
+func (l *lifecycle) prepareHedge(ctx context.Context) bool {
+	if !l.budget.Has(l.s.Now(), l.s.HostCount()) {
+		l.hedgeRefusal = reasonBudgetSpent
+		return false
+	}
+	return l.prepare(ctx)
+}
+
+// onFound sends the second attempt, or waits until another runner is looked for again.
+func (r *relaying) onFound(found hedgeResult) {
+	r.search.cancel()
+	r.search = nil
+	if !found.ok {
+		if r.l.hedgeRefusal != found.l.hedgeRefusal {
+			r.l.hedgeRefusal = found.l.hedgeRefusal
+			r.l.logSilent("silent attempt kept: no other runner takes the request", "because", found.l.hedgeRefusal)
+		}
+		r.silence.Reset(hedgeRetryInterval)
+		return
+	}
+	r.hedge = found.l.send(r.ctx)
+	r.hedgeLimit.Reset(maxHedgeOverlap)
+	r.l.s.Counters.Hedges.Add(1)
+	r.l.logSilent("second attempt beside a silent one", "to", found.l.runner.ID)
+}
+
+func (l *lifecycle) logSilent(message string, more ...any) {
+	fields := []any{"id", l.request.ID, "runner", l.runner.ID, "begun", l.headerWritten}
+	l.s.Log.Info(message, append(append(fields, l.silenceLogFields()...), more...)...)
+}
+
+// onHedge handles a part of the second attempt's answer.
+func (r *relaying) onHedge(p part) (bool, *forward.Failure) {
+	x := r.hedge
+	if p.answer != nil {
+		x.takeHeader(p.answer)
+		return false, nil
+	}
+	failure := p.failure
+	if failure == nil {
+		failure = x.refuseContent(p, true)
+	}
+	if failure != nil {
+		r.hedgeFailed(failure)
+		return false, nil
+	}
+	r.leaveCurrent()
+	return r.passOn(p)
+}
+
+// hedgeFailed ends the second attempt, and looks for a runner again soon.
+func (r *relaying) hedgeFailed(failure *forward.Failure) {
+	x := r.hedge
+	x.takeFailure(failure)
+	x.finish(failure)
+	x.l.failure = failure
+	x.l.logFailedAttempt()
+	if failure.Verdict == verdict.NotRun {
+		x.l.noteNotRun()
+	}
+	r.rejoin(failure.Verdict != verdict.NotRun)
+	r.silence.Reset(hedgeRetryInterval)
+}
+
+// rejoin takes over what the second attempt has learnt, once that has ended without an answer.
+func (r *relaying) rejoin(mayHaveRun bool) {
+	l, fork := r.l, r.hedge.l
+	l.sends, l.arrivals = fork.sends, fork.arrivals
+	l.adapterMisses, l.tried = fork.adapterMisses, fork.tried
+	delete(l.tried, l.runner.ID)
+	if mayHaveRun {
+		l.mayHaveRunCount++
+		l.tried[fork.runner.ID] = true
+	}
+	r.hedge = nil
+	r.hedgeLimit.Stop()
+}
+
+// dropHedge ends the search for another runner and the second attempt, if there is one, because the
+// current attempt has something to pass on.
+func (r *relaying) dropHedge() {
+	r.search.cancel()
+	r.search = nil
+	if r.hedge == nil {
+		return
+	}
+	r.l.logSilent("second attempt left", "to", r.hedge.l.runner.ID)
+	r.hedge.abandon()
+	r.rejoin(true)
+}
+
+// leaveCurrent leaves the silent attempt for the second one.
+func (r *relaying) leaveCurrent() {
+	r.l.logSilent("silent attempt left for the second one", "to", r.hedge.l.runner.ID)
+	r.current.abandon()
+	r.adoptHedge()
+}
+
+// adoptHedge makes the second attempt the current one, after that has ended.
+func (r *relaying) adoptHedge() {
+	l, x := r.l, r.hedge
+	w, counted := l.w, l.counted
+	*l = *x.l
+	l.w, l.counted, l.hedging = w, counted, false
+	x.l = l
+	r.current, r.hedge = x, nil
+	r.hedgeLimit.Stop()
+	r.quietSince, r.suspected = l.sentAt, false
+	r.silence.Reset(r.silenceLimit())
+}
+
+// onHedgeLimit leaves one of the two attempts. A begun stream is left only for a runner that has sent
+// this host something meanwhile: if both are silent, the first one has the stream under way.
+func (r *relaying) onHedgeLimit() {
+	x, l := r.hedge, r.l
+	if x == nil {
+		return
+	}
+	if !l.headerWritten || x.answer != nil || l.s.Board.HeardSince(x.l.runner.ID, x.l.sentAt) {
+		r.leaveCurrent()
+		return
+	}
+	r.dropHedge()
+	r.silence.Reset(hedgeRetryInterval)
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -226,6 +226,10 @@
 	status      int
 	// reason is why this host generated the answer itself, empty if a runner answered.
 	reason string
+	// hedging is set on the copy of the request for a second attempt beside a silent one.
+	// hedgeRefusal is why no second attempt could be made last.
+	hedging      bool
+	hedgeRefusal string
 	// cutReason is why this host ended an answer that had begun, empty if it did not.
 	cutReason     string
 	waitedForLoad bool
@@ -321,38 +325,43 @@
 
 // run makes attempts until the request is answered.
 func (l *lifecycle) run(ctx context.Context) {
+	for l.prepare(ctx) {
+		l.failure = l.attempt(ctx)
+		l.trial = false
+		if l.failure == nil || !l.retry(ctx) {
+			return
+		}
+	}
+}
+
+// prepare finds a runner to which the request may be sent now. If there is none, it answers the
+// request and returns false.
+func (l *lifecycle) prepare(ctx context.Context) bool {
 	for {
 		if l.timeLeft() < minTimeLeft || ctx.Err() != nil {
 			l.giveUp(ctx)
-			return
+			return false
 		}
 		if l.rejectIfQuarantined() || !l.placeCounted(ctx) {
-			return
+			return false
 		}
 		// The request may have been quarantined while it waited for its admission.
 		if l.rejectIfQuarantined() {
 			l.releaseAdmission()
-			return
+			return false
 		}
-		if !l.acquirePermit(ctx) {
-			l.releaseAdmission()
-			continue
-		}
-		if l.arrivals > 0 && !l.budget.Take(l.s.Now(), l.s.HostCount()) {
-			l.releaseAdmission()
-			l.s.Counters.RetriesDenied.Add(1)
-			l.fail("the retry budget is spent")
-			return
-		}
-		l.failure = l.attempt(ctx)
-		l.trial = false
-		if l.failure == nil {
-			return
-		}
-		if !l.retry(ctx) {
-			return
+		if l.acquirePermit(ctx) {
+			break
 		}
+		l.releaseAdmission()
+	}
+	if l.arrivals > 0 && !l.budget.Take(l.s.Now(), l.s.HostCount()) {
+		l.releaseAdmission()
+		l.s.Counters.RetriesDenied.Add(1)
+		l.fail(reasonBudgetSpent)
+		return false
 	}
+	return true
 }
 
 // rejectIfQuarantined answers a request whose content, or a part of it, has crashed runners, with the time
@@ -371,7 +380,9 @@
 		l.s.Log.Info("trying a blocked part of a prompt", "id", l.request.ID, "parts", strings.Join(l.request.PromptParts, ","))
 		return false
 	}
-	l.s.Counters.Quarantined.Add(1)
+	if !l.hedging {
+		l.s.Counters.Quarantined.Add(1)
+	}
 	l.refuseOrFail(left, "runners have ended under this request")
 	return true
 }
@@ -446,11 +457,7 @@
 		l.giveUp(ctx)
 		return false
 	}
-	fields := []any{
-		"id", l.request.ID, "content", l.subjects[0].String(), "parts", strings.Join(l.request.PromptParts, ","), "runner", l.runner.ID, "software_version", l.runner.SoftwareVersion, "last_event", l.lastEventID, "send", l.sends, "reason", string(l.failure.Reason),
-		"verdict", l.failure.Verdict.String(), "cause", l.failure.Error(), "via", l.via, "left_ms", l.timeLeft().Milliseconds(),
-	}
-	l.s.Log.Info("attempt failed", append(fields, l.silenceLogFields()...)...)
+	l.logFailedAttempt()
 	if l.failure.Verdict == verdict.NotRun {
 		return l.retryNotRun(ctx)
 	}
@@ -463,19 +470,35 @@
 	return true
 }
 
+func (l *lifecycle) logFailedAttempt() {
+	fields := []any{
+		"id", l.request.ID, "content", l.subjects[0].String(), "parts", strings.Join(l.request.PromptParts, ","), "runner", l.runner.ID, "software_version", l.runner.SoftwareVersion, "last_event", l.lastEventID, "send", l.sends, "reason", string(l.failure.Reason),
+		"verdict", l.failure.Verdict.String(), "cause", l.failure.Error(), "via", l.via, "left_ms", l.timeLeft().Milliseconds(),
+	}
+	l.s.Log.Info("attempt failed", append(fields, l.silenceLogFields()...)...)
+}
+
 // retryNotRun is retry for a request that the runner did not run.
 func (l *lifecycle) retryNotRun(ctx context.Context) bool {
 	if l.sends >= maxSends {
 		l.refuseOrFail(l.retryAfter(), "runners refused the request")
 		return false
 	}
+	if l.noteNotRun() {
+		timing.Sleep(ctx, adapterMissDelay)
+	}
+	return true
+}
+
+// noteNotRun records that the runner did not run the request, and reports whether the same one may be
+// tried again: it had not loaded the adapter yet.
+func (l *lifecycle) noteNotRun() bool {
 	if l.key.Name == "" || !l.adapterMissing() {
 		l.tried[l.runner.ID] = true
-		return true
+		return false
 	}
 	l.adapterMisses[l.runner.ID]++
 	l.s.Owners.ReportMissing(l.runner, l.key)
-	timing.Sleep(ctx, adapterMissDelay)
 	return true
 }
 
