The time to send the rest of a stream counts from its latest event

What callers saw: a stream older than two seconds or so was cut when its runner went silent for good, though others had room.

Cause: the time within which a request must be sent to be of use counted from its arrival, also after its first event, so that for an old stream it was over and every admission came too late. Ruled out: the retry budget, which had tokens in the test.

Change: it counts from the latest event that the caller got, by whose age callers abandon a stream. Test: TestOldStreamLeavesARunnerThatIsSilentForGood, cut before, whole now.

--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -440,14 +440,18 @@
 }
 
 // timeToStart returns the time within which the request must be sent to be of use: callers
-// abandon a stream that stays silent.
+// abandon a stream that stays silent, before its first event or after its latest one.
 func (l *lifecycle) timeToStart() time.Duration {
 	left := l.timeLeft()
 	if l.route.Kind != site.Streaming {
 		return left
 	}
+	silentSince := l.arrived
+	if l.headerWritten {
+		silentSince = l.lastWriteAt
+	}
 	silence := max(callerSilenceMin, callerTargetFactor*l.route.TargetLatency, callerGapFactor*l.route.TargetGap)
-	return min(left, l.arrived.Add(silence-sendMargin).Sub(l.s.Now()))
+	return min(left, silentSince.Add(silence-sendMargin).Sub(l.s.Now()))
 }
 
 // retry decides whether another attempt follows a failed one, and answers the request if
