A host that stood still does not take its own standstill for its runners' silence

What callers saw: streams of a host that was suspended, or got no processor for most of a second, moved or were cut as soon as it ran again, though what their runners had sent waited in its sockets; the host also avoided these runners and warned the others of them.

Cause: expired timers come before unread sockets. The silence of a request, and that of a runner on the board, was measured by the clock alone.

Change: both count only the time in which this process was running (package standstill), also before the first tick after waking. Ruled out: the time of the clock (it counts suspensions on purpose, for leases, and has to).

Tests: TestHostThatStoodStillKeepsItsStreams (a second run before, none now), TestHostThatStoodStillSuspectsNoRunner.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/cherrystage/cherrystage/internal/standstill"
 )
 
 const shardCount = 16
@@ -21,6 +23,10 @@
 	seed   maphash.Seed
 	shards [shardCount]shard
 
+	// Standstill knows for which time this process could not run; nil stands for never. It must
+	// not be changed once the board is in use.
+	Standstill *standstill.Monitor
+
 	// lastHeard is when any runner last sent data for a request of this host.
 	lastHeard atomic.Pointer[time.Time]
 
@@ -131,7 +137,7 @@
 )
 
 func (b *Board) silent(e *entry, now time.Time) bool {
-	return e.own >= minSilentRequests && now.Sub(e.lastActivity) > silenceThreshold
+	return e.own >= minSilentRequests && b.Standstill.Awake(e.lastActivity, now) > silenceThreshold
 }
 
 // Silence of runners for which requests of this host wait.
@@ -168,7 +174,7 @@
 		s := &b.shards[i]
 		s.mu.Lock()
 		for runner, e := range s.entries {
-			if e.own >= requests && now.Sub(e.lastActivity) > silence {
+			if e.own >= requests && b.Standstill.Awake(e.lastActivity, now) > silence {
 				silent = append(silent, runner)
 			}
 		}
@@ -178,7 +184,7 @@
 }
 
 func (b *Board) nothingHeard(now time.Time) bool {
-	return now.Sub(b.heardAt()) > hostSilence
+	return b.Standstill.Awake(b.heardAt(), now) > hostSilence
 }
 
 // HeardSince reports whether the runner has sent data for a request of this host since t.
--- a/internal/board/silence_test.go
+++ b/internal/board/silence_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/standstill"
 	"github.com/shoenig/test/must"
 )
 
@@ -31,3 +32,33 @@
 	b.RecordActivity("other", at(1001))
 	must.Eq(t, []string{"silent"}, b.DoubtfulPaths(at(1001)))
 }
+
+// A host is suspended for 1.5 s while requests wait for its runners. On waking it neither avoids
+// them, nor warns others of them, nor doubts its paths: what they sent waits in its sockets.
+func TestHostThatStoodStillSuspectsNoRunner(t *testing.T) {
+	b := New()
+	b.Standstill = &standstill.Monitor{}
+	tick := func(from, to int) {
+		for ms := from; ms <= to; ms += int(standstill.Interval / time.Millisecond) {
+			b.Standstill.Tick(at(ms))
+		}
+	}
+	tick(0, 500)
+	for _, runner := range []string{"r1", "r2"} {
+		b.RecordStart(runner, at(300))
+		b.RecordStart(runner, at(400))
+		b.RecordActivity(runner, at(500))
+	}
+	suspectsNone := func(when string) {
+		must.False(t, b.View("r1", at(2000)).Suspect, must.Sprint(when))
+		must.MapEmpty(t, b.Suspects(at(2000)), must.Sprint(when))
+		must.SliceEmpty(t, b.DoubtfulPaths(at(2000)), must.Sprint(when))
+		must.False(t, b.NoneHeard(at(2000)), must.Sprint(when))
+	}
+	suspectsNone("before its first tick")
+	tick(2000, 2200)
+	suspectsNone("after it")
+	tick(2000, 2500)
+	must.True(t, b.View("r1", at(2500)).Suspect, must.Sprint("the runners stay silent"))
+	must.MapLen(t, 2, b.Suspects(at(2500)))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -152,6 +152,7 @@
 	e.directory.OnRunner = func(runner *site.Runner, gone bool) { e.runnerChanged(runner, gone) }
 	e.directory.OnVersion = func(version site.AdapterVersion) { go e.prefetchVersion(version) }
 	e.board = board.New()
+	e.board.Standstill = &e.standstill
 	e.state = mesh.NewState(cfg.Host, mesh.Timing{Lease: mesh.DefaultLease, OrderGap: cfg.OrderGap, Margin: mesh.DefaultMargin}, now())
 	e.createPaths(dial)
 	e.backpressure = newBackpressure(cfg.Host, e.state, pool, e.board, e.directory, now, log)
--- a/internal/serve/hedge.go
+++ b/internal/serve/hedge.go
@@ -26,10 +26,11 @@
 	maxSharedSilence = time.Second
 )
 
-// onSilence judges the current attempt's silence.
+// onSilence judges the current attempt's silence: for the time that this process stood still it says
+// nothing of the runner.
 func (r *relaying) onSilence() {
 	l, limit, now := r.l, r.silenceLimit(), r.l.s.Now()
-	silent := now.Sub(r.quietSince)
+	silent := l.s.Standstill.Awake(r.quietSince, now)
 	if silent < limit {
 		r.silence.Reset(limit - silent)
 		return
@@ -239,6 +240,10 @@
 	if x == nil {
 		return
 	}
+	if awake := l.s.Standstill.Awake(x.l.sentAt, l.s.Now()); awake < maxHedgeOverlap {
+		r.hedgeLimit.Reset(maxHedgeOverlap - awake)
+		return
+	}
 	if !l.headerWritten || x.answer != nil || l.s.Board.HeardSince(x.l.runner.ID, x.l.sentAt) {
 		r.leaveCurrent()
 		return
--- a/internal/serve/hedge_test.go
+++ b/internal/serve/hedge_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -14,6 +15,8 @@
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/retrybudget"
 	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/cherrystage/cherrystage/internal/standstill"
+	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 )
@@ -163,7 +166,7 @@
 			runners.pause = func(run *testRun, number, event int) time.Duration {
 				for _, other := range []string{"r0", "r1"} {
 					if other != run.runner {
-						w.pressure.pauses[other] = 10 * time.Second
+						w.pressure.pause(other, 10*time.Second)
 					}
 				}
 				return pauseOnce(5, 2500*time.Millisecond)(run, number, event)
@@ -272,3 +275,27 @@
 		must.Eq(t, 1, w.owners.released)
 	})
 }
+
+// This host is suspended for 2 s in the middle of a stream, and finds the stream's timers expired when
+// it wakes. It neither asks another runner nor counts the silence against this one.
+func TestHostThatStoodStillKeepsItsStreams(t *testing.T) {
+	withTestEnv(t, 2, func(w *testEnv) {
+		monitor := &standstill.Monitor{}
+		w.server.Standstill = monitor
+		ctx, stop := context.WithCancel(w.t.Context())
+		defer stop()
+		suspendedUntil := time.Now().Add(10*time.Second + 2600*time.Millisecond)
+		go timing.Every(ctx, standstill.Interval, func() {
+			if now := time.Now(); now.Before(suspendedUntil.Add(-2*time.Second)) || now.After(suspendedUntil) {
+				monitor.Tick(now)
+			}
+		})
+		runners := newStreamRunners(w, pauseOnce(6, 2*time.Second))
+		time.Sleep(10 * time.Second)
+		answer, cut := w.serveResumable()
+		must.False(t, cut)
+		must.Eq(t, wholeStream(), answer.Body.String())
+		must.Len(t, 1, runners.runs)
+		must.Len(t, 1, w.owners.asked)
+	})
+}
--- a/internal/serve/testenv_test.go
+++ b/internal/serve/testenv_test.go
@@ -110,11 +110,22 @@
 }
 
 // fakeBackpressure ignores signals and refuses permits only for the runners in pauses.
-type fakeBackpressure struct{ pauses map[string]time.Duration }
+type fakeBackpressure struct {
+	mu     sync.Mutex
+	pauses map[string]time.Duration
+}
+
+func (p *fakeBackpressure) pause(runner string, length time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pauses[runner] = length
+}
 
 func (*fakeBackpressure) HandleSignal(*site.Runner, *board.Signal, string, time.Time) {}
 
 func (p *fakeBackpressure) Acquire(_ context.Context, runner *site.Runner) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	wait, paused := p.pauses[runner.ID]
 	return wait, !paused
 }
