--- a/internal/board/health.go
+++ b/internal/board/health.go
@@ -77,8 +77,10 @@
 	return suspected
 }
 
-// Suspects returns the runners that this host avoids and for how much longer.
+// Suspects returns the runners that this host avoids and for how much longer. While no runner at all
+// sends anything, the silence of each is no reason to warn others of it.
 func (b *Board) Suspects(now time.Time) map[string]time.Duration {
+	noneHeard := b.NoneHeard(now)
 	suspects := map[string]time.Duration{}
 	for i := range b.shards {
 		s := &b.shards[i]
@@ -87,7 +89,7 @@
 			switch {
 			case e.health.suspect(now):
 				suspects[runner] = e.health.suspectUntil.Sub(now)
-			case b.silent(e, now):
+			case !noneHeard && b.silent(e, now):
 				suspects[runner] = initialSuspicion
 			}
 		}
--- a/internal/serve/hedge.go
+++ b/internal/serve/hedge.go
@@ -35,6 +35,11 @@
 		r.silence.Reset(limit - silent)
 		return
 	}
+	if silent < limit+maxSharedSilence && l.s.Board.NoneHeard(now) {
+		// It says nothing of this runner, and a second attempt would cost a retry and win nothing.
+		r.silence.Reset(hedgeRetryInterval)
+		return
+	}
 	if !r.suspected {
 		r.suspected = true
 		r.recordSilence()
@@ -42,11 +47,6 @@
 	if !l.mayUseAnotherRunner() || l.sends >= maxSends || r.hedge != nil || r.search != nil {
 		return
 	}
-	if silent < limit+maxSharedSilence && l.s.Board.NoneHeard(now) {
-		// A second attempt would win nothing and cost a retry.
-		r.silence.Reset(hedgeRetryInterval)
-		return
-	}
 	r.search = l.searchHedge(r.ctx)
 }
 
