--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -23,14 +23,16 @@
 	refusing map[[2]string]bool
 	// silentUntil is until when a host neither sends nor receives; nothing is lost.
 	silentUntil map[string]time.Time
-	closed      bool
+	// pathSilentUntil is the same for the path between two hosts.
+	pathSilentUntil map[[2]string]time.Time
+	closed          bool
 	// Links limits the bandwidth of hosts.
 	Links *Links
 }
 
 // NewNetwork returns a network without listeners.
 func NewNetwork() *Network {
-	return &Network{listeners: map[string]*memListener{}, conns: map[*memConn]struct{}{}, cut: map[[2]string]bool{}, hanging: map[[2]string]bool{}, refusing: map[[2]string]bool{}, silentUntil: map[string]time.Time{}, Links: NewLinks(time.Now)}
+	return &Network{listeners: map[string]*memListener{}, conns: map[*memConn]struct{}{}, cut: map[[2]string]bool{}, hanging: map[[2]string]bool{}, refusing: map[[2]string]bool{}, silentUntil: map[string]time.Time{}, pathSilentUntil: map[[2]string]time.Time{}, Links: NewLinks(time.Now)}
 }
 
 // HostNet is the network as seen by one host.
@@ -166,11 +168,19 @@
 	n.silentUntil[host] = time.Now().Add(length)
 }
 
-// silence returns for how long either of two hosts is silent.
+// SilencePath is Silence for what two hosts send to each other.
+func (n *Network) SilencePath(a, b string, length time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.pathSilentUntil[[2]string{a, b}] = time.Now().Add(length)
+}
+
+// silence returns for how long either of two hosts, or the path between them, is silent.
 func (n *Network) silence(a, b string) time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return max(0, time.Until(n.silentUntil[a]), time.Until(n.silentUntil[b]))
+	path := max(time.Until(n.pathSilentUntil[[2]string{a, b}]), time.Until(n.pathSilentUntil[[2]string{b, a}]))
+	return max(0, path, time.Until(n.silentUntil[a]), time.Until(n.silentUntil[b]))
 }
 
 // Hang makes the open connections between two hosts drop all data, and new ones hang, as
