--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -156,6 +156,7 @@
 	e.directory.OnRunner = func(runner *site.Runner, gone bool) { e.runnerChanged(runner, gone) }
 	e.directory.OnVersion = func(version site.AdapterVersion) { go e.prefetchVersion(version) }
 	e.board = board.New()
+	e.board.Standstill = &e.standstill
 	e.state = mesh.NewState(cfg.Host, mesh.Timing{Lease: mesh.DefaultLease, OrderGap: cfg.OrderGap, Margin: mesh.DefaultMargin}, now())
 	e.state.Standstill = &e.standstill
 	e.createPaths(dial, running)
@@ -505,6 +506,7 @@
 		"streams_continued":  counters.StreamsContinued.Load,
 		"origins_unknown":    counters.OriginsUnknown.Load,
 		"streams_cut":        counters.StreamsCut.Load,
+		"hedges":             counters.Hedges.Load,
 		"standstills":        e.standstillCount,
 		"standstill_ms":      e.standstillMS,
 		"origins_asked":      e.streams.asked.Load,
--- a/internal/serve/testenv_test.go
+++ b/internal/serve/testenv_test.go
@@ -37,6 +37,8 @@
 	notRunHeader  = "Not-Run"
 	// instanceHeader names the runner that a request is for.
 	instanceHeader = "Instance"
+	// resumeHeader names the last event that the caller has.
+	resumeHeader = "Last-Event-Id"
 )
 
 // testDecoder decodes records that are the JSON of the site types.
@@ -72,6 +74,7 @@
 	header.Set("Id", metadata.ID)
 	header.Set(versionHeader, fmt.Sprint(attempt.AdapterVersion))
 	header.Set(instanceHeader, attempt.Instance)
+	header.Set(resumeHeader, attempt.ResumeAfter)
 }
 
 func (testDialect) ParseResponse(_ int, header http.Header) forward.ResponseMetadata {
@@ -107,11 +110,22 @@
 }
 
 // fakeBackpressure ignores signals and refuses permits only for the runners in pauses.
-type fakeBackpressure struct{ pauses map[string]time.Duration }
+type fakeBackpressure struct {
+	mu     sync.Mutex
+	pauses map[string]time.Duration
+}
+
+func (p *fakeBackpressure) pause(runner string, length time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pauses[runner] = length
+}
 
 func (*fakeBackpressure) HandleSignal(*site.Runner, *board.Signal, string, time.Time) {}
 
 func (p *fakeBackpressure) Acquire(_ context.Context, runner *site.Runner) (time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	wait, paused := p.pauses[runner.ID]
 	return wait, !paused
 }
