--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -144,7 +144,7 @@
 	n.mu.Lock()
 	n.cut[[2]string{a, b}] = true
 	n.mu.Unlock()
-	n.each(a, b, func(conn *memConn) { _ = conn.Close() })
+	n.each(a, b, func(conn *memConn) { _ = conn.abort() })
 }
 
 // KillHost simulates the end of a host's process: its ends of connections are closed, so
@@ -155,7 +155,7 @@
 	n.mu.Unlock()
 	n.each(host, "*", func(conn *memConn) {
 		if conn.owner == host {
-			_ = conn.Close()
+			_ = conn.abort()
 		}
 	})
 }
@@ -233,7 +233,7 @@
 	n.mu.Lock()
 	n.closed = true
 	n.mu.Unlock()
-	n.each("*", "*", func(conn *memConn) { _ = conn.Close() })
+	n.each("*", "*", func(conn *memConn) { _ = conn.abort() })
 }
 
 type memAddr string
@@ -289,9 +289,10 @@
 	delivering bool
 }
 
-// queuedPiece is data in transit.
+// queuedPiece is data in transit, or the end of the connection.
 type queuedPiece struct {
 	data    []byte
+	end     bool
 	arrives time.Time
 }
 
@@ -330,7 +331,7 @@
 	if c.isBlackholed() {
 		return len(data), nil
 	}
-	if c.enqueue(data) {
+	if c.enqueue(queuedPiece{data: data}) {
 		return len(data), nil
 	}
 	n, err := c.Conn.Write(data)
@@ -340,20 +341,21 @@
 	return n, err
 }
 
-// enqueue queues data that has to wait for a link and reports whether it did. The writer
+// enqueue queues a piece that has to wait for a link and reports whether it did. The writer
 // isn't blocked, as if the sender's socket buffer were unlimited.
-func (c *memConn) enqueue(data []byte) bool {
+func (c *memConn) enqueue(piece queuedPiece) bool {
 	to := c.ends[0]
 	if to == c.owner {
 		to = c.ends[1]
 	}
-	takes := max(c.network.Links.Reserve(c.owner, to, len(data)), c.network.silence(c.owner, to))
+	takes := max(c.network.Links.Reserve(c.owner, to, len(piece.data)), c.network.silence(c.owner, to))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if takes <= 0 && !c.delivering {
 		return false
 	}
-	c.queue = append(c.queue, queuedPiece{data: bytes.Clone(data), arrives: time.Now().Add(takes)})
+	piece.data, piece.arrives = bytes.Clone(piece.data), time.Now().Add(takes)
+	c.queue = append(c.queue, piece)
 	if !c.delivering {
 		c.delivering = true
 		go c.deliver()
@@ -383,9 +385,11 @@
 		if c.isBlackholed() {
 			continue
 		}
-		if _, err := c.Conn.Write(next.data); err != nil {
-			continue
+		if next.end {
+			_ = c.abort()
+			return
 		}
+		_, _ = c.Conn.Write(next.data)
 	}
 }
 
@@ -398,7 +402,17 @@
 	return n, err
 }
 
+// Close implements net.Conn. As with TCP, what was written before arrives before the end does.
 func (c *memConn) Close() error {
+	if c.isBlackholed() || !c.enqueue(queuedPiece{end: true}) {
+		return c.abort()
+	}
+	// The owner's own reads end at once.
+	return c.Conn.SetReadDeadline(time.Now())
+}
+
+// abort closes the connection and drops what is in transit.
+func (c *memConn) abort() error {
 	c.once.Do(func() {
 		close(c.closed)
 		c.network.mu.Lock()
