The network of the relays' tests reads its map before it starts a goroutine

The race detector found it (go test -race ./internal/reach, each run, also before the tests of standstills): the goroutine that serves the first relay read the map while the second was added. No check changes.

--- a/internal/reach/relay_test.go
+++ b/internal/reach/relay_test.go
@@ -52,7 +52,8 @@
 				Key: []byte(testKey), Dial: w.net.Host(name).Dial, Reaches: func(string) bool { return true },
 				IsRunner: func(address string) bool { return address == "r:80" }, Log: hclog.NewNullLogger(),
 			}
-			go func() { _ = w.relays[name].Server().Serve(listener) }()
+			server := w.relays[name].Server()
+			go func() { _ = server.Serve(listener) }()
 		}
 		w.connector = NewConnector(ConnectorDeps{
 			Dial: w.net.Host("a").Dial, DialHost: w.net.Host("a").Dial, Key: []byte(testKey), Runners: func() []string { return []string{"r:80"} },
