A refusal that is read after a standstill is an answer

What callers would see: a host that stood still reads a peer's refusal when the call's deadline has passed. The wait went on then, found the answer gone, and closed the connection, which failed all other calls on it.

Cause: the wait went on for any error while the deadline had passed. Change: only for an error that says so, also where the connection notices before its context does.

Both new tests of awake fail without the change; awake and peer green with the race detector.

--- a/internal/awake/awake.go
+++ b/internal/awake/awake.go
@@ -78,12 +78,20 @@
 	return l.clock.now().Sub(l.since) >= l.length && l.Left() > l.length/unusedShare
 }
 
+// timedOut reports whether err says that the deadline of a context has passed. Any other error is an
+// answer, also if it was read after the deadline. A connection may end before its context does.
+func timedOut(ctx context.Context, err error) bool {
+	var timeout interface{ Timeout() bool }
+	deadline, ok := ctx.Deadline()
+	return ok && !time.Now().Before(deadline) && errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // Await calls wait with ctx, and again with a later deadline while the limit has not passed although
 // that of ctx has: then this process stood still, and what it waits for may lie unread in a socket.
 func (l Limit) Await(ctx context.Context, wait func(ctx context.Context) error) error {
 	err := wait(ctx)
 	began := l.clock.now()
-	for err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) && l.clock.now().Sub(began) < maxExtension {
+	for timedOut(ctx, err) && l.clock.now().Sub(began) < maxExtension {
 		left := l.Left()
 		if left <= 0 {
 			return err
--- a/internal/awake/awake_test.go
+++ b/internal/awake/awake_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"net"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/standin"
 	"github.com/cherrystage/cherrystage/internal/standstill"
+	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
 )
 
@@ -116,3 +119,38 @@
 	now = now.Add(time.Second)
 	must.False(t, limit.StoodStill(), must.Sprint("a standstill after the limit had passed"))
 }
+
+// A call is refused while the caller is suspended. It reads the refusal when its deadline has passed. If
+// it waited again, it would find the answer gone and take the connection for closed.
+func TestAnswerReadAfterTheDeadlineCounts(t *testing.T) {
+	withSuspension(t, 1500*time.Millisecond, func(clock Clock) {
+		refusal := errors.New("not now")
+		ctx, cancel := context.WithTimeout(context.Background(), 250*time.Millisecond)
+		defer cancel()
+		waits := 0
+		err := clock.LimitOf(ctx).Await(ctx, func(ctx context.Context) error {
+			waits++
+			<-ctx.Done()
+			return refusal
+		})
+		must.ErrorIs(t, err, refusal)
+		must.Eq(t, 1, waits)
+	})
+}
+
+// A connection notices its deadline before its context does: this is a wait that goes on, too.
+func TestTimeoutOfAConnectionGoesOn(t *testing.T) {
+	withSuspension(t, 1500*time.Millisecond, func(clock Clock) {
+		ctx, cancel := context.WithTimeout(context.Background(), 250*time.Millisecond)
+		defer cancel()
+		begin := time.Now()
+		err := clock.LimitOf(ctx).Await(ctx, func(ctx context.Context) error {
+			<-ctx.Done()
+			if time.Since(begin) < 1500*time.Millisecond {
+				return &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+			}
+			return nil
+		})
+		must.NoError(t, err)
+	})
+}
