--- a/internal/awake/awake_test.go
+++ b/internal/awake/awake_test.go
@@ -138,14 +138,22 @@
 	})
 }
 
+// lateContext has a deadline but has not ended when it has passed.
+type lateContext struct {
+	context.Context
+	deadline time.Time
+}
+
+func (c lateContext) Deadline() (time.Time, bool) { return c.deadline, true }
+
 // A connection notices its deadline before its context does: this is a wait that goes on, too.
 func TestTimeoutOfAConnectionGoesOn(t *testing.T) {
 	withSuspension(t, 1500*time.Millisecond, func(clock Clock) {
-		ctx, cancel := context.WithTimeout(context.Background(), 250*time.Millisecond)
-		defer cancel()
+		ctx := lateContext{Context: context.Background(), deadline: time.Now().Add(250 * time.Millisecond)}
 		begin := time.Now()
 		err := clock.LimitOf(ctx).Await(ctx, func(ctx context.Context) error {
-			<-ctx.Done()
+			deadline, _ := ctx.Deadline()
+			time.Sleep(time.Until(deadline))
 			if time.Since(begin) < 1500*time.Millisecond {
 				return &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
 			}
