What a host learns from the store goes to other hosts at once

Callers got the older configuration up to 2.34 s after the acknowledgement, where watches had been muted for a second and waited on after the history was dropped (TestHistoryIsDroppedWhileMutedWatchesWait).

Cause: only records that came from another host set off heartbeats out of turn. A host that watches left what the store had told it to its next heartbeat, up to 450 ms later, and these were added to the 1.8 s of a muted watch.

Now Confirmed sends heartbeats at once if the records differ from those announced before, by whatever way they came. A position alone, or an answer without changes, sends none. The sum no longer has the interval of heartbeats in it, for hosts that are a witness of some other host.

TestChangesFromTheStoreAreAnnouncedAtOnce fails without it, a new safeguard.

--- a/internal/mesh/fetch.go
+++ b/internal/mesh/fetch.go
@@ -56,9 +56,7 @@
 		err = s.fetchParts(address, kind, partial)
 	}
 	s.logFetch(kind, address, before, s.Now().Sub(start), err)
-	if before.Before(replica.Position()) {
-		s.HeartbeatNow()
-	}
+	s.announceNews(kind)
 }
 
 // slowFetch is the duration of a fetch, or of being behind, from which a fetch is logged
--- a/internal/mesh/freshness.go
+++ b/internal/mesh/freshness.go
@@ -48,6 +48,8 @@
 	// missingSince.
 	missing      registry.Position
 	missingSince time.Time
+	// announced is the version of the replica that takeNews last saw.
+	announced registry.Version
 }
 
 // source is a host with newer records.
@@ -83,6 +85,16 @@
 	}
 }
 
+// takeNews reports whether a replica's records differ from those at its last call.
+func (f *freshness) takeNews(kind string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	k := f.kinds[kind]
+	before, now := k.announced, k.replica.Version()
+	k.announced = now
+	return now.Digest != before.Digest || now.Era != before.Era
+}
+
 // backSince returns how long ago the store confirmed a kind again after an outage, and false
 // during one.
 func (f *freshness) backSince(kind string) (time.Duration, bool) {
