Model of silent runners and hosts that stand still, with four policies

The experiment learns stalls: one runner, all runners, runners in turn and hosts that are silent for a time and go on, a runner that ends without a word, and first events that come late, in series. Four policies say what hosts do about streams whose runners are silent: listen, cancel the attempt and then look for another runner, make a second attempt beside the first, or wait for evidence that the runner is gone. Placing, admission, board and retry budget are the product's code. Callers leave a stream that pauses for too long. Without a policy nothing of this runs; cancelled runs no longer report their end a second time.

--- a/internal/experiment/caller.go
+++ b/internal/experiment/caller.go
@@ -71,6 +71,8 @@
 	// firstTry is where the request's first try counts, nil if it does not.
 	firstTry *FirstTries
 
+	silenceState
+
 	// The fields below belong to the current attempt.
 	host    *host
 	arrived time.Time
@@ -169,8 +171,18 @@
 func (r *request) startAttempt() {
 	sim := r.sim
 	r.host = sim.hosts[sim.choices.IntN(len(sim.hosts))]
+	if r.host.stalledUntil.After(sim.clock.now) {
+		sim.clock.at(r.host.stalledUntil.Add(wakeReads), r.arrive)
+		return
+	}
+	r.arrive()
+}
+
+// arrive starts an attempt at the host that has read the request.
+func (r *request) arrive() {
+	sim := r.sim
 	r.arrived = sim.clock.now
-	r.sends, r.arrivals, r.finished, r.run = 0, 0, false, nil
+	r.sends, r.arrivals, r.finished, r.run, r.attempts, r.pays = 0, 0, false, nil, 0, false
 	r.tried = map[string]bool{}
 	if sim.hostsDown {
 		// The connection fails, so the caller retries.
@@ -197,8 +209,11 @@
 // timeLeft returns the time within which it is still useful to send the request.
 func (r *request) timeLeft() time.Duration {
 	now := r.sim.clock.now
-	silence := max(callerSilence, silenceTargets*millis(r.kind.TargetMS), silenceGaps*millis(r.kind.GapMS))
-	return min(r.arrived.Add(silence-sendReserve).Sub(now), r.begun.Add(seconds(r.kind.DeadlineS)).Sub(now))
+	from := r.arrived
+	if r.beside != nil && !r.beside.first.IsZero() {
+		from = r.beside.lastSeen
+	}
+	return min(from.Add(r.patience()-sendReserve).Sub(now), r.begun.Add(seconds(r.kind.DeadlineS)).Sub(now))
 }
 
 // startSearch ranks the runners for the request's key and starts the search.
@@ -323,6 +338,11 @@
 			return
 		}
 		r.search.Admitted(r.step.Rank)
+		if r.pays && r.beside == nil && !r.host.budget.Take(sim.clock.now, len(sim.hosts)) {
+			r.releaseAdmission(runner, admitted)
+			r.endUnsent(noRetry)
+			return
+		}
 		r.send(runner)
 	})
 }
@@ -366,14 +386,24 @@
 		return
 	}
 	r.arrivals++
+	r.attempts++
+	if r.beside != nil {
+		r.beside.attempts++
+		r.beside.hasRetry = false
+	}
 	h, sentAt := r.host, sim.clock.now
 	cuts := h.cuts
 	viaRelay := h.cutOff
 	h.board.RecordStart(runner.ID, sentAt)
 	r.suspectSilence(runner)
 	sim.clock.after(delay+setUp, func() {
+		if r.finished && r.beside != nil {
+			h.board.RecordEnd(runner.ID)
+			sim.reportEnd(runner.ID, r.key)
+			return
+		}
 		e := sim.byID[runner.ID]
-		sent := &engineRun{key: r.key, unread: r.prompt, remaining: r.output, sentAt: sentAt}
+		sent := &engineRun{key: r.key, unread: r.prompt + r.passed, remaining: r.output - r.passed, sentAt: sentAt, heardAt: sentAt, beyond: r.pays}
 		sent.event = func() {
 			if r.bad != nil {
 				sim.endEngine(e, *r.bad)
@@ -382,10 +412,13 @@
 			if !viaRelay && h.cuts != cuts {
 				return // the connection dropped all data since the cut
 			}
-			sim.clock.after(delay, func() { r.event(sent, runner) })
+			h.receive(sim.clock, delay, func() { r.event(sent, runner) })
 		}
 		sent.ended = func(whole bool) {
-			sim.clock.after(delay, func() {
+			h.receive(sim.clock, delay, func() {
+				if sent.canceled {
+					return
+				}
 				h.board.RecordEnd(runner.ID)
 				sim.reportEnd(runner.ID, r.key)
 				if viaRelay || h.cuts == cuts {
@@ -395,6 +428,14 @@
 		}
 		r.engine, r.run = e, sent
 		r.recordBadSend()
+		if r.pays {
+			sim.result.Silence.Runs++
+		}
+		if r.beside != nil {
+			r.watchSecond(sent, runner)
+		} else {
+			r.watchSilence(sent, runner)
+		}
 		if why := e.submit(sent); why != accepted {
 			sim.clock.after(delay, func() {
 				h.board.RecordEnd(runner.ID)
@@ -403,7 +444,9 @@
 			})
 		}
 	})
-	r.giveUpAfter(r.timeLeft() + sendReserve)
+	if r.beside == nil {
+		r.giveUpAfter(r.timeLeft() + sendReserve)
+	}
 }
 
 // suspectSilence records a failure of the runner if no event arrives in time.
@@ -437,6 +480,10 @@
 // abandon cancels the request and counts it as failed.
 func (r *request) abandon() {
 	r.finished = true
+	r.overtake()
+	if r.first.IsZero() && r.sim.cfg.Silence != "" {
+		r.sim.result.Silence.NotBegun++
+	}
 	if r.run != nil {
 		r.engine.cancel(r.run)
 		r.host.board.RecordEnd(r.engine.runner.ID)
@@ -446,26 +493,48 @@
 }
 
 func (r *request) event(sent *engineRun, runner *site.Runner) {
+	if r.adopted {
+		r.beside.event(sent, runner)
+		return
+	}
 	if r.finished || r.run != sent {
 		return
 	}
 	now := r.sim.clock.now
+	r.hear(sent, runner)
+	if r.beside != nil {
+		r.beside.adopt(r)
+		r.beside.event(sent, runner)
+		return
+	}
+	r.overtake()
 	r.host.board.RecordActivity(runner.ID, now)
+	begins := false
 	if r.first.IsZero() {
 		r.first = now
+		begins = true
 		r.recordFirst(runner)
 		r.sim.observePrefill(runner.ID, r.prompt, now.Sub(sent.sentAt))
 	} else {
 		r.gap = max(r.gap, now.Sub(r.lastSeen))
 	}
 	r.lastSeen = now
+	r.passed = min(r.output, r.passed+r.sim.cfg.Engines.Stride)
+	if begins {
+		r.watchCaller()
+	}
 	r.leaveIfDue()
 }
 
 func (r *request) end(sent *engineRun, runner *site.Runner, whole bool) {
+	if r.adopted {
+		r.beside.end(sent, runner, whole)
+		return
+	}
 	if r.finished || r.run != sent {
 		return
 	}
+	r.overtake()
 	r.finished = true
 	now := r.sim.clock.now
 	r.recordEnd(runner.ID, whole, sent.sentAt)
@@ -475,6 +544,9 @@
 		r.sim.result.countFailed(r)
 		return
 	}
+	if r.sim.cfg.Silence != "" {
+		r.countSilence()
+	}
 	r.host.board.RecordSuccess(runner.ID, now)
 	r.sim.ownerBoard.RecordSuccess(runner.ID, now)
 	r.sim.result.countServed(r)
@@ -489,6 +561,10 @@
 	sim := r.sim
 	r.run = nil
 	sim.result.TurnedAway++
+	if r.beside != nil {
+		r.endUnsent(noPlace)
+		return
+	}
 	if why == unreachable {
 		r.host.board.RecordFailure(runner.ID, true, sim.clock.now)
 		r.tried[runner.ID] = true
@@ -511,6 +587,10 @@
 
 // retryOrRefuse tells the caller to retry later, which it does once.
 func (r *request) retryOrRefuse() {
+	if r.pays {
+		r.endUnsent(noPlace)
+		return
+	}
 	r.finished = true
 	sim := r.sim
 	sim.result.Refusals++
--- a/internal/experiment/cmd/experiment/main.go
+++ b/internal/experiment/cmd/experiment/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 
 	"github.com/cherrystage/cherrystage/internal/experiment"
 	"github.com/jessevdk/go-flags"
@@ -17,6 +18,7 @@
 	Scenario string   `long:"scenario" short:"s" description:"an embedded scenario; see --list"`
 	File     string   `long:"config" short:"c" description:"a configuration file"`
 	Policies []string `long:"policy" short:"p" description:"product, homeless or reference; may be repeated (default: all)"`
+	Silences []string `long:"silence" description:"listen, cancel, beside or evidence: what hosts do about streams whose runners are silent; may be repeated (default for scenarios of stalls: all, with the policy product)"`
 	Seeds    int      `long:"seeds" short:"n" default:"1" description:"number of seeds to run, starting from the configured one"`
 	Out      string   `long:"out" short:"o" description:"a folder for each scenario's results and plot"`
 	// LoseRunners is nil without the flag; a share of 0 is an error.
@@ -59,21 +61,35 @@
 		}
 		return runDrills(opts, cfg, policies)
 	}
+	silences, err := parseSilences(opts.Silences, cfg)
+	if err != nil {
+		return err
+	}
+	if cfg.Silence != "" && len(opts.Policies) == 0 {
+		policies = []experiment.Policy{experiment.Product}
+	}
 	var results []*experiment.Result
 	for i := range max(1, opts.Seeds) {
 		seeded := cfg
 		seeded.Seed += uint64(i)
 		for _, policy := range policies {
-			result, err := experiment.Run(seeded, policy)
-			if err != nil {
-				return err
+			for _, seeded.Silence = range silences {
+				result, err := experiment.Run(seeded, policy)
+				if err != nil {
+					return err
+				}
+				results = append(results, result)
 			}
-			results = append(results, result)
 		}
 	}
 	if err := experiment.Write(os.Stdout, results); err != nil {
 		return err
 	}
+	if silences[0] != "" {
+		if err := experiment.WriteSilences(os.Stdout, results); err != nil {
+			return err
+		}
+	}
 	if opts.Out == "" {
 		return nil
 	}
@@ -140,6 +156,25 @@
 	return policies, nil
 }
 
+// parseSilences returns the policies for silence to run: the named ones, all if the scenario has
+// one, and else none.
+func parseSilences(names []string, cfg experiment.Config) ([]experiment.SilencePolicy, error) {
+	if len(names) == 0 && cfg.Silence == "" {
+		return []experiment.SilencePolicy{""}, nil
+	}
+	if len(names) == 0 {
+		return experiment.SilencePolicies(), nil
+	}
+	var silences []experiment.SilencePolicy
+	for _, name := range names {
+		if !slices.Contains(experiment.SilencePolicies(), experiment.SilencePolicy(name)) {
+			return nil, errors.Errorf("unknown policy for silence %q; available: %v", name, experiment.SilencePolicies())
+		}
+		silences = append(silences, experiment.SilencePolicy(name))
+	}
+	return silences, nil
+}
+
 // save writes a value as JSON and a plot of results.
 func save(folder, name string, value any, results []*experiment.Result) error {
 	if err := os.MkdirAll(folder, 0o755); err != nil {
--- a/internal/experiment/cmd/experiment/main_test.go
+++ b/internal/experiment/cmd/experiment/main_test.go
@@ -30,3 +30,19 @@
 		must.ErrorContains(t, run(options{Scenario: "calm", LoseRunners: &share}), "--lose-runners")
 	}
 }
+
+// Guards against policies for silence that are run and not written.
+func TestSilencesAreWritten(t *testing.T) {
+	folder := t.TempDir()
+	text, err := os.ReadFile("../../scenarios/stall-one.toml")
+	must.NoError(t, err)
+	file := filepath.Join(folder, "small.toml")
+	must.NoError(t, os.WriteFile(file, bytes.Replace(text, []byte("length_s = 24"), []byte("length_s = 5"), 1), 0o600))
+	must.NoError(t, run(options{File: file, Out: folder, Silences: []string{"cancel", "beside"}}))
+	written, err := os.ReadFile(filepath.Join(folder, "stall-one.json"))
+	must.NoError(t, err)
+	must.StrContains(t, string(written), `"policy": "cancel"`)
+	must.StrContains(t, string(written), `"policy": "beside"`)
+	must.FileExists(t, filepath.Join(folder, "stall-one.png"))
+	must.ErrorContains(t, run(options{File: file, Silences: []string{"golden"}}), "golden")
+}
--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -52,6 +52,10 @@
 	Losses   []FaultConfig `toml:"losses"`
 	// Cuts cut hosts off from all runners.
 	Cuts []CutConfig `toml:"cuts"`
+	// Stalls have runners or hosts stand still and go on. Silence is what hosts do about streams whose
+	// runners are silent; without it, streams are not resumed.
+	Stalls  []StallConfig `toml:"stalls"`
+	Silence SilencePolicy `toml:"silence"`
 	// BadParts send requests with a part of a prompt that ends engines.
 	BadParts []BadPartConfig `toml:"bad_parts"`
 	// Versions replace engines by ones of other software versions.
@@ -286,6 +290,14 @@
 	if slow := c.Engines.Slowdowns; slow.EveryS > 0 && (slow.ForMS <= 0 || slow.Factor < 1) {
 		return errors.New("engines.slowdowns: for_ms is not greater than zero, or factor is less than one")
 	}
+	if c.Silence != "" && !slices.Contains(SilencePolicies(), c.Silence) {
+		return errors.Errorf("silence: unknown policy %q; available: %v", c.Silence, SilencePolicies())
+	}
+	for _, stall := range c.Stalls {
+		if err := stall.check(); err != nil {
+			return err
+		}
+	}
 	for _, workspace := range c.Workspaces {
 		if workspace.Name == "" || workspace.Weight <= 0 {
 			return errors.Errorf("workspaces: %q lacks a name or a weight", workspace.Name)
--- a/internal/experiment/engine.go
+++ b/internal/experiment/engine.go
@@ -47,8 +47,13 @@
 	unread, context, remaining, generated int
 	// sentAt is when the host sent the request.
 	sentAt time.Time
-	event  func()
-	ended  func(whole bool)
+	// heard is set once the host has heard an event, at heardAt; before, that is when it was sent.
+	heard   bool
+	heardAt time.Time
+	// beyond is set for a run beyond the first of its request, canceled once it is not wanted.
+	beyond, canceled bool
+	event            func()
+	ended            func(whole bool)
 }
 
 // refusal says why an engine refused a request.
@@ -197,13 +202,28 @@
 	case len(e.running)+len(e.waiting) >= e.cfg.Slots+e.cfg.Queue:
 		return queueFull
 	}
+	e.begin(r)
+	return accepted
+}
+
+// begin queues a request that the engine has accepted.
+func (e *engine) begin(r *engineRun) {
+	if delay := e.sim.firstDelay; delay > 0 {
+		e.sim.clock.after(delay, func() {
+			if !r.canceled && !e.gone {
+				e.waiting = append(e.waiting, r)
+				e.startStep()
+			}
+		})
+		return
+	}
 	e.waiting = append(e.waiting, r)
 	e.startStep()
-	return accepted
 }
 
 // cancel removes a request whose caller has left.
 func (e *engine) cancel(r *engineRun) {
+	r.canceled = true
 	e.running = removeRun(e.running, r)
 	e.waiting = removeRun(e.waiting, r)
 	e.finishEvictions()
@@ -254,6 +274,9 @@
 		r.unread -= part
 		r.context += part
 		budget -= part
+		if part > 0 && r.unread == 0 && r.beyond {
+			e.sim.result.Silence.Prompts++
+		}
 	}
 	return e.cfg.Chunk - budget
 }
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -26,6 +26,13 @@
 	Reference:    color.RGBA{R: 30, G: 90, B: 170, A: 255},
 }
 
+var silenceColours = map[SilencePolicy]color.Color{
+	SilenceListen:   color.RGBA{R: 120, G: 120, B: 120, A: 255},
+	SilenceCancel:   color.RGBA{R: 190, G: 30, B: 60, A: 255},
+	SilenceBeside:   color.RGBA{R: 30, G: 90, B: 170, A: 255},
+	SilenceEvidence: color.RGBA{R: 30, G: 140, B: 90, A: 255},
+}
+
 // Plot draws the share of the possible worth that the requests of each window earned, one
 // line per result. The file's extension selects the format.
 func Plot(path string, results []*Result) error {
@@ -43,8 +50,14 @@
 			return errors.Wrap(err, "plot")
 		}
 		line.Color = colours[r.Policy]
+		if r.Silence.Policy != "" {
+			line.Color = silenceColours[r.Silence.Policy]
+		}
 		line.Width = lineWidth
 		label := fmt.Sprintf("%s, seed %d: %.3f", r.Policy, r.Seed, r.Whole.Share())
+		if r.Silence.Policy != "" {
+			label += fmt.Sprintf(", at silence %s", r.Silence.Policy)
+		}
 		if r.LostRunners > 0 {
 			line.Dashes = lossDashes
 			label += fmt.Sprintf(", %.0f%% of the runners lost", 100*r.LostRunners)
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -84,12 +84,17 @@
 	BadPart BadPartResult `json:"bad_part,omitzero"`
 	// Versions counts the streams that callers continued at other hosts.
 	Versions VersionResult `json:"versions,omitzero"`
+	// Silence counts what silence did to streams that may be resumed.
+	Silence SilenceResult `json:"silence,omitzero"`
 	// Fill is the mean share of the slots in use, over all steps.
 	Fill float64 `json:"fill"`
 }
 
 func newResult(cfg Config, policy Policy) *Result {
-	return &Result{Scenario: cfg.Name, Policy: policy, Seed: cfg.Seed, Kinds: map[string]Tally{}, Workspaces: map[string]Tally{}}
+	return &Result{
+		Scenario: cfg.Name, Policy: policy, Seed: cfg.Seed, Kinds: map[string]Tally{}, Workspaces: map[string]Tally{},
+		Silence: SilenceResult{Policy: cfg.Silence},
+	}
 }
 
 func (r *Result) tally(q *request, count func(t *Tally)) {
--- a/internal/experiment/simulation.go
+++ b/internal/experiment/simulation.go
@@ -99,6 +99,8 @@
 	hostsDown bool
 	// cut is the cut of hosts from runners that is in progress, nil if there is none.
 	cut *cut
+	// firstDelay delays the first event of each request that runners get.
+	firstDelay time.Duration
 	// surging is the adapter of each surge in the configuration.
 	surging []int
 	// lastAsker is the last request that asked for an adapter, to which a fetch is attributed.
@@ -128,6 +130,11 @@
 	// cutOff is set while the host reaches no runner, cuts counts how often that began.
 	cutOff bool
 	cuts   int
+	// stalledUntil is the end of the latest stall of the host. heardAt is when it last heard an event
+	// of any runner, heardFrom of each.
+	stalledUntil time.Time
+	heardAt      time.Time
+	heardFrom    map[string]time.Time
 }
 
 // controller is a runner's controller and the generation of its next scheduled step.
@@ -361,6 +368,9 @@
 	for _, silence := range sim.cfg.Silences {
 		sim.clock.at(sim.started.Add(seconds(silence.AtS)), func() { sim.silenceEngines(silence) })
 	}
+	for _, stall := range sim.cfg.Stalls {
+		sim.scheduleStalls(stall)
+	}
 	for _, cut := range sim.cfg.Cuts {
 		sim.clock.at(sim.started.Add(seconds(cut.AtS)), func() { sim.cutHosts(cut) })
 	}
