--- a/internal/experiment/silence.go
+++ b/internal/experiment/silence.go
@@ -69,6 +69,8 @@
 	NotHeard  int `json:"not_heard"`
 	NoRetry   int `json:"no_retry"`
 	NotPlaced int `json:"not_placed"`
+	// LongestBesideMS is the longest time from the sending of a second attempt until it was decided.
+	LongestBesideMS float64 `json:"longest_beside_ms"`
 	// LateFirst counts requests with their first event after the target.
 	LateFirst int `json:"late_first"`
 }
@@ -144,6 +146,14 @@
 	r.startSearch()
 }
 
+// recordBeside records how long a second attempt was beside the first.
+func (r *request) recordBeside() {
+	if r.run != nil {
+		result := &r.sim.result.Silence
+		result.LongestBesideMS = max(result.LongestBesideMS, float64(r.sim.clock.now.Sub(r.run.sentAt))/float64(time.Millisecond))
+	}
+}
+
 // dropRun cancels the current run on its engine.
 func (r *request) dropRun() {
 	if r.run == nil || r.engine == nil {
@@ -241,6 +251,7 @@
 		return
 	}
 	r.finished = true
+	r.recordBeside()
 	r.dropRun()
 	first.second = nil
 	r.host.timer(r.sim.clock, askAgainWait, func() { first.tryBeside(r.besideRun, r.besideRunner) })
@@ -268,6 +279,7 @@
 	r.dropRun()
 	r.host.board.RecordFailure(second.besideRunner.ID, false, sim.clock.now)
 	second.adopted = true
+	second.recordBeside()
 	r.engine, r.run, r.second = second.engine, second.run, nil
 	sim.result.Silence.Won++
 	r.watchSilence(r.run, r.engine.runner)
@@ -280,6 +292,7 @@
 		if second.run != nil {
 			r.sim.result.Silence.Overtaken++
 		}
+		second.recordBeside()
 		second.dropRun()
 		r.second = nil
 	}
--- a/internal/experiment/silencetable.go
+++ b/internal/experiment/silencetable.go
@@ -23,6 +23,7 @@
 	r.NotHeard += other.NotHeard
 	r.NoRetry += other.NoRetry
 	r.NotPlaced += other.NotPlaced
+	r.LongestBesideMS = max(r.LongestBesideMS, other.LongestBesideMS)
 	r.LateFirst += other.LateFirst
 }
 
@@ -61,11 +62,11 @@
 // WriteSilences writes what silence did to streams as a table, over all seeds of each policy.
 func WriteSilences(out io.Writer, results []*Result) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "scenario\tpolicy\tsilence\tasked\twhole\tcut\tof these: retry\tplace\ttime\tcaller left\tnot begun\trefused\tlongest pause ms\truns beyond\tprompts beyond\twon\tgiven up\tovertaken\tput off: unheard\tretry\tplace\tlate first\tp99 first ms\tasks")
+	_, _ = fmt.Fprintln(table, "scenario\tpolicy\tsilence\tasked\twhole\tcut\tof these: retry\tplace\ttime\tcaller left\tnot begun\trefused\tlongest pause ms\truns beyond\tprompts beyond\twon\tgiven up\tovertaken\tlongest beside ms\tput off: unheard\tretry\tplace\tlate first\tp99 first ms\tasks")
 	for _, r := range silenceRows(results) {
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d\n",
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d\t%d\t%d\t%d\t%d\t%.0f\t%d\t%d\t%d\t%d\t%.0f\t%d\n",
 			r.scenario, r.policy, r.Policy, r.asked, r.Whole, r.Cut(), r.CutBudget, r.CutPlace, r.CutLate, r.Left, r.NotBegun, r.refused,
-			r.LongestPauseMS, r.Runs, r.Prompts, r.Won, r.GivenUp, r.Overtaken, r.NotHeard, r.NoRetry, r.NotPlaced, r.LateFirst, r.p99FirstMS, r.asks)
+			r.LongestPauseMS, r.Runs, r.Prompts, r.Won, r.GivenUp, r.Overtaken, r.LongestBesideMS, r.NotHeard, r.NoRetry, r.NotPlaced, r.LateFirst, r.p99FirstMS, r.asks)
 	}
 	return table.Flush()
 }
