The rest of a silent stream is requested beside the silent connection

What callers saw: completions whose engine paused for longer than the silence timeout (5 s) ended in the middle, with an error event in place of [DONE], although the engine went on a moment later.

Cause: the client closed the connection that was silent, and only then asked the engine for the rest on a new one. An engine that refuses that (503, 429, 500), that takes no new connection or resets it ended the stream. A host that had stood still did the same to all of its streams: its timers came due before it had read its sockets.

Ruled out: the engine's own end of the run (the stand-in goes on writing to the first connection in the tests), the number of resumes (the first refusal sufficed).

Now the rest is requested while the first connection stays open. The first event on either decides and closes the others; a refusal leaves the first in place until the same number of silences as before has passed. 404 and 410 still end the stream: the engine answers and does not have it. It suffices since nothing is closed before something else has spoken, and pieces are ordered and doubled ones dropped as before. An engine that stays silent is now reported as silent also if its connections take requests and answer nothing, before as cut off. Cost: up to MaxResumes connections more for each silent stream while all are silent.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -23,8 +23,8 @@
 	// FirstPieceTimeout bounds the time from sending the request to the first piece.
 	FirstPieceTimeout time.Duration
 	// SilenceTimeout is the longest allowed gap between two pieces. It must exceed
-	// the engine's slowest step. When it expires, the stream is resumed on a new
-	// connection.
+	// the engine's slowest step. When it expires, the rest of the stream is requested
+	// on a new connection beside the silent one.
 	SilenceTimeout time.Duration
 	// OrderTimeout bounds an order to load or evict.
 	OrderTimeout time.Duration
@@ -93,10 +93,7 @@
 // order and exactly once. It returns nil after a complete response.
 func (c *Client) Complete(ctx context.Context, call Call, deliver func(Piece) error) *Failure {
 	a := &attempt{client: c, call: call, deliver: deliver, assembler: NewAssembler()}
-	failure := a.start(ctx)
-	for resumes := 0; failure != nil && a.resumable(ctx, failure) && resumes < c.cfg.MaxResumes; resumes++ {
-		failure = a.resume(ctx)
-	}
+	failure := a.run(ctx)
 	if failure != nil && failure.Stage != StageConnect && failure.Stage != StageRefused {
 		c.cancel(ctx, call)
 	}
@@ -110,21 +107,49 @@
 	deliver   func(Piece) error
 	assembler *Assembler
 	delivered int
+	// began is when the request was sent.
+	began time.Time
 	// reused reports whether the request was sent on a pooled connection.
 	reused atomic.Bool
 }
 
-func (a *attempt) start(ctx context.Context) *Failure {
+// run sends the request and delivers its response.
+func (a *attempt) run(ctx context.Context) *Failure {
+	f := newFollower(a)
+	failure := a.start(ctx, f)
+	if failure != nil && !a.resumable(ctx, failure) {
+		return failure
+	}
+	wait := a.firstPieceWait()
+	if failure != nil {
+		f.openRest(ctx)
+		wait = a.client.cfg.SilenceTimeout
+	}
+	return f.follow(ctx, wait)
+}
+
+// start sends the request and opens the lane on which its response arrives.
+func (a *attempt) start(ctx context.Context, f *follower) *Failure {
+	a.began = time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
 	timer := time.AfterFunc(a.client.cfg.FirstPieceTimeout, func() { cancel(errSilenceTimeout) })
 	defer timer.Stop()
 	resp, failure := a.send(ctx, timer)
 	if failure != nil {
+		cancel(nil)
 		return failure
 	}
-	defer func() { _ = resp.Body.Close() }()
-	return a.read(ctx, resp.Body, timer)
+	f.openLane(ctx, func() { cancel(nil) }, resp.Body)
+	return nil
+}
+
+// firstPieceWait returns the time from the headers of the response until its first piece is due.
+func (a *attempt) firstPieceWait() time.Duration {
+	wait := max(0, a.client.cfg.FirstPieceTimeout-time.Since(a.began))
+	if a.reused.Load() {
+		return min(a.client.cfg.SilenceTimeout, wait)
+	}
+	return wait
 }
 
 // send posts the request and returns the response once its headers have arrived.
@@ -208,38 +233,10 @@
 	return failure
 }
 
-// resumable reports whether the rest of the response can be requested: the engine
-// has or may have begun the request, the connection broke or timed out, and the
-// caller still waits.
+// resumable reports whether the response can be requested although none has begun: the request
+// may have been lost with a pooled connection that was dead, and the caller still waits.
 func (a *attempt) resumable(ctx context.Context, failure *Failure) bool {
-	if ctx.Err() != nil || (failure.Code != CodeTruncated && failure.Code != CodeSilent) {
-		return false
-	}
-	return failure.Stage == StageStream || (failure.Stage == StageSend && a.reused.Load())
-}
-
-// resume requests the response from the first missing piece on. It uses a new
-// connection, which may work although the old one is dead.
-func (a *attempt) resume(ctx context.Context) *Failure {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := time.AfterFunc(a.client.cfg.SilenceTimeout, func() { cancel(errSilenceTimeout) })
-	defer timer.Stop()
-	url := "http://" + a.call.Address + "/v1/streams/" + a.call.AttemptID + "?from=" + strconv.Itoa(a.assembler.Next())
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return a.streamFailure(CodeTruncated, err)
-	}
-	req.Header.Set(HeaderTrace, a.call.TraceID)
-	resp, err := a.client.unpooled.Do(req)
-	if err != nil {
-		return a.streamFailure(CodeTruncated, err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return a.streamFailure(CodeNoAnswer, errors.Errorf("resume refused with status %d", resp.StatusCode))
-	}
-	return a.read(ctx, resp.Body, timer)
+	return ctx.Err() == nil && failure.Stage == StageSend && failure.Code == CodeSilent && a.reused.Load() && a.client.cfg.MaxResumes > 0
 }
 
 func (a *attempt) streamFailure(code string, cause error) *Failure {
--- /dev/null
+++ b/internal/engine/follow.go
@@ -0,0 +1,219 @@
+package engine
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/tmaxmax/go-sse"
+)
+
+// lane is one connection on which a response arrives.
+type lane struct {
+	cancel context.CancelFunc
+	// sequential is the position of the lane's next event, if events have no IDs.
+	sequential int
+}
+
+// arrival is an event of a lane, or its end.
+type arrival struct {
+	lane  *lane
+	event sse.Event
+	// ended is set at the end of the lane, with the cause and, if the engine refused to send the rest,
+	// its status.
+	ended  bool
+	cause  error
+	status int
+}
+
+// follower delivers a response from the lanes on which it arrives. After a silence it opens another
+// lane beside the silent one; the first event on either decides, and the others are closed.
+//
+// If the silent lane were closed first, a response whose rest the engine refuses to send elsewhere, or
+// which no new connection reaches, would end although the engine goes on.
+type follower struct {
+	*attempt
+	lanes    map[*lane]bool
+	arrivals chan arrival
+	resumes  int
+}
+
+func newFollower(a *attempt) *follower {
+	return &follower{attempt: a, lanes: map[*lane]bool{}, arrivals: make(chan arrival)}
+}
+
+// follow delivers the response until it is complete. wait is the time to the first event.
+func (f *follower) follow(ctx context.Context, wait time.Duration) *Failure {
+	defer f.closeLanes(nil)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		select {
+		case next := <-f.arrivals:
+			if !f.lanes[next.lane] {
+				continue
+			}
+			resumes := f.resumes
+			if failure := f.handle(ctx, next); failure != nil {
+				return failure
+			}
+			if f.assembler.Complete() {
+				f.drain(next.lane)
+				return nil
+			}
+			if next.ended && f.resumes == resumes {
+				continue
+			}
+		case <-timer.C:
+			if f.resumes >= f.client.cfg.MaxResumes {
+				return f.streamFailure(CodeSilent, errSilenceTimeout)
+			}
+			f.openRest(ctx)
+		case <-ctx.Done():
+			return &Failure{Stage: StageCaller, Code: CodeCallerGone, Delivered: f.delivered, Cause: ctx.Err()}
+		}
+		timer.Reset(f.client.cfg.SilenceTimeout)
+	}
+}
+
+// handle handles an event or the end of a lane.
+func (f *follower) handle(ctx context.Context, next arrival) *Failure {
+	if next.ended {
+		return f.endLane(ctx, next)
+	}
+	return f.acceptEvent(next)
+}
+
+// acceptEvent delivers an event of a lane, and closes the other lanes.
+func (f *follower) acceptEvent(next arrival) *Failure {
+	f.closeLanes(next.lane)
+	position := positionOf(next.event, next.lane.sequential)
+	next.lane.sequential++
+	if next.event.Data == doneMarker {
+		f.assembler.End(position)
+		return nil
+	}
+	return f.accept(Piece{Position: position, Data: []byte(next.event.Data)})
+}
+
+// endLane continues after the end of a lane: it listens to the others, or opens another if there is
+// none.
+func (f *follower) endLane(ctx context.Context, end arrival) *Failure {
+	end.lane.cancel()
+	delete(f.lanes, end.lane)
+	switch {
+	case end.status == http.StatusNotFound || end.status == http.StatusGone:
+		// The engine answers and doesn't have the response any more.
+		return f.streamFailure(CodeNoAnswer, end.cause)
+	case len(f.lanes) > 0:
+		return nil
+	case end.status != 0:
+		return f.streamFailure(CodeNoAnswer, end.cause)
+	case f.resumes >= f.client.cfg.MaxResumes:
+		return f.streamFailure(CodeTruncated, end.cause)
+	}
+	f.openRest(ctx)
+	return nil
+}
+
+// closeLanes closes all lanes but one.
+func (f *follower) closeLanes(but *lane) {
+	for l := range f.lanes {
+		if l != but {
+			l.cancel()
+			delete(f.lanes, l)
+		}
+	}
+}
+
+// drain reads the lane to its end, within bounds, so that its connection can be reused.
+func (f *follower) drain(l *lane) {
+	bound := time.NewTimer(drainTimeout)
+	defer bound.Stop()
+	for {
+		select {
+		case next := <-f.arrivals:
+			if next.lane == l && next.ended {
+				return
+			}
+		case <-bound.C:
+			return
+		}
+	}
+}
+
+// openLane has a lane read a response body.
+func (f *follower) openLane(ctx context.Context, cancel context.CancelFunc, body io.ReadCloser) {
+	l := f.addLane(cancel)
+	go f.readLane(ctx, l, body)
+}
+
+func (f *follower) addLane(cancel context.CancelFunc) *lane {
+	l := &lane{cancel: cancel, sequential: f.assembler.Next()}
+	f.lanes[l] = true
+	return l
+}
+
+// openRest requests the response from the first missing piece on. It uses a new connection, which may
+// work although the old one is dead.
+func (f *follower) openRest(ctx context.Context) {
+	f.resumes++
+	ctx, cancel := context.WithCancel(ctx)
+	l := f.addLane(cancel)
+	url := "http://" + f.call.Address + "/v1/streams/" + f.call.AttemptID + "?from=" + strconv.Itoa(l.sequential)
+	go func() {
+		body, status, err := f.requestRest(ctx, url)
+		if err != nil {
+			f.handOver(ctx, arrival{lane: l, ended: true, status: status, cause: err})
+			return
+		}
+		f.readLane(ctx, l, body)
+	}()
+}
+
+// requestRest returns the body of the rest of a response, or else the status with which it was refused,
+// 0 without an answer.
+func (f *follower) requestRest(ctx context.Context, url string) (body io.ReadCloser, status int, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	req.Header.Set(HeaderTrace, f.call.TraceID)
+	resp, err := f.client.unpooled.Do(req)
+	if err != nil {
+		return nil, 0, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close()
+		return nil, resp.StatusCode, errors.Errorf("resume refused with status %d", resp.StatusCode)
+	}
+	return resp.Body, 0, nil
+}
+
+// readLane sends the events of a lane until its end.
+func (f *follower) readLane(ctx context.Context, l *lane, body io.ReadCloser) {
+	defer func() { _ = body.Close() }()
+	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxPieceBytes}) {
+		if err != nil {
+			f.handOver(ctx, arrival{lane: l, ended: true, cause: err})
+			return
+		}
+		if !f.handOver(ctx, arrival{lane: l, event: event}) {
+			return
+		}
+	}
+	f.handOver(ctx, arrival{lane: l, ended: true, cause: io.ErrUnexpectedEOF})
+}
+
+// handOver hands an arrival over and reports whether the lane is still open.
+func (f *follower) handOver(ctx context.Context, next arrival) bool {
+	select {
+	case f.arrivals <- next:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -1,9 +1,7 @@
 package engine
 
 import (
-	"context"
 	"encoding/json"
-	"io"
 	"strconv"
 	"time"
 
@@ -18,41 +16,14 @@
 )
 
 // After the final event the rest of the body is drained so that the connection can
-// be reused. These bounds apply to an engine that does not end the body.
-const (
-	drainTimeout = 50 * time.Millisecond
-	drainBytes   = 512
-)
+// be reused. drainTimeout applies to an engine that does not end the body.
+const drainTimeout = 50 * time.Millisecond
 
 var errSilenceTimeout = errors.New("no piece within the time allowed")
 
 // callerError wraps an error from delivering a piece to the caller.
 type callerError struct{ error }
 
-// read delivers pieces until the response is complete.
-func (a *attempt) read(ctx context.Context, body io.Reader, timer *time.Timer) *Failure {
-	sequential := a.assembler.Next()
-	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxPieceBytes}) {
-		if err != nil {
-			return a.readFailure(ctx, err)
-		}
-		timer.Reset(a.client.cfg.SilenceTimeout)
-		position := positionOf(event, sequential)
-		sequential++
-		if event.Data == doneMarker {
-			a.assembler.End(position)
-		} else if failure := a.accept(Piece{Position: position, Data: []byte(event.Data)}); failure != nil {
-			return failure
-		}
-		if a.assembler.Complete() {
-			timer.Reset(drainTimeout)
-			_, _ = io.CopyN(io.Discard, body, drainBytes)
-			return nil
-		}
-	}
-	return a.readFailure(ctx, io.ErrUnexpectedEOF)
-}
-
 // positionOf returns an event's ID if it is a number, else its index in the stream.
 func positionOf(event sse.Event, sequential int) int {
 	if position, err := strconv.Atoi(event.LastEventID); err == nil {
@@ -93,17 +64,6 @@
 	return nil
 }
 
-func (a *attempt) readFailure(ctx context.Context, err error) *Failure {
-	switch {
-	case errors.Is(context.Cause(ctx), errSilenceTimeout):
-		return a.streamFailure(CodeSilent, errSilenceTimeout)
-	case ctx.Err() != nil:
-		return &Failure{Stage: StageCaller, Code: CodeCallerGone, Delivered: a.delivered, Cause: ctx.Err()}
-	default:
-		return a.streamFailure(CodeTruncated, err)
-	}
-}
-
 // Assembler orders the pieces of one response and drops duplicates.
 type Assembler struct {
 	next     int
