A request on a pooled connection stays sent while its answer is asked for on another

What callers saw: a completion that went out on a pooled connection, to an engine that took longer than the silence timeout to begin, ended with an error, although the engine would have answered a moment later. Callers may repeat it, and its prompt is then processed twice.

Cause: the pooled connection may be dead, so the host does not wait for the first piece as long as on a new one; but it closed it before it asked the engine on a new connection. An engine that was busy and refused that ended the request.

Ruled out: the limit for a first piece (10 s in the test, the engine answers after 3), the engine (it drops the request only because its connection closes).

The request is now sent beside the loop that listens, like the rest of a stream, and is closed once something else has spoken. 404 still ends it: the engine does not have it. An engine that answers nothing is given up no later than before; one that only refuses has until FirstPieceTimeout. A caller that leaves before the request was sent still gets "not run".

TestSlowAnswerOnPooledConnectionIsNotGivenUp failed before; TestNoAnswerOnPooledConnectionEndsInTime guards the limit.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -92,8 +92,10 @@
 // Complete makes one attempt and calls deliver for each piece of the response, in
 // order and exactly once. It returns nil after a complete response.
 func (c *Client) Complete(ctx context.Context, call Call, deliver func(Piece) error) *Failure {
-	a := &attempt{client: c, call: call, deliver: deliver, assembler: NewAssembler()}
-	failure := a.run(ctx)
+	a := &attempt{client: c, call: call, deliver: deliver, assembler: NewAssembler(), reused: make(chan struct{}, 1)}
+	f := newFollower(a)
+	f.openFirst(ctx)
+	failure := f.follow(ctx)
 	if failure != nil && failure.Stage != StageConnect && failure.Stage != StageRefused {
 		c.cancel(ctx, call)
 	}
@@ -107,63 +109,21 @@
 	deliver   func(Piece) error
 	assembler *Assembler
 	delivered int
-	// began is when the request was sent.
-	began time.Time
-	// reused reports whether the request was sent on a pooled connection.
-	reused atomic.Bool
-}
-
-// run sends the request and delivers its response.
-func (a *attempt) run(ctx context.Context) *Failure {
-	f := newFollower(a)
-	failure := a.start(ctx, f)
-	if failure != nil && !a.resumable(ctx, failure) {
-		return failure
-	}
-	wait := a.firstPieceWait()
-	if failure != nil {
-		f.openRest(ctx)
-		wait = a.client.cfg.SilenceTimeout
-	}
-	return f.follow(ctx, wait)
-}
-
-// start sends the request and opens the lane on which its response arrives.
-func (a *attempt) start(ctx context.Context, f *follower) *Failure {
-	a.began = time.Now()
-	ctx, cancel := context.WithCancelCause(ctx)
-	timer := time.AfterFunc(a.client.cfg.FirstPieceTimeout, func() { cancel(errSilenceTimeout) })
-	defer timer.Stop()
-	resp, failure := a.send(ctx, timer)
-	if failure != nil {
-		cancel(nil)
-		return failure
-	}
-	f.openLane(ctx, func() { cancel(nil) }, resp.Body)
-	return nil
-}
-
-// firstPieceWait returns the time from the headers of the response until its first piece is due.
-func (a *attempt) firstPieceWait() time.Duration {
-	wait := max(0, a.client.cfg.FirstPieceTimeout-time.Since(a.began))
-	if a.reused.Load() {
-		return min(a.client.cfg.SilenceTimeout, wait)
-	}
-	return wait
+	// reused has a value once the request has been given a pooled connection.
+	reused chan struct{}
 }
 
 // send posts the request and returns the response once its headers have arrived.
-func (a *attempt) send(ctx context.Context, timer *time.Timer) (*http.Response, *Failure) {
+func (a *attempt) send(ctx context.Context) (*http.Response, *Failure) {
 	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			connected.Store(true)
 			if info.Reused {
-				// A pooled connection may have died while it was idle. Rather than
-				// wait for FirstPieceTimeout, wait for SilenceTimeout if that is
-				// shorter, and then resume on a new connection.
-				a.reused.Store(true)
-				timer.Reset(min(a.client.cfg.SilenceTimeout, a.client.cfg.FirstPieceTimeout))
+				select {
+				case a.reused <- struct{}{}:
+				default:
+				}
 			}
 		},
 	})
@@ -233,12 +193,6 @@
 	return failure
 }
 
-// resumable reports whether the response can be requested although none has begun: the request
-// may have been lost with a pooled connection that was dead, and the caller still waits.
-func (a *attempt) resumable(ctx context.Context, failure *Failure) bool {
-	return ctx.Err() == nil && failure.Stage == StageSend && failure.Code == CodeSilent && a.reused.Load() && a.client.cfg.MaxResumes > 0
-}
-
 func (a *attempt) streamFailure(code string, cause error) *Failure {
 	return &Failure{Stage: StageStream, Code: code, Delivered: a.delivered, Cause: cause}
 }
--- a/internal/engine/follow.go
+++ b/internal/engine/follow.go
@@ -36,27 +36,67 @@
 // which no new connection reaches, would end although the engine goes on.
 type follower struct {
 	*attempt
+	// first is the lane of the request itself.
+	first    *lane
 	lanes    map[*lane]bool
 	arrivals chan arrival
 	resumes  int
+	// sent gets the failure to get a response, nil once its headers have arrived. It is nil from then
+	// on, and once another lane has brought an event.
+	sent chan *Failure
+	// began is when the request was sent, pooled is set if that was on a pooled connection.
+	began  time.Time
+	pooled bool
+	// refused is set once the engine has refused to send the rest.
+	refused bool
+	timer   *time.Timer
 }
 
 func newFollower(a *attempt) *follower {
-	return &follower{attempt: a, lanes: map[*lane]bool{}, arrivals: make(chan arrival)}
+	return &follower{attempt: a, lanes: map[*lane]bool{}, arrivals: make(chan arrival), sent: make(chan *Failure, 1)}
 }
 
-// follow delivers the response until it is complete. wait is the time to the first event.
-func (f *follower) follow(ctx context.Context, wait time.Duration) *Failure {
+// openFirst sends the request. Its response arrives on the first lane.
+func (f *follower) openFirst(ctx context.Context) {
+	f.began = time.Now()
+	limit := f.client.cfg.FirstPieceTimeout
+	f.timer = time.NewTimer(limit)
+	ctx, cancel := context.WithCancel(ctx)
+	f.first = f.addLane(cancel)
+	l, sent := f.first, f.sent
+	go func() {
+		sendCtx, stop := context.WithCancelCause(ctx)
+		defer stop(nil)
+		timer := time.AfterFunc(limit, func() { stop(errSilenceTimeout) })
+		resp, failure := f.send(sendCtx)
+		timer.Stop()
+		sent <- failure
+		if failure == nil {
+			f.readLane(ctx, l, resp.Body)
+		}
+	}()
+}
+
+// follow delivers the response until it is complete.
+func (f *follower) follow(ctx context.Context) *Failure {
+	defer f.timer.Stop()
 	defer f.closeLanes(nil)
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
 	for {
 		select {
+		case failure := <-f.sent:
+			if failure := f.handleSent(ctx, failure); failure != nil {
+				return failure
+			}
+		case <-f.reused:
+			// A pooled connection may have died while it was idle. Rather than wait for
+			// FirstPieceTimeout, wait for SilenceTimeout if that is shorter, and then ask on a new
+			// connection beside it.
+			f.pooled = true
+			f.timer.Reset(min(f.client.cfg.SilenceTimeout, f.client.cfg.FirstPieceTimeout))
 		case next := <-f.arrivals:
 			if !f.lanes[next.lane] {
 				continue
 			}
-			resumes := f.resumes
 			if failure := f.handle(ctx, next); failure != nil {
 				return failure
 			}
@@ -64,19 +104,74 @@
 				f.drain(next.lane)
 				return nil
 			}
-			if next.ended && f.resumes == resumes {
-				continue
-			}
-		case <-timer.C:
-			if f.resumes >= f.client.cfg.MaxResumes {
-				return f.streamFailure(CodeSilent, errSilenceTimeout)
+		case <-f.timer.C:
+			if failure := f.handleSilence(ctx); failure != nil {
+				return failure
 			}
-			f.openRest(ctx)
 		case <-ctx.Done():
-			return &Failure{Stage: StageCaller, Code: CodeCallerGone, Delivered: f.delivered, Cause: ctx.Err()}
+			return f.callerGone(ctx)
+		}
+	}
+}
+
+// handleSent handles the headers of the response, or the failure to get any. A request that was silent
+// on a pooled connection may still be answered on a new one.
+func (f *follower) handleSent(ctx context.Context, failure *Failure) *Failure {
+	f.sent = nil
+	if failure == nil {
+		if f.resumes == 0 {
+			f.timer.Reset(f.firstPieceWait())
+		}
+		return nil
+	}
+	if failure.Code != CodeSilent || !f.pooled {
+		return failure
+	}
+	f.first.cancel()
+	delete(f.lanes, f.first)
+	switch {
+	case len(f.lanes) > 0:
+		return nil
+	case f.resumes >= f.client.cfg.MaxResumes:
+		return failure
+	}
+	f.openRest(ctx)
+	return nil
+}
+
+// firstPieceWait returns the time from the headers of the response until its first piece is due.
+func (f *follower) firstPieceWait() time.Duration {
+	wait := max(0, f.client.cfg.FirstPieceTimeout-time.Since(f.began))
+	if f.pooled {
+		return min(f.client.cfg.SilenceTimeout, wait)
+	}
+	return wait
+}
+
+// handleSilence opens another lane. Once all have been, the response is given up; but an engine that
+// answers, and only refuses to send the rest, has until FirstPieceTimeout to begin.
+func (f *follower) handleSilence(ctx context.Context) *Failure {
+	if f.sent != nil && !f.pooled {
+		return nil
+	}
+	if f.resumes < f.client.cfg.MaxResumes {
+		f.openRest(ctx)
+		return nil
+	}
+	if f.sent != nil && f.refused {
+		return nil
+	}
+	return f.streamFailure(CodeSilent, errSilenceTimeout)
+}
+
+// callerGone returns the failure for a caller that has left. A request that was not sent has not run.
+func (f *follower) callerGone(ctx context.Context) *Failure {
+	if f.sent != nil {
+		if failure := <-f.sent; failure != nil {
+			return failure
 		}
-		timer.Reset(f.client.cfg.SilenceTimeout)
 	}
+	return &Failure{Stage: StageCaller, Code: CodeCallerGone, Delivered: f.delivered, Cause: ctx.Err()}
 }
 
 // handle handles an event or the end of a lane.
@@ -90,6 +185,8 @@
 // acceptEvent delivers an event of a lane, and closes the other lanes.
 func (f *follower) acceptEvent(next arrival) *Failure {
 	f.closeLanes(next.lane)
+	f.sent = nil
+	defer f.timer.Reset(f.client.cfg.SilenceTimeout)
 	position := positionOf(next.event, next.lane.sequential)
 	next.lane.sequential++
 	if next.event.Data == doneMarker {
@@ -104,6 +201,7 @@
 func (f *follower) endLane(ctx context.Context, end arrival) *Failure {
 	end.lane.cancel()
 	delete(f.lanes, end.lane)
+	f.refused = f.refused || end.status != 0
 	switch {
 	case end.status == http.StatusNotFound || end.status == http.StatusGone:
 		// The engine answers and doesn't have the response any more.
@@ -145,12 +243,6 @@
 	}
 }
 
-// openLane has a lane read a response body.
-func (f *follower) openLane(ctx context.Context, cancel context.CancelFunc, body io.ReadCloser) {
-	l := f.addLane(cancel)
-	go f.readLane(ctx, l, body)
-}
-
 func (f *follower) addLane(cancel context.CancelFunc) *lane {
 	l := &lane{cancel: cancel, sequential: f.assembler.Next()}
 	f.lanes[l] = true
@@ -161,6 +253,7 @@
 // work although the old one is dead.
 func (f *follower) openRest(ctx context.Context) {
 	f.resumes++
+	f.timer.Reset(f.client.cfg.SilenceTimeout)
 	ctx, cancel := context.WithCancel(ctx)
 	l := f.addLane(cancel)
 	url := "http://" + f.call.Address + "/v1/streams/" + f.call.AttemptID + "?from=" + strconv.Itoa(l.sequential)
--- a/internal/engine/silence_test.go
+++ b/internal/engine/silence_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -43,31 +44,38 @@
 	}
 }
 
-// completeAt makes one attempt at an engine that pauses, and returns its positions.
-func completeAt(t *testing.T, e *pausingEngine, during func(network *standin.Network)) (positions []int, failure *engine.Failure) {
+// inEngine runs a test with a client of an engine in virtual time.
+func inEngine(t *testing.T, handler http.Handler, during func(network *standin.Network), run func(client *engine.Client)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		network := standin.NewNetwork()
 		listener, err := network.Host("engine").Listen("80")
 		must.NoError(t, err)
-		server := &http.Server{Handler: e}
+		server := &http.Server{Handler: handler}
 		go func() { _ = server.Serve(listener) }()
 		if during != nil {
 			go during(network)
 		}
-		client := engine.NewClient(engine.Config{
+		run(engine.NewClient(engine.Config{
 			Dial: network.Host("entry").Dial, ConnectTimeout: time.Second, FirstPieceTimeout: 10 * time.Second,
 			SilenceTimeout: 2 * time.Second, OrderTimeout: time.Second, MaxResumes: 2,
-		})
+		}))
+		time.Sleep(time.Minute)
+		_ = server.Close()
+		network.Close()
+		time.Sleep(time.Minute)
+	})
+}
+
+// completeAt makes one attempt at an engine that pauses, and returns its positions.
+func completeAt(t *testing.T, e *pausingEngine, during func(network *standin.Network)) (positions []int, failure *engine.Failure) {
+	t.Helper()
+	inEngine(t, e, during, func(client *engine.Client) {
 		call := engine.Call{Address: "engine:80", Path: "/v1/completions", Body: []byte("{}"), Model: "m@1", AttemptID: "1"}
 		failure = client.Complete(context.Background(), call, func(p engine.Piece) error {
 			positions = append(positions, p.Position)
 			return nil
 		})
-		time.Sleep(time.Minute)
-		_ = server.Close()
-		network.Close()
-		time.Sleep(time.Minute)
 	})
 	return positions, failure
 }
@@ -145,3 +153,62 @@
 	must.Eq(t, 2, e.rests.Load())
 	must.True(t, e.canceled.Load())
 }
+
+// A request goes out on a pooled connection, and its engine, which is busy, takes longer than the
+// silence timeout to begin its answer. The host asks for the answer on a new connection, in case the
+// pooled one is dead, and the engine refuses that. The host had closed the pooled connection before it
+// asked, so the caller got an error although the engine would have answered a second later.
+func TestSlowAnswerOnPooledConnectionIsNotGivenUp(t *testing.T) {
+	var requests, dropped atomic.Int32
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodPost {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		if requests.Add(1) > 1 {
+			select {
+			case <-time.After(3 * time.Second):
+			case <-r.Context().Done():
+				dropped.Add(1)
+				return
+			}
+		}
+		writeEvents(w, piece(0), piece(1), done)
+	})
+	inEngine(t, handler, nil, func(client *engine.Client) {
+		for attempt := range 2 {
+			call := engine.Call{Address: "engine:80", Path: "/v1/completions", Body: []byte("{}"), Model: "m@1", AttemptID: strconv.Itoa(attempt), Idempotent: true}
+			must.Nil(t, client.Complete(context.Background(), call, func(engine.Piece) error { return nil }))
+			time.Sleep(time.Second)
+		}
+	})
+	must.Eq(t, 2, requests.Load())
+	must.Eq(t, 0, dropped.Load())
+}
+
+// An engine answers nothing any more, and the request is on a pooled connection: the attempt ends after
+// the first silence and one for each resume, and not at the end of the time for a first piece.
+func TestNoAnswerOnPooledConnectionEndsInTime(t *testing.T) {
+	var requests atomic.Int32
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.Method == http.MethodPost && requests.Add(1) == 1 {
+			writeEvents(w, piece(0), piece(1), done)
+			return
+		}
+		<-r.Context().Done()
+	})
+	inEngine(t, handler, nil, func(client *engine.Client) {
+		call := engine.Call{Address: "engine:80", Path: "/v1/completions", Body: []byte("{}"), Model: "m@1", AttemptID: "1", Idempotent: true}
+		must.Nil(t, client.Complete(context.Background(), call, func(engine.Piece) error { return nil }))
+		time.Sleep(time.Second)
+		began := time.Now()
+		failure := client.Complete(context.Background(), call, func(engine.Piece) error { return nil })
+		must.NotNil(t, failure)
+		must.Eq(t, engine.CodeSilent, failure.Code)
+		must.True(t, failure.MayRetry(true))
+		must.False(t, failure.MayRetry(false))
+		must.LessEq(t, 3*2*time.Second, time.Since(began))
+	})
+}
