--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -23,8 +23,8 @@
 	// FirstPieceTimeout bounds the time from sending the request to the first piece.
 	FirstPieceTimeout time.Duration
 	// SilenceTimeout is the longest allowed gap between two pieces. It must exceed
-	// the engine's slowest step. When it expires, the stream is resumed on a new
-	// connection.
+	// the engine's slowest step. When it expires, the rest of the stream is requested
+	// on a new connection beside the silent one.
 	SilenceTimeout time.Duration
 	// OrderTimeout bounds an order to load or evict.
 	OrderTimeout time.Duration
@@ -92,11 +92,10 @@
 // Complete makes one attempt and calls deliver for each piece of the response, in
 // order and exactly once. It returns nil after a complete response.
 func (c *Client) Complete(ctx context.Context, call Call, deliver func(Piece) error) *Failure {
-	a := &attempt{client: c, call: call, deliver: deliver, assembler: NewAssembler()}
-	failure := a.start(ctx)
-	for resumes := 0; failure != nil && a.resumable(ctx, failure) && resumes < c.cfg.MaxResumes; resumes++ {
-		failure = a.resume(ctx)
-	}
+	a := &attempt{client: c, call: call, deliver: deliver, assembler: NewAssembler(), reused: make(chan struct{}, 1)}
+	f := newFollower(a)
+	f.openFirst(ctx)
+	failure := f.follow(ctx)
 	if failure != nil && failure.Stage != StageConnect && failure.Stage != StageRefused {
 		c.cancel(ctx, call)
 	}
@@ -110,35 +109,21 @@
 	deliver   func(Piece) error
 	assembler *Assembler
 	delivered int
-	// reused reports whether the request was sent on a pooled connection.
-	reused atomic.Bool
-}
-
-func (a *attempt) start(ctx context.Context) *Failure {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := time.AfterFunc(a.client.cfg.FirstPieceTimeout, func() { cancel(errSilenceTimeout) })
-	defer timer.Stop()
-	resp, failure := a.send(ctx, timer)
-	if failure != nil {
-		return failure
-	}
-	defer func() { _ = resp.Body.Close() }()
-	return a.read(ctx, resp.Body, timer)
+	// reused has a value once the request has been given a pooled connection.
+	reused chan struct{}
 }
 
 // send posts the request and returns the response once its headers have arrived.
-func (a *attempt) send(ctx context.Context, timer *time.Timer) (*http.Response, *Failure) {
+func (a *attempt) send(ctx context.Context) (*http.Response, *Failure) {
 	var connected atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			connected.Store(true)
 			if info.Reused {
-				// A pooled connection may have died while it was idle. Rather than
-				// wait for FirstPieceTimeout, wait for SilenceTimeout if that is
-				// shorter, and then resume on a new connection.
-				a.reused.Store(true)
-				timer.Reset(min(a.client.cfg.SilenceTimeout, a.client.cfg.FirstPieceTimeout))
+				select {
+				case a.reused <- struct{}{}:
+				default:
+				}
 			}
 		},
 	})
@@ -208,40 +193,6 @@
 	return failure
 }
 
-// resumable reports whether the rest of the response can be requested: the engine
-// has or may have begun the request, the connection broke or timed out, and the
-// caller still waits.
-func (a *attempt) resumable(ctx context.Context, failure *Failure) bool {
-	if ctx.Err() != nil || (failure.Code != CodeTruncated && failure.Code != CodeSilent) {
-		return false
-	}
-	return failure.Stage == StageStream || (failure.Stage == StageSend && a.reused.Load())
-}
-
-// resume requests the response from the first missing piece on. It uses a new
-// connection, which may work although the old one is dead.
-func (a *attempt) resume(ctx context.Context) *Failure {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	timer := time.AfterFunc(a.client.cfg.SilenceTimeout, func() { cancel(errSilenceTimeout) })
-	defer timer.Stop()
-	url := "http://" + a.call.Address + "/v1/streams/" + a.call.AttemptID + "?from=" + strconv.Itoa(a.assembler.Next())
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return a.streamFailure(CodeTruncated, err)
-	}
-	req.Header.Set(HeaderTrace, a.call.TraceID)
-	resp, err := a.client.unpooled.Do(req)
-	if err != nil {
-		return a.streamFailure(CodeTruncated, err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return a.streamFailure(CodeNoAnswer, errors.Errorf("resume refused with status %d", resp.StatusCode))
-	}
-	return a.read(ctx, resp.Body, timer)
-}
-
 func (a *attempt) streamFailure(code string, cause error) *Failure {
 	return &Failure{Stage: StageStream, Code: code, Delivered: a.delivered, Cause: cause}
 }
