A second attempt takes its retry before it asks for a place

An unused retry is returned. Tests: TestUnusedRetryIsReturned, TestSilentStreamWithoutARetryAsksNoOwner.

--- a/internal/retrybudget/retrybudget.go
+++ b/internal/retrybudget/retrybudget.go
@@ -74,12 +74,12 @@
 	return true
 }
 
-// Has reports whether Take would succeed.
-func (b *Budget) Has(now time.Time, hosts int) bool {
+// Return gives back a retry that was taken and not used.
+func (b *Budget) Return(now time.Time, hosts int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now, hosts)
-	return b.tokens >= 1
+	b.add(1, hosts)
 }
 
 // Denied returns the number of retries that were denied.
--- a/internal/retrybudget/retrybudget_test.go
+++ b/internal/retrybudget/retrybudget_test.go
@@ -128,3 +128,15 @@
 	must.GreaterEq(t, hosts, retries)
 	must.LessEq(t, int(large.Slack+large.Ratio*hosts), retries)
 }
+
+// A retry that was taken and not used may be used by another request, and no more than that.
+func TestUnusedRetryIsReturned(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Limit{Ratio: 0, Slack: 50, Window: 10 * time.Second}, now)
+	now = now.Add(10 * time.Second)
+	must.True(t, b.Take(now, 20))
+	must.False(t, b.Take(now, 20))
+	b.Return(now, 20)
+	must.True(t, b.Take(now, 20))
+	must.False(t, b.Take(now, 20))
+}
--- a/internal/serve/hedge.go
+++ b/internal/serve/hedge.go
@@ -85,6 +85,7 @@
 		case <-ctx.Done():
 			if ok {
 				fork.releaseAdmission()
+				fork.budget.Return(fork.s.Now(), fork.s.HostCount())
 			}
 		}
 	}()
@@ -121,13 +122,18 @@
 	return &fork
 }
 
-// prepareHedge is prepare for a second attempt.
+// prepareHedge is prepare for a second attempt. It takes the retry first: of many silent requests only
+// as many ask the owners of runners as may be sent.
 func (l *lifecycle) prepareHedge(ctx context.Context) bool {
-	if !l.budget.Has(l.s.Now(), l.s.HostCount()) {
+	if !l.budget.Take(l.s.Now(), l.s.HostCount()) {
 		l.hedgeRefusal = reasonBudgetSpent
 		return false
 	}
-	return l.prepare(ctx)
+	if !l.prepare(ctx) {
+		l.budget.Return(l.s.Now(), l.s.HostCount())
+		return false
+	}
+	return true
 }
 
 // onFound sends the second attempt, or waits until another runner is looked for again.
--- a/internal/serve/hedge_test.go
+++ b/internal/serve/hedge_test.go
@@ -206,6 +206,19 @@
 	}
 }
 
+// Streams fall silent and the retry budget is spent. The owners of other runners are not asked for
+// places that could not be used.
+func TestSilentStreamWithoutARetryAsksNoOwner(t *testing.T) {
+	withTestEnv(t, 2, func(w *testEnv) {
+		w.server.RetryLimit = retrybudget.Limit{Window: 10 * time.Second}
+		newStreamRunners(w, pauseOnce(5, 2500*time.Millisecond))
+		answer, cut := w.serveResumable()
+		must.False(t, cut)
+		must.Eq(t, wholeStream(), answer.Body.String())
+		must.Len(t, 1, w.owners.asked)
+	})
+}
+
 // A runner goes silent for good in the middle of a stream. The stream goes on at another runner, soon
 // enough for its caller, and the silent one is left before two work on the same request for long.
 func TestStreamLeavesARunnerThatIsSilentForGood(t *testing.T) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -355,7 +355,7 @@
 		}
 		l.releaseAdmission()
 	}
-	if l.arrivals > 0 && !l.budget.Take(l.s.Now(), l.s.HostCount()) {
+	if l.arrivals > 0 && !l.hedging && !l.budget.Take(l.s.Now(), l.s.HostCount()) {
 		l.releaseAdmission()
 		l.s.Counters.RetriesDenied.Add(1)
 		l.fail(reasonBudgetSpent)
