Silent scenes: a silence of the stand-in network loses nothing at a close

The stand-in network dropped what a silence held when its sender closed the connection, and the close arrived at once, during the silence. A close now arrives after what was sent before it, as a FIN does; the ends of processes and partitions still act at once.

--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -144,7 +144,7 @@
 	n.mu.Lock()
 	n.cut[[2]string{a, b}] = true
 	n.mu.Unlock()
-	n.each(a, b, func(conn *memConn) { _ = conn.Close() })
+	n.each(a, b, func(conn *memConn) { _ = conn.closeNow() })
 }
 
 // KillHost simulates the end of a host's process: its ends of connections are closed, so
@@ -155,7 +155,7 @@
 	n.mu.Unlock()
 	n.each(host, "*", func(conn *memConn) {
 		if conn.owner == host {
-			_ = conn.Close()
+			_ = conn.closeNow()
 		}
 	})
 }
@@ -233,7 +233,7 @@
 	n.mu.Lock()
 	n.closed = true
 	n.mu.Unlock()
-	n.each("*", "*", func(conn *memConn) { _ = conn.Close() })
+	n.each("*", "*", func(conn *memConn) { _ = conn.closeNow() })
 }
 
 type memAddr string
@@ -287,6 +287,9 @@
 	// queue holds the pieces that wait for a link; delivering is set while deliver runs.
 	queue      []queuedPiece
 	delivering bool
+	// closing is set by a Close during a silence: the other end learns of it once the queue has
+	// arrived.
+	closing bool
 }
 
 // queuedPiece is data in transit.
@@ -327,6 +330,9 @@
 }
 
 func (c *memConn) writePiece(data []byte) (int, error) {
+	if c.isClosing() {
+		return 0, net.ErrClosed
+	}
 	if c.isBlackholed() {
 		return len(data), nil
 	}
@@ -340,13 +346,17 @@
 	return n, err
 }
 
+func (c *memConn) otherEnd() string {
+	if c.ends[0] == c.owner {
+		return c.ends[1]
+	}
+	return c.ends[0]
+}
+
 // enqueue queues data that has to wait for a link and reports whether it did. The writer
 // isn't blocked, as if the sender's socket buffer were unlimited.
 func (c *memConn) enqueue(data []byte) bool {
-	to := c.ends[0]
-	if to == c.owner {
-		to = c.ends[1]
-	}
+	to := c.otherEnd()
 	takes := max(c.network.Links.Reserve(c.owner, to, len(data)), c.network.silence(c.owner, to))
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -389,8 +399,17 @@
 	}
 }
 
+func (c *memConn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
 func (c *memConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if c.isClosing() {
+		return 0, net.ErrClosed
+	}
 	if c.isBlackholed() && (n > 0 || err == nil) {
 		<-c.closed
 		return 0, net.ErrClosed
@@ -398,7 +417,37 @@
 	return n, err
 }
 
+// Close implements net.Conn. During a silence the other end learns of it, and of what was sent
+// before, only afterwards.
 func (c *memConn) Close() error {
+	silent := c.network.silence(c.owner, c.otherEnd())
+	if silent <= 0 || c.isBlackholed() {
+		return c.closeNow()
+	}
+	c.mu.Lock()
+	again := c.closing
+	c.closing = true
+	c.mu.Unlock()
+	if again {
+		return net.ErrClosed
+	}
+	_ = c.Conn.SetReadDeadline(time.Now())
+	go func() {
+		timer := time.NewTimer(silent + closeAfterSilence)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+			_ = c.closeNow()
+		case <-c.closed:
+		}
+	}()
+	return nil
+}
+
+// closeAfterSilence lets what was held by a silence arrive before the close.
+const closeAfterSilence = time.Millisecond
+
+func (c *memConn) closeNow() error {
 	c.once.Do(func() {
 		close(c.closed)
 		c.network.mu.Lock()
