--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -212,7 +212,10 @@
 }
 
 // Confirmed records that, according to the store, a kind's replica is complete up to asOf.
-func (s *Service) Confirmed(kind string, asOf time.Time) { s.freshness.confirm(kind, asOf) }
+func (s *Service) Confirmed(kind string, asOf time.Time) {
+	s.freshness.confirm(kind, asOf)
+	s.announceNews(kind)
+}
 
 // ListedStale records that a kind's replica was listed from a stale copy of the store.
 func (s *Service) ListedStale(kind string) { s.freshness.listedStale(kind) }
