The runner of a second attempt is asked whether it answers

Cause: two runners may work on one request for 400 ms. A second attempt that had no event by 300 ms was dropped unless its runner had sent this host something meanwhile, which in a quiet host none has.

Change: 100 ms after a second attempt for a begun stream its runner is asked for its report, which takes no slot. If it answers, the stream moves to it, else it stays. One question for a second attempt, none in calm.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -167,10 +167,10 @@
 		localDigest: e.quarantineSync.quarantine.Digest, onDigest: e.quarantineSync.onPeerDigest, onLimit: e.backpressure.applyPeerLimit,
 		brittle: func() []board.BrittleReport { return e.backpressure.brittle.Reports(now()) }, onBrittle: e.backpressure.applyPeerBrittle, onLeaving: e.backpressure.applyPeerLeaving,
 	}
+	engines := platform.Engines(RunnerPaths{Direct: e.connector.DialDirect, Relayed: e.connector.DialRelayed, UseRelay: e.usesRelay})
 	e.owner = adapters.NewOwner(adapters.OwnerDeps{
 		Host: cfg.Host, Authority: e.state, Reaches: e.connector.Paths.Works,
-		Engines: platform.Engines(RunnerPaths{Direct: e.connector.DialDirect, Relayed: e.connector.DialRelayed, UseRelay: e.usesRelay}),
-		Owns:    e.owns, PeerFetches: statuses.peersInTransit, RunnerView: e.board.View, Utilization: statuses.utilization, TypicalPrefill: statuses.typicalPromptTokenNS,
+		Engines: engines, Owns: e.owns, PeerFetches: statuses.peersInTransit, RunnerView: e.board.View, Utilization: statuses.utilization, TypicalPrefill: statuses.typicalPromptTokenNS,
 		HostCount: e.state.Size, Brittle: e.backpressure.isBrittle, ModelLoads: cfg.LoadLimit, Contended: e.contended, OnRestart: e.directory.MarkRestarted, OnSignal: e.backpressure.applyEngineSignal, OnWork: e.board.RecordWork, Now: now, Log: log,
 	})
 	e.owners.owner = e.owner
@@ -204,7 +204,12 @@
 		DataCentre: cfg.DataCentre, Directory: e.directory, Board: e.board, Owners: e.owners, Backpressure: e.backpressure,
 		Client: e.client, Quarantine: e.quarantineSync.quarantine, RetryLimit: cfg.RetryLimit, Quotas: e.quotas, Ages: func() (config, runners time.Duration) {
 			return e.mesh.Age(platform.ConfigKind), e.mesh.Age(platform.RunnerKind)
-		}, HostCount: e.sharingHosts, Slots: e.slots, Streams: e.streams, Brittle: e.backpressure.isBrittle, Contention: e.requestCounts, Standstill: &e.standstill, Now: now, Log: log,
+		}, HostCount: e.sharingHosts, Slots: e.slots, Streams: e.streams, Brittle: e.backpressure.isBrittle, Contention: e.requestCounts, Standstill: &e.standstill,
+		Answers: func(ctx context.Context, address string) bool {
+			_, err := engines.Report(ctx, address)
+			return err == nil
+		},
+		Now: now, Log: log,
 	})
 	e.callerServer = (&ingress.Ingress{
 		Dialect: platform.Dialect, Directory: e.directory, Serve: e.serve, Now: now, Log: log, Closing: e.stopping.Load, Refusing: e.rejecting.Load,
--- a/internal/serve/exchange.go
+++ b/internal/serve/exchange.go
@@ -25,9 +25,11 @@
 // exchange is one attempt: a request that was sent to a runner, and its answer as it arrives.
 type exchange struct {
 	// l is the request as it was placed for this attempt.
-	l      *lifecycle
-	ctx    context.Context
-	cancel context.CancelFunc
+	l *lifecycle
+	// address is that of its runner.
+	address string
+	ctx     context.Context
+	cancel  context.CancelFunc
 	// parts delivers the answer in order; its last part has ended or failure set.
 	parts chan part
 	// unused is closed when nothing takes the parts any more.
@@ -51,14 +53,14 @@
 	l.sends++
 	l.sentAt = l.s.Now()
 	l.s.Board.RecordStart(l.runner.ID, l.sentAt)
-	x := &exchange{l: l, parts: make(chan part), unused: make(chan struct{})}
+	x := &exchange{l: l, address: l.runner.Address, parts: make(chan part), unused: make(chan struct{})}
 	x.ctx, x.cancel = context.WithCancel(ctx)
-	go x.run(l.s.Client, l.runner.Address, l.request, l.sendOptions())
+	go x.run(l.s.Client, l.request, l.sendOptions())
 	return x
 }
 
-func (x *exchange) run(client *forward.Client, address string, request *forward.Request, options forward.Attempt) {
-	answer, failure := client.Do(x.ctx, address, request, options)
+func (x *exchange) run(client *forward.Client, request *forward.Request, options forward.Attempt) {
+	answer, failure := client.Do(x.ctx, x.address, request, options)
 	if failure != nil {
 		x.deliver(part{failure: failure})
 		return
--- a/internal/serve/hedge.go
+++ b/internal/serve/hedge.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/forward"
+	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/cherrystage/cherrystage/internal/verdict"
 )
 
@@ -21,6 +22,10 @@
 	// maxHedgeOverlap bounds how long two runners work on one request. The platform's
 	// specification allows 400 ms, which include the way of the cancellation.
 	maxHedgeOverlap = 300 * time.Millisecond
+	// hedgeProbeDelay is how long the second attempt is awaited before its runner is asked whether
+	// it answers, and hedgeProbeTimeout how long that may take.
+	hedgeProbeDelay   = 100 * time.Millisecond
+	hedgeProbeTimeout = 180 * time.Millisecond
 	// maxSharedSilence is how much longer than others an attempt waits while no runner at all
 	// sends anything.
 	maxSharedSilence = time.Second
@@ -150,10 +155,28 @@
 	}
 	r.hedge = found.l.send(r.ctx)
 	r.hedgeLimit.Reset(maxHedgeOverlap)
+	r.askHedge()
 	r.l.s.Counters.Hedges.Add(1)
 	r.l.logSilent("second attempt beside a silent one", "to", found.l.runner.ID)
 }
 
+// askHedge finds out whether the runner of the second attempt answers, if the attempt itself does not
+// show it soon: a prompt may take longer than two runners may work on one request.
+func (r *relaying) askHedge() {
+	r.hedgeAnswers, r.hedgeAlive = nil, false
+	l, x := r.l, r.hedge
+	if !l.headerWritten || l.s.Answers == nil {
+		return
+	}
+	r.hedgeAnswers = make(chan bool, 1)
+	go func(answers chan<- bool) {
+		timing.Sleep(x.ctx, hedgeProbeDelay)
+		ctx, cancel := context.WithTimeout(x.ctx, hedgeProbeTimeout)
+		defer cancel()
+		answers <- ctx.Err() == nil && l.s.Answers(ctx, x.address)
+	}(r.hedgeAnswers)
+}
+
 func (l *lifecycle) logSilent(message string, more ...any) {
 	fields := []any{"id", l.request.ID, "runner", l.runner.ID, "begun", l.headerWritten}
 	l.s.Log.Info(message, append(append(fields, l.silenceLogFields()...), more...)...)
@@ -250,7 +273,7 @@
 		r.hedgeLimit.Reset(maxHedgeOverlap - awake)
 		return
 	}
-	if !l.headerWritten || x.answer != nil || l.s.Board.HeardSince(x.l.runner.ID, x.l.sentAt) {
+	if !l.headerWritten || x.answer != nil || r.hedgeAlive || l.s.Board.HeardSince(x.l.runner.ID, x.l.sentAt) {
 		r.leaveCurrent()
 		return
 	}
--- a/internal/serve/hedge_test.go
+++ b/internal/serve/hedge_test.go
@@ -242,14 +242,21 @@
 // A runner is silent for good, and the one that the stream goes on at takes 0.6 s to its first event,
 // but answers. The silent one is left before two work on the same request for long.
 func TestSilentRunnerIsLeftForOneThatAnswers(t *testing.T) {
+	for name, asked := range map[string]bool{"the request": false, "a question": true} {
+		t.Run(name, func(t *testing.T) { playSlowFirstEvent(t, asked) })
+	}
+}
+
+func playSlowFirstEvent(t *testing.T, asked bool) {
 	withTestEnv(t, 2, func(w *testEnv) {
+		w.server.Answers = func(context.Context, string) bool { return asked }
 		runners := newStreamRunners(w, func(run *testRun, number, event int) time.Duration {
 			if number > 1 && event == run.from {
 				return 500 * time.Millisecond
 			}
 			return pauseOnce(5, time.Hour)(run, number, event)
 		})
-		runners.headersAtOnce = true
+		runners.headersAtOnce = !asked
 		time.Sleep(10 * time.Second)
 		answer, cut := w.serveResumable()
 		must.False(t, cut)
--- a/internal/serve/relaying.go
+++ b/internal/serve/relaying.go
@@ -31,6 +31,9 @@
 	search *hedgeSearch
 	// hedgeLimit fires when one of the two attempts has to be left.
 	hedgeLimit *time.Timer
+	// hedgeAnswers delivers whether the runner of the second attempt answers, if that is asked.
+	hedgeAnswers chan bool
+	hedgeAlive   bool
 }
 
 // attempt sends the request to the chosen runner and relays its answer. It returns nil once
@@ -62,6 +65,8 @@
 		return r.onHedge(p)
 	case found := <-r.search.result():
 		r.onFound(found)
+	case r.hedgeAlive = <-r.hedgeAnswers:
+		r.hedgeAnswers = nil
 	case <-r.silence.C:
 		r.onSilence()
 	case <-r.hedgeLimit.C:
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -89,6 +89,9 @@
 	Brittle func(service string) bool
 	// Contention counts the requests for the metrics page; nil counts nothing.
 	Contention *contention.Counters
+	// Answers reports whether a model engine answers a question that takes no slot. It may be nil,
+	// which stands for engines that are not asked.
+	Answers func(ctx context.Context, address string) bool
 	// Standstill knows for which time this process could not run; nil stands for never.
 	Standstill *standstill.Monitor
 	Now        func() time.Time
