--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
+	"github.com/cherrystage/cherrystage/internal/awake"
 	"github.com/cherrystage/cherrystage/internal/board"
 	"github.com/cherrystage/cherrystage/internal/contention"
 	"github.com/cherrystage/cherrystage/internal/directory"
@@ -147,14 +148,18 @@
 	e.requestCounts = contention.NewCounters()
 	e.contentionSources = contention.Sources{Adapters: e.adapterStates, Evictions: e.evictions, Runners: e.runnerStates, Slots: e.slotLedgerStates}
 	identity := peer.Identity{Host: cfg.Host, Incarnation: newIncarnation()}
+	running := awake.Clock{Now: now, Standstill: &e.standstill}
 	pool := peer.NewPool(identity, cfg.PeerKey, peer.Dialer(dial.Hosts), log)
+	pool.Clock = running
 	e.directory = directory.New(platform.Decoder, now, log)
+	e.directory.Standstill = &e.standstill
 	e.directory.OnRunner = func(runner *site.Runner, gone bool) { e.runnerChanged(runner, gone) }
 	e.directory.OnVersion = func(version site.AdapterVersion) { go e.prefetchVersion(version) }
 	e.board = board.New()
 	e.board.Standstill = &e.standstill
 	e.state = mesh.NewState(cfg.Host, mesh.Timing{Lease: mesh.DefaultLease, OrderGap: cfg.OrderGap, Margin: mesh.DefaultMargin}, now())
-	e.createPaths(dial)
+	e.state.Standstill = &e.standstill
+	e.createPaths(dial, running)
 	e.backpressure = newBackpressure(cfg.Host, e.state, pool, e.board, e.directory, now, log)
 	e.owners = newOwnerClient(cfg.Host, e.state, pool, e.board, now, log)
 	e.owners.brittle, e.owners.directory = e.backpressure.brittle, e.directory
@@ -162,8 +167,9 @@
 	e.streams = newStreamOrigins(cfg.Host, e.state, pool, platform.Store, now, log)
 	e.quotas = newQuotaManager(cfg.Host, e.state, pool, e.directory, cfg.QuotaTolerance, now, log)
 	e.slots = newSlotManager(identity, e.state, pool, newSlotLedgers(e.state, e.board, e.backpressure.brittle, e.directory, now, log), now, log)
+	e.quotas.running, e.slots.running = running, running
 	statuses := &peerStatuses{
-		board: e.board, directory: e.directory, paths: e.connector.Paths, now: now, log: log, peers: map[string]receivedStatus{},
+		board: e.board, directory: e.directory, paths: e.connector.Paths, standstill: &e.standstill, now: now, log: log, peers: map[string]receivedStatus{},
 		localDigest: e.quarantineSync.quarantine.Digest, onDigest: e.quarantineSync.onPeerDigest, onLimit: e.backpressure.applyPeerLimit,
 		brittle: func() []board.BrittleReport { return e.backpressure.brittle.Reports(now()) }, onBrittle: e.backpressure.applyPeerBrittle, onLeaving: e.backpressure.applyPeerLeaving,
 	}
@@ -185,7 +191,7 @@
 		},
 		Pool: pool, Statuses: statuses, Runners: e.engineRunners, Reach: e.reachesOwned, OtherChanges: e.applyOtherRecords, Now: now, Log: log,
 	})
-	e.quarantineSync.liveness = e.runnerLiveness
+	e.quarantineSync.liveness, e.quarantineSync.quarantine.Standstill = e.runnerLiveness, &e.standstill
 	e.quarantineSync.broadcast, e.quarantineSync.records = e.mesh.HeartbeatNow, e.mesh.Fleet()
 	e.streams.records = e.mesh.Fleet()
 	e.streams.age = func() time.Duration { return e.mesh.Age(platform.RunnerKind) }
