--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -89,6 +89,9 @@
 	Brittle func(service string) bool
 	// Contention counts the requests for the metrics page; nil counts nothing.
 	Contention *contention.Counters
+	// Answers reports whether a model engine answers a question that takes no slot. It may be nil,
+	// which stands for engines that are not asked.
+	Answers func(ctx context.Context, address string) bool
 	// Standstill knows for which time this process could not run; nil stands for never.
 	Standstill *standstill.Monitor
 	Now        func() time.Time
@@ -355,7 +358,7 @@
 		}
 		l.releaseAdmission()
 	}
-	if l.arrivals > 0 && !l.budget.Take(l.s.Now(), l.s.HostCount()) {
+	if l.arrivals > 0 && !l.hedging && !l.budget.Take(l.s.Now(), l.s.HostCount()) {
 		l.releaseAdmission()
 		l.s.Counters.RetriesDenied.Add(1)
 		l.fail(reasonBudgetSpent)
