--- a/internal/serve/review57_test.go
+++ b/internal/serve/review57_test.go
@@ -277,6 +277,38 @@
 	})
 }
 
+// A silent stream waits for 1.4 s for a place elsewhere, with the only retry. Meanwhile the runner of
+// another stream ends, which then needs a retry, while the silent one goes on by itself.
+func TestReviewSearchForASilentStreamLeavesTheRetryToAStreamWhoseRunnerEnded(t *testing.T) {
+	withTestEnv(t, 2, func(w *testEnv) {
+		w.server.RetryLimit = retrybudget.Limit{Slack: 2.5, Window: 10 * time.Second}
+		w.owners.admissions = append(w.owners.admissions, admitAfter(0, false), admitAfter(0, false), admitAfter(1400*time.Millisecond, true))
+		s := &scriptedRunners{}
+		s.install(w, func(rw http.ResponseWriter, r *http.Request, id, _ string, number, after int) {
+			beginEvents(rw)
+			switch {
+			case id == "silent":
+				pieces(rw, r, 1, 5)
+				pauseFor(r, 1500*time.Millisecond)
+				pieces(rw, r, 6, testEvents)
+			case number == 1:
+				pieces(rw, r, 1, 11)
+				pauseFor(r, 500*time.Millisecond)
+				panic(http.ErrAbortHandler)
+			default:
+				pieces(rw, r, after+1, testEvents)
+			}
+		})
+		time.Sleep(10 * time.Second)
+		var beside sync.WaitGroup
+		beside.Go(func() { w.serveStream("silent", adapterOf("r0"), resumableRoute) })
+		answer, cut := w.serveStream("q", adapterOf("r1"), resumableRoute)
+		beside.Wait()
+		must.False(t, cut)
+		must.Eq(t, wholeStream(), answer.Body.String())
+	})
+}
+
 // The events of a stream have no IDs, so that nothing can go on after the latest one.
 func TestReviewStreamWithoutEventIDsIsNotBegunAnew(t *testing.T) {
 	withTestEnv(t, 2, func(w *testEnv) {
