A connection that was not made because the host stood still counts against no runner

The failure has a reason of its own now (stalled), which nothing is concluded from. Test: TestReviewHostThatStoodStillWhileConnectingSuspectsNoRunner, failed before; its connector now knows of standstills, as that of an entry host does.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -83,6 +83,9 @@
 	ResumeAfter string
 	// Caller is the owner of the request.
 	Caller Caller
+	// OnConnected is called once the request is given a connection, so that it may reach the
+	// runner. It may be nil.
+	OnConnected func()
 }
 
 // Load is the load that a runner reports in a response.
@@ -196,6 +199,7 @@
 // Reasons of failures.
 const (
 	ReasonConnect  Reason = "connect"  // no connection
+	ReasonStalled  Reason = "stalled"  // no connection, because this host stood still
 	ReasonRefused  Reason = "refused"  // the runner states that it did not run the request
 	ReasonAbsent   Reason = "absent"   // the runner or the adapter is not at this address
 	ReasonBroken   Reason = "broken"   // the connection or the response is broken
@@ -355,7 +359,12 @@
 func (c *Client) send(ctx context.Context, transport *http.Transport, address string, request *Request, attempt Attempt) (*http.Response, *trip) {
 	t := &trip{}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { t.conn.Store(&info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			t.conn.Store(&info.Conn)
+			if attempt.OnConnected != nil {
+				attempt.OnConnected()
+			}
+		},
 	})
 	var response *http.Response
 	response, t.err = transport.RoundTrip(c.runnerRequest(address, request, attempt).WithContext(ctx))
@@ -390,6 +399,9 @@
 		failure.Verdict = verdict.NotRun
 		failure.Reason = ReasonConnect
 	}
+	if !connected && errors.Is(err, reach.ErrStoodStill) {
+		failure.Reason = ReasonStalled
+	}
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		failure.Reason = ReasonTimeout
--- a/internal/serve/review57_load_test.go
+++ b/internal/serve/review57_load_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
+	"github.com/cherrystage/cherrystage/internal/awake"
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/reach"
 	"github.com/cherrystage/cherrystage/internal/site"
@@ -98,7 +99,7 @@
 		})
 		suspend := func(to bool) { mu.Lock(); suspended = to; mu.Unlock() }
 		dial := w.net.Host("host").Dial
-		w.server.Client = forward.NewClient(testDialect{}, reach.DirectOnly(func(ctx context.Context, network, address string) (net.Conn, error) {
+		connector := reach.DirectOnly(func(ctx context.Context, network, address string) (net.Conn, error) {
 			suspend(true)
 			time.Sleep(2 * time.Second)
 			suspend(false)
@@ -106,7 +107,9 @@
 				return nil, ctx.Err()
 			}
 			return dial(ctx, network, address)
-		}))
+		})
+		connector.Running = awake.Clock{Now: time.Now, Standstill: monitor}
+		w.server.Client = forward.NewClient(testDialect{}, connector)
 		time.Sleep(10 * time.Second)
 		w.serveAdapter("a", 10*time.Second)
 		must.MapLen(t, 0, w.server.Board.Suspects(time.Now()))
