Second attempts: what the review by one who had not seen them found

It now asks again each 0.1 s while its caller waits (TestReviewRetryOfItsOwnSearch..., TestReviewSearchForASilent...). - Waits for a first event and whole answers left the first runner after 0.3 s though nothing spoke for the other: the same rule as for begun streams; plain services may answer from both (TestReviewWaitForAFirstEvent..., TestReviewSlowAnswer...). A runner that was left is asked again if the other one refuses. - An end without an event from the second runner completed a stream (TestReviewEmptyRestDoesNotCompleteAStream), and a stream without event IDs was begun anew (TestReviewStreamWithoutEventIDsIsNotBegunAnew). - A search holds its retry for 2 s at most. TestReviewRetriesThatWaitStayWithinTheLimit held it for 6 s, which no search does any more; it now holds it for as long as one may. - One line a silence says that no other runner takes a request; what has arrived is handled before timers; a cut is counted once, at its end. TestHostThatHearsNoRunnerWarnsOfNone has four runners instead of two for the third.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -160,10 +160,14 @@
 	return b.silentFor(now, minSilentRequests, runnerSilence)
 }
 
-// NoneHeard reports whether requests wait for several runners, and no runner at all has sent
+// minSilentRunners is the number of runners that must owe this host data before their silence speaks
+// against its own paths, or for a silence of all: two or three may have failed together.
+const minSilentRunners = 4
+
+// NoneHeard reports whether requests wait for minSilentRunners or more, and no runner at all has sent
 // anything for a while.
 func (b *Board) NoneHeard(now time.Time) bool {
-	return b.nothingHeard(now) && len(b.silentFor(now, 1, hostSilence)) >= minSilentRequests
+	return b.nothingHeard(now) && len(b.silentFor(now, 1, hostSilence)) >= minSilentRunners
 }
 
 // silentFor returns the runners for which at least the given number of requests wait, and which have
--- a/internal/board/silence_test.go
+++ b/internal/board/silence_test.go
@@ -62,16 +62,18 @@
 	must.True(t, b.View("r1", at(2500)).Suspect, must.Sprint("the runners stay silent"))
 }
 
-// All runners are silent to a host, two requests wait for each. The host avoids them, but warns
+// All four runners are silent to a host, two requests wait for each. The host avoids them, but warns
 // others only once it hears another runner: until then its own paths may be what has failed.
 func TestHostThatHearsNoRunnerWarnsOfNone(t *testing.T) {
 	b := New()
-	for _, runner := range []string{"r1", "r2"} {
+	for _, runner := range []string{"r1", "r2", "r3", "r4"} {
 		b.RecordStart(runner, at(0))
 		b.RecordStart(runner, at(0))
 	}
 	must.True(t, b.View("r1", at(500)).Suspect)
 	must.MapEmpty(t, b.Suspects(at(500)))
-	b.RecordActivity("r2", at(600))
+	for _, runner := range []string{"r2", "r3", "r4"} {
+		b.RecordActivity(runner, at(600))
+	}
 	must.Eq(t, map[string]time.Duration{"r1": initialSuspicion}, b.Suspects(at(700)))
 }
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -65,17 +65,20 @@
 		l.refuse(l.retryAfter(), reason)
 		return
 	}
-	l.s.Counters.Failed.Add(1)
 	if l.headerWritten {
 		l.cut(reason)
 		return
 	}
+	l.s.Counters.Failed.Add(1)
 	l.writePlain(http.StatusBadGateway, reason)
 }
 
-// cut records why an answer that has begun ends without its end.
-func (l *lifecycle) cut(reason string) {
-	l.cutReason = reason
+// cut records why an answer that has begun ends without its end, unless it goes on after all.
+func (l *lifecycle) cut(reason string) { l.cutReason = reason }
+
+// countCut counts an answer that ends without its end.
+func (l *lifecycle) countCut() {
+	l.s.Counters.Failed.Add(1)
 	l.s.Counters.StreamsCut.Add(1)
 }
 
@@ -86,7 +89,9 @@
 		return
 	}
 	if l.callerGone || errors.Is(ctx.Err(), context.Canceled) {
-		l.s.Counters.Canceled.Add(1)
+		if l.status != statusClientClosedRequest {
+			l.s.Counters.Canceled.Add(1)
+		}
 		l.status = statusClientClosedRequest
 		return
 	}
@@ -95,11 +100,11 @@
 		l.refuse(l.retryAfter(), "the request's time ran out before a runner could begin it")
 		return
 	}
-	l.s.Counters.Failed.Add(1)
 	if l.headerWritten {
 		l.cut(reasonTimeOut)
 		return
 	}
+	l.s.Counters.Failed.Add(1)
 	l.writePlain(http.StatusGatewayTimeout, reasonTimeOut)
 }
 
@@ -125,6 +130,9 @@
 // logRequest logs the outcome of the request and what led to it.
 func (l *lifecycle) logRequest(ctx context.Context) {
 	now := l.s.Now()
+	if l.headerWritten && !l.complete && l.status != statusClientClosedRequest {
+		l.countCut()
+	}
 	if l.failure == nil && l.complete && l.status < http.StatusInternalServerError {
 		l.s.Counters.Served.Add(1)
 		l.s.Counters.FirstByte.Observe(l.firstByteAt.Sub(l.arrived))
@@ -175,7 +183,7 @@
 	if l.reason != "" {
 		fields = append(fields, "answered", l.reason)
 	}
-	if l.cutReason != "" {
+	if l.cutReason != "" && !l.complete {
 		fields = append(fields, "cut", l.cutReason)
 		fields = append(fields, l.silenceLogFields()...)
 	}
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -99,7 +99,13 @@
 // mayUseAnotherRunner reports whether the request may go to another runner although this one
 // may have run it.
 func (l *lifecycle) mayUseAnotherRunner() bool {
-	return l.route.MayRepeat() && l.mayHaveRunCount+1 < l.route.MaxAttempts
+	return l.mayRepeat() && l.mayHaveRunCount+1 < l.route.MaxAttempts
+}
+
+// mayRepeat reports whether the request, or the rest of its answer, may be asked for again. A stream
+// without event IDs cannot go on after its latest event.
+func (l *lifecycle) mayRepeat() bool {
+	return l.route.MayRepeat() && (l.events == 0 || l.lastEventID != "")
 }
 
 // recordOutcome records what the attempt shows about the runner's health.
--- a/internal/serve/exchange.go
+++ b/internal/serve/exchange.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/pkg/errors"
@@ -32,10 +33,12 @@
 	cancel  context.CancelFunc
 	// parts delivers the answer in order; its last part has ended or failure set.
 	parts chan part
-	// unused is closed when nothing takes the parts any more.
+	// unused is closed by leave, when nothing takes the parts any more.
 	unused chan struct{}
 	// answer is the runner's answer, nil until its header has been taken.
 	answer *forward.Response
+	// connected is set once the request may have reached the runner.
+	connected atomic.Bool
 }
 
 // part is what arrived of an answer.
@@ -55,7 +58,9 @@
 	l.s.Board.RecordStart(l.runner.ID, l.sentAt)
 	x := &exchange{l: l, address: l.runner.Address, parts: make(chan part), unused: make(chan struct{})}
 	x.ctx, x.cancel = context.WithCancel(ctx)
-	go x.run(l.s.Client, l.request, l.sendOptions())
+	options := l.sendOptions()
+	options.OnConnected = func() { x.connected.Store(true) }
+	go x.run(l.s.Client, l.request, options)
 	return x
 }
 
--- a/internal/serve/hedge.go
+++ b/internal/serve/hedge.go
@@ -9,14 +9,25 @@
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/cherrystage/cherrystage/internal/verdict"
+	"github.com/pkg/errors"
 )
 
 const (
-	// eventTimeoutFactor times the target gap, but at least minEventTimeout, is how long a
+	// eventSilenceFactor times the target gap, but at least minEventSilence, is how long a
 	// resumable stream waits for its next event before another runner is looked for. A
-	// request that its runner preempts waits some steps, far less than minEventTimeout.
-	eventTimeoutFactor = 3
-	minEventTimeout    = 800 * time.Millisecond
+	// request that its runner preempts waits some steps, far less than minEventSilence.
+	eventSilenceFactor = 3
+	minEventSilence    = 800 * time.Millisecond
+	// hedgeFactor times the target latency, but at least minHedgeDelay, is how long a repeatable
+	// request waits for an answer before another runner is looked for. With short targets a slow
+	// step is no reason to do so.
+	hedgeFactor   = 2
+	minHedgeDelay = 200 * time.Millisecond
+	// silenceFactor times the target latency without an answer counts as a failure of
+	// the runner, even if the request goes on waiting.
+	silenceFactor = 2
+	// maxHedgeSearch bounds one search for another runner, which holds a retry.
+	maxHedgeSearch = 2 * time.Second
 	// hedgeRetryInterval is the time between two searches for another runner.
 	hedgeRetryInterval = 250 * time.Millisecond
 	// maxHedgeOverlap bounds how long two runners work on one request. The platform's
@@ -49,7 +60,7 @@
 		r.suspected = true
 		r.recordSilence()
 	}
-	if !l.mayUseAnotherRunner() || l.sends >= maxSends || r.hedge != nil || r.search != nil {
+	if !l.mayUseAnotherRunner() || r.hedge != nil || r.search != nil {
 		return
 	}
 	r.search = l.searchHedge(r.ctx)
@@ -69,6 +80,8 @@
 type hedgeSearch struct {
 	found chan hedgeResult
 	stop  context.CancelFunc
+	// canceled is closed when nothing takes the result any more.
+	canceled chan struct{}
 }
 
 // hedgeResult is the request as it was placed for a second attempt; ok is false if no runner takes
@@ -80,14 +93,14 @@
 
 // searchHedge looks for another runner for the request while its current attempt is silent.
 func (l *lifecycle) searchHedge(ctx context.Context) *hedgeSearch {
-	ctx, cancel := context.WithCancel(ctx)
-	s := &hedgeSearch{found: make(chan hedgeResult), stop: cancel}
+	ctx, cancel := context.WithTimeout(ctx, maxHedgeSearch)
+	s := &hedgeSearch{found: make(chan hedgeResult), stop: cancel, canceled: make(chan struct{})}
 	fork := l.fork()
 	go func() {
 		ok := fork.prepareHedge(ctx)
 		select {
 		case s.found <- hedgeResult{l: fork, ok: ok}:
-		case <-ctx.Done():
+		case <-s.canceled:
 			if ok {
 				fork.releaseAdmission()
 				fork.budget.Return(fork.s.Now(), fork.s.HostCount())
@@ -109,6 +122,7 @@
 func (s *hedgeSearch) cancel() {
 	if s != nil {
 		s.stop()
+		close(s.canceled)
 	}
 }
 
@@ -121,6 +135,7 @@
 	fork.trial = false
 	fork.tried, fork.adapterMisses = maps.Clone(l.tried), maps.Clone(l.adapterMisses)
 	fork.tried[l.runner.ID] = true
+	fork.leftRunner = l.runner.ID
 	fork.refusals, fork.refusedBy, fork.skipped = slices.Clip(l.refusals), slices.Clip(l.refusedBy), slices.Clip(l.skipped)
 	fork.mayHaveRunCount++
 	fork.arrivals = max(1, l.arrivals)
@@ -143,18 +158,20 @@
 
 // onFound sends the second attempt, or waits until another runner is looked for again.
 func (r *relaying) onFound(found hedgeResult) {
-	r.search.cancel()
+	r.search.stop()
 	r.search = nil
 	if !found.ok {
-		if r.l.hedgeRefusal != found.l.hedgeRefusal {
-			r.l.hedgeRefusal = found.l.hedgeRefusal
+		if !r.keptLogged {
+			r.keptLogged = true
 			r.l.logSilent("silent attempt kept: no other runner takes the request", "because", found.l.hedgeRefusal)
 		}
 		r.silence.Reset(hedgeRetryInterval)
 		return
 	}
 	r.hedge = found.l.send(r.ctx)
-	r.hedgeLimit.Reset(maxHedgeOverlap)
+	if found.l.service.Engine != nil {
+		r.hedgeLimit.Reset(maxHedgeOverlap)
+	}
 	r.askHedge()
 	r.l.s.Counters.Hedges.Add(1)
 	r.l.logSilent("second attempt beside a silent one", "to", found.l.runner.ID)
@@ -165,7 +182,7 @@
 func (r *relaying) askHedge() {
 	r.hedgeAnswers, r.hedgeAlive = nil, false
 	l, x := r.l, r.hedge
-	if !l.headerWritten || l.s.Answers == nil {
+	if l.service.Engine == nil || l.s.Answers == nil {
 		return
 	}
 	r.hedgeAnswers = make(chan bool, 1)
@@ -193,6 +210,10 @@
 	if failure == nil {
 		failure = x.refuseContent(p, true)
 	}
+	if failure == nil && p.ended && len(p.content) == 0 && r.l.headerWritten {
+		// What the current attempt still has to send would be missing.
+		failure = forward.TruncatedResponse(x.answer.Metadata, errEmptyRest)
+	}
 	if failure != nil {
 		r.hedgeFailed(failure)
 		return false, nil
@@ -215,15 +236,17 @@
 	r.silence.Reset(hedgeRetryInterval)
 }
 
+var errEmptyRest = errors.New("the rest of the stream ended without an event")
+
 // rejoin takes over what the second attempt has learnt, once that has ended without an answer.
 func (r *relaying) rejoin(mayHaveRun bool) {
 	l, fork := r.l, r.hedge.l
 	l.sends, l.arrivals = fork.sends, fork.arrivals
 	l.adapterMisses, l.tried = fork.adapterMisses, fork.tried
 	delete(l.tried, l.runner.ID)
+	l.tried[fork.runner.ID] = l.tried[fork.runner.ID] || mayHaveRun
 	if mayHaveRun {
 		l.mayHaveRunCount++
-		l.tried[fork.runner.ID] = true
 	}
 	r.hedge = nil
 	r.hedgeLimit.Stop()
@@ -239,7 +262,8 @@
 	}
 	r.l.logSilent("second attempt left", "to", r.hedge.l.runner.ID)
 	r.hedge.abandon()
-	r.rejoin(true)
+	r.hedge.l.tried[r.hedge.l.runner.ID] = true
+	r.rejoin(r.hedge.connected.Load())
 }
 
 // leaveCurrent leaves the silent attempt for the second one.
@@ -247,6 +271,8 @@
 	r.l.logSilent("silent attempt left for the second one", "to", r.hedge.l.runner.ID)
 	r.current.abandon()
 	r.adoptHedge()
+	// It is asked again if the other one refuses.
+	delete(r.l.tried, r.l.leftRunner)
 }
 
 // adoptHedge makes the second attempt the current one, after that has ended.
@@ -258,22 +284,24 @@
 	x.l = l
 	r.current, r.hedge = x, nil
 	r.hedgeLimit.Stop()
-	r.quietSince, r.suspected = l.sentAt, false
+	r.quietSince, r.suspected, r.keptLogged = l.sentAt, false, false
 	r.silence.Reset(r.silenceLimit())
 }
 
-// onHedgeLimit leaves one of the two attempts. A begun stream is left only for a runner that has sent
-// this host something meanwhile: if both are silent, the first one has the stream under way.
+// hedgeLives reports whether the runner of the second attempt has sent this host anything since the
+// attempt, or answers it.
+func (r *relaying) hedgeLives() bool {
+	x := r.hedge
+	return x.answer != nil || r.hedgeAlive || r.l.s.Board.HeardSince(x.l.runner.ID, x.l.sentAt)
+}
+
+// onHedgeLimit leaves one of the two attempts. The silent one is left only for a runner that lives: if
+// both are silent, the first one has the request under way.
 func (r *relaying) onHedgeLimit() {
-	x, l := r.hedge, r.l
-	if x == nil {
-		return
-	}
-	if awake := l.s.Standstill.Awake(x.l.sentAt, l.s.Now()); awake < maxHedgeOverlap {
-		r.hedgeLimit.Reset(maxHedgeOverlap - awake)
+	if r.hedge == nil {
 		return
 	}
-	if !l.headerWritten || x.answer != nil || r.hedgeAlive || l.s.Board.HeardSince(x.l.runner.ID, x.l.sentAt) {
+	if r.hedgeLives() {
 		r.leaveCurrent()
 		return
 	}
--- a/internal/serve/hedge_test.go
+++ b/internal/serve/hedge_test.go
@@ -230,7 +230,7 @@
 				answer, cut := w.serveResumable()
 				must.False(t, cut)
 				must.Eq(t, wholeStream(), answer.Body.String())
-				must.LessEq(t, max(minEventTimeout, eventTimeoutFactor*250*time.Millisecond)+2*testInterval, answer.longestPause())
+				must.LessEq(t, max(minEventSilence, eventSilenceFactor*250*time.Millisecond)+2*testInterval, answer.longestPause())
 				must.Len(t, 2, runners.runs)
 				must.NotEq(t, runners.runs[0].runner, runners.runs[1].runner)
 				must.Less(t, handoverBound, runners.runs[0].end.Sub(runners.runs[1].begin))
--- a/internal/serve/relaying.go
+++ b/internal/serve/relaying.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -25,8 +26,9 @@
 	// quietSince on.
 	silence    *time.Timer
 	quietSince time.Time
-	// suspected is set once the current attempt's silence has been recorded.
-	suspected bool
+	// suspected is set once the current attempt's silence has been recorded, keptLogged once it has
+	// been logged that no other runner takes the request.
+	suspected, keptLogged bool
 	// search looks for a runner for the hedge, nil if no search is under way.
 	search *hedgeSearch
 	// hedgeLimit fires when one of the two attempts has to be left.
@@ -56,8 +58,13 @@
 	return timer
 }
 
-// next handles what happens next. It reports whether the attempt is over.
+// next handles what happens next, first what has arrived. It reports whether the attempt is over.
 func (r *relaying) next() (done bool, failure *forward.Failure) {
+	select {
+	case p := <-r.current.parts:
+		return r.onCurrent(p)
+	default:
+	}
 	select {
 	case p := <-r.current.parts:
 		return r.onCurrent(p)
@@ -121,7 +128,7 @@
 func (x *exchange) refuseContent(p part, besideAnother bool) *forward.Failure {
 	if x.answer.Status == http.StatusOK && isEventStream(x.answer.Header) {
 		if p.ended && !x.l.headerWritten {
-			return forward.TruncatedResponse(x.answer.Metadata, errNotWhole)
+			return forward.TruncatedResponse(x.answer.Metadata, streamError(x.answer, io.EOF))
 		}
 		return nil
 	}
@@ -182,7 +189,7 @@
 	l := r.l
 	switch {
 	case l.headerWritten:
-		return max(minEventTimeout, eventTimeoutFactor*l.route.TargetGap)
+		return max(minEventSilence, eventSilenceFactor*l.route.TargetGap)
 	case l.mayUseAnotherRunner():
 		return min(max(minHedgeDelay, hedgeFactor*l.route.TargetLatency), l.timeLeft()/2)
 	default:
@@ -193,7 +200,7 @@
 // restartSilence begins to judge the silence anew after events were passed on. Only a stream that
 // another runner may continue is judged.
 func (r *relaying) restartSilence() {
-	r.quietSince, r.suspected = r.l.s.Now(), false
+	r.quietSince, r.suspected, r.keptLogged = r.l.s.Now(), false, false
 	if !r.l.mayUseAnotherRunner() {
 		r.silence.Stop()
 		return
--- a/internal/serve/review57_test.go
+++ b/internal/serve/review57_test.go
@@ -366,7 +366,7 @@
 	})
 }
 
-// A request is held before it is sent for as long as an owner says. Retries that are taken before and
+// A retry is held for as long as a search for a place may take. Retries that are taken before it and
 // used after it must stay within the limit of a window.
 func TestReviewRetriesThatWaitStayWithinTheLimit(t *testing.T) {
 	limit := retrybudget.Limit{Slack: 50, Window: 10 * time.Second}
@@ -377,8 +377,7 @@
 	for b.Take(now, 1) {
 		held++
 	}
-	// The owners admit after 6 s.
-	now = now.Add(6 * time.Second)
+	now = now.Add(maxHedgeSearch)
 	sent := held
 	for end := now.Add(limit.Window); now.Before(end); now = now.Add(100 * time.Millisecond) {
 		for b.Take(now, 1) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -153,15 +153,6 @@
 	// may wait for other prompts on one runner before the next one is asked, where its
 	// adapter may have to be fetched.
 	promptWaitDivisor = 2
-	// hedgeFactor times the target latency is how long a repeatable request waits for
-	// an answer before it is retried on another runner.
-	hedgeFactor = 2
-	// minHedgeDelay is a lower bound on that wait, so that with short targets a slow
-	// step does not cause a retry.
-	minHedgeDelay = 200 * time.Millisecond
-	// silenceFactor times the target latency without an answer counts as a failure of
-	// the runner, even if the request goes on waiting.
-	silenceFactor = 2
 	// retryAfterShort and retryAfterLong are the Retry-After values of refusals: the
 	// first where capacity frees up as answers end, the second where a component must
 	// recover first.
@@ -233,6 +224,8 @@
 	// hedgeRefusal is why no second attempt could be made last.
 	hedging      bool
 	hedgeRefusal string
+	// leftRunner is the ID of the runner that was left for the present one, "" if none was.
+	leftRunner string
 	// cutReason is why this host ended an answer that had begun, empty if it did not.
 	cutReason     string
 	waitedForLoad bool
@@ -328,7 +321,7 @@
 
 // run makes attempts until the request is answered.
 func (l *lifecycle) run(ctx context.Context) {
-	for l.prepare(ctx) {
+	for l.prepare(ctx) || l.awaitRest(ctx) {
 		l.failure = l.attempt(ctx)
 		l.trial = false
 		if l.failure == nil || !l.retry(ctx) {
@@ -337,6 +330,23 @@
 	}
 }
 
+// restRetryInterval is the time between two tries to go on with a begun stream.
+const restRetryInterval = 100 * time.Millisecond
+
+// awaitRest tries to go on with a begun stream while its caller waits. A retry, a place or a permit
+// that is missing now may be there a moment later, whereas the answer has no other end than a cut.
+func (l *lifecycle) awaitRest(ctx context.Context) bool {
+	for l.headerWritten && !l.complete && ctx.Err() == nil && l.timeToStart() > restRetryInterval {
+		timing.Sleep(ctx, restRetryInterval)
+		clear(l.tried)
+		l.refusals, l.refusedBy, l.soonestRetry = nil, nil, 0
+		if l.prepare(ctx) {
+			return true
+		}
+	}
+	return false
+}
+
 // prepare finds a runner to which the request may be sent now. If there is none, it answers the
 // request and returns false.
 func (l *lifecycle) prepare(ctx context.Context) bool {
@@ -470,7 +480,7 @@
 	}
 	l.mayHaveRunCount++
 	l.tried[l.runner.ID] = true
-	if !l.route.MayRepeat() || l.mayHaveRunCount >= l.route.MaxAttempts {
+	if !l.mayRepeat() || l.mayHaveRunCount >= l.route.MaxAttempts {
 		l.fail("the runner failed and the request may not go to another")
 		return false
 	}
@@ -487,7 +497,7 @@
 
 // retryNotRun is retry for a request that the runner did not run.
 func (l *lifecycle) retryNotRun(ctx context.Context) bool {
-	if l.sends >= maxSends {
+	if l.sends >= maxSends && !l.headerWritten {
 		l.refuseOrFail(l.retryAfter(), "runners refused the request")
 		return false
 	}
