An answer that ends with its runner's process is not passed on as whole

What callers saw: a runner crashed in the middle of an answer without a length and without chunks, and the caller got the part with status 200 and a length; a stream of this kind whose last event was whole ended regularly.

Cause: such a body ends with its connection, and that of a crashed process closes as at the end of a whole one.

Change: before the end is passed on, the host opens one connection to the runner, for 50 ms at most. If that is refused, and no relay reaches the runner either, its process has ended: the answer is truncated (sent elsewhere, resumed, 502, or cut). Silence and resets show nothing. First events are not delayed. The connection is kept as a spare for the next request to that runner: eight at most a runner, for 4 s, closed when the runner ends them, left alone while the path fails. Relays open their own, because a tunnel is taken as proof that the runner lives.

Why it works: the kernel refuses for a process that has ended, within a round trip; one that lives has sent what it meant to.

Ruled out: reading the end itself (no length, no digest); taking a path that is known to fail for an answer (the second of two answers of one crash would pass as whole); a refusal alone (a host that lost its path would throw whole answers away); checks through a relay, which does not tell a refusal from other failures; one spare a runner.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -153,6 +153,8 @@
 func (p *suspendedPaths) MayRelay(string) bool { return true }
 func (p *suspendedPaths) Heard()               {}
 
+func (p *suspendedPaths) Ended(context.Context, string) bool { return false }
+
 func (p *suspendedPaths) DialRelayed(context.Context, string, string) (net.Conn, error) {
 	p.relayed++
 	return nil, errors.New("no relay")
--- a/internal/serve/endless_test.go
+++ b/internal/serve/endless_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -46,3 +48,135 @@
 		must.Eq(t, 2, sends)
 	})
 }
+
+// A request that may run once gets such a part: another runner must not run it again, so its caller
+// gets an error that says nothing of whether it ran.
+func TestPartOfAnAnswerToACallIsAnError(t *testing.T) {
+	withTestEnv(t, 3, func(w *testEnv) {
+		sends := 0
+		w.runnerHandler = func(rw http.ResponseWriter, r *http.Request) {
+			sends++
+			w.endWithConnection(rw, r, "text/plain", "part", true)
+		}
+		answer := httptest.NewRecorder()
+		w.server.Serve(context.Background(), answer, endlessRoute(site.NonIdempotent, 1), w.request(), time.Now())
+		must.Eq(t, http.StatusBadGateway, answer.Code)
+		must.Eq(t, 1, sends)
+	})
+}
+
+// Two answers are under way at a runner that ends. The first shows that it refuses connections; the
+// second must not be taken for whole because that is known already.
+func TestAllAnswersOfACrashedRunnerAreParts(t *testing.T) {
+	withTestEnv(t, 1, func(w *testEnv) {
+		var begun sync.WaitGroup
+		begun.Add(2)
+		w.runnerHandler = func(rw http.ResponseWriter, r *http.Request) {
+			begun.Done()
+			begun.Wait()
+			w.endWithConnection(rw, r, "text/plain", "part", true)
+		}
+		var served sync.WaitGroup
+		for range 2 {
+			served.Go(func() {
+				answer := httptest.NewRecorder()
+				w.server.Serve(context.Background(), answer, endlessRoute(site.NonIdempotent, 1), w.request(), time.Now())
+				must.Eq(t, http.StatusBadGateway, answer.Code)
+			})
+		}
+		served.Wait()
+	})
+}
+
+// A stream without chunks ends after a whole event because its runner crashed. The caller has that
+// event, and if the stream ended regularly there, it would take what it has for all of it: one that
+// may be resumed goes on elsewhere, another is cut.
+func TestStreamOfACrashedRunnerDoesNotEndRegularly(t *testing.T) {
+	for _, resumable := range []bool{true, false} {
+		withTestEnv(t, 3, func(w *testEnv) {
+			sends := 0
+			w.runnerHandler = func(rw http.ResponseWriter, r *http.Request) {
+				sends++
+				if sends == 1 {
+					w.endWithConnection(rw, r, eventStreamType, "id: 1\ndata: first\n\n", true)
+					return
+				}
+				must.Eq(t, "1", r.Header.Get(resumeHeader))
+				w.endWithConnection(rw, r, eventStreamType, "id: 2\ndata: last\n\n", false)
+			}
+			// The retry budget starts empty.
+			time.Sleep(20 * time.Second)
+			route := endlessRoute(site.Streaming, 2)
+			route.Resumable = resumable
+			answer := httptest.NewRecorder()
+			cut := func() (cut any) {
+				defer func() { cut = recover() }()
+				w.server.Serve(context.Background(), answer, route, w.request(), time.Now())
+				return nil
+			}()
+			must.Eq(t, !resumable, cut != nil)
+			must.Eq(t, resumable, strings.HasSuffix(answer.Body.String(), "data: last\n\n"))
+		})
+	}
+}
+
+// All answers end with their connections and no runner ends: each request opens a connection as
+// without the check, which uses that of the next request.
+func TestChecksOfEndsOpenNoConnectionsInCalm(t *testing.T) {
+	for _, concurrent := range []int{1, 6} {
+		withTestEnv(t, 1, func(w *testEnv) {
+			w.runnerHandler = func(rw http.ResponseWriter, r *http.Request) {
+				time.Sleep(40 * time.Millisecond)
+				w.endWithConnection(rw, r, "text/plain", "whole", false)
+			}
+			const rounds = 50
+			var callers sync.WaitGroup
+			for caller := range concurrent {
+				callers.Go(func() {
+					for round := range rounds {
+						answer := httptest.NewRecorder()
+						w.server.Serve(context.Background(), answer, endlessRoute(site.Idempotent, 1), w.request(), time.Now())
+						must.Eq(t, "whole", answer.Body.String())
+						time.Sleep(time.Duration(caller*round%17) * 10 * time.Millisecond)
+					}
+				})
+			}
+			callers.Wait()
+			must.LessEq(t, concurrent*(rounds+1), int(w.connector.Dialed()))
+		})
+	}
+}
+
+// A runner falls silent after its answer, which must not be held until it speaks again.
+func TestWholeAnswerOfASilentRunnerIsPassedOnSoon(t *testing.T) {
+	withTestEnv(t, 1, func(w *testEnv) {
+		w.runnerHandler = func(rw http.ResponseWriter, r *http.Request) {
+			w.endWithConnection(rw, r, "text/plain", "whole", false)
+			w.net.Silence("r0", 10*time.Second)
+		}
+		began := time.Now()
+		answer := httptest.NewRecorder()
+		w.server.Serve(context.Background(), answer, endlessRoute(site.Idempotent, 1), w.request(), time.Now())
+		must.Eq(t, "whole", answer.Body.String())
+		must.LessEq(t, 100*time.Millisecond, time.Since(began))
+	})
+}
+
+func endlessRoute(kind site.Kind, maxAttempts int) *site.Route {
+	return &site.Route{
+		Name: "plain", Kind: kind, Timeout: 5 * time.Second, TargetLatency: 600 * time.Millisecond, TargetGap: 250 * time.Millisecond,
+		MaxAttempts: maxAttempts, Targets: []site.Target{{Service: llm, Weight: 1}},
+	}
+}
+
+// endWithConnection answers a request without a length and without chunks; the runner may end with it.
+func (w *testEnv) endWithConnection(rw http.ResponseWriter, r *http.Request, kind, body string, crashes bool) {
+	conn, buffer, err := http.NewResponseController(rw).Hijack()
+	must.NoError(w.t, err)
+	_, _ = buffer.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: " + kind + "\r\nId: " + r.Header.Get("Id") + "\r\n" + stampHeader + ": s\r\n\r\n" + body)
+	_ = buffer.Flush()
+	if crashes {
+		w.net.KillHost(r.Header.Get(instanceHeader))
+	}
+	_ = conn.Close()
+}
--- a/internal/serve/exchange.go
+++ b/internal/serve/exchange.go
@@ -69,11 +69,24 @@
 	if !x.deliver(part{answer: answer}) {
 		return
 	}
+	last := x.read(answer)
+	if last.ended && client.BrokeOff(x.ctx, x.address, answer) {
+		last = part{failure: forward.TruncatedResponse(answer.Metadata, errRunnerEnded)}
+	}
+	x.deliver(last)
+}
+
+// errRunnerEnded is why a body that ends with its connection is not whole: a runner that crashes in
+// the middle closes its connection as at the end, and the caller would take a part for the answer. A
+// process that has ended refuses connections; one that lives has sent what it meant to.
+var errRunnerEnded = errors.Wrap(io.ErrUnexpectedEOF, "the runner's process ended with the response")
+
+// read reads an answer's body and returns its last part.
+func (x *exchange) read(answer *forward.Response) part {
 	if answer.Status == http.StatusOK && isEventStream(answer.Header) {
-		x.readEvents(answer)
-		return
+		return x.readEvents(answer)
 	}
-	x.readWhole(answer)
+	return readWhole(answer)
 }
 
 // deliver passes a part on, and reports whether something took it.
@@ -94,17 +107,16 @@
 
 // readWhole reads an answer that is no event stream to its end before it passes it on: a truncated
 // answer must not look complete, and a repeatable request can still be retried.
-func (x *exchange) readWhole(answer *forward.Response) {
+func readWhole(answer *forward.Response) part {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeldAnswerBytes))
 	if err != nil {
-		x.deliver(part{failure: forward.TruncatedResponse(answer.Metadata, err)})
-		return
+		return part{failure: forward.TruncatedResponse(answer.Metadata, err)}
 	}
-	x.deliver(part{content: body, ended: true})
+	return part{content: body, ended: true}
 }
 
-// readEvents passes complete events on as they arrive.
-func (x *exchange) readEvents(answer *forward.Response) {
+// readEvents passes complete events on as they arrive, and returns the last part.
+func (x *exchange) readEvents(answer *forward.Response) part {
 	var held []byte
 	chunk := make([]byte, readBufferBytes)
 	for {
@@ -112,17 +124,15 @@
 		held = append(held, chunk[:n]...)
 		if length := completeEventsLen(held); length > 0 {
 			if !x.deliver(part{content: bytes.Clone(held[:length])}) {
-				return
+				return part{failure: forward.TruncatedResponse(answer.Metadata, errUnused)}
 			}
 			held = append(held[:0], held[length:]...)
 		}
 		if err == io.EOF && len(held) == 0 {
-			x.deliver(part{ended: true})
-			return
+			return part{ended: true}
 		}
 		if err != nil || len(held) > maxEventBytes {
-			x.deliver(part{failure: forward.TruncatedResponse(answer.Metadata, streamError(answer, err))})
-			return
+			return part{failure: forward.TruncatedResponse(answer.Metadata, streamError(answer, err))}
 		}
 	}
 }
@@ -144,6 +154,9 @@
 	}
 }
 
+// errUnused ends an answer that nothing takes any more.
+var errUnused = errors.New("nothing takes the response")
+
 var errNotWhole = errors.New("the stream ended within an event")
 
 // completeEventsLen returns the length of the complete events at the start of held.
--- a/internal/serve/testenv_test.go
+++ b/internal/serve/testenv_test.go
@@ -145,6 +145,7 @@
 	pressure  *fakeBackpressure
 	directory *directory.Directory
 	server    *Server
+	connector *reach.Connector
 	revision  uint64
 	// sentVersions lists the adapter versions of the requests that reached runners.
 	mu           sync.Mutex
@@ -173,9 +174,10 @@
 			go func() { _ = server.Serve(listener) }()
 			defer func() { _ = server.Close() }()
 		}
+		w.connector = reach.DirectOnly(net.Host("host").Dial)
 		w.server = New(Deps{
 			Directory: w.directory, Board: board.New(), Owners: w.owners, Backpressure: w.pressure, Quarantine: quarantine.New(),
-			Client:     forward.NewClient(testDialect{}, reach.DirectOnly(net.Host("host").Dial)),
+			Client:     forward.NewClient(testDialect{}, w.connector),
 			RetryLimit: retrybudget.Limit{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 			Ages:       func() (config, runners time.Duration) { return 0, 0 },
 			HostCount:  func() int { return 1 }, Contention: contention.NewCounters(), Now: time.Now, Log: hclog.NewNullLogger(),
