An answer longer than a host holds is not cut and passed on as whole

What callers saw: of an answer of more than 8 MiB that is no event stream, the first 8 MiB, with that as its length and status 200 (a trial with 9 MiB: 200 and 8,388,608 bytes).

Cause: the reader that bounds what is held ends like the answer. Now a byte more is read, and the answer counts as truncated: sent elsewhere if that is allowed, else 502. The runner counts as having failed, and such answers still reach nobody; passing them on as they arrive would be another change.

Test: TestAnswerThatIsTooLongIsNotCut, which fails without it; its safeguard is proved. internal/serve passes with -race.

--- a/internal/serve/endless_test.go
+++ b/internal/serve/endless_test.go
@@ -162,6 +162,23 @@
 	})
 }
 
+// A runner's answer is longer than a host holds. The part that is held must not be passed on with a
+// length and status 200, as if it were all.
+func TestAnswerThatIsTooLongIsNotCut(t *testing.T) {
+	for extra, status := range map[int]int{0: http.StatusOK, 1: http.StatusBadGateway} {
+		withTestEnv(t, 1, func(w *testEnv) {
+			w.runnerHandler = func(rw http.ResponseWriter, r *http.Request) {
+				rw.Header().Set("Id", r.Header.Get("Id"))
+				rw.Header().Set(stampHeader, "s")
+				_, _ = rw.Write(make([]byte, maxHeldAnswerBytes+extra))
+			}
+			answer := httptest.NewRecorder()
+			w.server.Serve(context.Background(), answer, endlessRoute(site.NonIdempotent, 1), w.request(), time.Now())
+			must.Eq(t, status, answer.Code)
+		})
+	}
+}
+
 func endlessRoute(kind site.Kind, maxAttempts int) *site.Route {
 	return &site.Route{
 		Name: "plain", Kind: kind, Timeout: 5 * time.Second, TargetLatency: 600 * time.Millisecond, TargetGap: 250 * time.Millisecond,
--- a/internal/serve/exchange.go
+++ b/internal/serve/exchange.go
@@ -108,7 +108,10 @@
 // readWhole reads an answer that is no event stream to its end before it passes it on: a truncated
 // answer must not look complete, and a repeatable request can still be retried.
 func readWhole(answer *forward.Response) part {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeldAnswerBytes))
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeldAnswerBytes+1))
+	if err == nil && len(body) > maxHeldAnswerBytes {
+		err = errTooLong
+	}
 	if err != nil {
 		return part{failure: forward.TruncatedResponse(answer.Metadata, err)}
 	}
@@ -154,6 +157,9 @@
 	}
 }
 
+// errTooLong is why an answer is not passed on of which only a part could be held.
+var errTooLong = errors.Errorf("the response is longer than %d bytes", maxHeldAnswerBytes)
+
 // errUnused ends an answer that nothing takes any more.
 var errUnused = errors.New("nothing takes the response")
 
