--- a/internal/engine/review57_test.go
+++ b/internal/engine/pooled_silence_test.go
@@ -15,7 +15,7 @@
 
 // As TestSlowAnswerOnPooledConnectionIsNotGivenUp, but the engine has not registered the stream yet, and
 // answers what asks for its rest with 404.
-func TestReviewSlowAnswerOnPooledConnectionIsNotGivenUpFor404(t *testing.T) {
+func TestSlowAnswerOnPooledConnectionIsNotGivenUpFor404(t *testing.T) {
 	var requests, dropped, failures atomic.Int32
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method != http.MethodPost {
--- a/internal/serve/review57_test.go
+++ b/internal/serve/hedge_edges_test.go
@@ -106,7 +106,7 @@
 
 // A runner is silent for 2 s in the middle of a stream. The other one works on another stream of this
 // host, and refuses the rest of this one after 0.4 s.
-func TestReviewSilentStreamIsNotCutWhereTheOtherRunnerIsHeardAndRefuses(t *testing.T) {
+func TestSilentStreamIsNotCutWhereTheOtherRunnerIsHeardAndRefuses(t *testing.T) {
 	withTestEnv(t, 2, func(w *testEnv) {
 		s := &scriptedRunners{}
 		s.install(w, func(rw http.ResponseWriter, r *http.Request, id, _ string, number, after int) {
@@ -135,7 +135,7 @@
 }
 
 // A runner takes 1.7 s to its first event; the second one refuses the request 0.4 s after it was sent.
-func TestReviewWaitForAFirstEventIsKeptWhereTheOtherRunnerRefuses(t *testing.T) {
+func TestWaitForAFirstEventIsKeptWhereTheOtherRunnerRefuses(t *testing.T) {
 	withTestEnv(t, 2, func(w *testEnv) {
 		s := &scriptedRunners{}
 		s.install(w, func(rw http.ResponseWriter, r *http.Request, _, _ string, number, _ int) {
@@ -157,7 +157,7 @@
 }
 
 // The same for an answer that is no stream.
-func TestReviewSlowAnswerIsKeptWhereTheOtherRunnerRefuses(t *testing.T) {
+func TestSlowAnswerIsKeptWhereTheOtherRunnerRefuses(t *testing.T) {
 	withTestEnv(t, 2, func(w *testEnv) {
 		s := &scriptedRunners{}
 		s.install(w, func(rw http.ResponseWriter, r *http.Request, _, _ string, number, _ int) {
@@ -180,7 +180,7 @@
 
 // A runner is silent for good in the middle of a stream, and no connection to the next one can be
 // made. The third one is well.
-func TestReviewStreamGoesOnAtTheThirdRunnerWhereTheSecondIsNotReached(t *testing.T) {
+func TestStreamGoesOnAtTheThirdRunnerWhereTheSecondIsNotReached(t *testing.T) {
 	withTestEnv(t, 3, func(w *testEnv) {
 		s := &scriptedRunners{}
 		s.install(w, func(rw http.ResponseWriter, r *http.Request, _, runner string, number, after int) {
@@ -207,7 +207,7 @@
 }
 
 // A host has two streams, at two runners, and both fall silent for good. The third runner is well.
-func TestReviewStreamsOfAQuietHostLeaveTwoSilentRunners(t *testing.T) {
+func TestStreamsOfAQuietHostLeaveTwoSilentRunners(t *testing.T) {
 	withTestEnv(t, 3, func(w *testEnv) {
 		s := &scriptedRunners{}
 		var mu sync.Mutex
@@ -256,7 +256,7 @@
 
 // A stream's runner ends while another one is being looked for, with the only retry that is left. That
 // retry must serve the stream.
-func TestReviewRetryOfItsOwnSearchServesAStreamWhoseRunnerEnds(t *testing.T) {
+func TestRetryOfItsOwnSearchServesAStreamWhoseRunnerEnds(t *testing.T) {
 	withTestEnv(t, 2, func(w *testEnv) {
 		w.server.RetryLimit = retrybudget.Limit{Slack: 2.5, Window: 10 * time.Second}
 		w.owners.admissions = append(w.owners.admissions, admitAfter(0, false), admitAfter(700*time.Millisecond, true))
@@ -279,7 +279,7 @@
 
 // A silent stream waits for 1.4 s for a place elsewhere, with the only retry. Meanwhile the runner of
 // another stream ends, which then needs a retry, while the silent one goes on by itself.
-func TestReviewSearchForASilentStreamLeavesTheRetryToAStreamWhoseRunnerEnded(t *testing.T) {
+func TestSearchForASilentStreamLeavesTheRetryToAStreamWhoseRunnerEnded(t *testing.T) {
 	withTestEnv(t, 2, func(w *testEnv) {
 		w.server.RetryLimit = retrybudget.Limit{Slack: 2.5, Window: 10 * time.Second}
 		w.owners.admissions = append(w.owners.admissions, admitAfter(0, false), admitAfter(0, false), admitAfter(1400*time.Millisecond, true))
@@ -310,7 +310,7 @@
 }
 
 // The events of a stream have no IDs, so that nothing can go on after the latest one.
-func TestReviewStreamWithoutEventIDsIsNotBegunAnew(t *testing.T) {
+func TestStreamWithoutEventIDsIsNotBegunAnew(t *testing.T) {
 	withTestEnv(t, 2, func(w *testEnv) {
 		s := &scriptedRunners{}
 		s.install(w, func(rw http.ResponseWriter, r *http.Request, _, _ string, number, _ int) {
@@ -332,7 +332,7 @@
 
 // The second runner ends the stream at once, without an event. What the first one still has to send
 // must not be missing from an answer that looks whole.
-func TestReviewEmptyRestDoesNotCompleteAStream(t *testing.T) {
+func TestEmptyRestDoesNotCompleteAStream(t *testing.T) {
 	withTestEnv(t, 2, func(w *testEnv) {
 		s := &scriptedRunners{}
 		s.install(w, func(rw http.ResponseWriter, r *http.Request, _, _ string, number, _ int) {
@@ -353,7 +353,7 @@
 }
 
 // A runner's answer is longer than this host holds.
-func TestReviewLongAnswerIsNotShortened(t *testing.T) {
+func TestLongAnswerIsNotShortened(t *testing.T) {
 	withTestEnv(t, 1, func(w *testEnv) {
 		body := strings.Repeat("x", maxHeldAnswerBytes+1)
 		w.runnerHandler = func(rw http.ResponseWriter, r *http.Request) {
@@ -368,7 +368,7 @@
 
 // A retry is held for as long as a search for a place may take. Retries that are taken before it and
 // used after it must stay within the limit of a window.
-func TestReviewRetriesThatWaitStayWithinTheLimit(t *testing.T) {
+func TestRetriesThatWaitStayWithinTheLimit(t *testing.T) {
 	limit := retrybudget.Limit{Slack: 50, Window: 10 * time.Second}
 	start := time.Now()
 	b := retrybudget.New(limit, start)
--- a/internal/serve/review57_load_test.go
+++ b/internal/serve/hedge_load_test.go
@@ -26,7 +26,7 @@
 
 // This host gets too little processor time: each tick comes 75 ms late. A second runner is silent too.
 // Two runners must not work on the request for longer than usual: their time does not stand still.
-func TestReviewSlowTicksDoNotLetTwoRunnersWorkForLong(t *testing.T) {
+func TestSlowTicksDoNotLetTwoRunnersWorkForLong(t *testing.T) {
 	withTestEnv(t, 2, func(w *testEnv) {
 		monitor := &standstill.Monitor{}
 		w.server.Standstill = monitor
@@ -66,7 +66,7 @@
 }
 
 // The silent runner's work ends soon after the second one has begun.
-func TestReviewSilentRunnerIsTold(t *testing.T) {
+func TestSilentRunnerIsTold(t *testing.T) {
 	withTestEnv(t, 2, func(w *testEnv) {
 		runners := newStreamRunners(w, pauseOnce(5, time.Hour))
 		w.readBodies()
@@ -82,7 +82,7 @@
 
 // This host stands still for 2 s while it connects to a runner, whose answer waits in its socket when it
 // wakes. It must not take the runner for unreachable, and warn others of it.
-func TestReviewHostThatStoodStillWhileConnectingSuspectsNoRunner(t *testing.T) {
+func TestHostThatStoodStillWhileConnectingSuspectsNoRunner(t *testing.T) {
 	withTestEnv(t, 1, func(w *testEnv) {
 		monitor := &standstill.Monitor{}
 		w.server.Standstill, w.server.Board.Standstill = monitor, monitor
@@ -126,7 +126,7 @@
 // Streams of many callers beside runners that pause, refuse, refuse late, break off and go dark; some callers
 // leave. Whatever happens, answers are in order, at most two runners run a request, not beside each
 // other for long, and everything that was taken is given back.
-func TestReviewRandomStreams(t *testing.T) {
+func TestRandomStreams(t *testing.T) {
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { playRandomStreams(t, seed) })
 	}
