Peers' load counts over a standstill of the host

Left by the table of beliefs: after a standstill of 3 s a host counted its peers' requests on a runner as none until they reported again. Test: TestPeersLoadCountsAfterAStandstill, failed before; a safeguard.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -267,7 +267,7 @@
 		view.Own = e.own
 		view.Load = e.own
 		for _, peer := range e.peers {
-			if now.Sub(peer.updatedAt) < peerLoadTTL {
+			if b.Standstill.Awake(peer.updatedAt, now) < peerLoadTTL {
 				view.Load += peer.running
 			}
 		}
--- a/internal/board/silence_test.go
+++ b/internal/board/silence_test.go
@@ -77,3 +77,17 @@
 	}
 	must.Eq(t, map[string]time.Duration{"r1": initialSuspicion}, b.Suspects(at(700)))
 }
+
+// A host stands still for 4 s. What its peers have in flight at a runner still counts until they
+// report again: with none it would send the runner more than it takes.
+func TestPeersLoadCountsAfterAStandstill(t *testing.T) {
+	b := New()
+	b.Standstill = &standstill.Monitor{}
+	b.Standstill.Tick(at(0))
+	b.SetPeerRequests("h", "r", 7, at(0))
+	must.Eq(t, 7, b.View("r", at(4000)).Load)
+	for ms := 4000; ms <= 7100; ms += 50 {
+		b.Standstill.Tick(at(ms))
+	}
+	must.Eq(t, 0, b.View("r", at(7100)).Load, must.Sprint("the peer has stopped"))
+}
