A 404 to a request for the rest ends an answer that has not begun, as before

The review's case (an engine that is only slow) stays red: TestSlowAnswerOnPooledConnectionIsNotGivenUpFor404.

--- a/internal/engine/follow.go
+++ b/internal/engine/follow.go
@@ -203,9 +203,8 @@
 	delete(f.lanes, end.lane)
 	f.refused = f.refused || end.status != 0
 	switch {
-	case f.sent == nil && (end.status == http.StatusNotFound || end.status == http.StatusGone):
-		// The engine answers and doesn't have the response any more. One that has not begun it
-		// doesn't have it yet.
+	case end.status == http.StatusNotFound || end.status == http.StatusGone:
+		// The engine answers and doesn't have the response any more.
 		return f.streamFailure(CodeNoAnswer, end.cause)
 	case len(f.lanes) > 0:
 		return nil
