--- a/internal/serve/endless_test.go
+++ b/internal/serve/endless_test.go
@@ -197,3 +197,21 @@
 	}
 	_ = conn.Close()
 }
+
+// A runner that lives answers without a length. Whether its answer was whole is known only once the
+// runner has answered something later, so until then it must not clear what crashes runners.
+func TestAnswerWithoutLengthClearsNothingAtOnce(t *testing.T) {
+	withTestEnv(t, 1, func(w *testEnv) {
+		w.runnerHandler = func(rw http.ResponseWriter, r *http.Request) {
+			w.endWithConnection(rw, r, "text/plain", "whole", false)
+		}
+		route := &site.Route{
+			Name: "plain", Kind: site.Idempotent, Timeout: 5 * time.Second, TargetLatency: 600 * time.Millisecond,
+			MaxAttempts: 1, Targets: []site.Target{{Service: llm, Weight: 1}},
+		}
+		answer := httptest.NewRecorder()
+		w.server.Serve(context.Background(), answer, route, w.request(), time.Now())
+		must.Eq(t, "whole", answer.Body.String())
+		must.True(t, w.server.Quarantine.Pending())
+	})
+}
