A request that ends without an answer is logged and counted

The request line of a request that was given up says 499 whether its caller left, closed its sending side only, or was still there, and nothing told that a handler had ended without writing anything. Such a request now has a line with what became of the connection's input (open, ended, broken) and counts as requests_unanswered. No decision changes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,6 +97,7 @@
 	client         *forward.Client
 	connector      *reach.Connector
 	relay          *reach.Relay
+	ingress        *ingress.Ingress
 	callerServer   *http.Server
 	pressure       ingress.Pressure
 	standstill     standstill.Monitor
@@ -217,10 +218,11 @@
 		},
 		Now: now, Log: log,
 	})
-	e.callerServer = (&ingress.Ingress{
+	e.ingress = &ingress.Ingress{
 		Dialect: platform.Dialect, Directory: e.directory, Serve: e.serve, Now: now, Log: log, Closing: e.stopping.Load, Refusing: e.rejecting.Load,
 		ConfigAge: func() time.Duration { return e.mesh.Age(platform.ConfigKind) },
-	}).Server()
+	}
+	e.callerServer = e.ingress.Server()
 	return e
 }
 
@@ -501,40 +503,41 @@
 	vars := new(expvar.Map).Init()
 	counters := &e.server.Counters
 	for name, value := range map[string]func() int64{
-		"requests_open":      e.openRequests.Load,
-		"requests_served":    counters.Served.Load,
-		"requests_refused":   counters.Refused.Load,
-		"requests_failed":    counters.Failed.Load,
-		"requests_left":      counters.Canceled.Load,
-		"retries_denied":     counters.RetriesDenied.Load,
-		"quarantine_refused": counters.Quarantined.Load,
-		"quota_refused":      counters.OverQuota.Load,
-		"streams_continued":  counters.StreamsContinued.Load,
-		"origins_unknown":    counters.OriginsUnknown.Load,
-		"streams_cut":        counters.StreamsCut.Load,
-		"hedges":             counters.Hedges.Load,
-		"standstills":        e.standstillCount,
-		"standstill_ms":      e.standstillMS,
-		"origins_asked":      e.streams.asked.Load,
-		"origins_told":       e.streams.announced.Load,
-		"origins_untold":     e.streams.unannounced.Load,
-		"connections_dialed": e.connector.Dialed,
-		"connections_shed":   e.pressure.Shed.Load,
-		"connections_probed": e.connector.Probes,
-		"tunnels_used":       e.connector.Relayed,
-		"tunnels_open":       e.relay.Open,
-		"tunnels_served":     e.relay.Opened,
-		"tunnels_refused":    e.relay.Refused,
-		"paths_failing":      func() int64 { return int64(len(e.connector.Paths.Failing())) },
-		"limit_granted":      e.backpressure.granted.Load,
-		"limit_refused":      e.backpressure.refused.Load,
-		"services_brittle":   func() int64 { return int64(len(e.backpressure.brittle.Any(e.now()))) },
-		"slots_granted":      e.slots.granted.Load,
-		"slots_waited":       e.slots.waited.Load,
-		"slots_refused":      e.slots.refused.Load,
-		"slots_unknown":      e.slots.unknown.Load,
-		"slots_disputed":     e.slots.refusedByRunner.Load,
-		"slots_not_returned": e.slots.returns.lostCount,
+		"requests_open":       e.openRequests.Load,
+		"requests_served":     counters.Served.Load,
+		"requests_refused":    counters.Refused.Load,
+		"requests_failed":     counters.Failed.Load,
+		"requests_left":       counters.Canceled.Load,
+		"requests_unanswered": e.ingress.Unanswered.Load,
+		"retries_denied":      counters.RetriesDenied.Load,
+		"quarantine_refused":  counters.Quarantined.Load,
+		"quota_refused":       counters.OverQuota.Load,
+		"streams_continued":   counters.StreamsContinued.Load,
+		"origins_unknown":     counters.OriginsUnknown.Load,
+		"streams_cut":         counters.StreamsCut.Load,
+		"hedges":              counters.Hedges.Load,
+		"standstills":         e.standstillCount,
+		"standstill_ms":       e.standstillMS,
+		"origins_asked":       e.streams.asked.Load,
+		"origins_told":        e.streams.announced.Load,
+		"origins_untold":      e.streams.unannounced.Load,
+		"connections_dialed":  e.connector.Dialed,
+		"connections_shed":    e.pressure.Shed.Load,
+		"connections_probed":  e.connector.Probes,
+		"tunnels_used":        e.connector.Relayed,
+		"tunnels_open":        e.relay.Open,
+		"tunnels_served":      e.relay.Opened,
+		"tunnels_refused":     e.relay.Refused,
+		"paths_failing":       func() int64 { return int64(len(e.connector.Paths.Failing())) },
+		"limit_granted":       e.backpressure.granted.Load,
+		"limit_refused":       e.backpressure.refused.Load,
+		"services_brittle":    func() int64 { return int64(len(e.backpressure.brittle.Any(e.now()))) },
+		"slots_granted":       e.slots.granted.Load,
+		"slots_waited":        e.slots.waited.Load,
+		"slots_refused":       e.slots.refused.Load,
+		"slots_unknown":       e.slots.unknown.Load,
+		"slots_disputed":      e.slots.refusedByRunner.Load,
+		"slots_not_returned":  e.slots.returns.lostCount,
 	} {
 		vars.Set(name, expvar.Func(func() any { return value() }))
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -10,8 +10,10 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/answer"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/site"
@@ -56,6 +58,8 @@
 	Closing func() bool
 	// Refusing reports whether new requests are refused.
 	Refusing func() bool
+	// Unanswered counts the requests that ended without an answer.
+	Unanswered atomic.Int64
 }
 
 // Server returns the HTTP server for callers. It detects conflicting framing only on
@@ -67,7 +71,7 @@
 	// Routes come from the configuration, so every request is handled before echo's router.
 	router.Pre(func(echo.HandlerFunc) echo.HandlerFunc {
 		return func(c echo.Context) error {
-			i.handle(c.Response().Writer, c.Request())
+			i.handleObserved(c.Response().Writer, c.Request())
 			return nil
 		}
 	})
@@ -81,6 +85,24 @@
 	}
 }
 
+// handleObserved handles a request, and logs if it got no answer.
+func (i *Ingress) handleObserved(inner http.ResponseWriter, r *http.Request) {
+	w := answer.NewWriter(inner)
+	defer func() {
+		if !w.Begun() {
+			i.logUnanswered(r)
+		}
+	}()
+	i.handle(w, r)
+}
+
+// logUnanswered logs a request that ended without an answer, with what became of its connection.
+func (i *Ingress) logUnanswered(r *http.Request) {
+	i.Unanswered.Add(1)
+	i.Log.Warn("request ended without an answer", "id", i.requestID(r), "method", r.Method, "path", r.URL.Path,
+		"context", r.Context().Err(), "input", recorderFrom(r.Context()).inputState().String())
+}
+
 func (i *Ingress) handle(w http.ResponseWriter, r *http.Request) {
 	arrived := i.Now()
 	recorder := recorderFrom(r.Context())
--- a/internal/ingress/recorder.go
+++ b/internal/ingress/recorder.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"io"
 	"net"
 	"sync"
 )
@@ -28,6 +30,47 @@
 
 	mu       sync.Mutex
 	recorded []byte
+	input    inputState
+}
+
+// inputState is what became of the bytes that the caller sends.
+type inputState uint8
+
+const (
+	// inputOpen means that the caller may send more.
+	inputOpen inputState = iota
+	// inputEnded means that the caller has closed its sending side, or the whole connection.
+	inputEnded
+	// inputBroken means that the connection is broken.
+	inputBroken
+)
+
+// String returns the state's name in logs.
+func (s inputState) String() string {
+	return [...]string{"open", "ended", "broken"}[s]
+}
+
+// inputStateOf returns what an error of Read tells. A deadline tells nothing.
+func inputStateOf(err error) inputState {
+	var network net.Error
+	switch {
+	case err == nil, errors.As(err, &network) && network.Timeout():
+		return inputOpen
+	case errors.Is(err, io.EOF):
+		return inputEnded
+	default:
+		return inputBroken
+	}
+}
+
+// inputState returns what became of the caller's input.
+func (r *recorder) inputState() inputState {
+	if r == nil {
+		return inputOpen
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.input
 }
 
 // Read implements net.Conn.
@@ -35,6 +78,7 @@
 	n, err := r.Conn.Read(into)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.input = max(r.input, inputStateOf(err))
 	if room := maxRecordedBytes - len(r.recorded); n > 0 && room > 0 {
 		r.recorded = append(r.recorded, into[:min(n, room)]...)
 	}
