Failing tests: whole requests that end without an answer

A handler that writes nothing gives an empty 200; one that panics closes the connection.

The network of the stand-ins learns to close one side of a connection.

--- /dev/null
+++ b/internal/ingress/answered_test.go
@@ -0,0 +1,155 @@
+package ingress
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// dial opens a connection of a caller.
+func (e *testIngress) dial() net.Conn {
+	e.t.Helper()
+	conn, err := e.net.Host("caller").Dial(e.t.Context(), "tcp", "entry:80")
+	must.NoError(e.t, err)
+	return conn
+}
+
+// receivedAnswer is a final answer as its caller read it.
+type receivedAnswer struct {
+	status int
+	body   string
+	closes bool
+}
+
+// readAnswer reads the next final answer, after any interim ones.
+func (e *testIngress) readAnswer(reader *bufio.Reader) receivedAnswer {
+	e.t.Helper()
+	for {
+		response, err := http.ReadResponse(reader, nil)
+		must.NoError(e.t, err)
+		if response.StatusCode/100 == 1 {
+			continue
+		}
+		body, err := io.ReadAll(response.Body)
+		must.NoError(e.t, err)
+		return receivedAnswer{status: response.StatusCode, body: string(body), closes: response.Close}
+	}
+}
+
+// writeWhole writes an answer of a runner.
+func writeWhole(w http.ResponseWriter, body string) {
+	w.WriteHeader(http.StatusOK)
+	_, _ = io.WriteString(w, body)
+}
+
+// A caller that closes its sending side and reads on gets an empty success instead of its answer.
+func TestHalfClosedCallerGetsItsAnswer(t *testing.T) {
+	for name, text := range map[string]string{"read": "GET /a/x HTTP/1.1\r\nHost: h\r\nId: q\r\n\r\n", "call": post("/a/x", 20)} {
+		t.Run(name, func(t *testing.T) {
+			withIngress(t, true, func(e *testIngress) {
+				e.handler = func(ctx context.Context, w http.ResponseWriter) {
+					select {
+					case <-ctx.Done():
+					case <-time.After(2 * time.Second):
+						writeWhole(w, "answer")
+					}
+				}
+				conn := e.dial()
+				go func() {
+					_, _ = io.WriteString(conn, text)
+					_ = conn.(interface{ CloseWrite() error }).CloseWrite()
+				}()
+				got := e.readAnswer(bufio.NewReader(conn))
+				must.Eq(t, http.StatusOK, got.status)
+				must.Eq(t, "answer", got.body)
+			})
+		})
+	}
+}
+
+// A handler that ends without an answer gives its caller an empty success.
+func TestHandlerWithoutAnswerIsNoSuccess(t *testing.T) {
+	withIngress(t, true, func(e *testIngress) {
+		e.handler = func(context.Context, http.ResponseWriter) {}
+		got := e.readAnswer(e.sendOnly(post("/a/x", 3)))
+		must.Eq(t, http.StatusInternalServerError, got.status)
+	})
+}
+
+// A handler that panics before it has written anything closes the connection without an answer.
+func TestHandlerThatPanicsIsAnswered(t *testing.T) {
+	withIngress(t, true, func(e *testIngress) {
+		e.handler = func(context.Context, http.ResponseWriter) { panic("a fault") }
+		got := e.readAnswer(e.sendOnly(post("/a/x", 3)))
+		must.Eq(t, http.StatusInternalServerError, got.status)
+	})
+}
+
+// sendOnly writes text on a new connection and returns a reader of its answers.
+func (e *testIngress) sendOnly(text string) *bufio.Reader {
+	e.t.Helper()
+	conn := e.dial()
+	go func() { _, _ = io.WriteString(conn, text) }()
+	return bufio.NewReader(conn)
+}
+
+// A host that stops closes a connection although it has read further requests on it.
+func TestPipelinedRequestsAreAnsweredWhileStopping(t *testing.T) {
+	chunked := "POST /a/x HTTP/1.1\r\nHost: h\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+	for name, texts := range map[string][]string{
+		"with lengths": {post("/a/x", 5), post("/a/x", 0), post("/a/x", 7)},
+		"in chunks":    {chunked, chunked, chunked},
+		"mixed":        {post("/a/x", 5), chunked, "GET /a/x HTTP/1.1\r\nHost: h\r\nId: q\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withIngress(t, true, func(e *testIngress) {
+				e.closing = true
+				e.handler = func(_ context.Context, w http.ResponseWriter) { writeWhole(w, "answer") }
+				reader := e.sendOnly(strings.Join(texts, ""))
+				for i := range texts {
+					got := e.readAnswer(reader)
+					must.Eq(t, http.StatusOK, got.status)
+					must.Eq(t, i == len(texts)-1, got.closes, must.Sprintf("answer %d", i))
+				}
+			})
+		})
+	}
+}
+
+// The second of three requests on one connection comes in chunks: the third is not answered.
+func TestRequestBehindAChunkedOneIsAnswered(t *testing.T) {
+	chunked := "POST /a/x HTTP/1.1\r\nHost: h\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+	withIngress(t, true, func(e *testIngress) {
+		reader := e.sendOnly(post("/a/x", 5) + chunked + post("/a/x", 6))
+		for range 3 {
+			must.Eq(t, http.StatusOK, e.readAnswer(reader).status)
+		}
+	})
+}
+
+// A host that is about to end closes a connection although it has read a further request on it.
+func TestRequestReadDuringShutdownIsAnswered(t *testing.T) {
+	withIngress(t, true, func(e *testIngress) {
+		e.handler = func(_ context.Context, w http.ResponseWriter) {
+			time.Sleep(500 * time.Millisecond)
+			writeWhole(w, "answer")
+		}
+		reader := e.sendOnly(post("/a/x", 5) + post("/a/x", 6))
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			e.closing, e.refusing = true, true
+			e.shutdown(e.t.Context())
+		}()
+		must.Eq(t, http.StatusOK, e.readAnswer(reader).status)
+		got := e.readAnswer(reader)
+		must.Eq(t, http.StatusServiceUnavailable, got.status)
+		must.True(t, got.closes)
+	})
+}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -72,6 +72,10 @@
 	closing  bool
 	refusing bool
 	served   []*forward.Request
+	// handler replaces the usual answer if it is set.
+	handler func(ctx context.Context, w http.ResponseWriter)
+	// shutdown stops the server gracefully.
+	shutdown func(ctx context.Context)
 }
 
 func withIngress(t *testing.T, configured bool, run func(e *testIngress)) {
@@ -109,8 +113,12 @@
 		server := (&Ingress{
 			ConfigAge: func() time.Duration { return 0 },
 			Dialect:   testDialect{}, Directory: known, Now: time.Now, Log: hclog.NewNullLogger(),
-			Serve: func(_ context.Context, w http.ResponseWriter, _ *site.Route, request *forward.Request, _ time.Time) {
+			Serve: func(ctx context.Context, w http.ResponseWriter, _ *site.Route, request *forward.Request, _ time.Time) {
 				e.served = append(e.served, request)
+				if e.handler != nil {
+					e.handler(ctx, w)
+					return
+				}
 				_, _ = io.WriteString(w, "served")
 			},
 			Closing: func() bool { return e.closing }, Refusing: func() bool { return e.refusing },
@@ -119,6 +127,7 @@
 		must.NoError(t, err)
 		go func() { _ = server.Serve(WrapListener(listener)) }()
 		defer func() { _ = server.Close() }()
+		e.shutdown = func(ctx context.Context) { _ = server.Shutdown(ctx) }
 		run(e)
 	})
 }
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -77,6 +78,7 @@
 	near, far := net.Pipe()
 	client := &memConn{Conn: near, network: h.network, owner: h.host, ends: [2]string{h.host, target}, closed: make(chan struct{})}
 	server := &memConn{Conn: far, network: h.network, owner: target, ends: [2]string{h.host, target}, closed: make(chan struct{})}
+	client.peer, server.peer = server, client
 	if !h.network.add(client, server) {
 		return nil, refused
 	}
@@ -284,16 +286,19 @@
 
 	mu         sync.Mutex
 	blackholed bool
+	// peer is the other end. inputEnded is set once it has closed its sending side.
+	peer       *memConn
+	inputEnded bool
 	// queue holds the pieces that wait for a link; delivering is set while deliver runs.
 	queue      []queuedPiece
 	delivering bool
 }
 
-// queuedPiece is data in transit, or the end of the connection.
+// queuedPiece is data in transit, or the end of the connection or of its sending side.
 type queuedPiece struct {
-	data    []byte
-	end     bool
-	arrives time.Time
+	data          []byte
+	end, writeEnd bool
+	arrives       time.Time
 }
 
 func (c *memConn) between(a, b string) bool {
@@ -389,12 +394,19 @@
 			_ = c.abort()
 			return
 		}
+		if next.writeEnd {
+			c.peer.endInput()
+			continue
+		}
 		_, _ = c.Conn.Write(next.data)
 	}
 }
 
 func (c *memConn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if n == 0 && c.isInputEnded() {
+		return 0, io.EOF
+	}
 	if c.isBlackholed() && (n > 0 || err == nil) {
 		<-c.closed
 		return 0, net.ErrClosed
@@ -402,13 +414,45 @@
 	return n, err
 }
 
+// CloseWrite closes the sending side, as that of a TCP connection: the other end reads io.EOF after
+// what was written before, and can still write.
+func (c *memConn) CloseWrite() error {
+	if !c.isBlackholed() && !c.enqueue(queuedPiece{writeEnd: true}) {
+		c.peer.endInput()
+	}
+	return nil
+}
+
+// endInput ends the pending and all later reads.
+func (c *memConn) endInput() {
+	c.mu.Lock()
+	c.inputEnded = true
+	c.mu.Unlock()
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+}
+
+func (c *memConn) isInputEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inputEnded
+}
+
+// SetReadDeadline implements net.Conn. Reads of an input that has ended do not wait.
+func (c *memConn) SetReadDeadline(at time.Time) error {
+	err := c.Conn.SetReadDeadline(at)
+	if c.isInputEnded() {
+		return c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	return err
+}
+
 // Close implements net.Conn. As with TCP, what was written before arrives before the end does.
 func (c *memConn) Close() error {
 	if c.isBlackholed() || !c.enqueue(queuedPiece{end: true}) {
 		return c.abort()
 	}
 	// The owner's own reads end at once.
-	return c.Conn.SetReadDeadline(time.Now())
+	return c.SetReadDeadline(time.Now())
 }
 
 // abort closes the connection and drops what is in transit.
