A request whose handler writes nothing is no success

Callers got an empty 200 from a host whose handler had returned without a word, and a closed connection where it had panicked. Cause: net/http completes such a handler as a success; each path in serve had to remember to write, and the one of callers that were thought gone did not.

internal/answer is now the one place where an answer is written and ends. An answer is whole only once that was said; content without a status is refused; an answer of the host's own cannot have a status of success; where nothing was written, End answers 500 (which promises nothing), and an answer that breaks off closes the connection. Panics are logged with their stack and end the same way. serve no longer panics to cut an answer.

The tests of serve that recovered the panic now check the outcome, which is as strict.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
+	"github.com/cherrystage/cherrystage/internal/answer"
 	"github.com/cherrystage/cherrystage/internal/awake"
 	"github.com/cherrystage/cherrystage/internal/board"
 	"github.com/cherrystage/cherrystage/internal/contention"
@@ -366,7 +367,7 @@
 	return false
 }
 
-func (e *Entry) serve(ctx context.Context, w http.ResponseWriter, route *site.Route, request *forward.Request, arrived time.Time) {
+func (e *Entry) serve(ctx context.Context, w *answer.Writer, route *site.Route, request *forward.Request, arrived time.Time) {
 	e.openRequests.Add(1)
 	defer e.openRequests.Add(-1)
 	e.server.Serve(ctx, w, route, request, arrived)
--- a/internal/ingress/answered_test.go
+++ b/internal/ingress/answered_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/answer"
 	"github.com/shoenig/test/must"
 )
 
@@ -44,9 +45,8 @@
 }
 
 // writeWhole writes an answer of a runner.
-func writeWhole(w http.ResponseWriter, body string) {
-	w.WriteHeader(http.StatusOK)
-	_, _ = io.WriteString(w, body)
+func writeWhole(w *answer.Writer, body string) {
+	_ = w.WriteWhole(http.StatusOK, []byte(body))
 }
 
 // A caller that closes its sending side and reads on gets an empty success instead of its answer.
@@ -54,7 +54,7 @@
 	for name, text := range map[string]string{"read": "GET /a/x HTTP/1.1\r\nHost: h\r\nId: q\r\n\r\n", "call": post("/a/x", 20)} {
 		t.Run(name, func(t *testing.T) {
 			withIngress(t, true, func(e *testIngress) {
-				e.handler = func(ctx context.Context, w http.ResponseWriter) {
+				e.handler = func(ctx context.Context, w *answer.Writer) {
 					select {
 					case <-ctx.Done():
 					case <-time.After(2 * time.Second):
@@ -77,7 +77,7 @@
 // A handler that ends without an answer gives its caller an empty success.
 func TestHandlerWithoutAnswerIsNoSuccess(t *testing.T) {
 	withIngress(t, true, func(e *testIngress) {
-		e.handler = func(context.Context, http.ResponseWriter) {}
+		e.handler = func(context.Context, *answer.Writer) {}
 		got := e.readAnswer(e.sendOnly(post("/a/x", 3)))
 		must.Eq(t, http.StatusInternalServerError, got.status)
 	})
@@ -86,7 +86,7 @@
 // A handler that panics before it has written anything closes the connection without an answer.
 func TestHandlerThatPanicsIsAnswered(t *testing.T) {
 	withIngress(t, true, func(e *testIngress) {
-		e.handler = func(context.Context, http.ResponseWriter) { panic("a fault") }
+		e.handler = func(context.Context, *answer.Writer) { panic("a fault") }
 		got := e.readAnswer(e.sendOnly(post("/a/x", 3)))
 		must.Eq(t, http.StatusInternalServerError, got.status)
 	})
@@ -110,8 +110,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			withIngress(t, true, func(e *testIngress) {
-				e.closing = true
-				e.handler = func(_ context.Context, w http.ResponseWriter) { writeWhole(w, "answer") }
+				e.closing.Store(true)
+				e.handler = func(_ context.Context, w *answer.Writer) { writeWhole(w, "answer") }
 				reader := e.sendOnly(strings.Join(texts, ""))
 				for i := range texts {
 					got := e.readAnswer(reader)
@@ -137,14 +137,15 @@
 // A host that is about to end closes a connection although it has read a further request on it.
 func TestRequestReadDuringShutdownIsAnswered(t *testing.T) {
 	withIngress(t, true, func(e *testIngress) {
-		e.handler = func(_ context.Context, w http.ResponseWriter) {
+		e.handler = func(_ context.Context, w *answer.Writer) {
 			time.Sleep(500 * time.Millisecond)
 			writeWhole(w, "answer")
 		}
 		reader := e.sendOnly(post("/a/x", 5) + post("/a/x", 6))
 		go func() {
 			time.Sleep(100 * time.Millisecond)
-			e.closing, e.refusing = true, true
+			e.closing.Store(true)
+			e.refusing.Store(true)
 			e.shutdown(e.t.Context())
 		}()
 		must.Eq(t, http.StatusOK, e.readAnswer(reader).status)
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,10 +5,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -43,7 +44,7 @@
 )
 
 // Serve serves a request on its route; arrived is when its header had been read.
-type Serve func(ctx context.Context, w http.ResponseWriter, route *site.Route, request *forward.Request, arrived time.Time)
+type Serve func(ctx context.Context, w *answer.Writer, route *site.Route, request *forward.Request, arrived time.Time)
 
 // Ingress accepts callers' requests over HTTP.
 type Ingress struct {
@@ -58,7 +59,7 @@
 	Closing func() bool
 	// Refusing reports whether new requests are refused.
 	Refusing func() bool
-	// Unanswered counts the requests that ended without an answer.
+	// Unanswered counts the requests whose handler ended without having written anything.
 	Unanswered atomic.Int64
 }
 
@@ -71,7 +72,7 @@
 	// Routes come from the configuration, so every request is handled before echo's router.
 	router.Pre(func(echo.HandlerFunc) echo.HandlerFunc {
 		return func(c echo.Context) error {
-			i.handleObserved(c.Response().Writer, c.Request())
+			i.serveHTTP(c.Response().Writer, c.Request())
 			return nil
 		}
 	})
@@ -85,38 +86,50 @@
 	}
 }
 
-// handleObserved handles a request, and logs if it got no answer.
-func (i *Ingress) handleObserved(inner http.ResponseWriter, r *http.Request) {
+// serveHTTP handles a request, and makes sure that it ends with an answer or with a broken
+// connection.
+func (i *Ingress) serveHTTP(inner http.ResponseWriter, r *http.Request) {
 	w := answer.NewWriter(inner)
-	defer func() {
-		if !w.Begun() {
-			i.logUnanswered(r)
+	w.OnHeader = func(header http.Header) {
+		if i.Closing() {
+			header.Set("Connection", "close")
 		}
-	}()
-	i.handle(w, r)
+	}
+	defer i.end(w, r)
+	i.handle(r.Context(), w, r)
 }
 
-// logUnanswered logs a request that ended without an answer, with what became of its connection.
+// end ends the answer to a request whose handler has returned or panicked.
+func (i *Ingress) end(w *answer.Writer, r *http.Request) {
+	cause := recover()
+	outcome := w.End()
+	recorderFrom(r.Context()).reset()
+	if cause != nil {
+		i.Log.Error("request handler panicked", "id", i.requestID(r), "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	}
+	switch outcome {
+	case answer.Missing:
+		i.logUnanswered(r)
+	case answer.Cut, answer.Left:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// logUnanswered logs a request for which nothing had been written when its handler ended.
 func (i *Ingress) logUnanswered(r *http.Request) {
 	i.Unanswered.Add(1)
-	i.Log.Warn("request ended without an answer", "id", i.requestID(r), "method", r.Method, "path", r.URL.Path,
-		"context", r.Context().Err(), "input", recorderFrom(r.Context()).inputState().String())
+	i.Log.Warn("request ended without an answer", "id", i.requestID(r), "method", r.Method, "path", r.URL.Path, "input", recorderFrom(r.Context()).inputState().String())
 }
 
-func (i *Ingress) handle(w http.ResponseWriter, r *http.Request) {
+func (i *Ingress) handle(ctx context.Context, w *answer.Writer, r *http.Request) {
 	arrived := i.Now()
-	recorder := recorderFrom(r.Context())
-	defer recorder.reset()
-	if i.Closing() {
-		w.Header().Set("Connection", "close")
-	}
 	if i.Refusing() {
 		w.Header().Set("Retry-After", stoppingRetryAfter)
 		i.reject(w, r, http.StatusServiceUnavailable, "this host is stopping")
 		return
 	}
 	if len(r.TransferEncoding) > 0 {
-		switch recorder.detectFraming() {
+		switch recorderFrom(r.Context()).detectFraming() {
 		case framingConflict:
 			i.reject(w, r, http.StatusBadRequest, "both Content-Length and Transfer-Encoding")
 			return
@@ -160,7 +173,7 @@
 		ClientAddr:      stripPort(r.RemoteAddr),
 		Caller:          caller,
 	}
-	i.Serve(r.Context(), w, route, request, arrived)
+	i.Serve(ctx, w, route, request, arrived)
 }
 
 // identifyCaller finds the workspace of the request's key in the configuration in force. It
@@ -180,7 +193,7 @@
 // net/http would read the body first, and a slow caller would occupy the connection for
 // nothing. The rest of the body is read after the answer, so that the next request on the
 // connection is parsed from its start.
-func (i *Ingress) rejectUnauthorized(w http.ResponseWriter, r *http.Request, config *site.Config) {
+func (i *Ingress) rejectUnauthorized(w *answer.Writer, r *http.Request, config *site.Config) {
 	control := http.NewResponseController(w)
 	if err := control.EnableFullDuplex(); err != nil {
 		i.Log.Debug("full duplex not available, the answer waits for the request's body", "error", err.Error())
@@ -192,13 +205,13 @@
 	}
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, defaultBodyBytes)); err != nil {
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w.Unwrap(), r.Body, defaultBodyBytes)); err != nil {
 		i.Log.Debug("rest of a rejected request's body not read", "error", err.Error())
 	}
 }
 
 // readBody reads the body. It returns the status to reject the request with, or 0.
-func (i *Ingress) readBody(w http.ResponseWriter, r *http.Request, config *site.Config, metadata forward.RequestMetadata) ([]byte, int) {
+func (i *Ingress) readBody(w *answer.Writer, r *http.Request, config *site.Config, metadata forward.RequestMetadata) ([]byte, int) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, 0
 	}
@@ -215,7 +228,7 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(timeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(w.Unwrap(), r.Body, limit))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	var network net.Error
@@ -233,7 +246,7 @@
 
 // reject answers a request that is not served. If its framing is in doubt or its body was not
 // read, the connection is closed: the bytes that follow may belong to this request.
-func (i *Ingress) reject(w http.ResponseWriter, r *http.Request, status int, reason string, fields ...any) {
+func (i *Ingress) reject(w *answer.Writer, r *http.Request, status int, reason string, fields ...any) {
 	line := []any{"id", i.requestID(r), "method", r.Method, "host_header", r.Host, "path", r.URL.Path, "status", status, "reason", reason}
 	i.Log.Info("request rejected", append(line, fields...)...)
 	switch status {
@@ -241,14 +254,7 @@
 	default:
 		w.Header().Set("Connection", "close")
 	}
-	body := reason + "\n"
-	header := w.Header()
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	header.Set("X-Content-Type-Options", "nosniff")
-	// With a Content-Length, the answer is complete as soon as it is flushed.
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	_, _ = io.WriteString(w, body)
+	_ = w.WriteOwn(status, reason)
 }
 
 // configLogFields returns the log fields on the configuration that a request was rejected by.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -9,10 +9,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/answer"
 	"github.com/cherrystage/cherrystage/internal/credential"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
@@ -69,11 +71,11 @@
 type testIngress struct {
 	t        *testing.T
 	net      *standin.Network
-	closing  bool
-	refusing bool
+	closing  atomic.Bool
+	refusing atomic.Bool
 	served   []*forward.Request
 	// handler replaces the usual answer if it is set.
-	handler func(ctx context.Context, w http.ResponseWriter)
+	handler func(ctx context.Context, w *answer.Writer)
 	// shutdown stops the server gracefully.
 	shutdown func(ctx context.Context)
 }
@@ -106,23 +108,7 @@
 			time.Sleep(time.Second)
 			synctest.Wait()
 		}()
-		known := directory.New(testDecoder{config: config}, time.Now, hclog.NewNullLogger())
-		if config != nil {
-			known.Configs.Changed([]registry.Change{{Record: registry.Record{Name: "main", Revision: 1}}}, registry.Position{Revision: 1})
-		}
-		server := (&Ingress{
-			ConfigAge: func() time.Duration { return 0 },
-			Dialect:   testDialect{}, Directory: known, Now: time.Now, Log: hclog.NewNullLogger(),
-			Serve: func(ctx context.Context, w http.ResponseWriter, _ *site.Route, request *forward.Request, _ time.Time) {
-				e.served = append(e.served, request)
-				if e.handler != nil {
-					e.handler(ctx, w)
-					return
-				}
-				_, _ = io.WriteString(w, "served")
-			},
-			Closing: func() bool { return e.closing }, Refusing: func() bool { return e.refusing },
-		}).Server()
+		server := newServer(config, e)
 		listener, err := e.net.Host("entry").Listen("80")
 		must.NoError(t, err)
 		go func() { _ = server.Serve(WrapListener(listener)) }()
@@ -132,6 +118,28 @@
 	})
 }
 
+// newServer returns a server with a configuration, or with none if that is nil. The test answers its
+// requests.
+func newServer(config *site.Config, e *testIngress) *http.Server {
+	known := directory.New(testDecoder{config: config}, time.Now, hclog.NewNullLogger())
+	if config != nil {
+		known.Configs.Changed([]registry.Change{{Record: registry.Record{Name: "main", Revision: 1}}}, registry.Position{Revision: 1})
+	}
+	return (&Ingress{
+		ConfigAge: func() time.Duration { return 0 },
+		Dialect:   testDialect{}, Directory: known, Now: time.Now, Log: hclog.NewNullLogger(),
+		Serve: func(ctx context.Context, w *answer.Writer, _ *site.Route, request *forward.Request, _ time.Time) {
+			e.served = append(e.served, request)
+			if e.handler != nil {
+				e.handler(ctx, w)
+				return
+			}
+			_ = w.WriteWhole(http.StatusOK, []byte("served"))
+		},
+		Closing: e.closing.Load, Refusing: e.refusing.Load,
+	}).Server()
+}
+
 // send writes text on a new connection and reads one answer.
 func (e *testIngress) send(text string) *http.Response {
 	e.t.Helper()
@@ -224,11 +232,11 @@
 // requests on open connections, since it could not complete them in time.
 func TestStoppingHostServesThenRefuses(t *testing.T) {
 	withIngress(t, true, func(e *testIngress) {
-		e.closing = true
+		e.closing.Store(true)
 		response := e.send(post("/a/x", 3))
 		must.Eq(t, http.StatusOK, response.StatusCode)
 		must.True(t, response.Close)
-		e.refusing = true
+		e.refusing.Store(true)
 		response = e.send(post("/a/x", 3))
 		must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
 		must.Eq(t, stoppingRetryAfter, response.Header.Get("Retry-After"))
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -118,13 +117,8 @@
 
 func (l *lifecycle) writePlain(status int, reason string) {
 	l.reason = reason
-	header := l.w.Header()
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	body := reason + "\n"
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	l.writeHeader(status)
-	_, err := l.w.Write([]byte(body))
-	l.complete = err == nil
+	l.noteHeader(status)
+	l.complete = l.w.WriteOwn(status, reason) == nil
 }
 
 // logRequest logs the outcome of the request and what led to it.
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"net/http"
-	"strconv"
 
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/quarantine"
@@ -156,12 +155,9 @@
 
 // writeWhole passes on a complete answer.
 func (l *lifecycle) writeWhole(answer *forward.Response, body []byte) {
-	header := l.w.Header()
-	copyHeader(header, answer.Header)
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	l.writeHeader(answer.Status)
-	_, err := l.w.Write(body)
-	l.complete = err == nil
+	copyHeader(l.w.Header(), answer.Header)
+	l.noteHeader(answer.Status)
+	l.complete = l.w.WriteWhole(answer.Status, body) == nil
 }
 
 func copyHeader(into, from http.Header) {
@@ -170,8 +166,8 @@
 	}
 }
 
-func (l *lifecycle) writeHeader(status int) {
-	l.w.WriteHeader(status)
+// noteHeader records that the answer's header is written.
+func (l *lifecycle) noteHeader(status int) {
 	l.headerWritten = true
 	l.status = status
 	l.firstByteAt = l.s.Now()
@@ -182,7 +178,8 @@
 	if !l.headerWritten {
 		l.beginStream(ctx)
 		copyHeader(l.w.Header(), answer.Header)
-		l.writeHeader(answer.Status)
+		l.noteHeader(answer.Status)
+		l.w.WriteHeader(answer.Status)
 		if l.via == "" {
 			l.s.Owners.ReportFirstEvent(l.runner, l.request.PromptTokens, l.firstByteAt.Sub(l.sentAt))
 		}
--- a/internal/serve/charge_test.go
+++ b/internal/serve/charge_test.go
@@ -41,7 +41,7 @@
 		Caller: forward.Caller{KeysEnforced: true, Workspace: workspace},
 	}
 	answer := httptest.NewRecorder()
-	w.server.Serve(w.t.Context(), answer, route, request, time.Now())
+	w.serve(w.t.Context(), answer, route, request, time.Now())
 	return answer
 }
 
--- a/internal/serve/endless_test.go
+++ b/internal/serve/endless_test.go
@@ -42,7 +42,7 @@
 			MaxAttempts: 2, Targets: []site.Target{{Service: llm, Weight: 1}},
 		}
 		answer := httptest.NewRecorder()
-		w.server.Serve(context.Background(), answer, route, w.request(), time.Now())
+		w.serve(context.Background(), answer, route, w.request(), time.Now())
 		must.Eq(t, http.StatusOK, answer.Code)
 		must.Eq(t, "part and rest", answer.Body.String())
 		must.Eq(t, 2, sends)
@@ -59,7 +59,7 @@
 			w.endWithConnection(rw, r, "text/plain", "part", true)
 		}
 		answer := httptest.NewRecorder()
-		w.server.Serve(context.Background(), answer, endlessRoute(site.NonIdempotent, 1), w.request(), time.Now())
+		w.serve(context.Background(), answer, endlessRoute(site.NonIdempotent, 1), w.request(), time.Now())
 		must.Eq(t, http.StatusBadGateway, answer.Code)
 		must.Eq(t, 1, sends)
 	})
@@ -80,7 +80,7 @@
 		for range 2 {
 			served.Go(func() {
 				answer := httptest.NewRecorder()
-				w.server.Serve(context.Background(), answer, endlessRoute(site.NonIdempotent, 1), w.request(), time.Now())
+				w.serve(context.Background(), answer, endlessRoute(site.NonIdempotent, 1), w.request(), time.Now())
 				must.Eq(t, http.StatusBadGateway, answer.Code)
 			})
 		}
@@ -109,12 +109,8 @@
 			route := endlessRoute(site.Streaming, 2)
 			route.Resumable = resumable
 			answer := httptest.NewRecorder()
-			cut := func() (cut any) {
-				defer func() { cut = recover() }()
-				w.server.Serve(context.Background(), answer, route, w.request(), time.Now())
-				return nil
-			}()
-			must.Eq(t, !resumable, cut != nil)
+			outcome := w.serve(context.Background(), answer, route, w.request(), time.Now())
+			must.Eq(t, !resumable, outcome == cut)
 			must.Eq(t, resumable, strings.HasSuffix(answer.Body.String(), "data: last\n\n"))
 		})
 	}
@@ -135,7 +131,7 @@
 				callers.Go(func() {
 					for round := range rounds {
 						answer := httptest.NewRecorder()
-						w.server.Serve(context.Background(), answer, endlessRoute(site.Idempotent, 1), w.request(), time.Now())
+						w.serve(context.Background(), answer, endlessRoute(site.Idempotent, 1), w.request(), time.Now())
 						must.Eq(t, "whole", answer.Body.String())
 						time.Sleep(time.Duration(caller*round%17) * 10 * time.Millisecond)
 					}
@@ -156,7 +152,7 @@
 		}
 		began := time.Now()
 		answer := httptest.NewRecorder()
-		w.server.Serve(context.Background(), answer, endlessRoute(site.Idempotent, 1), w.request(), time.Now())
+		w.serve(context.Background(), answer, endlessRoute(site.Idempotent, 1), w.request(), time.Now())
 		must.Eq(t, "whole", answer.Body.String())
 		must.LessEq(t, 100*time.Millisecond, time.Since(began))
 	})
@@ -173,7 +169,7 @@
 				_, _ = rw.Write(make([]byte, maxHeldAnswerBytes+extra))
 			}
 			answer := httptest.NewRecorder()
-			w.server.Serve(context.Background(), answer, endlessRoute(site.NonIdempotent, 1), w.request(), time.Now())
+			w.serve(context.Background(), answer, endlessRoute(site.NonIdempotent, 1), w.request(), time.Now())
 			must.Eq(t, status, answer.Code)
 		})
 	}
@@ -210,7 +206,7 @@
 			MaxAttempts: 1, Targets: []site.Target{{Service: llm, Weight: 1}},
 		}
 		answer := httptest.NewRecorder()
-		w.server.Serve(context.Background(), answer, route, w.request(), time.Now())
+		w.serve(context.Background(), answer, route, w.request(), time.Now())
 		must.Eq(t, "whole", answer.Body.String())
 		must.True(t, w.server.Quarantine.Pending())
 	})
--- a/internal/serve/hedge_edges_test.go
+++ b/internal/serve/hedge_edges_test.go
@@ -29,21 +29,15 @@
 }
 
 // serveStream serves a request of its own ID for a stream that may go on at another runner.
-func (w *testEnv) serveStream(id, adapter string, route site.Route) (answer *timedRecorder, cut bool) {
+func (w *testEnv) serveStream(id, adapter string, route site.Route) (answer *timedRecorder, wasCut bool) {
 	route.Name, route.Targets = "queued", []site.Target{{Service: llm, Weight: 1}}
 	request := &forward.Request{
 		RequestMetadata: forward.RequestMetadata{ID: id, Adapter: site.Adapter{Model: model, Name: adapter}, PromptTokens: 800, OutputTokens: 100},
 		Method:          http.MethodPost, Host: "host", Target: "/queued/x", Header: http.Header{},
 	}
 	answer = &timedRecorder{ResponseRecorder: httptest.NewRecorder()}
-	defer func() {
-		if failure := recover(); failure != nil {
-			must.Eq(w.t, any(http.ErrAbortHandler), failure)
-			cut = true
-		}
-	}()
-	w.server.Serve(w.t.Context(), answer, &route, request, time.Now())
-	return answer, cut
+	outcome := w.serve(w.t.Context(), answer, &route, request, time.Now())
+	return answer, outcome == cut
 }
 
 var resumableRoute = site.Route{
--- a/internal/serve/hedge_load_test.go
+++ b/internal/serve/hedge_load_test.go
@@ -229,7 +229,7 @@
 					route := resumableRoute
 					route.Timeout, route.Name, route.Targets = 8*time.Second, "queued", []site.Target{{Service: llm, Weight: 1}}
 					request := &forward.Request{RequestMetadata: forward.RequestMetadata{ID: id, Adapter: site.Adapter{Model: model, Name: adapter}, PromptTokens: 800, OutputTokens: 100}, Method: http.MethodPost, Host: "host", Target: "/queued/x", Header: http.Header{}}
-					w.server.Serve(ctx, answer, &route, request, time.Now())
+					w.serve(ctx, answer, &route, request, time.Now())
 				}()
 				ended := time.Now()
 				mu.Lock()
--- a/internal/serve/hedge_test.go
+++ b/internal/serve/hedge_test.go
@@ -119,7 +119,7 @@
 
 // serveResumable serves a request for a stream that may go on at another runner, and reports whether
 // its answer was cut.
-func (w *testEnv) serveResumable() (answer *timedRecorder, cut bool) {
+func (w *testEnv) serveResumable() (answer *timedRecorder, wasCut bool) {
 	route := &site.Route{
 		Name: "queued", Kind: site.Streaming, Timeout: 20 * time.Second, TargetLatency: 600 * time.Millisecond, TargetGap: 250 * time.Millisecond,
 		MaxAttempts: 2, Resumable: true, Targets: []site.Target{{Service: llm, Weight: 1}},
@@ -129,14 +129,8 @@
 		Method:          http.MethodPost, Host: "host", Target: "/queued/x", Header: http.Header{},
 	}
 	answer = &timedRecorder{ResponseRecorder: httptest.NewRecorder()}
-	defer func() {
-		if failure := recover(); failure != nil {
-			must.Eq(w.t, any(http.ErrAbortHandler), failure)
-			cut = true
-		}
-	}()
-	w.server.Serve(w.t.Context(), answer, route, request, time.Now())
-	return answer, cut
+	outcome := w.serve(w.t.Context(), answer, route, request, time.Now())
+	return answer, outcome == cut
 }
 
 func wholeStream() string {
--- a/internal/serve/latestream_test.go
+++ b/internal/serve/latestream_test.go
@@ -49,12 +49,8 @@
 				Method:          http.MethodPost, Host: "host", Target: "/brief/x", Header: http.Header{},
 			}
 			answer := httptest.NewRecorder()
-			cut := func() (cut any) {
-				defer func() { cut = recover() }()
-				w.server.Serve(context.Background(), answer, route, request, time.Now())
-				return nil
-			}()
-			must.Nil(t, cut, must.Sprintf("the stream was cut after %s", speaks))
+			outcome := w.serve(context.Background(), answer, route, request, time.Now())
+			must.Eq(t, whole, outcome, must.Sprintf("the stream was cut after %s", speaks))
 			must.StrContains(t, answer.Body.String(), "data: last")
 		})
 	}
--- a/internal/serve/quarantine_test.go
+++ b/internal/serve/quarantine_test.go
@@ -20,7 +20,7 @@
 		MaxAttempts: 2, Resumable: true, Targets: []site.Target{{Service: llm, Weight: 1}},
 	}
 	answer := httptest.NewRecorder()
-	w.server.Serve(w.t.Context(), answer, route, w.request(), time.Now())
+	w.serve(w.t.Context(), answer, route, w.request(), time.Now())
 	return answer
 }
 
--- a/internal/serve/relaying.go
+++ b/internal/serve/relaying.go
@@ -141,6 +141,7 @@
 	x, l := r.current, r.l
 	switch {
 	case p.ended && isEventStream(x.answer.Header) && x.answer.Status == http.StatusOK:
+		l.w.Complete()
 		l.complete = true
 	case p.ended:
 		l.writeWhole(x.answer, p.content)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"strconv"
 	"strings"
@@ -13,6 +12,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
+	"github.com/cherrystage/cherrystage/internal/answer"
 	"github.com/cherrystage/cherrystage/internal/board"
 	"github.com/cherrystage/cherrystage/internal/contention"
 	"github.com/cherrystage/cherrystage/internal/directory"
@@ -163,7 +163,7 @@
 // lifecycle is the state of one request while it is served.
 type lifecycle struct {
 	s        *Server
-	w        http.ResponseWriter
+	w        *answer.Writer
 	route    *site.Route
 	service  *site.Service
 	request  *forward.Request
@@ -263,9 +263,9 @@
 	longestGapEnd time.Time
 }
 
-// Serve serves one request and writes its answer. It panics with http.ErrAbortHandler if
-// the answer is incomplete, so that the caller sees the connection break.
-func (s *Server) Serve(ctx context.Context, w http.ResponseWriter, route *site.Route, request *forward.Request, arrived time.Time) {
+// Serve serves one request and writes its answer. It leaves an answer that breaks off incomplete, and
+// writes none for a caller that has left.
+func (s *Server) Serve(ctx context.Context, w *answer.Writer, route *site.Route, request *forward.Request, arrived time.Time) {
 	l := &lifecycle{s: s, w: w, route: route, request: request, arrived: arrived, tried: map[string]bool{}, adapterMisses: map[string]int{}}
 	l.deadline = arrived.Add(requestTimeout(route, request))
 	l.subjects = quarantine.SubjectsOf(contentOf(request), request.PromptParts)
@@ -293,9 +293,6 @@
 		l.refundIfNotRun()
 	}
 	l.logRequest(ctx)
-	if l.headerWritten && !l.complete {
-		panic(http.ErrAbortHandler)
-	}
 }
 
 func contentOf(request *forward.Request) quarantine.Content {
--- a/internal/serve/slots_test.go
+++ b/internal/serve/slots_test.go
@@ -62,7 +62,7 @@
 func (w *testEnv) servePlain(ctx context.Context, kind site.Kind) *httptest.ResponseRecorder {
 	request := &forward.Request{RequestMetadata: forward.RequestMetadata{ID: "q"}, Method: http.MethodPost, Host: "host", Target: "/plain/x", Header: http.Header{}}
 	answer := httptest.NewRecorder()
-	w.server.Serve(ctx, answer, plainRoute(kind), request, time.Now())
+	w.serve(ctx, answer, plainRoute(kind), request, time.Now())
 	return answer
 }
 
--- a/internal/serve/testenv_test.go
+++ b/internal/serve/testenv_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
+	"github.com/cherrystage/cherrystage/internal/answer"
 	"github.com/cherrystage/cherrystage/internal/board"
 	"github.com/cherrystage/cherrystage/internal/contention"
 	"github.com/cherrystage/cherrystage/internal/directory"
@@ -223,10 +224,23 @@
 		Method:          http.MethodPost, Host: "host", Target: "/live/x", Header: http.Header{},
 	}
 	answer := httptest.NewRecorder()
-	w.server.Serve(w.t.Context(), answer, route, request, time.Now())
+	w.serve(w.t.Context(), answer, route, request, time.Now())
 	return answer
 }
 
+// Outcomes of an answer, where a test has a variable of the package's name.
+const (
+	whole = answer.Whole
+	cut   = answer.Cut
+)
+
+// serve serves a request, writes its answer to inner and returns how it ended.
+func (w *testEnv) serve(ctx context.Context, inner http.ResponseWriter, route *site.Route, request *forward.Request, arrived time.Time) answer.Outcome {
+	writer := answer.NewWriter(inner)
+	w.server.Serve(ctx, writer, route, request, arrived)
+	return writer.End()
+}
+
 // admitAfter answers an admission with a time that lies wait ahead.
 func admitAfter(wait time.Duration, again bool) func(*site.Runner, adapters.AdmissionRequest) (adapters.AdmissionResult, error) {
 	return func(*site.Runner, adapters.AdmissionRequest) (adapters.AdmissionResult, error) {
