A caller that has closed its sending side gets its answer

Cause: net/http cancels a request's context with the end of the connection's input, and with any error of that read, such as a deadline; serve took that for a caller that had left.

A request now has a context of its own that ends once its caller has left: its connection is broken, or it refuses what is sent to it. What was weighed: answering at once that the host gave up (a whole request without an answer), and going on in any case (work for nobody).

--- a/internal/ingress/answered_test.go
+++ b/internal/ingress/answered_test.go
@@ -154,3 +154,65 @@
 		must.True(t, got.closes)
 	})
 }
+
+// A caller that closes its whole connection keeps a runner at work for nobody.
+func TestRequestEndsOnceItsCallerHasLeft(t *testing.T) {
+	withIngress(t, true, func(e *testIngress) {
+		ended := make(chan time.Duration, 1)
+		e.handler = func(ctx context.Context, _ *answer.Writer) {
+			begin := time.Now()
+			<-ctx.Done()
+			ended <- time.Since(begin)
+		}
+		conn := e.dial()
+		_, err := io.WriteString(conn, post("/a/x", 3))
+		must.NoError(t, err)
+		must.NoError(t, conn.Close())
+		must.Between(t, 0, <-ended, 400*time.Millisecond)
+	})
+}
+
+// Over TCP, a caller that has left is found out by what it refuses, and one that has closed its
+// sending side gets its answer.
+func TestCallersThatLeaveOverTCP(t *testing.T) {
+	for name, test := range map[string]struct {
+		close  func(conn *net.TCPConn) error
+		answer bool
+	}{
+		"sending side closed": {close: (*net.TCPConn).CloseWrite, answer: true},
+		"connection closed":   {close: (*net.TCPConn).Close},
+		"connection reset": {close: func(conn *net.TCPConn) error {
+			_ = conn.SetLinger(0)
+			return conn.Close()
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ended := make(chan error, 1)
+			server := newServer(configWith(nil), &testIngress{handler: func(ctx context.Context, w *answer.Writer) {
+				select {
+				case <-ctx.Done():
+				case <-time.After(time.Second):
+					writeWhole(w, "answer")
+				}
+				ended <- ctx.Err()
+			}})
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			go func() { _ = server.Serve(WrapListener(listener)) }()
+			defer func() { _ = server.Close() }()
+			conn, err := net.Dial("tcp", listener.Addr().String())
+			must.NoError(t, err)
+			_, err = io.WriteString(conn, post("/a/x", 3))
+			must.NoError(t, err)
+			must.NoError(t, test.close(conn.(*net.TCPConn)))
+			if !test.answer {
+				must.ErrorIs(t, <-ended, context.Canceled)
+				return
+			}
+			must.NoError(t, <-ended)
+			e := &testIngress{t: t}
+			got := e.readAnswer(bufio.NewReader(conn))
+			must.Eq(t, receivedAnswer{status: http.StatusOK, body: "answer"}, receivedAnswer{status: got.status, body: got.body})
+		})
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -95,13 +95,15 @@
 			header.Set("Connection", "close")
 		}
 	}
-	defer i.end(w, r)
-	i.handle(r.Context(), w, r)
+	ctx, stop := watchCaller(w, r)
+	defer i.end(w, r, stop)
+	i.handle(ctx, w, r)
 }
 
 // end ends the answer to a request whose handler has returned or panicked.
-func (i *Ingress) end(w *answer.Writer, r *http.Request) {
+func (i *Ingress) end(w *answer.Writer, r *http.Request, stopWatching func()) {
 	cause := recover()
+	stopWatching()
 	outcome := w.End()
 	recorderFrom(r.Context()).reset()
 	if cause != nil {
--- a/internal/ingress/recorder.go
+++ b/internal/ingress/recorder.go
@@ -31,6 +31,8 @@
 	mu       sync.Mutex
 	recorded []byte
 	input    inputState
+	// writeFailed is set once the caller's side has refused something.
+	writeFailed bool
 }
 
 // inputState is what became of the bytes that the caller sends.
@@ -63,6 +65,27 @@
 	}
 }
 
+// Write implements net.Conn.
+func (r *recorder) Write(data []byte) (int, error) {
+	n, err := r.Conn.Write(data)
+	if err != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.writeFailed = true
+	}
+	return n, err
+}
+
+// hasWriteFailed reports whether the caller's side has refused what was sent to it.
+func (r *recorder) hasWriteFailed() bool {
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.writeFailed
+}
+
 // inputState returns what became of the caller's input.
 func (r *recorder) inputState() inputState {
 	if r == nil {
