Requests that were read behind another one on their connection are answered

Callers that send several requests on a connection at once lost those behind the first: a stopping host closed the connection after an answer that said so, and a chunked request that had been read together with the one before it counted as of unknown framing, whose connection is closed, without any stop.

Cause: the recorder of a connection forgot, with each request, what net/http had read beyond it. It now counts what was read, and keeps what lies beyond a request (by its length, or its chunks) as the beginning of the next one. While a host stops, only an answer behind which nothing was read closes its connection; it is decided when the header is written, so requests that began before the stop are told as well.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -89,9 +89,10 @@
 // serveHTTP handles a request, and makes sure that it ends with an answer or with a broken
 // connection.
 func (i *Ingress) serveHTTP(inner http.ResponseWriter, r *http.Request) {
+	conn := recorderFrom(r.Context())
 	w := answer.NewWriter(inner)
 	w.OnHeader = func(header http.Header) {
-		if i.Closing() {
+		if i.Closing() && !conn.hasReadAhead(r) {
 			header.Set("Connection", "close")
 		}
 	}
@@ -105,7 +106,7 @@
 	cause := recover()
 	stopWatching()
 	outcome := w.End()
-	recorderFrom(r.Context()).reset()
+	recorderFrom(r.Context()).end(r)
 	if cause != nil {
 		i.Log.Error("request handler panicked", "id", i.requestID(r), "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
 	}
--- a/internal/ingress/recorder.go
+++ b/internal/ingress/recorder.go
@@ -1,16 +1,24 @@
 package ingress
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httputil"
 	"sync"
 )
 
-// maxRecordedBytes bounds the bytes recorded of a request.
-const maxRecordedBytes = 16 << 10
+const (
+	// maxRecordedBytes bounds the bytes recorded of a request.
+	maxRecordedBytes = 16 << 10
+	// maxReadAhead is the number of bytes that net/http may have read beyond a request: its buffer,
+	// and one byte more while a handler runs.
+	maxReadAhead = 4<<10 + 1
+)
 
 // framing is how a request's header declares the length of its body.
 type framing uint8
@@ -21,20 +29,6 @@
 	framingConflict
 )
 
-// recorder records the first bytes of each request on a connection, to detect request
-// smuggling. net/http removes Content-Length if Transfer-Encoding is present too, so a handler
-// cannot see both. A caller that sends both may try to hide a second request in the body:
-// what follows the chunks would be taken for a request of its own.
-type recorder struct {
-	net.Conn
-
-	mu       sync.Mutex
-	recorded []byte
-	input    inputState
-	// writeFailed is set once the caller's side has refused something.
-	writeFailed bool
-}
-
 // inputState is what became of the bytes that the caller sends.
 type inputState uint8
 
@@ -65,6 +59,49 @@
 	}
 }
 
+// recorder is a caller's connection. It records what net/http does not tell a handler.
+//
+// The first bytes of each request show request smuggling: net/http removes Content-Length if
+// Transfer-Encoding is present too, so a handler cannot see both. A caller that sends both may try to
+// hide a second request in the body: what follows the chunks would be taken for a request of its own.
+//
+// The number of bytes shows whether net/http has read further requests: if the connection were closed
+// after the present one, they would be lost although they had been read.
+type recorder struct {
+	net.Conn
+
+	mu sync.Mutex
+	// received is the number of bytes read since the first one of the present or next request,
+	// recorded the beginning of them, tail the last ones behind it.
+	received       int
+	recorded, tail []byte
+	// startUnknown is set if it is not known where the present request starts.
+	startUnknown bool
+	input        inputState
+	writeFailed  bool
+}
+
+// Read implements net.Conn.
+func (r *recorder) Read(into []byte) (int, error) {
+	n, err := r.Conn.Read(into)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.input = max(r.input, inputStateOf(err))
+	r.record(into[:n])
+	return n, err
+}
+
+func (r *recorder) record(data []byte) {
+	r.received += len(data)
+	room := min(len(data), maxRecordedBytes-len(r.recorded))
+	r.recorded = append(r.recorded, data[:room]...)
+	data = data[room:]
+	r.tail = append(r.tail, data[max(0, len(data)-maxReadAhead):]...)
+	if excess := len(r.tail) - maxReadAhead; excess > 0 {
+		r.tail = append(r.tail[:0], r.tail[excess:]...)
+	}
+}
+
 // Write implements net.Conn.
 func (r *recorder) Write(data []byte) (int, error) {
 	n, err := r.Conn.Write(data)
@@ -96,26 +133,74 @@
 	return r.input
 }
 
-// Read implements net.Conn.
-func (r *recorder) Read(into []byte) (int, error) {
-	n, err := r.Conn.Read(into)
+// end records that the request has been handled. What was read beyond it begins the next one.
+func (r *recorder) end(request *http.Request) {
+	if r == nil {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.input = max(r.input, inputStateOf(err))
-	if room := maxRecordedBytes - len(r.recorded); n > 0 && room > 0 {
-		r.recorded = append(r.recorded, into[:min(n, room)]...)
-	}
-	return n, err
+	ahead, known := r.readAhead(request)
+	r.startUnknown = !known
+	r.received = ahead
+	r.keepLast(ahead)
 }
 
-// reset discards the recorded bytes before the next request.
-func (r *recorder) reset() {
+// keepLast makes the last bytes that were read the beginning of the next request's.
+func (r *recorder) keepLast(count int) {
+	inTail := min(count, len(r.tail))
+	kept := append(r.recorded[:0], r.recorded[len(r.recorded)-(count-inTail):]...)
+	r.recorded = append(kept, r.tail[len(r.tail)-inTail:]...)
+	r.tail = r.tail[:0]
+}
+
+// hasReadAhead reports whether bytes beyond the request may have been read.
+func (r *recorder) hasReadAhead(request *http.Request) bool {
 	if r == nil {
-		return
+		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.recorded = r.recorded[:0]
+	ahead, known := r.readAhead(request)
+	return ahead > 0 || !known
+}
+
+// readAhead returns the number of bytes that were read beyond the request, if that is known.
+func (r *recorder) readAhead(request *http.Request) (ahead int, known bool) {
+	if r.startUnknown {
+		return 0, false
+	}
+	header, body, complete := bytes.Cut(r.recorded, headerEnd)
+	if !complete {
+		return 0, false
+	}
+	if len(request.TransferEncoding) == 0 {
+		ahead = r.received - len(header) - len(headerEnd) - int(max(0, request.ContentLength))
+		return max(0, ahead), ahead <= maxReadAhead
+	}
+	if r.received > len(r.recorded) {
+		return 0, false
+	}
+	return behindChunks(body)
+}
+
+var (
+	headerEnd = []byte("\r\n\r\n")
+	lineEnd   = []byte("\r\n")
+)
+
+// behindChunks returns the number of bytes behind a chunked body, if that is whole.
+func behindChunks(body []byte) (int, bool) {
+	buffered := bufio.NewReader(bytes.NewReader(body))
+	if _, err := io.Copy(io.Discard, httputil.NewChunkedReader(buffered)); err != nil {
+		return 0, false
+	}
+	rest, _ := io.ReadAll(buffered)
+	if bytes.HasPrefix(rest, lineEnd) {
+		return len(rest) - len(lineEnd), true
+	}
+	_, behind, complete := bytes.Cut(rest, headerEnd)
+	return len(behind), complete
 }
 
 // detectFraming looks for Content-Length in the recorded header of a request that has
@@ -126,8 +211,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	header, _, complete := bytes.Cut(r.recorded, []byte("\r\n\r\n"))
-	if !complete {
+	header, _, complete := bytes.Cut(r.recorded, headerEnd)
+	if !complete || r.startUnknown {
 		return framingUnknown
 	}
 	for _, line := range bytes.Split(bytes.ToLower(header), []byte("\n")) {
@@ -138,7 +223,7 @@
 	return framingSingle
 }
 
-// WrapListener returns a listener whose connections record the first bytes of requests.
+// WrapListener returns a listener whose connections are recorded.
 func WrapListener(inner net.Listener) net.Listener { return recordingListener{inner} }
 
 type recordingListener struct{ net.Listener }
