A host that shuts down answers what it has read

Once http.Server.Shutdown has begun, net/http closes each connection whose request it reads next without an answer, and it closes idle ones although bytes of a request lie in its buffer; so the refusal "this host is stopping" never reached a kept connection.

ingress.Server stops by itself: it closes the listeners, then each connection on which nothing was read since its last answer (a new one has 500 ms to bring its first request), until none is left or the grace period ends. What is read meanwhile is refused and closed.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,7 +8,6 @@
 	"encoding/hex"
 	"expvar"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -99,7 +98,7 @@
 	connector      *reach.Connector
 	relay          *reach.Relay
 	ingress        *ingress.Ingress
-	callerServer   *http.Server
+	callerServer   *ingress.Server
 	pressure       ingress.Pressure
 	standstill     standstill.Monitor
 	peerServer     *peer.Server
@@ -447,7 +446,7 @@
 
 // ServeCallers serves callers on listener until Shutdown.
 func (e *Entry) ServeCallers(listener net.Listener) error {
-	return e.callerServer.Serve(ingress.WrapListener(e.pressure.WrapListener(listener)))
+	return e.callerServer.Serve(e.pressure.WrapListener(listener))
 }
 
 // ServePeers serves the other hosts until listener is closed.
--- a/internal/ingress/answered_test.go
+++ b/internal/ingress/answered_test.go
@@ -198,7 +198,7 @@
 			}})
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
 			must.NoError(t, err)
-			go func() { _ = server.Serve(WrapListener(listener)) }()
+			go func() { _ = server.Serve(listener) }()
 			defer func() { _ = server.Close() }()
 			conn, err := net.Dial("tcp", listener.Addr().String())
 			must.NoError(t, err)
--- /dev/null
+++ b/internal/ingress/connections.go
@@ -0,0 +1,79 @@
+package ingress
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// unusedGrace is how long a new connection may take to bring its first request once the host closes
+// idle connections.
+const unusedGrace = 500 * time.Millisecond
+
+// connections are the open connections of callers. They are safe for concurrent use.
+type connections struct {
+	mu   sync.Mutex
+	open map[*recorder]struct{}
+}
+
+func newConnections() *connections { return &connections{open: map[*recorder]struct{}{}} }
+
+// listener returns a listener whose connections are recorded.
+func (c *connections) listener(inner net.Listener) net.Listener {
+	return recordingListener{Listener: inner, connections: c}
+}
+
+type recordingListener struct {
+	net.Listener
+	connections *connections
+}
+
+// Accept implements net.Listener.
+func (l recordingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	r := &recorder{Conn: conn, accepted: time.Now(), connections: l.connections}
+	l.connections.mu.Lock()
+	defer l.connections.mu.Unlock()
+	l.connections.open[r] = struct{}{}
+	return r, nil
+}
+
+func (c *connections) forget(r *recorder) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, r)
+}
+
+// closeIdle closes the connections on which nothing of a request has been read since the last answer,
+// and returns the number of the others.
+func (c *connections) closeIdle(now time.Time) int {
+	c.mu.Lock()
+	var idle []*recorder
+	for r := range c.open {
+		if r.isIdle(now) {
+			idle = append(idle, r)
+		}
+	}
+	left := len(c.open) - len(idle)
+	c.mu.Unlock()
+	for _, r := range idle {
+		_ = r.Close()
+	}
+	return left
+}
+
+// isIdle reports whether no request has been read whole or in part that is not answered.
+func (r *recorder) isIdle(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.serving && r.received == 0 && (r.used || now.Sub(r.accepted) >= unusedGrace)
+}
+
+// Close implements net.Conn.
+func (r *recorder) Close() error {
+	r.connections.forget(r)
+	return r.Conn.Close()
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -19,7 +19,6 @@
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/hashicorp/go-hclog"
-	"github.com/labstack/echo/v4"
 )
 
 const (
@@ -63,33 +62,11 @@
 	Unanswered atomic.Int64
 }
 
-// Server returns the HTTP server for callers. It detects conflicting framing only on
-// connections from WrapListener.
-func (i *Ingress) Server() *http.Server {
-	router := echo.New()
-	router.HideBanner = true
-	router.HidePort = true
-	// Routes come from the configuration, so every request is handled before echo's router.
-	router.Pre(func(echo.HandlerFunc) echo.HandlerFunc {
-		return func(c echo.Context) error {
-			i.serveHTTP(c.Response().Writer, c.Request())
-			return nil
-		}
-	})
-	return &http.Server{
-		Handler:           router,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       withRecorder,
-		ErrorLog:          i.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}
-}
-
 // serveHTTP handles a request, and makes sure that it ends with an answer or with a broken
 // connection.
 func (i *Ingress) serveHTTP(inner http.ResponseWriter, r *http.Request) {
 	conn := recorderFrom(r.Context())
+	conn.begin()
 	w := answer.NewWriter(inner)
 	w.OnHeader = func(header http.Header) {
 		if i.Closing() && !conn.hasReadAhead(r) {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -111,7 +111,7 @@
 		server := newServer(config, e)
 		listener, err := e.net.Host("entry").Listen("80")
 		must.NoError(t, err)
-		go func() { _ = server.Serve(WrapListener(listener)) }()
+		go func() { _ = server.Serve(listener) }()
 		defer func() { _ = server.Close() }()
 		e.shutdown = func(ctx context.Context) { _ = server.Shutdown(ctx) }
 		run(e)
@@ -120,7 +120,7 @@
 
 // newServer returns a server with a configuration, or with none if that is nil. The test answers its
 // requests.
-func newServer(config *site.Config, e *testIngress) *http.Server {
+func newServer(config *site.Config, e *testIngress) *Server {
 	known := directory.New(testDecoder{config: config}, time.Now, hclog.NewNullLogger())
 	if config != nil {
 		known.Configs.Changed([]registry.Change{{Record: registry.Record{Name: "main", Revision: 1}}}, registry.Position{Revision: 1})
--- a/internal/ingress/recorder.go
+++ b/internal/ingress/recorder.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httputil"
 	"sync"
+	"time"
 )
 
 const (
@@ -69,6 +70,8 @@
 // after the present one, they would be lost although they had been read.
 type recorder struct {
 	net.Conn
+	connections *connections
+	accepted    time.Time
 
 	mu sync.Mutex
 	// received is the number of bytes read since the first one of the present or next request,
@@ -77,8 +80,10 @@
 	recorded, tail []byte
 	// startUnknown is set if it is not known where the present request starts.
 	startUnknown bool
-	input        inputState
-	writeFailed  bool
+	// used is set once a request has been handled, serving while one is.
+	used, serving bool
+	input         inputState
+	writeFailed   bool
 }
 
 // Read implements net.Conn.
@@ -133,6 +138,16 @@
 	return r.input
 }
 
+// begin records that a request is being handled.
+func (r *recorder) begin() {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.used, r.serving = true, true
+}
+
 // end records that the request has been handled. What was read beyond it begins the next one.
 func (r *recorder) end(request *http.Request) {
 	if r == nil {
@@ -141,6 +156,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ahead, known := r.readAhead(request)
+	r.serving = false
 	r.startUnknown = !known
 	r.received = ahead
 	r.keepLast(ahead)
@@ -223,20 +239,6 @@
 	return framingSingle
 }
 
-// WrapListener returns a listener whose connections are recorded.
-func WrapListener(inner net.Listener) net.Listener { return recordingListener{inner} }
-
-type recordingListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l recordingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &recorder{Conn: conn}, nil
-}
-
 type recorderKey struct{}
 
 func withRecorder(ctx context.Context, conn net.Conn) context.Context {
--- /dev/null
+++ b/internal/ingress/server.go
@@ -0,0 +1,97 @@
+package ingress
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/labstack/echo/v4"
+)
+
+// Server is the HTTP server for callers. It is safe for concurrent use.
+type Server struct {
+	http        *http.Server
+	connections *connections
+
+	mu        sync.Mutex
+	listeners []net.Listener
+	stopping  bool
+}
+
+// Server returns the HTTP server for callers.
+func (i *Ingress) Server() *Server {
+	router := echo.New()
+	router.HideBanner = true
+	router.HidePort = true
+	// Routes come from the configuration, so every request is handled before echo's router.
+	router.Pre(func(echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			i.serveHTTP(c.Response().Writer, c.Request())
+			return nil
+		}
+	})
+	return &Server{
+		http: &http.Server{
+			Handler:           router,
+			ReadHeaderTimeout: headerTimeout,
+			IdleTimeout:       idleTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+			ConnContext:       withRecorder,
+			ErrorLog:          i.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		},
+		connections: newConnections(),
+	}
+}
+
+// Serve serves the connections of a listener. It returns http.ErrServerClosed after Shutdown or Close.
+func (s *Server) Serve(listener net.Listener) error {
+	s.mu.Lock()
+	s.listeners = append(s.listeners, listener)
+	s.mu.Unlock()
+	err := s.http.Serve(s.connections.listener(listener))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return http.ErrServerClosed
+	}
+	return err
+}
+
+// shutdownInterval is how often Shutdown looks for connections that have become idle.
+const shutdownInterval = 20 * time.Millisecond
+
+// Shutdown stops accepting connections, closes each one once all requests that were read on it have
+// been answered, and returns when none is left or ctx ends.
+//
+// http.Server's own Shutdown closes connections without an answer to what it has read on them.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.closeListeners()
+	ticker := time.NewTicker(shutdownInterval)
+	defer ticker.Stop()
+	for s.connections.closeIdle(time.Now()) > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (s *Server) closeListeners() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	for _, listener := range s.listeners {
+		_ = listener.Close()
+	}
+}
+
+// Close closes the listeners and all connections at once.
+func (s *Server) Close() error {
+	s.closeListeners()
+	return s.http.Close()
+}
