--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,18 +5,20 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"strconv"
+	"runtime/debug"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/answer"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/hashicorp/go-hclog"
-	"github.com/labstack/echo/v4"
 )
 
 const (
@@ -41,7 +43,7 @@
 )
 
 // Serve serves a request on its route; arrived is when its header had been read.
-type Serve func(ctx context.Context, w http.ResponseWriter, route *site.Route, request *forward.Request, arrived time.Time)
+type Serve func(ctx context.Context, w *answer.Writer, route *site.Route, request *forward.Request, arrived time.Time)
 
 // Ingress accepts callers' requests over HTTP.
 type Ingress struct {
@@ -56,45 +58,58 @@
 	Closing func() bool
 	// Refusing reports whether new requests are refused.
 	Refusing func() bool
+	// Unanswered counts the requests whose handler ended without having written anything.
+	Unanswered atomic.Int64
 }
 
-// Server returns the HTTP server for callers. It detects conflicting framing only on
-// connections from WrapListener.
-func (i *Ingress) Server() *http.Server {
-	router := echo.New()
-	router.HideBanner = true
-	router.HidePort = true
-	// Routes come from the configuration, so every request is handled before echo's router.
-	router.Pre(func(echo.HandlerFunc) echo.HandlerFunc {
-		return func(c echo.Context) error {
-			i.handle(c.Response().Writer, c.Request())
-			return nil
+// serveHTTP handles a request, and makes sure that it ends with an answer or with a broken
+// connection.
+func (i *Ingress) serveHTTP(inner http.ResponseWriter, r *http.Request) {
+	conn := recorderFrom(r.Context())
+	conn.begin()
+	w := answer.NewWriter(inner)
+	w.OnHeader = func(header http.Header) {
+		if i.Closing() && !conn.hasReadAhead(r) {
+			header.Set("Connection", "close")
 		}
-	})
-	return &http.Server{
-		Handler:           router,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ConnContext:       withRecorder,
-		ErrorLog:          i.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
+	ctx, stop := watchCaller(w, r)
+	defer i.end(w, r, stop)
+	i.handle(ctx, w, r)
 }
 
-func (i *Ingress) handle(w http.ResponseWriter, r *http.Request) {
-	arrived := i.Now()
-	recorder := recorderFrom(r.Context())
-	defer recorder.reset()
-	if i.Closing() {
-		w.Header().Set("Connection", "close")
+// end ends the answer to a request whose handler has returned or panicked.
+func (i *Ingress) end(w *answer.Writer, r *http.Request, stopWatching func()) {
+	cause := recover()
+	stopWatching()
+	outcome := w.End()
+	recorderFrom(r.Context()).end(r)
+	if cause != nil {
+		i.Log.Error("request handler panicked", "id", i.requestID(r), "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
 	}
+	switch outcome {
+	case answer.Missing:
+		i.logUnanswered(r)
+	case answer.Cut, answer.Left:
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// logUnanswered logs a request for which nothing had been written when its handler ended.
+func (i *Ingress) logUnanswered(r *http.Request) {
+	i.Unanswered.Add(1)
+	i.Log.Warn("request ended without an answer", "id", i.requestID(r), "method", r.Method, "path", r.URL.Path, "input", recorderFrom(r.Context()).inputState().String())
+}
+
+func (i *Ingress) handle(ctx context.Context, w *answer.Writer, r *http.Request) {
+	arrived := i.Now()
 	if i.Refusing() {
 		w.Header().Set("Retry-After", stoppingRetryAfter)
 		i.reject(w, r, http.StatusServiceUnavailable, "this host is stopping")
 		return
 	}
 	if len(r.TransferEncoding) > 0 {
-		switch recorder.detectFraming() {
+		switch recorderFrom(r.Context()).detectFraming() {
 		case framingConflict:
 			i.reject(w, r, http.StatusBadRequest, "both Content-Length and Transfer-Encoding")
 			return
@@ -138,7 +153,7 @@
 		ClientAddr:      stripPort(r.RemoteAddr),
 		Caller:          caller,
 	}
-	i.Serve(r.Context(), w, route, request, arrived)
+	i.Serve(ctx, w, route, request, arrived)
 }
 
 // identifyCaller finds the workspace of the request's key in the configuration in force. It
@@ -158,7 +173,7 @@
 // net/http would read the body first, and a slow caller would occupy the connection for
 // nothing. The rest of the body is read after the answer, so that the next request on the
 // connection is parsed from its start.
-func (i *Ingress) rejectUnauthorized(w http.ResponseWriter, r *http.Request, config *site.Config) {
+func (i *Ingress) rejectUnauthorized(w *answer.Writer, r *http.Request, config *site.Config) {
 	control := http.NewResponseController(w)
 	if err := control.EnableFullDuplex(); err != nil {
 		i.Log.Debug("full duplex not available, the answer waits for the request's body", "error", err.Error())
@@ -170,13 +185,13 @@
 	}
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w, r.Body, defaultBodyBytes)); err != nil {
+	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w.Unwrap(), r.Body, defaultBodyBytes)); err != nil {
 		i.Log.Debug("rest of a rejected request's body not read", "error", err.Error())
 	}
 }
 
 // readBody reads the body. It returns the status to reject the request with, or 0.
-func (i *Ingress) readBody(w http.ResponseWriter, r *http.Request, config *site.Config, metadata forward.RequestMetadata) ([]byte, int) {
+func (i *Ingress) readBody(w *answer.Writer, r *http.Request, config *site.Config, metadata forward.RequestMetadata) ([]byte, int) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, 0
 	}
@@ -193,7 +208,7 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(timeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(w.Unwrap(), r.Body, limit))
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	var network net.Error
@@ -211,7 +226,7 @@
 
 // reject answers a request that is not served. If its framing is in doubt or its body was not
 // read, the connection is closed: the bytes that follow may belong to this request.
-func (i *Ingress) reject(w http.ResponseWriter, r *http.Request, status int, reason string, fields ...any) {
+func (i *Ingress) reject(w *answer.Writer, r *http.Request, status int, reason string, fields ...any) {
 	line := []any{"id", i.requestID(r), "method", r.Method, "host_header", r.Host, "path", r.URL.Path, "status", status, "reason", reason}
 	i.Log.Info("request rejected", append(line, fields...)...)
 	switch status {
@@ -219,14 +234,7 @@
 	default:
 		w.Header().Set("Connection", "close")
 	}
-	body := reason + "\n"
-	header := w.Header()
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	header.Set("X-Content-Type-Options", "nosniff")
-	// With a Content-Length, the answer is complete as soon as it is flushed.
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	_, _ = io.WriteString(w, body)
+	_ = w.WriteOwn(status, reason)
 }
 
 // configLogFields returns the log fields on the configuration that a request was rejected by.
--- a/internal/ingress/recorder.go
+++ b/internal/ingress/recorder.go
@@ -1,14 +1,25 @@
 package ingress
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"errors"
+	"io"
 	"net"
+	"net/http"
+	"net/http/httputil"
 	"sync"
+	"time"
 )
 
-// maxRecordedBytes bounds the bytes recorded of a request.
-const maxRecordedBytes = 16 << 10
+const (
+	// maxRecordedBytes bounds the bytes recorded of a request.
+	maxRecordedBytes = 16 << 10
+	// maxReadAhead is the number of bytes that net/http may have read beyond a request: its buffer,
+	// and one byte more while a handler runs.
+	maxReadAhead = 4<<10 + 1
+)
 
 // framing is how a request's header declares the length of its body.
 type framing uint8
@@ -19,15 +30,60 @@
 	framingConflict
 )
 
-// recorder records the first bytes of each request on a connection, to detect request
-// smuggling. net/http removes Content-Length if Transfer-Encoding is present too, so a handler
-// cannot see both. A caller that sends both may try to hide a second request in the body:
-// what follows the chunks would be taken for a request of its own.
+// inputState is what became of the bytes that the caller sends.
+type inputState uint8
+
+const (
+	// inputOpen means that the caller may send more.
+	inputOpen inputState = iota
+	// inputEnded means that the caller has closed its sending side, or the whole connection.
+	inputEnded
+	// inputBroken means that the connection is broken.
+	inputBroken
+)
+
+// String returns the state's name in logs.
+func (s inputState) String() string {
+	return [...]string{"open", "ended", "broken"}[s]
+}
+
+// inputStateOf returns what an error of Read tells. A deadline tells nothing.
+func inputStateOf(err error) inputState {
+	var network net.Error
+	switch {
+	case err == nil, errors.As(err, &network) && network.Timeout():
+		return inputOpen
+	case errors.Is(err, io.EOF):
+		return inputEnded
+	default:
+		return inputBroken
+	}
+}
+
+// recorder is a caller's connection. It records what net/http does not tell a handler.
+//
+// The first bytes of each request show request smuggling: net/http removes Content-Length if
+// Transfer-Encoding is present too, so a handler cannot see both. A caller that sends both may try to
+// hide a second request in the body: what follows the chunks would be taken for a request of its own.
+//
+// The number of bytes shows whether net/http has read further requests: if the connection were closed
+// after the present one, they would be lost although they had been read.
 type recorder struct {
 	net.Conn
+	connections *connections
+	accepted    time.Time
 
-	mu       sync.Mutex
-	recorded []byte
+	mu sync.Mutex
+	// received is the number of bytes read since the first one of the present or next request,
+	// recorded the beginning of them, tail the last ones behind it.
+	received       int
+	recorded, tail []byte
+	// startUnknown is set if it is not known where the present request starts.
+	startUnknown bool
+	// used is set once a request has been handled, serving while one is.
+	used, serving bool
+	input         inputState
+	writeFailed   bool
 }
 
 // Read implements net.Conn.
@@ -35,20 +91,132 @@
 	n, err := r.Conn.Read(into)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if room := maxRecordedBytes - len(r.recorded); n > 0 && room > 0 {
-		r.recorded = append(r.recorded, into[:min(n, room)]...)
+	r.input = max(r.input, inputStateOf(err))
+	r.record(into[:n])
+	return n, err
+}
+
+func (r *recorder) record(data []byte) {
+	r.received += len(data)
+	room := min(len(data), maxRecordedBytes-len(r.recorded))
+	r.recorded = append(r.recorded, data[:room]...)
+	data = data[room:]
+	r.tail = append(r.tail, data[max(0, len(data)-maxReadAhead):]...)
+	if excess := len(r.tail) - maxReadAhead; excess > 0 {
+		r.tail = append(r.tail[:0], r.tail[excess:]...)
+	}
+}
+
+// Write implements net.Conn.
+func (r *recorder) Write(data []byte) (int, error) {
+	n, err := r.Conn.Write(data)
+	if err != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.writeFailed = true
 	}
 	return n, err
 }
 
-// reset discards the recorded bytes before the next request.
-func (r *recorder) reset() {
+// hasWriteFailed reports whether the caller's side has refused what was sent to it.
+func (r *recorder) hasWriteFailed() bool {
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.writeFailed
+}
+
+// inputState returns what became of the caller's input.
+func (r *recorder) inputState() inputState {
+	if r == nil {
+		return inputOpen
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.input
+}
+
+// begin records that a request is being handled.
+func (r *recorder) begin() {
 	if r == nil {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.recorded = r.recorded[:0]
+	r.used, r.serving = true, true
+}
+
+// end records that the request has been handled. What was read beyond it begins the next one.
+func (r *recorder) end(request *http.Request) {
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ahead, known := r.readAhead(request)
+	r.serving = false
+	r.startUnknown = !known
+	r.received = ahead
+	r.keepLast(ahead)
+}
+
+// keepLast makes the last bytes that were read the beginning of the next request's.
+func (r *recorder) keepLast(count int) {
+	inTail := min(count, len(r.tail))
+	kept := append(r.recorded[:0], r.recorded[len(r.recorded)-(count-inTail):]...)
+	r.recorded = append(kept, r.tail[len(r.tail)-inTail:]...)
+	r.tail = r.tail[:0]
+}
+
+// hasReadAhead reports whether bytes beyond the request may have been read.
+func (r *recorder) hasReadAhead(request *http.Request) bool {
+	if r == nil {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ahead, known := r.readAhead(request)
+	return ahead > 0 || !known
+}
+
+// readAhead returns the number of bytes that were read beyond the request, if that is known.
+func (r *recorder) readAhead(request *http.Request) (ahead int, known bool) {
+	if r.startUnknown {
+		return 0, false
+	}
+	header, body, complete := bytes.Cut(r.recorded, headerEnd)
+	if !complete {
+		return 0, false
+	}
+	if len(request.TransferEncoding) == 0 {
+		ahead = r.received - len(header) - len(headerEnd) - int(max(0, request.ContentLength))
+		return max(0, ahead), ahead <= maxReadAhead
+	}
+	if r.received > len(r.recorded) {
+		return 0, false
+	}
+	return behindChunks(body)
+}
+
+var (
+	headerEnd = []byte("\r\n\r\n")
+	lineEnd   = []byte("\r\n")
+)
+
+// behindChunks returns the number of bytes behind a chunked body, if that is whole.
+func behindChunks(body []byte) (int, bool) {
+	buffered := bufio.NewReader(bytes.NewReader(body))
+	if _, err := io.Copy(io.Discard, httputil.NewChunkedReader(buffered)); err != nil {
+		return 0, false
+	}
+	rest, _ := io.ReadAll(buffered)
+	if bytes.HasPrefix(rest, lineEnd) {
+		return len(rest) - len(lineEnd), true
+	}
+	_, behind, complete := bytes.Cut(rest, headerEnd)
+	return len(behind), complete
 }
 
 // detectFraming looks for Content-Length in the recorded header of a request that has
@@ -59,8 +227,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	header, _, complete := bytes.Cut(r.recorded, []byte("\r\n\r\n"))
-	if !complete {
+	header, _, complete := bytes.Cut(r.recorded, headerEnd)
+	if !complete || r.startUnknown {
 		return framingUnknown
 	}
 	for _, line := range bytes.Split(bytes.ToLower(header), []byte("\n")) {
@@ -71,20 +239,6 @@
 	return framingSingle
 }
 
-// WrapListener returns a listener whose connections record the first bytes of requests.
-func WrapListener(inner net.Listener) net.Listener { return recordingListener{inner} }
-
-type recordingListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l recordingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &recorder{Conn: conn}, nil
-}
-
 type recorderKey struct{}
 
 func withRecorder(ctx context.Context, conn net.Conn) context.Context {
