Callers' connections have a package of their own

No behaviour changes: connections.go and caller.go are as they were but for the package, recorder.go has FramingOf and exported names of framings, server.go takes net/http's settings as an argument, and handler.go holds what were serveHTTP, end and logUnanswered of Ingress. The tests of ingress changed in an import and one type's name.

--- a/internal/ingress/caller.go
+++ b/internal/callerconn/caller.go
@@ -1,4 +1,4 @@
-package ingress
+package callerconn
 
 import (
 	"context"
--- a/internal/ingress/recorder.go
+++ b/internal/callerconn/recorder.go
@@ -1,4 +1,4 @@
-package ingress
+package callerconn
 
 import (
 	"bufio"
@@ -21,13 +21,15 @@
 	maxReadAhead = 4<<10 + 1
 )
 
-// framing is how a request's header declares the length of its body.
-type framing uint8
+// Framing is how a request's header declares the length of its body.
+type Framing uint8
 
+// How a header declares the length of a body: unknown if it was not recorded whole, by one header, or
+// by two that contradict each other.
 const (
-	framingUnknown framing = iota
-	framingSingle
-	framingConflict
+	FramingUnknown Framing = iota
+	FramingSingle
+	FramingConflict
 )
 
 // inputState is what became of the bytes that the caller sends.
@@ -219,24 +221,29 @@
 	return len(behind), complete
 }
 
+// FramingOf returns the framing of a request that has Transfer-Encoding.
+func FramingOf(request *http.Request) Framing {
+	return recorderFrom(request.Context()).detectFraming()
+}
+
 // detectFraming looks for Content-Length in the recorded header of a request that has
 // Transfer-Encoding. The framing is unknown if the header was not recorded whole.
-func (r *recorder) detectFraming() framing {
+func (r *recorder) detectFraming() Framing {
 	if r == nil {
-		return framingUnknown
+		return FramingUnknown
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	header, _, complete := bytes.Cut(r.recorded, headerEnd)
 	if !complete || r.startUnknown {
-		return framingUnknown
+		return FramingUnknown
 	}
 	for _, line := range bytes.Split(bytes.ToLower(header), []byte("\n")) {
 		if bytes.HasPrefix(line, []byte("content-length")) {
-			return framingConflict
+			return FramingConflict
 		}
 	}
-	return framingSingle
+	return FramingSingle
 }
 
 type recorderKey struct{}
--- a/internal/ingress/server.go
+++ b/internal/callerconn/server.go
@@ -1,4 +1,4 @@
-package ingress
+package callerconn
 
 import (
 	"context"
@@ -6,9 +6,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/hashicorp/go-hclog"
-	"github.com/labstack/echo/v4"
 )
 
 // Server is the HTTP server for callers. It is safe for concurrent use.
@@ -21,29 +18,10 @@
 	stopping  bool
 }
 
-// Server returns the HTTP server for callers.
-func (i *Ingress) Server() *Server {
-	router := echo.New()
-	router.HideBanner = true
-	router.HidePort = true
-	// Routes come from the configuration, so every request is handled before echo's router.
-	router.Pre(func(echo.HandlerFunc) echo.HandlerFunc {
-		return func(c echo.Context) error {
-			i.serveHTTP(c.Response().Writer, c.Request())
-			return nil
-		}
-	})
-	return &Server{
-		http: &http.Server{
-			Handler:           router,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-			ConnContext:       withRecorder,
-			ErrorLog:          i.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-		},
-		connections: newConnections(),
-	}
+// NewServer returns a server with net/http's settings, whose ConnContext it sets.
+func NewServer(inner *http.Server) *Server {
+	inner.ConnContext = withRecorder
+	return &Server{http: inner, connections: newConnections()}
 }
 
 // Serve serves the connections of a listener. It returns http.ErrServerClosed after Shutdown or Close.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"github.com/cherrystage/cherrystage/internal/answer"
 	"github.com/cherrystage/cherrystage/internal/awake"
 	"github.com/cherrystage/cherrystage/internal/board"
+	"github.com/cherrystage/cherrystage/internal/callerconn"
 	"github.com/cherrystage/cherrystage/internal/contention"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
@@ -98,7 +99,7 @@
 	connector      *reach.Connector
 	relay          *reach.Relay
 	ingress        *ingress.Ingress
-	callerServer   *ingress.Server
+	callerServer   *callerconn.Server
 	pressure       ingress.Pressure
 	standstill     standstill.Monitor
 	peerServer     *peer.Server
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,20 +5,20 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/answer"
+	"github.com/cherrystage/cherrystage/internal/callerconn"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/hashicorp/go-hclog"
+	"github.com/labstack/echo/v4"
 )
 
 const (
@@ -62,43 +62,26 @@
 	Unanswered atomic.Int64
 }
 
-// serveHTTP handles a request, and makes sure that it ends with an answer or with a broken
-// connection.
-func (i *Ingress) serveHTTP(inner http.ResponseWriter, r *http.Request) {
-	conn := recorderFrom(r.Context())
-	conn.begin()
-	w := answer.NewWriter(inner)
-	w.OnHeader = func(header http.Header) {
-		if i.Closing() && !conn.hasReadAhead(r) {
-			header.Set("Connection", "close")
+// Server returns the HTTP server for callers.
+func (i *Ingress) Server() *callerconn.Server {
+	handler := &callerconn.Handler{Serve: i.handle, Closing: i.Closing, RequestID: i.requestID, Log: i.Log, Unanswered: &i.Unanswered}
+	router := echo.New()
+	router.HideBanner = true
+	router.HidePort = true
+	// Routes come from the configuration, so every request is handled before echo's router.
+	router.Pre(func(echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			handler.ServeHTTP(c.Response().Writer, c.Request())
+			return nil
 		}
-	}
-	ctx, stop := watchCaller(w, r)
-	defer i.end(w, r, stop)
-	i.handle(ctx, w, r)
-}
-
-// end ends the answer to a request whose handler has returned or panicked.
-func (i *Ingress) end(w *answer.Writer, r *http.Request, stopWatching func()) {
-	cause := recover()
-	stopWatching()
-	outcome := w.End()
-	recorderFrom(r.Context()).end(r)
-	if cause != nil {
-		i.Log.Error("request handler panicked", "id", i.requestID(r), "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
-	}
-	switch outcome {
-	case answer.Missing:
-		i.logUnanswered(r)
-	case answer.Cut, answer.Left:
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// logUnanswered logs a request for which nothing had been written when its handler ended.
-func (i *Ingress) logUnanswered(r *http.Request) {
-	i.Unanswered.Add(1)
-	i.Log.Warn("request ended without an answer", "id", i.requestID(r), "method", r.Method, "path", r.URL.Path, "input", recorderFrom(r.Context()).inputState().String())
+	})
+	return callerconn.NewServer(&http.Server{
+		Handler:           router,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          i.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	})
 }
 
 func (i *Ingress) handle(ctx context.Context, w *answer.Writer, r *http.Request) {
@@ -109,11 +92,11 @@
 		return
 	}
 	if len(r.TransferEncoding) > 0 {
-		switch recorderFrom(r.Context()).detectFraming() {
-		case framingConflict:
+		switch callerconn.FramingOf(r) {
+		case callerconn.FramingConflict:
 			i.reject(w, r, http.StatusBadRequest, "both Content-Length and Transfer-Encoding")
 			return
-		case framingUnknown:
+		case callerconn.FramingUnknown:
 			w.Header().Set("Connection", "close")
 		}
 	}
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/answer"
+	"github.com/cherrystage/cherrystage/internal/callerconn"
 	"github.com/cherrystage/cherrystage/internal/credential"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
@@ -120,7 +121,7 @@
 
 // newServer returns a server with a configuration, or with none if that is nil. The test answers its
 // requests.
-func newServer(config *site.Config, e *testIngress) *Server {
+func newServer(config *site.Config, e *testIngress) *callerconn.Server {
 	known := directory.New(testDecoder{config: config}, time.Now, hclog.NewNullLogger())
 	if config != nil {
 		known.Configs.Changed([]registry.Change{{Record: registry.Record{Name: "main", Revision: 1}}}, registry.Position{Revision: 1})
