A target's status that is no error's is not passed on as a refusal

One of 000, 099 or 101 from an engine or a service made the host's own answer panic in net/http, which closed the caller's connection without an answer.

Cause: a refusal kept any status below 500 of its target, and a service's answer any. A refusal now keeps only 4xx, else it is 502; a service's final answer below 200 counts as malformed. The verdict was and is may-have-run.

TestRefusalHasAStatusOfAnError and TestStatusOfNoFinalAnswerIsMalformed failed before. TestCutAnswerIsNoAnswer (passed before) holds that a service's cut answer is none.

--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -72,13 +72,15 @@
 
 // failureRefusal converts the last attempt's failure into a refusal. If the
 // target itself refused the request, its status is kept.
+//
+// A status below those of errors is not: its caller would take the refusal for an answer.
 func failureRefusal(failure *engine.Failure) *Refusal {
 	refusal := &Refusal{
 		Status: http.StatusBadGateway, Code: failure.Code, Message: failure.Error(),
 		Verdict: failure.Verdict(), RetryAfter: failure.RetryAfter,
 	}
 	switch {
-	case failure.Stage == engine.StageRefused && failure.Status < 500 && failure.Code != engine.CodeNotLoaded:
+	case isRequestStatus(failure) && failure.Code != engine.CodeNotLoaded:
 		refusal.Status = failure.Status
 	case failure.Code == engine.CodeSilent:
 		refusal.Status = http.StatusGatewayTimeout
@@ -89,6 +91,11 @@
 	return refusal
 }
 
+// isRequestStatus reports whether the target refused the request with a status for the caller.
+func isRequestStatus(failure *engine.Failure) bool {
+	return failure.Stage == engine.StageRefused && failure.Status >= http.StatusBadRequest && failure.Status < http.StatusInternalServerError
+}
+
 // sequence numbers what this process sends.
 type sequence struct{ last atomic.Int64 }
 
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -127,6 +127,9 @@
 	if resp.Header.Get(engine.HeaderNotRun) == "true" {
 		return Answer{}, &engine.Failure{Stage: engine.StageRefused, Status: resp.StatusCode, Code: engine.CodeBusy, MarkedNotRun: true}
 	}
+	if resp.StatusCode < http.StatusOK {
+		return Answer{}, &engine.Failure{Stage: engine.StageSend, Code: engine.CodeMalformed, Cause: errors.Errorf("final answer with status %d", resp.StatusCode)}
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, &engine.Failure{Stage: engine.StageSend, Code: engine.CodeTruncated, Cause: err}
