The own mode answers its callers in the same place as the platform mode

Cause: net/http's defaults, as in the platform mode: a handler that wrote nothing is a success, the end of a caller's input cancels its request, and Shutdown closes what it reads. callerapi now answers through callerconn.Handler and answer.Writer, and the node serves callers with callerconn.Server; they are the same code in both modes, so the three faults are mended by one change. After the drain notice a host refuses what is still read on kept connections (503, code stopping, not run) and the last answer on each closes it. requests_unanswered counts what a handler did not answer.

The broken stream's last event is its end on purpose: it carries the error, and its trailer the verdict.

--- a/cmd/cherrystaged/main.go
+++ b/cmd/cherrystaged/main.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/callerconn"
 	"github.com/cherrystage/cherrystage/internal/node"
 	"github.com/cherrystage/cherrystage/internal/settings"
 	"github.com/cherrystage/cherrystage/internal/standalone"
@@ -155,7 +156,7 @@
 
 // addSignalHandler stops the daemon gracefully at the first signal and immediately at the
 // second.
-func addSignalHandler(group *run.Group, n *node.Node, callers *http.Server, log hclog.Logger) {
+func addSignalHandler(group *run.Group, n *node.Node, callers *callerconn.Server, log hclog.Logger) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/callerapi/answer.go
+++ b/internal/callerapi/answer.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/cherrystage/cherrystage/internal/answer"
 	"github.com/cherrystage/cherrystage/internal/dispatch"
 	"github.com/cherrystage/cherrystage/internal/engine"
 	"github.com/cherrystage/cherrystage/internal/verdict"
@@ -18,7 +19,7 @@
 // first piece, so that an earlier refusal can have its own status. The verdict is sent as
 // a trailer, and if the answer breaks off also in an event.
 func (a *API) completeStream(c echo.Context, req dispatch.Request) error {
-	w := c.Response()
+	w := writerOf(c)
 	started := false
 	var line []byte
 	refusal := a.dispatcher.Complete(c.Request().Context(), req, func(piece engine.Piece) error {
@@ -32,11 +33,11 @@
 		if _, err := w.Write(line); err != nil {
 			return err
 		}
-		return http.NewResponseController(w.Writer).Flush()
+		return w.FlushError()
 	})
 	if !started {
 		if refusal == nil {
-			refusal = &dispatch.Refusal{Status: http.StatusBadGateway, Code: engine.CodeMalformed, Message: "empty answer", Verdict: verdict.Ran}
+			refusal = emptyAnswer()
 		}
 		return refusal
 	}
@@ -44,8 +45,34 @@
 		return endBrokenStream(w, refusal)
 	}
 	w.Header().Set(HeaderVerdict, verdict.Ran.String())
-	_, err := w.Write([]byte("data: [DONE]\n\n"))
-	return err
+	return writeLast(w, "data: [DONE]\n\n")
+}
+
+// writeLast writes the last event of a stream, which makes it whole.
+func writeLast(w *answer.Writer, event string) error {
+	if _, err := w.Write([]byte(event)); err != nil {
+		return err
+	}
+	w.Complete()
+	return nil
+}
+
+// emptyAnswer refuses an answer without a piece, which a caller would take for a success.
+func emptyAnswer() *dispatch.Refusal {
+	return &dispatch.Refusal{Status: http.StatusBadGateway, Code: engine.CodeMalformed, Message: "empty answer", Verdict: verdict.Ran}
+}
+
+// writerOf returns the writer of a request's answer, which Handler sets.
+func writerOf(c echo.Context) *answer.Writer { return c.Response().Writer.(*answer.Writer) }
+
+// writeJSON writes a whole answer.
+func writeJSON(c echo.Context, status int, value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return errors.Wrap(err, "encode answer")
+	}
+	c.Response().Header().Set("Content-Type", "application/json")
+	return writerOf(c).WriteWhole(status, append(text, '\n'))
 }
 
 func appendEvent(line []byte, piece engine.Piece) []byte {
@@ -58,14 +85,13 @@
 
 // endBrokenStream ends an incomplete stream with an event that gives the reason, and
 // without the [DONE] marker.
-func endBrokenStream(w *echo.Response, refusal *dispatch.Refusal) error {
+func endBrokenStream(w *answer.Writer, refusal *dispatch.Refusal) error {
 	w.Header().Set(HeaderVerdict, refusal.Verdict.String())
 	text, err := json.Marshal(errorBody{Code: refusal.Code, Message: refusal.Message, Verdict: refusal.Verdict})
 	if err != nil {
 		return errors.Wrap(err, "encode refusal")
 	}
-	_, err = w.Write([]byte("event: error\ndata: " + string(text) + "\n\n"))
-	return err
+	return writeLast(w, "event: error\ndata: "+string(text)+"\n\n")
 }
 
 // completionChunk holds the fields of an engine's piece that are needed to assemble the
@@ -108,6 +134,7 @@
 
 // assembler assembles an answer from its pieces.
 type assembler struct {
+	pieces  int
 	last    completionChunk
 	texts   map[int]*strings.Builder
 	reasons map[int]*string
@@ -122,6 +149,7 @@
 	if err := json.Unmarshal(piece.Data, &chunk); err != nil {
 		return errors.Wrap(err, "piece of an answer")
 	}
+	a.pieces++
 	usage := a.last.Usage
 	a.last = chunk
 	if chunk.Usage == nil {
@@ -142,9 +170,9 @@
 }
 
 func (a *assembler) build(chat bool) completion {
-	answer := completion{ID: a.last.ID, Object: "text_completion", Created: a.last.Created, Model: a.last.Model, Usage: a.last.Usage}
+	whole := completion{ID: a.last.ID, Object: "text_completion", Created: a.last.Created, Model: a.last.Model, Usage: a.last.Usage}
 	if chat {
-		answer.Object = "chat.completion"
+		whole.Object = "chat.completion"
 	}
 	for index, builder := range a.texts {
 		text := builder.String()
@@ -154,10 +182,10 @@
 		} else {
 			choice.Text = &text
 		}
-		answer.Choices = append(answer.Choices, choice)
+		whole.Choices = append(whole.Choices, choice)
 	}
-	sort.Slice(answer.Choices, func(i, j int) bool { return answer.Choices[i].Index < answer.Choices[j].Index })
-	return answer
+	sort.Slice(whole.Choices, func(i, j int) bool { return whole.Choices[i].Index < whole.Choices[j].Index })
+	return whole
 }
 
 // completeWhole waits for the whole answer and sends it as one JSON document.
@@ -168,6 +196,9 @@
 	if refusal := a.dispatcher.Complete(c.Request().Context(), req, asm.add); refusal != nil {
 		return refusal
 	}
+	if asm.pieces == 0 {
+		return emptyAnswer()
+	}
 	c.Response().Header().Set(HeaderVerdict, verdict.Ran.String())
-	return c.JSON(http.StatusOK, asm.build(strings.Contains(req.Path, "/chat/")))
+	return writeJSON(c, http.StatusOK, asm.build(strings.Contains(req.Path, "/chat/")))
 }
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -13,14 +13,18 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/answer"
+	"github.com/cherrystage/cherrystage/internal/callerconn"
 	"github.com/cherrystage/cherrystage/internal/credential"
 	"github.com/cherrystage/cherrystage/internal/dispatch"
 	"github.com/cherrystage/cherrystage/internal/engine"
 	"github.com/cherrystage/cherrystage/internal/inventory"
 	"github.com/cherrystage/cherrystage/internal/plain"
 	"github.com/cherrystage/cherrystage/internal/verdict"
+	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 )
@@ -71,20 +75,50 @@
 	dispatcher Dispatcher
 	inventory  Inventory
 	limiter    RequestLimiter
-	ready      func() bool
+	state      State
 	maxBody    int64
+	log        hclog.Logger
+	// Unanswered counts the requests whose handler ended without having written anything.
+	Unanswered atomic.Int64
 }
 
-// New returns an API; ready reports whether this host takes requests.
-func New(dispatcher Dispatcher, inv Inventory, limiter RequestLimiter, ready func() bool, maxBody int64) *API {
-	return &API{dispatcher: dispatcher, inventory: inv, limiter: limiter, ready: ready, maxBody: maxBody}
+// State is what the API asks of its host.
+type State interface {
+	// Ready reports whether this host takes requests.
+	Ready() bool
+	// Stopping reports whether requests are refused, and connections closed after their answers.
+	Stopping() bool
+}
+
+// New returns an API.
+func New(dispatcher Dispatcher, inv Inventory, limiter RequestLimiter, state State, maxBody int64, log hclog.Logger) *API {
+	return &API{dispatcher: dispatcher, inventory: inv, limiter: limiter, state: state, maxBody: maxBody, log: log}
 }
 
 // Handler returns the HTTP handler.
 func (a *API) Handler() http.Handler {
+	router := a.router()
+	serve := func(ctx context.Context, w *answer.Writer, r *http.Request) {
+		defer markMissing(w)
+		router.ServeHTTP(w, r.WithContext(ctx))
+	}
+	return &callerconn.Handler{Serve: serve, Closing: a.state.Stopping, RequestID: requestID, Log: a.log, Unanswered: &a.Unanswered}
+}
+
+// markMissing gives the failure that stands for a missing answer its verdict.
+func markMissing(w *answer.Writer) {
+	if !w.Begun() {
+		w.Header().Set(HeaderVerdict, verdict.MayHaveRun.String())
+	}
+}
+
+func requestID(r *http.Request) string { return r.Header.Get(HeaderRequestID) }
+
+func (a *API) router() *echo.Echo {
 	e := echo.New()
 	e.HideBanner = true
 	e.HTTPErrorHandler = handleError
+	e.Pre(a.refuseWhileStopping)
 	e.GET("/readyz", a.readyz)
 	e.GET("/v1/models", a.models)
 	e.POST("/v1/completions", a.complete)
@@ -94,11 +128,25 @@
 	return e
 }
 
+// refuseWhileStopping refuses what is still read on kept connections, so that the last answer on each
+// closes it.
+func (a *API) refuseWhileStopping(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if !a.state.Stopping() {
+			return next(c)
+		}
+		return &dispatch.Refusal{
+			Status: http.StatusServiceUnavailable, Code: dispatch.CodeStopping, Message: "this host is stopping",
+			Verdict: verdict.NotRun, RetryAfter: time.Second,
+		}
+	}
+}
+
 func (a *API) readyz(c echo.Context) error {
-	if !a.ready() {
-		return c.JSON(http.StatusServiceUnavailable, map[string]string{"status": codeNotReady})
+	if !a.state.Ready() {
+		return writeJSON(c, http.StatusServiceUnavailable, map[string]string{"status": codeNotReady})
 	}
-	return c.JSON(http.StatusOK, map[string]string{"status": "ready"})
+	return writeJSON(c, http.StatusOK, map[string]string{"status": "ready"})
 }
 
 func refuse(status int, code, message string) *dispatch.Refusal {
@@ -118,7 +166,7 @@
 	if !errors.As(err, &refusal) {
 		refusal = refusalFromError(err)
 	}
-	if c.Response().Committed {
+	if writerOf(c).Begun() {
 		return
 	}
 	header := c.Response().Header()
@@ -126,7 +174,15 @@
 	if refusal.RetryAfter > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(refusal.RetryAfter.Seconds()))))
 	}
-	_ = c.JSON(refusal.Status, errorBody{Code: refusal.Code, Message: refusal.Message, Verdict: refusal.Verdict})
+	_ = writeJSON(c, errorStatus(refusal), errorBody{Code: refusal.Code, Message: refusal.Message, Verdict: refusal.Verdict})
+}
+
+// errorStatus returns the status of a refusal, which must not be taken for a success.
+func errorStatus(refusal *dispatch.Refusal) int {
+	if refusal.Status < http.StatusBadRequest {
+		return http.StatusInternalServerError
+	}
+	return refusal.Status
 }
 
 // refusalFromError converts other errors. Those of the HTTP library occur before a
@@ -153,7 +209,7 @@
 }
 
 func (a *API) readBody(c echo.Context) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, a.maxBody))
+	body, err := io.ReadAll(http.MaxBytesReader(writerOf(c).Unwrap(), c.Request().Body, a.maxBody))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, refuse(http.StatusRequestEntityTooLarge, codeTooLarge, "body over "+strconv.FormatInt(a.maxBody, 10)+" bytes")
@@ -216,7 +272,7 @@
 			list.Data = append(list.Data, modelEntry{ID: adapter.Name, Object: "model", Base: adapter.Base, Current: adapter.Current, Versions: adapter.Versions})
 		}
 	}
-	return c.JSON(http.StatusOK, list)
+	return writeJSON(c, http.StatusOK, list)
 }
 
 // service forwards a request to a plain service.
@@ -249,11 +305,11 @@
 		Method: c.Request().Method, Path: path, Query: c.Request().URL.RawQuery,
 		Header: c.Request().Header, Body: body, TraceID: req.ID,
 	}
-	answer, refusal := a.dispatcher.Service(c.Request().Context(), req, call)
+	got, refusal := a.dispatcher.Service(c.Request().Context(), req, call)
 	if refusal != nil {
 		return refusal
 	}
-	return writeAnswer(c, answer)
+	return writeAnswer(c, got)
 }
 
 func tooManyRequests() error {
@@ -263,22 +319,24 @@
 	}
 }
 
-func writeAnswer(c echo.Context, answer plain.Answer) error {
-	header := c.Response().Header()
-	for name, values := range answer.Header {
-		if name != "Content-Length" {
-			header[name] = values
-		}
-	}
+// writeAnswer passes a service's answer on. One without a body has the length that the service gave
+// it, which is that of a body not sent.
+func writeAnswer(c echo.Context, got plain.Answer) error {
+	w := writerOf(c)
+	header := w.Header()
+	maps.Copy(header, got.Header)
 	outcome := verdict.Ran
-	if answer.Status >= http.StatusInternalServerError {
+	if got.Status >= http.StatusInternalServerError {
 		// The service failed; how much of the request ran is unknown.
 		outcome = verdict.MayHaveRun
 	}
 	header.Set(HeaderVerdict, outcome.String())
-	c.Response().WriteHeader(answer.Status)
-	_, err := c.Response().Write(answer.Body)
-	return err
+	if c.Request().Method != http.MethodHead && got.Status != http.StatusNoContent && got.Status != http.StatusNotModified {
+		return w.WriteWhole(got.Status, got.Body)
+	}
+	w.WriteHeader(got.Status)
+	w.Complete()
+	return nil
 }
 
 // completionBody holds the decoded fields of a caller's request; all others are passed on.
--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -16,6 +16,7 @@
 	"github.com/cherrystage/cherrystage/internal/plain"
 	"github.com/cherrystage/cherrystage/internal/standalone"
 	"github.com/cherrystage/cherrystage/internal/verdict"
+	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
 )
 
@@ -46,6 +47,12 @@
 func (f fakeLimiter) Begin() bool { return !f.full }
 func (fakeLimiter) End()          {}
 
+// fakeState is a host that is ready.
+type fakeState struct{}
+
+func (fakeState) Ready() bool    { return true }
+func (fakeState) Stopping() bool { return false }
+
 type fixedInventory struct{ snapshot *inventory.Snapshot }
 
 func (f fixedInventory) Snapshot() *inventory.Snapshot { return f.snapshot }
@@ -130,7 +137,7 @@
 	if key != "-" {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
-	api := New(&e.dispatcher, fixedInventory{snapshot(t)}, fakeLimiter{e.full}, func() bool { return true }, 1000)
+	api := New(&e.dispatcher, fixedInventory{snapshot(t)}, fakeLimiter{e.full}, fakeState{}, 1000, hclog.NewNullLogger())
 	recorder := httptest.NewRecorder()
 	api.Handler().ServeHTTP(recorder, req)
 	return recorder
--- a/internal/node/cluster_test.go
+++ b/internal/node/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/cherrystage/cherrystage/internal/adminapi"
 	"github.com/cherrystage/cherrystage/internal/adminclient"
 	"github.com/cherrystage/cherrystage/internal/callerapi"
+	"github.com/cherrystage/cherrystage/internal/callerconn"
 	"github.com/cherrystage/cherrystage/internal/inventory"
 	"github.com/cherrystage/cherrystage/internal/settings"
 	"github.com/cherrystage/cherrystage/internal/standalone"
@@ -46,11 +47,17 @@
 	id      string
 	cancel  context.CancelFunc
 	done    chan struct{}
-	callers *http.Server
-	servers []*http.Server
+	callers *callerconn.Server
+	servers []httpServer
 	closers []io.Closer
 }
 
+// httpServer is a server for callers or operators.
+type httpServer interface {
+	io.Closer
+	Serve(listener net.Listener) error
+}
+
 func smallEnvironment() standin.EnvironmentConfig {
 	return standin.EnvironmentConfig{
 		Runners: 2, Slots: 2, MaxBatch: 8, TokenTime: 20 * time.Millisecond, LoadTime: 300 * time.Millisecond,
@@ -134,7 +141,7 @@
 	n := New(cfg, host.Dial, hclog.New(&hclog.LoggerOptions{Level: logLevel, Output: testLog{c.t}, Name: id}))
 	ctx, cancel := context.WithCancel(context.Background())
 	node := &testNode{Node: n, id: id, cancel: cancel, done: make(chan struct{}), callers: n.CallerServer()}
-	node.servers = []*http.Server{node.callers, n.OperatorServer()}
+	node.servers = []httpServer{node.callers, n.OperatorServer()}
 	for i, server := range node.servers {
 		listener, err := host.Listen(fmt.Sprint(80 + i))
 		must.NoError(c.t, err)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -14,6 +14,7 @@
 	Revision           uint64  `json:"revision"`
 	Adapters           int     `json:"adapters"`
 	Open               int     `json:"requests_open"`
+	Unanswered         int64   `json:"requests_unanswered"`
 	InUse              int     `json:"gate_in_use"`
 	Waiting            int     `json:"gate_waiting"`
 	RetriesDenied      int64   `json:"retries_denied"`
@@ -39,7 +40,7 @@
 	snapshot := n.follower.Snapshot()
 	result := hostMetrics{
 		MetricsSnapshot: n.metrics.Snapshot(), Revision: uint64(snapshot.Revision()), Adapters: snapshot.Len(),
-		Open: n.openRequests.Open(), InUse: n.gate.InUse(), Waiting: n.gate.Waiting(), RetriesDenied: n.retryBudget.Denied(),
+		Open: n.openRequests.Open(), Unanswered: n.callerAPI.Unanswered.Load(), InUse: n.gate.InUse(), Waiting: n.gate.Waiting(), RetriesDenied: n.retryBudget.Denied(),
 		PinsHeld: n.pinHolder.PinCount(), RunnersOwned: len(n.controller.Owned()),
 		LeaseSeconds: max(0, n.controller.LeaseValidUntil().Sub(now).Seconds()), AwaitedLoads: n.controller.AwaitedLoads(),
 		LoadsPerSecond: n.allowance.PerSecond(now), ObjectCalls: n.objects.CallCount(), HeartbeatsAnswered: n.membership.HeartbeatsAnswered(),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/callerapi"
 	"github.com/cherrystage/cherrystage/internal/claims"
 	"github.com/cherrystage/cherrystage/internal/configlog"
 	"github.com/cherrystage/cherrystage/internal/configsync"
@@ -81,9 +82,11 @@
 	retryBudget  *dispatch.RetryBudget
 	openRequests *requestLimiter
 	placer       *dispatch.Placer
+	callerAPI    *callerapi.API
 
 	candidateCache atomic.Pointer[candidateList]
 	wasCaughtUp    atomic.Bool
+	stopping       atomic.Bool
 	mu             sync.Mutex
 	leaving        bool
 	draining       bool
@@ -199,6 +202,7 @@
 		Claims: n.claims, Gate: n.gate, Budget: n.retryBudget, Breakers: dispatch.NewBreakers(),
 		Placer: n.placer, Demand: n.demand, Traces: n.traces, Metrics: n.metrics, Log: n.log.Named("dispatch"),
 	})
+	n.callerAPI = callerapi.New(n.dispatcher, n.follower, n.openRequests, n, n.cfg.Limits.MaxBodyBytes, n.log.Named("callers"))
 	mux := peer.NewMux()
 	n.controller.Register(mux)
 	n.loads.Register(mux)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/adminapi"
-	"github.com/cherrystage/cherrystage/internal/callerapi"
+	"github.com/cherrystage/cherrystage/internal/callerconn"
 	"github.com/cherrystage/cherrystage/internal/fleet"
 	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/pkg/errors"
@@ -89,9 +89,8 @@
 func (n *Node) ServePeers(listener net.Listener) error { return n.server.Serve(listener) }
 
 // CallerServer returns the HTTP server for callers.
-func (n *Node) CallerServer() *http.Server {
-	api := callerapi.New(n.dispatcher, n.follower, n.openRequests, n.Ready, n.cfg.Limits.MaxBodyBytes)
-	return n.httpServer(api.Handler())
+func (n *Node) CallerServer() *callerconn.Server {
+	return callerconn.NewServer(n.httpServer(n.callerAPI.Handler()))
 }
 
 // OperatorServer returns the HTTP server for operators.
@@ -112,6 +111,9 @@
 	return !leaving && n.follower.Snapshot().Revision() > 0 && n.caughtUp(time.Now())
 }
 
+// Stopping reports whether this host refuses requests and closes callers' connections.
+func (n *Node) Stopping() bool { return n.stopping.Load() }
+
 // startupGrace is how long a new host waits to hear from the other entry hosts.
 const startupGrace = 2 * time.Second
 
@@ -186,9 +188,9 @@
 }
 
 // Shutdown stops this host gracefully: it becomes not ready immediately, accepts new requests
-// until the load balancer has noticed, and waits for open streams. It returns the number of
-// requests that were cut off because the drain limit was exceeded or the context was cancelled.
-func (n *Node) Shutdown(ctx context.Context, callers *http.Server) (int, error) {
+// until the load balancer has noticed, refuses those that come after that on kept connections, and
+// waits for open streams. It returns the number of requests that were cut off because the drain limit was exceeded or the context was cancelled.
+func (n *Node) Shutdown(ctx context.Context, callers *callerconn.Server) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, n.cfg.Timing.DrainLimit)
 	defer cancel()
 	n.startDrain()
@@ -202,6 +204,7 @@
 	case <-n.handedOver:
 	case <-ctx.Done():
 	}
+	n.stopping.Store(true)
 	err := callers.Shutdown(ctx)
 	select {
 	case <-n.openRequests.Empty():
