cherryctl takes no empty answer for a success

An answer of 200 with null or {} was decoded as a result: get showed an empty inventory, apply and put said "nothing to change; revision 0", drain said that the host was draining. A change whose connection ended without an answer, or with 204 or 502 and no body, exited with 1 (failed), though it may have been made.

The client refuses an answer without a result, a change's answer that is not one to that change, and a drain's that does not say so. Without the host's own word, a call that changes something is told as one that may have been made (exit code 4), unless no connection was opened.

The administration API itself writes each answer through echo's JSON, with a status; nothing was found there. Truncated JSON was refused before.

--- a/cmd/cherryctl/main.go
+++ b/cmd/cherryctl/main.go
@@ -104,6 +104,10 @@
 	if errors.Is(err, errTimeout) {
 		return exitTimeout
 	}
+	var unanswered *adminclient.UnansweredError
+	if errors.As(err, &unanswered) {
+		return exitUnknown
+	}
 	var apiError *adminclient.APIError
 	if !errors.As(err, &apiError) {
 		return exitFailure
--- a/internal/adminclient/adminclient.go
+++ b/internal/adminclient/adminclient.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -32,6 +33,18 @@
 // Verdict returns whether the failed call may have taken effect.
 func (e *APIError) Verdict() verdict.Verdict { return e.ErrorResult.Verdict }
 
+// UnansweredError is a call that changes something and whose answer is missing, or is none to it.
+type UnansweredError struct{ Cause error }
+
+// Error implements error.
+func (e *UnansweredError) Error() string { return "it may have been made: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *UnansweredError) Unwrap() error { return e.Cause }
+
+// Verdict returns that the call may have taken effect.
+func (e *UnansweredError) Verdict() verdict.Verdict { return verdict.MayHaveRun }
+
 // Client calls one host's administration API.
 type Client struct {
 	base string
@@ -53,7 +66,21 @@
 // Change requests a change of the inventory.
 func (c *Client) Change(ctx context.Context, req adminapi.ChangeRequest) (adminapi.ChangeResult, error) {
 	var result adminapi.ChangeResult
-	return result, c.call(ctx, http.MethodPost, "/v1/changes", req, &result)
+	if err := c.call(ctx, http.MethodPost, "/v1/changes", req, &result); err != nil {
+		return result, err
+	}
+	if !isResultOf(result, req) {
+		return result, &UnansweredError{Cause: errors.Errorf("the answer is not one to change %s", req.ChangeID)}
+	}
+	return result, nil
+}
+
+// isResultOf reports whether a result is one of a change: that it changed nothing, or what it changed.
+func isResultOf(result adminapi.ChangeResult, req adminapi.ChangeRequest) bool {
+	if result.DryRun || len(result.Ops) == 0 {
+		return result.Ops != nil
+	}
+	return result.Revision > 0 && result.ChangeID == req.ChangeID
 }
 
 // Audit returns the last changes, newest first.
@@ -77,7 +104,13 @@
 // Drain makes an entry host not ready and makes it give up its runners.
 func (c *Client) Drain(ctx context.Context, host string) error {
 	var result map[string]string
-	return c.call(ctx, http.MethodPost, "/v1/hosts/"+url.PathEscape(host)+"/drain", nil, &result)
+	if err := c.call(ctx, http.MethodPost, "/v1/hosts/"+url.PathEscape(host)+"/drain", nil, &result); err != nil {
+		return err
+	}
+	if result["status"] != "draining" {
+		return &UnansweredError{Cause: errors.Errorf("the answer does not say that %s is draining", host)}
+	}
+	return nil
 }
 
 func (c *Client) call(ctx context.Context, method, path string, body, into any) error {
@@ -95,6 +128,23 @@
 	}
 	req.Header.Set("Authorization", "Bearer "+c.key)
 	req.Header.Set("Content-Type", "application/json")
+	err = c.exchange(req, into)
+	if method == http.MethodGet || err == nil || tellsOutcome(err) {
+		return err
+	}
+	return &UnansweredError{Cause: err}
+}
+
+// tellsOutcome reports whether an error says what became of the call: the host's own, or that no
+// connection was opened.
+func tellsOutcome(err error) bool {
+	var answered *APIError
+	var network *net.OpError
+	return errors.As(err, &answered) || errors.As(err, &network) && network.Op == "dial"
+}
+
+// exchange sends a request and decodes its result.
+func (c *Client) exchange(req *http.Request, into any) error {
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "administration API")
@@ -111,5 +161,21 @@
 		}
 		return failed
 	}
+	if !hasContent(text) {
+		return errNoResult
+	}
 	return errors.Wrap(json.Unmarshal(text, into), "decode response of the administration API")
 }
+
+// errNoResult is an answer of success without a result, which would be taken for an empty one.
+var errNoResult = errors.New("administration API: answer without a result")
+
+// hasContent reports whether a text is not empty, and more than an empty JSON object or null.
+func hasContent(text []byte) bool {
+	switch strings.Join(strings.Fields(string(text)), "") {
+	case "", "null", "{}":
+		return false
+	default:
+		return true
+	}
+}
