A 404 to a request's rest does not end a request that has arrived

Cause: the same 404 follows when a pooled connection died while it was idle, so that the request never arrived (TestSilentIdleConnections). What tells the two apart is whether the engine's system has confirmed what was sent: on a dead path the bytes stay in the socket's send queue (SIOCOUTQ), on a slow engine the queue is empty. If it is empty and nothing has come back, the host goes on listening and asks for the rest again, within the time for a first piece; else, or where the connection tells nothing, it gives up as before. Something in between that confirms in the engine's place and has lost the way to it costs the time for a first piece, not one silence.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -92,7 +92,7 @@
 // Complete makes one attempt and calls deliver for each piece of the response, in
 // order and exactly once. It returns nil after a complete response.
 func (c *Client) Complete(ctx context.Context, call Call, deliver func(Piece) error) *Failure {
-	a := &attempt{client: c, call: call, deliver: deliver, assembler: NewAssembler(), reused: make(chan struct{}, 1)}
+	a := &attempt{client: c, call: call, deliver: deliver, assembler: NewAssembler(), reused: make(chan net.Conn, 1)}
 	f := newFollower(a)
 	f.openFirst(ctx)
 	failure := f.follow(ctx)
@@ -109,8 +109,8 @@
 	deliver   func(Piece) error
 	assembler *Assembler
 	delivered int
-	// reused has a value once the request has been given a pooled connection.
-	reused chan struct{}
+	// reused has the pooled connection that the request was given, if any.
+	reused chan net.Conn
 }
 
 // send posts the request and returns the response once its headers have arrived.
@@ -121,7 +121,7 @@
 			connected.Store(true)
 			if info.Reused {
 				select {
-				case a.reused <- struct{}{}:
+				case a.reused <- info.Conn:
 				default:
 				}
 			}
--- a/internal/engine/follow.go
+++ b/internal/engine/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -44,9 +45,9 @@
 	// sent gets the failure to get a response, nil once its headers have arrived. It is nil from then
 	// on, and once another lane has brought an event.
 	sent chan *Failure
-	// began is when the request was sent, pooled is set if that was on a pooled connection.
-	began  time.Time
-	pooled bool
+	// began is when the request was sent, conn is the pooled connection on which that was, if any.
+	began time.Time
+	conn  net.Conn
 	// refused is set once the engine has refused to send the rest.
 	refused bool
 	timer   *time.Timer
@@ -87,11 +88,10 @@
 			if failure := f.handleSent(ctx, failure); failure != nil {
 				return failure
 			}
-		case <-f.reused:
+		case f.conn = <-f.reused:
 			// A pooled connection may have died while it was idle. Rather than wait for
 			// FirstPieceTimeout, wait for SilenceTimeout if that is shorter, and then ask on a new
 			// connection beside it.
-			f.pooled = true
 			f.timer.Reset(min(f.client.cfg.SilenceTimeout, f.client.cfg.FirstPieceTimeout))
 		case next := <-f.arrivals:
 			if !f.lanes[next.lane] {
@@ -124,7 +124,7 @@
 		}
 		return nil
 	}
-	if failure.Code != CodeSilent || !f.pooled {
+	if failure.Code != CodeSilent || !f.isPooled() {
 		return failure
 	}
 	f.first.cancel()
@@ -142,7 +142,7 @@
 // firstPieceWait returns the time from the headers of the response until its first piece is due.
 func (f *follower) firstPieceWait() time.Duration {
 	wait := max(0, f.client.cfg.FirstPieceTimeout-time.Since(f.began))
-	if f.pooled {
+	if f.isPooled() {
 		return min(f.client.cfg.SilenceTimeout, wait)
 	}
 	return wait
@@ -151,7 +151,7 @@
 // handleSilence opens another lane. Once all have been, the response is given up; but an engine that
 // answers, and only refuses to send the rest, has until FirstPieceTimeout to begin.
 func (f *follower) handleSilence(ctx context.Context) *Failure {
-	if f.sent != nil && !f.pooled {
+	if f.sent != nil && !f.isPooled() {
 		return nil
 	}
 	if f.resumes < f.client.cfg.MaxResumes {
@@ -203,8 +203,8 @@
 	delete(f.lanes, end.lane)
 	f.refused = f.refused || end.status != 0
 	switch {
-	case end.status == http.StatusNotFound || end.status == http.StatusGone:
-		// The engine answers and doesn't have the response any more.
+	case (end.status == http.StatusNotFound || end.status == http.StatusGone) && !f.isUnregistered():
+		// The engine answers and doesn't have the response any more, or never got the request.
 		return f.streamFailure(CodeNoAnswer, end.cause)
 	case len(f.lanes) > 0:
 		return nil
@@ -217,6 +217,16 @@
 	return nil
 }
 
+// isPooled reports whether the request was sent on a pooled connection.
+func (f *follower) isPooled() bool { return f.conn != nil }
+
+// isUnregistered reports whether the engine may have the request without knowing its response yet: it has
+// sent nothing on a pooled connection, and its system has the request. On a connection that died while it
+// was idle the request does not arrive.
+func (f *follower) isUnregistered() bool {
+	return f.sent != nil && f.isPooled() && f.lanes[f.first] && allArrived(f.conn)
+}
+
 // closeLanes closes all lanes but one.
 func (f *follower) closeLanes(but *lane) {
 	for l := range f.lanes {
--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -292,6 +292,8 @@
 	// queue holds the pieces that wait for a link; delivering is set while deliver runs.
 	queue      []queuedPiece
 	delivering bool
+	// lost is the number of bytes that were sent and dropped.
+	lost int
 }
 
 // queuedPiece is data in transit, or the end of the connection or of its sending side.
@@ -334,6 +336,7 @@
 
 func (c *memConn) writePiece(data []byte) (int, error) {
 	if c.isBlackholed() {
+		c.addLost(len(data))
 		return len(data), nil
 	}
 	if c.enqueue(queuedPiece{data: data}) {
@@ -341,11 +344,29 @@
 	}
 	n, err := c.Conn.Write(data)
 	if err != nil && c.isBlackholed() {
+		c.addLost(len(data) - n)
 		return len(data), nil
 	}
 	return n, err
 }
 
+func (c *memConn) addLost(count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost += count
+}
+
+// Unacknowledged returns the number of bytes sent that have not arrived, as a socket's send queue does.
+func (c *memConn) Unacknowledged() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := c.lost
+	for _, piece := range c.queue {
+		count += len(piece.data)
+	}
+	return count
+}
+
 // enqueue queues a piece that has to wait for a link and reports whether it did. The writer
 // isn't blocked, as if the sender's socket buffer were unlimited.
 func (c *memConn) enqueue(piece queuedPiece) bool {
@@ -388,6 +409,7 @@
 			arrived.Stop()
 		}
 		if c.isBlackholed() {
+			c.addLost(len(next.data))
 			continue
 		}
 		if next.end {
