A stop does not cut the end of a stream

Cause: net/http sends the end of a chunked answer after the handler has returned, when the recorder already counted the connection as idle, and Shutdown closed it in between.

A connection now counts as in use until net/http says that it is idle (StateIdle), which comes after the answer's end.

TestShutdownDoesNotCutTheEndOfAStream failed before (unexpected EOF).

--- a/internal/callerconn/connections.go
+++ b/internal/callerconn/connections.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -72,6 +73,19 @@
 	return !r.serving && r.received == 0 && (r.used || now.Sub(r.accepted) >= unusedGrace)
 }
 
+// recordState records that net/http has sent an answer to its end, which it does after the handler: the
+// end of a chunked answer would be lost if its connection were closed before. A connection that net/http
+// closes after an answer stays in use until then.
+func recordState(conn net.Conn, state http.ConnState) {
+	r, ok := conn.(*recorder)
+	if !ok || state != http.StateIdle {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.serving = false
+}
+
 // Close implements net.Conn.
 func (r *recorder) Close() error {
 	r.connections.forget(r)
--- a/internal/callerconn/recorder.go
+++ b/internal/callerconn/recorder.go
@@ -82,7 +82,7 @@
 	recorded, tail []byte
 	// startUnknown is set if it is not known where the present request starts.
 	startUnknown bool
-	// used is set once a request has been handled, serving while one is.
+	// used is set once a request has been handled, serving until its answer has been sent.
 	used, serving bool
 	input         inputState
 	writeFailed   bool
@@ -158,7 +158,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ahead, known := r.readAhead(request)
-	r.serving = false
 	r.startUnknown = !known
 	r.received = ahead
 	r.keepLast(ahead)
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -18,9 +18,9 @@
 	stopping  bool
 }
 
-// NewServer returns a server with net/http's settings, whose ConnContext it sets.
+// NewServer returns a server with net/http's settings, whose ConnContext and ConnState it sets.
 func NewServer(inner *http.Server) *Server {
-	inner.ConnContext = withRecorder
+	inner.ConnContext, inner.ConnState = withRecorder, recordState
 	return &Server{http: inner, connections: newConnections()}
 }
 
--- /dev/null
+++ b/internal/ingress/stop_test.go
@@ -0,0 +1,89 @@
+package ingress
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cherrystage/cherrystage/internal/answer"
+	"github.com/cherrystage/cherrystage/internal/standin"
+	"github.com/shoenig/test/must"
+)
+
+// wrappingListener wraps the connections that it accepts.
+type wrappingListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+// Accept implements net.Listener.
+func (l wrappingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(conn), nil
+}
+
+// withWrappedConnections runs a test with an ingress whose connections are wrapped.
+func withWrappedConnections(t *testing.T, wrap func(net.Conn) net.Conn, run func(e *testIngress)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		e := &testIngress{t: t, net: standin.NewNetwork()}
+		defer func() {
+			e.net.Close()
+			time.Sleep(time.Second)
+			synctest.Wait()
+		}()
+		server := newServer(configWith(nil), e)
+		listener, err := e.net.Host("entry").Listen("80")
+		must.NoError(t, err)
+		go func() { _ = server.Serve(wrappingListener{Listener: listener, wrap: wrap}) }()
+		defer func() { _ = server.Close() }()
+		e.shutdown = func(ctx context.Context) { _ = server.Shutdown(ctx) }
+		run(e)
+	})
+}
+
+// writeEvent writes an event of a stream.
+func writeEvent(w *answer.Writer, event string) {
+	if !w.Begun() {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.WriteHeader(http.StatusOK)
+	}
+	_, _ = io.WriteString(w, event)
+	_ = w.FlushError()
+}
+
+// lateEndConn writes the end of a chunked answer late, as to a slow reader or on a busy machine.
+type lateEndConn struct{ net.Conn }
+
+// Write implements net.Conn.
+func (c lateEndConn) Write(data []byte) (int, error) {
+	if strings.HasSuffix(string(data), "0\r\n\r\n") {
+		time.Sleep(200 * time.Millisecond)
+	}
+	return c.Conn.Write(data)
+}
+
+// A stop closes a stream's connection after its last event and before its end.
+func TestShutdownDoesNotCutTheEndOfAStream(t *testing.T) {
+	withWrappedConnections(t, func(conn net.Conn) net.Conn { return lateEndConn{conn} }, func(e *testIngress) {
+		e.handler = func(_ context.Context, w *answer.Writer) {
+			writeEvent(w, "data: x\n\n")
+			time.Sleep(time.Second)
+			w.Complete()
+		}
+		reader := e.sendOnly(post("/a/x", 5))
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			e.shutdown(e.t.Context())
+		}()
+		must.Eq(e.t, "data: x\n\n", e.readAnswer(reader).body)
+	})
+}
