Callers that leave a begun stream, or are far away, are noticed again

One whose refusal of interim answers came after 130 ms was never noticed. Cause: the check ended with the beginning of the answer, and each interim answer was judged before the refusal of it could be back.

Interim answers go out 0, 30, 130 and 630 ms after the end of the input; a refusal shows with the next one. An answer that has begun has 300 ms to show by two writes that its caller takes it; a caller of a stream that is silent then counts as having left, since its runner would work on for nobody. So a caller that closes its sending side in mid- stream keeps a stream that flows.

TestFarCallerThatLeftIsNoticed and TestBegunStreamEndsOnceItsCallerHasLeft failed before; TestStreamGoesOnAfterItsCallerHasClosedItsSendingSide passed before and does.

--- a/internal/callerconn/caller.go
+++ b/internal/callerconn/caller.go
@@ -9,9 +9,17 @@
 	"github.com/cherrystage/cherrystage/internal/timing"
 )
 
-// leftChecks are the waits after each interim answer to a caller whose input has ended. Together they
-// are longer than the way to a caller and back.
-var leftChecks = []time.Duration{30 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond}
+// interimWaits are the waits after the interim answers to a caller whose input has ended. A caller's
+// refusal of one shows when a later one is sent.
+var interimWaits = []time.Duration{0, 30 * time.Millisecond, 100 * time.Millisecond, 500 * time.Millisecond}
+
+const (
+	// answerWait is how long an answer that has begun may take to show whether its caller is there.
+	answerWait = 300 * time.Millisecond
+	// writesTaken is the number of writes that a caller that is there takes meanwhile: the first one
+	// after it has left is still sent.
+	writesTaken = 2
+)
 
 // watchCaller returns a context for the request that ends once its caller has left. The context of
 // net/http ends earlier: with the caller's input, which a caller also closes that has sent all it has
@@ -33,7 +41,8 @@
 // callerLeft finds out whether a caller has left after its input has ended.
 //
 // A caller that has closed its whole connection refuses whatever is sent to it. Until the answer
-// begins, this host sends interim answers to find out; afterwards, the answer itself shows it.
+// begins, this host sends interim answers to find out; afterwards, the answer itself shows it. If it
+// is silent then, the caller counts as having left: its runner would work on for nobody.
 func callerLeft(ctx context.Context, w *answer.Writer, r *http.Request) bool {
 	conn := recorderFrom(r.Context())
 	switch conn.inputState() {
@@ -42,18 +51,24 @@
 	case inputBroken:
 		return true
 	}
-	if !r.ProtoAtLeast(1, 1) {
-		// HTTP/1.0 has no interim answers.
-		return false
+	writes := conn.writeCount()
+	// HTTP/1.0 has no interim answers.
+	if r.ProtoAtLeast(1, 1) {
+		sendInterims(ctx, w, conn)
 	}
-	for _, wait := range leftChecks {
-		if !w.Interim() {
-			return false
-		}
+	if conn.hasWriteFailed() || !w.Begun() {
+		return conn.hasWriteFailed()
+	}
+	timing.Sleep(ctx, answerWait)
+	return conn.hasWriteFailed() || conn.writeCount() < writes+writesTaken
+}
+
+// sendInterims sends interim answers until one is refused, the answer begins or there are enough.
+func sendInterims(ctx context.Context, w *answer.Writer, conn *recorder) {
+	for _, wait := range interimWaits {
 		timing.Sleep(ctx, wait)
-		if conn.hasWriteFailed() {
-			return true
+		if !w.Interim() || conn.hasWriteFailed() {
+			return
 		}
 	}
-	return false
 }
--- a/internal/callerconn/recorder.go
+++ b/internal/callerconn/recorder.go
@@ -85,6 +85,7 @@
 	// used is set once a request has been handled, serving until its answer has been sent.
 	used, serving bool
 	input         inputState
+	writes        int
 	writeFailed   bool
 }
 
@@ -112,14 +113,23 @@
 // Write implements net.Conn.
 func (r *recorder) Write(data []byte) (int, error) {
 	n, err := r.Conn.Write(data)
-	if err != nil {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.writeFailed = true
-	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writes++
+	r.writeFailed = r.writeFailed || err != nil
 	return n, err
 }
 
+// writeCount returns the number of writes so far.
+func (r *recorder) writeCount() int {
+	if r == nil {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.writes
+}
+
 // hasWriteFailed reports whether the caller's side has refused what was sent to it.
 func (r *recorder) hasWriteFailed() bool {
 	if r == nil {
