A general OPTIONS request is no success

OPTIONS * got an empty 200 that net/http writes without calling the handler, so that its connection also never counted as idle again: a stop lasted to the end of its grace period, and conflicting framing behind it was not seen. It now goes to the handler like any other request, and has no route.

--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -20,6 +20,8 @@
 
 // NewServer returns a server with net/http's settings, whose ConnContext and ConnState it sets.
 func NewServer(inner *http.Server) *Server {
+	// net/http would answer OPTIONS * with an empty success of its own.
+	inner.DisableGeneralOptionsHandler = true
 	inner.ConnContext, inner.ConnState = withRecorder, recordState
 	return &Server{http: inner, connections: newConnections()}
 }
--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -87,3 +87,24 @@
 		must.Eq(e.t, "data: x\n\n", e.readAnswer(reader).body)
 	})
 }
+
+// shutsDownWithin checks that a stop ends long before its grace period does.
+func (e *testIngress) shutsDownWithin(limit time.Duration) {
+	e.t.Helper()
+	begin := time.Now()
+	ctx, cancel := context.WithTimeout(e.t.Context(), 20*time.Second)
+	defer cancel()
+	e.shutdown(ctx)
+	must.Less(e.t, limit, time.Since(begin))
+}
+
+const generalOptions = "OPTIONS * HTTP/1.1\r\nHost: h\r\nId: q\r\n\r\n"
+
+// A general OPTIONS request gets an empty success, and its connection is never idle afterwards.
+func TestGeneralOptionsIsNoSuccess(t *testing.T) {
+	withIngress(t, true, func(e *testIngress) {
+		got := e.readAnswer(e.sendOnly(generalOptions))
+		must.Eq(e.t, http.StatusNotFound, got.status)
+		e.shutsDownWithin(time.Second)
+	})
+}
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -100,7 +100,7 @@
 }
 
 func (n *Node) httpServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, MaxHeaderBytes: n.cfg.Limits.MaxHeaderBytes, ReadHeaderTimeout: headerTimeout}
+	return &http.Server{Handler: handler, MaxHeaderBytes: n.cfg.Limits.MaxHeaderBytes, ReadHeaderTimeout: headerTimeout, DisableGeneralOptionsHandler: true}
 }
 
 // Ready reports whether this host accepts new requests, for the load balancer.
