Line ends between two requests are no part of the second

A caller that sends a line end behind a body, as old ones do, kept its connection from ever being idle (a stop lasted to the end of its grace period); two line ends before a request with conflicting framing hid the conflict (on too): the recorder took them for the end of the header. net/http skips them, and so does the recorder now.

TestShutdownClosesAConnectionWithALineEndBehindABody failed before (20 s), and TestConflictingFramingIsSeenBehind behind line ends (200).

--- a/internal/callerconn/connections.go
+++ b/internal/callerconn/connections.go
@@ -70,7 +70,8 @@
 func (r *recorder) isIdle(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.serving && r.received == 0 && (r.used || now.Sub(r.accepted) >= unusedGrace)
+	_, skipped := r.fromStart()
+	return !r.serving && r.received == skipped && (r.used || now.Sub(r.accepted) >= unusedGrace)
 }
 
 // recordState records that net/http has sent an answer to its end, which it does after the handler: the
--- a/internal/callerconn/recorder.go
+++ b/internal/callerconn/recorder.go
@@ -197,12 +197,13 @@
 	if r.startUnknown {
 		return 0, false
 	}
-	header, body, complete := bytes.Cut(r.recorded, headerEnd)
+	recorded, skipped := r.fromStart()
+	header, body, complete := bytes.Cut(recorded, headerEnd)
 	if !complete {
 		return 0, false
 	}
 	if len(request.TransferEncoding) == 0 {
-		ahead = r.received - len(header) - len(headerEnd) - int(max(0, request.ContentLength))
+		ahead = r.received - skipped - len(header) - len(headerEnd) - int(max(0, request.ContentLength))
 		return max(0, ahead), ahead <= maxReadAhead
 	}
 	if r.received > len(r.recorded) {
@@ -211,6 +212,13 @@
 	return behindChunks(body)
 }
 
+// fromStart returns what is recorded from the request's first line on, and the number of bytes before
+// it: net/http skips line ends behind the body of the request before.
+func (r *recorder) fromStart() (recorded []byte, skipped int) {
+	recorded = bytes.TrimLeft(r.recorded, string(lineEnd))
+	return recorded, len(r.recorded) - len(recorded)
+}
+
 var (
 	headerEnd = []byte("\r\n\r\n")
 	lineEnd   = []byte("\r\n")
@@ -243,7 +251,8 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	header, _, complete := bytes.Cut(r.recorded, headerEnd)
+	recorded, _ := r.fromStart()
+	header, _, complete := bytes.Cut(recorded, headerEnd)
 	if !complete || r.startUnknown {
 		return FramingUnknown
 	}
--- /dev/null
+++ b/internal/ingress/framing_test.go
@@ -0,0 +1,45 @@
+package ingress
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cherrystage/cherrystage/internal/site"
+	"github.com/shoenig/test/must"
+)
+
+const (
+	smallChunked = "POST /a/x HTTP/1.1\r\nHost: h\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+	conflicting  = "POST /a/x HTTP/1.1\r\nHost: h\r\nId: q\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+)
+
+// largeChunked returns a request with more chunks than are recorded.
+func largeChunked() string {
+	return "POST /a/x HTTP/1.1\r\nHost: h\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1000\r\n"+strings.Repeat("x", 4096)+"\r\n", 6) + "0\r\n\r\n"
+}
+
+// largeBodies returns a configuration that allows them.
+func largeBodies() *site.Config {
+	route := &site.Route{Name: "a", Host: "h", Prefix: "/a/", Kind: site.Idempotent}
+	return site.NewConfig(1, []*site.Route{route}, nil, site.Limits{MaxBodyBytes: 4 << 20})
+}
+
+// Conflicting framing behind line ends or another request is not seen.
+func TestConflictingFramingIsSeenBehind(t *testing.T) {
+	for name, before := range map[string]string{
+		"line ends":          post("/a/x", 5) + "\r\n\r\n",
+		"general options":    generalOptions,
+		"a body":             post("/a/x", 5),
+		"a chunked body":     smallChunked,
+		"a body with a tail": strings.Replace(smallChunked, "0\r\n\r\n", "0\r\nTrailer: t\r\n\r\n", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			withIngress(t, true, func(e *testIngress) {
+				reader := e.sendOnly(before + conflicting)
+				e.readAnswer(reader)
+				must.Eq(e.t, http.StatusBadRequest, e.readAnswer(reader).status)
+			})
+		})
+	}
+}
--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -108,3 +108,11 @@
 		e.shutsDownWithin(time.Second)
 	})
 }
+
+// A line end behind a body keeps its connection from being idle, so that a stop lasts to its end.
+func TestShutdownClosesAConnectionWithALineEndBehindABody(t *testing.T) {
+	withIngress(t, true, func(e *testIngress) {
+		e.readAnswer(e.sendOnly(post("/a/x", 5) + "\r\n"))
+		e.shutsDownWithin(time.Second)
+	})
+}
