A large chunked body does not spoil its connection

It is known again once net/http reads on an idle connection after its first deadline there, which it does only if there is no request in its buffer. A connection no longer keeps the end of a large body in memory, and chunks are counted with a small buffer.

TestConnectionIsKeptAfterALargeChunkedBody failed before.

--- a/internal/callerconn/connections.go
+++ b/internal/callerconn/connections.go
@@ -84,7 +84,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.serving = false
+	r.serving, r.idleDeadlines = false, 0
 }
 
 // Close implements net.Conn.
--- a/internal/callerconn/recorder.go
+++ b/internal/callerconn/recorder.go
@@ -85,6 +85,8 @@
 	// used is set once a request has been handled, serving until its answer has been sent.
 	used, serving bool
 	input         inputState
+	// idleDeadlines counts the read deadlines that were set since the connection became idle.
+	idleDeadlines int
 	writes        int
 	writeFailed   bool
 }
@@ -95,10 +97,29 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.input = max(r.input, inputStateOf(err))
+	if n > 0 && r.awaitsRequest() {
+		r.received, r.startUnknown = 0, false
+		r.keepLast(0)
+	}
 	r.record(into[:n])
 	return n, err
 }
 
+// awaitsRequest reports whether a request starts with the next byte although it was not known where the
+// last one ended. After the first deadline that net/http sets on an idle connection, it reads only if
+// there is no request in its buffer.
+func (r *recorder) awaitsRequest() bool {
+	return r.startUnknown && !r.serving && r.idleDeadlines == 1
+}
+
+// SetReadDeadline implements net.Conn.
+func (r *recorder) SetReadDeadline(deadline time.Time) error {
+	r.mu.Lock()
+	r.idleDeadlines++
+	r.mu.Unlock()
+	return r.Conn.SetReadDeadline(deadline)
+}
+
 func (r *recorder) record(data []byte) {
 	r.received += len(data)
 	room := min(len(data), maxRecordedBytes-len(r.recorded))
@@ -112,14 +133,21 @@
 
 // Write implements net.Conn.
 func (r *recorder) Write(data []byte) (int, error) {
+	// Counted before, since the caller may leave before the write has returned.
+	r.countWrite()
 	n, err := r.Conn.Write(data)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.writes++
 	r.writeFailed = r.writeFailed || err != nil
 	return n, err
 }
 
+func (r *recorder) countWrite() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writes++
+}
+
 // writeCount returns the number of writes so far.
 func (r *recorder) writeCount() int {
 	if r == nil {
@@ -178,7 +206,7 @@
 	inTail := min(count, len(r.tail))
 	kept := append(r.recorded[:0], r.recorded[len(r.recorded)-(count-inTail):]...)
 	r.recorded = append(kept, r.tail[len(r.tail)-inTail:]...)
-	r.tail = r.tail[:0]
+	r.tail = nil
 }
 
 // hasReadAhead reports whether bytes beyond the request may have been read.
@@ -224,13 +252,17 @@
 	lineEnd   = []byte("\r\n")
 )
 
+// chunkBufferBytes is enough for the line that begins a chunk.
+const chunkBufferBytes = 256
+
 // behindChunks returns the number of bytes behind a chunked body, if that is whole.
 func behindChunks(body []byte) (int, bool) {
-	buffered := bufio.NewReader(bytes.NewReader(body))
+	unread := bytes.NewReader(body)
+	buffered := bufio.NewReaderSize(unread, chunkBufferBytes)
 	if _, err := io.Copy(io.Discard, httputil.NewChunkedReader(buffered)); err != nil {
 		return 0, false
 	}
-	rest, _ := io.ReadAll(buffered)
+	rest := body[len(body)-unread.Len()-buffered.Buffered():]
 	if bytes.HasPrefix(rest, lineEnd) {
 		return len(rest) - len(lineEnd), true
 	}
--- a/internal/ingress/framing_test.go
+++ b/internal/ingress/framing_test.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"bufio"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -43,3 +45,19 @@
 		})
 	}
 }
+
+// After one large chunked body, a kept connection is closed with each later chunked request.
+func TestConnectionIsKeptAfterALargeChunkedBody(t *testing.T) {
+	withIngressConfig(t, largeBodies(), func(e *testIngress) {
+		conn := e.dial()
+		reader := bufio.NewReader(conn)
+		for i, text := range []string{largeChunked(), smallChunked, post("/a/x", 3), smallChunked} {
+			go func() { _, _ = io.WriteString(conn, text) }()
+			got := e.readAnswer(reader)
+			must.Eq(e.t, http.StatusOK, got.status, must.Sprintf("request %d", i))
+			must.False(e.t, got.closes, must.Sprintf("request %d", i))
+		}
+		go func() { _, _ = io.WriteString(conn, conflicting) }()
+		must.Eq(e.t, http.StatusBadRequest, e.readAnswer(reader).status)
+	})
+}
