An answer that has begun takes no other, and a missing one bears no runner's header

A path that wrote an answer of the host's own behind the beginning of a runner's would have completed that as whole; a panic between the copy of a runner's header and its writing would have given the failure in its place the runner's stamp. No such path is known; the place where answers end now rules both out. The own mode's verdict on a missing answer is a field of the writer.

TestOwnAnswerDoesNotCompleteOneThatHasBegun and TestMissingAnswerBearsNoHeaderOfARunner failed before (the latter without the field MissingHeader).

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -19,6 +19,9 @@
 // ErrNoStatus is returned for content that is written before a status.
 var ErrNoStatus = errors.New("content of an answer without a status")
 
+// ErrBegun is returned for a whole answer behind the beginning of another.
+var ErrBegun = errors.New("another answer has begun")
+
 // Outcome is how the answer to a request ended.
 type Outcome uint8
 
@@ -38,6 +41,8 @@
 type Writer struct {
 	// OnHeader is called before the answer's header is written. It may be nil.
 	OnHeader func(header http.Header)
+	// MissingHeader is the header of the failure that stands for a missing answer. It may be nil.
+	MissingHeader http.Header
 
 	mu     sync.Mutex
 	inner  http.ResponseWriter
@@ -139,6 +144,9 @@
 }
 
 func (w *Writer) writeWhole(status int, body []byte) error {
+	if w.begun {
+		return ErrBegun
+	}
 	w.header.Set("Content-Length", strconv.Itoa(len(body)))
 	w.writeHeader(status)
 	_, err := w.write(body)
@@ -199,6 +207,8 @@
 	case w.callerLeft:
 		return Left
 	default:
+		clear(w.header)
+		maps.Copy(w.header, w.MissingHeader)
 		_ = w.writeOwn(http.StatusInternalServerError, "the request ended without an answer")
 		return Missing
 	}
--- a/internal/answer/answer_test.go
+++ b/internal/answer/answer_test.go
@@ -94,3 +94,26 @@
 	must.Eq(t, []int{http.StatusContinue, http.StatusOK}, recorder.statuses)
 	must.MapEmpty(t, recorder.first)
 }
+
+// An answer of the host's own is appended to a runner's that has begun, which then passes for whole.
+func TestOwnAnswerDoesNotCompleteOneThatHasBegun(t *testing.T) {
+	recorder := httptest.NewRecorder()
+	w := NewWriter(recorder)
+	w.WriteHeader(http.StatusOK)
+	_, err := w.Write([]byte("data: x\n\n"))
+	must.NoError(t, err)
+	must.ErrorIs(t, w.WriteOwn(http.StatusServiceUnavailable, "refused"), ErrBegun)
+	must.Eq(t, "data: x\n\n", recorder.Body.String())
+	must.Eq(t, Cut, w.End())
+}
+
+// The failure that stands for a missing answer bears headers of a runner's that was about to be written.
+func TestMissingAnswerBearsNoHeaderOfARunner(t *testing.T) {
+	recorder := httptest.NewRecorder()
+	w := NewWriter(recorder)
+	w.Header().Set("Stamp", "of a runner")
+	w.MissingHeader = http.Header{"Verdict": {"may-have-run"}}
+	must.Eq(t, Missing, w.End())
+	must.Eq(t, "", recorder.Header().Get("Stamp"))
+	must.Eq(t, "may-have-run", recorder.Header().Get("Verdict"))
+}
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -99,19 +99,12 @@
 func (a *API) Handler() http.Handler {
 	router := a.router()
 	serve := func(ctx context.Context, w *answer.Writer, r *http.Request) {
-		defer markMissing(w)
+		w.MissingHeader = http.Header{HeaderVerdict: {verdict.MayHaveRun.String()}}
 		router.ServeHTTP(w, r.WithContext(ctx))
 	}
 	return &callerconn.Handler{Serve: serve, Closing: a.state.Stopping, RequestID: requestID, Log: a.log, Unanswered: &a.Unanswered}
 }
 
-// markMissing gives the failure that stands for a missing answer its verdict.
-func markMissing(w *answer.Writer) {
-	if !w.Begun() {
-		w.Header().Set(HeaderVerdict, verdict.MayHaveRun.String())
-	}
-}
-
 func requestID(r *http.Request) string { return r.Header.Get(HeaderRequestID) }
 
 func (a *API) router() *echo.Echo {
