A request that is rejected for its header does not drop those behind it

A 400 for a missing id or a bad deadline closed the connection, with the requests that had been read behind it, although it is known where the rejected one ends. Only requests of doubtful framing and those whose body was not read close their connection now.

TestRequestBehindARejectedOneIsAnswered failed before (EOF).

--- a/internal/ingress/framing_test.go
+++ b/internal/ingress/framing_test.go
@@ -61,3 +61,12 @@
 		must.Eq(e.t, http.StatusBadRequest, e.readAnswer(reader).status)
 	})
 }
+
+// A request that is rejected for its header drops those that were read behind it.
+func TestRequestBehindARejectedOneIsAnswered(t *testing.T) {
+	withIngress(t, true, func(e *testIngress) {
+		reader := e.sendOnly("GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n" + post("/a/x", 3))
+		must.Eq(e.t, http.StatusBadRequest, e.readAnswer(reader).status)
+		must.Eq(e.t, http.StatusOK, e.readAnswer(reader).status)
+	})
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -94,7 +94,7 @@
 	if len(r.TransferEncoding) > 0 {
 		switch callerconn.FramingOf(r) {
 		case callerconn.FramingConflict:
-			i.reject(w, r, http.StatusBadRequest, "both Content-Length and Transfer-Encoding")
+			i.rejectAndClose(w, r, http.StatusBadRequest, "both Content-Length and Transfer-Encoding")
 			return
 		case callerconn.FramingUnknown:
 			w.Header().Set("Connection", "close")
@@ -123,7 +123,7 @@
 	}
 	body, status := i.readBody(w, r, config, metadata)
 	if status != 0 {
-		i.reject(w, r, status, "body not read")
+		i.rejectAndClose(w, r, status, "body not read")
 		return
 	}
 	request := &forward.Request{
@@ -207,19 +207,20 @@
 	}
 }
 
-// reject answers a request that is not served. If its framing is in doubt or its body was not
-// read, the connection is closed: the bytes that follow may belong to this request.
+// reject answers a request that is not served.
 func (i *Ingress) reject(w *answer.Writer, r *http.Request, status int, reason string, fields ...any) {
 	line := []any{"id", i.requestID(r), "method", r.Method, "host_header", r.Host, "path", r.URL.Path, "status", status, "reason", reason}
 	i.Log.Info("request rejected", append(line, fields...)...)
-	switch status {
-	case http.StatusNotFound, http.StatusServiceUnavailable, http.StatusUnauthorized:
-	default:
-		w.Header().Set("Connection", "close")
-	}
 	_ = w.WriteOwn(status, reason)
 }
 
+// rejectAndClose is reject for a request of which it is not known where it ends, so that the bytes that
+// follow may belong to it.
+func (i *Ingress) rejectAndClose(w *answer.Writer, r *http.Request, status int, reason string) {
+	w.Header().Set("Connection", "close")
+	i.reject(w, r, status, reason)
+}
+
 // configLogFields returns the log fields on the configuration that a request was rejected by.
 func (i *Ingress) configLogFields(config *site.Config) []any {
 	return []any{"config_version", config.Version, "config_age_ms", i.ConfigAge().Milliseconds()}
