Requests that still wait when a stop ends are answered

Cause: nothing told the handlers that the host was about to end.

When the time of a stop is up, the contexts of requests whose answer has not begun end with answer.ErrStopping as their cause, and the host waits 150 ms, half of what it leaves before the platform kills it.

--- a/internal/answer/answer.go
+++ b/internal/answer/answer.go
@@ -22,6 +22,10 @@
 // ErrBegun is returned for a whole answer behind the beginning of another.
 var ErrBegun = errors.New("another answer has begun")
 
+// ErrStopping is the cause with which a request's context ends because its host is about to end. Its
+// caller still waits.
+var ErrStopping = errors.New("this host is stopping")
+
 // Outcome is how the answer to a request ended.
 type Outcome uint8
 
--- a/internal/callerconn/caller.go
+++ b/internal/callerconn/caller.go
@@ -21,20 +21,28 @@
 	writesTaken = 2
 )
 
-// watchCaller returns a context for the request that ends once its caller has left. The context of
-// net/http ends earlier: with the caller's input, which a caller also closes that has sent all it has
-// and waits for the answer, and with any error of a read, such as a deadline.
+// watchCaller returns a context for the request that ends once its caller has left, or with
+// answer.ErrStopping as its cause. The context of net/http ends earlier: with the caller's input, which a
+// caller also closes that has sent all it has and waits for the answer, and with any error of a read,
+// such as a deadline.
 func watchCaller(w *answer.Writer, r *http.Request) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
-	stop := context.AfterFunc(r.Context(), func() {
+	ctx, cancel := context.WithCancelCause(context.WithoutCancel(r.Context()))
+	stopWatching := context.AfterFunc(r.Context(), func() {
 		if callerLeft(ctx, w, r) {
 			w.CallerLeft()
-			cancel()
+			cancel(nil)
+		}
+	})
+	stopWaiting := recorderFrom(r.Context()).onHostEnd(func() {
+		// What has begun may still come to its end.
+		if !w.Begun() {
+			cancel(answer.ErrStopping)
 		}
 	})
 	return ctx, func() {
-		stop()
-		cancel()
+		stopWatching()
+		stopWaiting()
+		cancel(nil)
 	}
 }
 
--- a/internal/callerconn/connections.go
+++ b/internal/callerconn/connections.go
@@ -1,6 +1,7 @@
 package callerconn
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -13,11 +14,27 @@
 
 // connections are the open connections of callers. They are safe for concurrent use.
 type connections struct {
+	// hostEnd ends when the host is about to end.
+	hostEnd context.Context
+	endHost context.CancelFunc
+
 	mu   sync.Mutex
 	open map[*recorder]struct{}
 }
 
-func newConnections() *connections { return &connections{open: map[*recorder]struct{}{}} }
+func newConnections() *connections {
+	c := &connections{open: map[*recorder]struct{}{}}
+	c.hostEnd, c.endHost = context.WithCancel(context.Background())
+	return c
+}
+
+// onHostEnd calls f when the host is about to end, unless stop is called before.
+func (r *recorder) onHostEnd(f func()) (stop func() bool) {
+	if r == nil {
+		return func() bool { return true }
+	}
+	return context.AfterFunc(r.connections.hostEnd, f)
+}
 
 // listener returns a listener whose connections are recorded.
 func (c *connections) listener(inner net.Listener) net.Listener {
--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -28,9 +28,7 @@
 
 // Serve serves the connections of a listener. It returns http.ErrServerClosed after Shutdown or Close.
 func (s *Server) Serve(listener net.Listener) error {
-	s.mu.Lock()
-	s.listeners = append(s.listeners, listener)
-	s.mu.Unlock()
+	s.addListener(listener)
 	err := s.http.Serve(s.connections.listener(listener))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -40,25 +38,48 @@
 	return err
 }
 
+// addListener records a listener.
+func (s *Server) addListener(listener net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listeners = append(s.listeners, listener)
+}
+
 // shutdownInterval is how often Shutdown looks for connections that have become idle.
 const shutdownInterval = 20 * time.Millisecond
 
+// lastAnswersWait is how long the requests that still wait at the end of a stop have to be answered.
+const lastAnswersWait = 150 * time.Millisecond
+
 // Shutdown stops accepting connections, closes each one once all requests that were read on it have
-// been answered, and returns when none is left or ctx ends.
+// been answered, and returns when none is left. When ctx ends, it ends the requests that still wait, and
+// returns the error of ctx lastAnswersWait later at most.
 //
 // http.Server's own Shutdown closes connections without an answer to what it has read on them.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.closeListeners()
+	if s.drain(ctx) {
+		return nil
+	}
+	s.connections.endHost()
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastAnswersWait)
+	defer cancel()
+	s.drain(last)
+	return ctx.Err()
+}
+
+// drain closes idle connections, and reports whether none was left before ctx ended.
+func (s *Server) drain(ctx context.Context) bool {
 	ticker := time.NewTicker(shutdownInterval)
 	defer ticker.Stop()
 	for s.connections.closeIdle(time.Now()) > 0 {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return false
 		case <-ticker.C:
 		}
 	}
-	return nil
+	return true
 }
 
 func (s *Server) closeListeners() {
--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -116,3 +116,23 @@
 		e.shutsDownWithin(time.Second)
 	})
 }
+
+// The grace period ends while a request waits for a runner: its connection breaks without an answer.
+func TestRequestThatWaitsAtTheEndOfTheGracePeriodIsAnswered(t *testing.T) {
+	withIngress(t, true, func(e *testIngress) {
+		e.handler = func(ctx context.Context, w *answer.Writer) {
+			<-ctx.Done()
+			must.ErrorIs(e.t, context.Cause(ctx), answer.ErrStopping)
+			_ = w.WriteOwn(http.StatusServiceUnavailable, "not run")
+		}
+		reader := e.sendOnly(post("/a/x", 5))
+		time.Sleep(100 * time.Millisecond)
+		go func() {
+			ctx, cancel := context.WithTimeout(e.t.Context(), time.Second)
+			defer cancel()
+			e.shutdown(ctx)
+			e.net.Close()
+		}()
+		must.Eq(e.t, http.StatusServiceUnavailable, e.readAnswer(reader).status)
+	})
+}
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/answer"
 	"github.com/cherrystage/cherrystage/internal/verdict"
 )
 
@@ -81,19 +82,24 @@
 	l.s.Counters.StreamsCut.Add(1)
 }
 
-// giveUp ends a request whose deadline has passed or whose caller has disconnected.
+// giveUp ends a request whose deadline has passed, whose caller has left or whose host is about to end.
 func (l *lifecycle) giveUp(ctx context.Context) {
 	if l.hedging {
 		l.hedgeRefusal = reasonTimeOut
 		return
 	}
-	if l.callerGone || errors.Is(ctx.Err(), context.Canceled) {
+	stopping := errors.Is(context.Cause(ctx), answer.ErrStopping)
+	if l.callerGone || errors.Is(ctx.Err(), context.Canceled) && !stopping {
 		if l.status != statusClientClosedRequest {
 			l.s.Counters.Canceled.Add(1)
 		}
 		l.status = statusClientClosedRequest
 		return
 	}
+	if stopping {
+		l.fail(answer.ErrStopping.Error())
+		return
+	}
 	notRun := l.mayHaveRunCount == 0 && (l.failure == nil || l.failure.Verdict == verdict.NotRun)
 	if notRun {
 		l.refuse(l.retryAfter(), "the request's time ran out before a runner could begin it")
