A server that was shut down serves no further listener

A listener that is handed to a server after its Shutdown was served on; no host does that today. TestServeAfterShutdownEnds failed before (still serves).

--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -28,7 +28,10 @@
 
 // Serve serves the connections of a listener. It returns http.ErrServerClosed after Shutdown or Close.
 func (s *Server) Serve(listener net.Listener) error {
-	s.addListener(listener)
+	if !s.addListener(listener) {
+		_ = listener.Close()
+		return http.ErrServerClosed
+	}
 	err := s.http.Serve(s.connections.listener(listener))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -38,11 +41,15 @@
 	return err
 }
 
-// addListener records a listener.
-func (s *Server) addListener(listener net.Listener) {
+// addListener records a listener, unless the server is stopping.
+func (s *Server) addListener(listener net.Listener) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.stopping {
+		return false
+	}
 	s.listeners = append(s.listeners, listener)
+	return true
 }
 
 // shutdownInterval is how often Shutdown looks for connections that have become idle.
--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -136,3 +136,20 @@
 		must.Eq(e.t, http.StatusServiceUnavailable, e.readAnswer(reader).status)
 	})
 }
+// A server that was shut down before it serves a listener accepts callers all the same.
+func TestServeAfterShutdownEnds(t *testing.T) {
+	server := newServer(configWith(nil), &testIngress{})
+	must.NoError(t, server.Shutdown(t.Context()))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	select {
+	case err := <-ended:
+		must.ErrorIs(t, err, http.ErrServerClosed)
+	case <-time.After(time.Second):
+		_ = server.Close()
+		t.Fatal("still serves")
+	}
+}
+
