The test of a host that is about to end lets its runner notice

The runner of the stand-in had not read the request's body, so that it never noticed that its caller had left, and the test ended in a deadlock (its check had passed).

--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -136,6 +136,7 @@
 		must.Eq(e.t, http.StatusServiceUnavailable, e.readAnswer(reader).status)
 	})
 }
+
 // A server that was shut down before it serves a listener accepts callers all the same.
 func TestServeAfterShutdownEnds(t *testing.T) {
 	server := newServer(configWith(nil), &testIngress{})
@@ -152,4 +153,3 @@
 		t.Fatal("still serves")
 	}
 }
-
--- a/internal/serve/stopping_test.go
+++ b/internal/serve/stopping_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -27,7 +28,10 @@
 				if test.waits {
 					w.owners.admissions = append(w.owners.admissions, admitAfter(time.Second, false))
 				}
-				w.runnerHandler = func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+				w.runnerHandler = func(_ http.ResponseWriter, r *http.Request) {
+					_, _ = io.Copy(io.Discard, r.Body)
+					<-r.Context().Done()
+				}
 				route := &site.Route{Name: "live", Kind: site.Streaming, Timeout: 5 * time.Second, TargetLatency: time.Second, MaxAttempts: 1, Targets: []site.Target{{Service: llm, Weight: 1}}}
 				request := w.request()
 				request.Adapter = site.Adapter{Model: model, Name: "a"}
