Adapters that runners hold are served while a new era of the store settles

Cause: a host that restarts while the store is restored may give no orders for 5.7 s, until all hosts have stopped acting on the earlier era. It also counted as no owner of its runners, so it did not read their state, and every host refused every request for an engine ("the host asked gives the runner no orders"), also for adapters that the runners held. docs/design/eras.md says that these are served.

What callers saw: where all hosts restarted beside a restore, no stream was served for 5.7 s while plain requests were.

Change: the era decides about orders (MayOrder), no longer about who admits requests (Owns). A host that may not order reads the state of its runners and admits requests for what they hold, as one that hands its runners over does. If a host of the earlier era still changes the runner meanwhile, the runner rejects what it does not hold, and orders for another sequence. Orders are as before; the model of spec/era.go is untouched.

Test: TestHeldAdaptersAreServedAfterRestoreAndLossOfAllHosts, 0 of 30 requests served before, 30 of 30 now. TestOrdersDuringStoreRestore and TestDrillsBesideFaults pass.

--- a/internal/adapters/controller.go
+++ b/internal/adapters/controller.go
@@ -56,8 +56,8 @@
 
 // Authority tells what this host may do with the runner at an address.
 type Authority interface {
-	// Owns reports whether no other host can give orders to the runner, so that this one
-	// decides who may send requests to it.
+	// Owns reports whether this host decides who may send requests to the runner. It may do so
+	// without giving orders.
 	Owns(address string, now time.Time) bool
 	// MayOrder reports whether this host may give orders to the runner now, and with which
 	// fencing token.
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -418,11 +418,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, owned := s.ownClaim(address, now)
-	return fencingToken(s.era, o.revision), owned && !s.isQuiet()
+	return fencingToken(s.era, o.revision), owned && s.mayOrderInEra(ownerRecordName(address), now) && !s.isQuiet()
 }
 
-// Owns reports whether no other host can give orders to the runner at an address. A host that
-// hands its runners over owns them until its claims have ended, but gives no orders.
+// Owns reports whether this host decides who may send requests to the runner at an address. A host
+// that hands its runners over owns them until its claims have ended, but gives no orders. Nor does one
+// whose records belong to a new era of the store, until all hosts have stopped acting on earlier ones:
+// the runner's adapters may change under it meanwhile, and the runner rejects what it does not hold.
 func (s *State) Owns(address string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -435,7 +437,7 @@
 func (s *State) ownClaim(address string, now time.Time) (owner, bool) {
 	name := ownerRecordName(address)
 	o, found := s.owners[name]
-	if !found || o.Host != s.self || o.Epoch != s.epoch || s.epoch == 0 || !s.mayOrderInEra(name, now) {
+	if !found || o.Host != s.self || o.Epoch != s.epoch || s.epoch == 0 {
 		return owner{}, false
 	}
 	return o, now.Add(s.timing.Margin).Before(s.validUntil())
