A request is not sent before its adapter should be loaded

Cause: an owner tells another host when to send in whole milliseconds, rounded down, so the request comes up to 1 ms before the load should be done, and is refused. The owner then takes the refusal of that time for one that it knows of already, keeps its estimate, and the next send 30 ms later is refused too.

The time is rounded up. TestAdmissionIsNotSoonerOnTheWire (round-down gave 37).

--- a/internal/entry/calls.go
+++ b/internal/entry/calls.go
@@ -147,6 +147,12 @@
 	return AdmitResult{}, false
 }
 
+// wholeMS returns a time in milliseconds, rounded up: a request that arrives a fraction of a millisecond
+// before its adapter is loaded is refused.
+func wholeMS(d time.Duration) int64 {
+	return max(0, (d + time.Millisecond - 1).Milliseconds())
+}
+
 // register adds the peer methods that owners serve.
 func (o *ownerClient) register(mux *peer.Mux) {
 	peer.Handle(mux, methodAdmit, func(_ context.Context, from peer.Identity, p AdmitParams) (AdmitResult, error) {
@@ -157,7 +163,7 @@
 		if !admitted.AskAgain {
 			o.board.SetPeerRequests(from.Host, p.Runner, p.Running+1, o.now())
 		}
-		return AdmitResult{ReadyMS: max(0, admitted.At.Sub(o.now()).Milliseconds()), AskAgain: admitted.AskAgain, Ticket: admitted.Ticket}, nil
+		return AdmitResult{ReadyMS: wholeMS(admitted.At.Sub(o.now())), AskAgain: admitted.AskAgain, Ticket: admitted.Ticket}, nil
 	})
 	peer.Handle(mux, methodMissing, func(_ context.Context, _ peer.Identity, p AdmitParams) (struct{}, error) {
 		o.missingLocal(p.Runner, p.admission().Key.Adapter)
--- a/internal/entry/calls_test.go
+++ b/internal/entry/calls_test.go
@@ -51,3 +51,11 @@
 	must.NoError(t, err)
 	must.Eq(t, `{"runner":"r","model":""}`, string(raw))
 }
+
+// Guards against a request that is sent a fraction of a millisecond before its adapter is loaded: the
+// runner refuses it, and its owner takes the refusal for one that it knows of already.
+func TestAdmissionIsNotSoonerOnTheWire(t *testing.T) {
+	must.Eq(t, 38, wholeMS(37400*time.Microsecond))
+	must.Eq(t, 37, wholeMS(37*time.Millisecond))
+	must.Eq(t, 0, wholeMS(-time.Millisecond))
+}
