A request goes again where its adapter loads

Streams were refused with 503 "the retry budget is spent" though every runner worked. Cause, traced in the order of sends of one of them: a runner refuses a request whose adapter it has not loaded yet, and 30 ms later the request is placed from the start. The search finds another of the adapter's runners, which has to load it first and is too early as well: up to three loads and three retries for one stream.

The request now asks the owner of the runner that refused it first, which knows when the load should be done; if that does not admit it, the search follows as before.

--- a/internal/serve/refused_test.go
+++ b/internal/serve/refused_test.go
@@ -89,3 +89,28 @@
 		must.Len(t, 1, w.sentVersions)
 	})
 }
+
+// A request is admitted to the second runner that it asks, whose adapter is not loaded yet when it
+// arrives. It goes there again once that is done, and not to a runner that has to load it first too.
+func TestRequestGoesAgainWhereItsAdapterLoads(t *testing.T) {
+	withTestEnv(t, 3, func(w *testEnv) {
+		w.owners.admissions = append(w.owners.admissions, func(*site.Runner, adapters.AdmissionRequest) (adapters.AdmissionResult, error) {
+			return adapters.AdmissionResult{}, adapters.ErrBusy
+		})
+		var sentTo []string
+		w.runnerHandler = func(rw http.ResponseWriter, r *http.Request) {
+			sentTo = append(sentTo, r.Header.Get(instanceHeader))
+			if len(sentTo) > 1 {
+				w.runnerHandler = nil
+				w.handleRunner(rw, r)
+				return
+			}
+			rw.Header().Set("Id", r.Header.Get("Id"))
+			refuseRun(rw)
+		}
+		time.Sleep(10 * time.Second)
+		must.Eq(t, http.StatusOK, w.serveAdapter("a", 5*time.Second).Code)
+		must.Len(t, 2, sentTo)
+		must.Eq(t, sentTo[0], sentTo[1])
+	})
+}
--- a/internal/serve/search.go
+++ b/internal/serve/search.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/adapters"
@@ -15,6 +16,9 @@
 // placeOnEngine asks the owners of runners to admit the request. If none does, it answers the
 // request and returns false.
 func (l *lifecycle) placeOnEngine(ctx context.Context, runners []*site.Runner) bool {
+	if l.placeWhereItLoads(ctx, runners) {
+		return true
+	}
 	search := l.s.spreads.Search(l.placementKey()+l.restriction, len(runners))
 	if search.PreferLocal() {
 		runners = NearFirst(runners, l.s.DataCentre)
@@ -72,6 +76,32 @@
 	return false
 }
 
+// placeWhereItLoads places the request on the runner that refused it because it was still loading the
+// adapter, if that admits it once more.
+//
+// A search from the start may find another runner that has to load the adapter first. The request
+// would arrive too early there as well, and spend a retry at each.
+func (l *lifecycle) placeWhereItLoads(ctx context.Context, runners []*site.Runner) bool {
+	at := l.loadingAt
+	l.loadingAt = loadingAdapter{}
+	if at.key != l.key || l.tried[at.runner] {
+		return false
+	}
+	rank := slices.IndexFunc(runners, func(runner *site.Runner) bool { return runner.ID == at.runner })
+	view := l.s.Board.View(at.runner, l.s.Now())
+	if rank < 0 || view.BlockedFor > 0 || view.Refusing || view.Suspect {
+		return false
+	}
+	l.runner = runners[rank]
+	return l.admit(ctx, runners[0], placing.Step{Rank: rank, Home: rank == 0}, false, false) == nil
+}
+
+// loadingAdapter is an adapter that a runner has not loaded yet.
+type loadingAdapter struct {
+	runner string
+	key    adapters.Key
+}
+
 // allRefusalsBarred reports whether all refusals so far were for runners that accept no
 // requests.
 func (l *lifecycle) allRefusalsBarred() bool {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -187,6 +187,8 @@
 	tried map[string]bool
 	// adapterMisses counts, by runner, the sends that came before the adapter was loaded.
 	adapterMisses map[string]int
+	// loadingAt is the adapter that the latest send came too early for.
+	loadingAt loadingAdapter
 	// soonestRetry is the shortest time until a skipped runner accepts requests again,
 	// 0 if none was skipped.
 	soonestRetry time.Duration
@@ -512,6 +514,7 @@
 		return false
 	}
 	l.adapterMisses[l.runner.ID]++
+	l.loadingAt = loadingAdapter{runner: l.runner.ID, key: l.key}
 	l.s.Owners.ReportMissing(l.runner, l.key)
 	return true
 }
