--- a/internal/serve/hedge.go
+++ b/internal/serve/hedge.go
@@ -56,14 +56,25 @@
 		r.silence.Reset(hedgeRetryInterval)
 		return
 	}
+	if r.hedge != nil || r.search != nil {
+		return
+	}
+	if l.mayUseAnotherRunner() && r.slowElsewhere() {
+		r.askCurrent()
+		return
+	}
+	r.hedgeOnSilence()
+}
+
+// hedgeOnSilence records that the current attempt's runner is silent, and looks for another one.
+func (r *relaying) hedgeOnSilence() {
 	if !r.suspected {
 		r.suspected = true
 		r.recordSilence()
 	}
-	if !l.mayUseAnotherRunner() || r.hedge != nil || r.search != nil {
-		return
+	if r.l.mayUseAnotherRunner() {
+		r.search = r.l.searchHedge(r.ctx)
 	}
-	r.search = l.searchHedge(r.ctx)
 }
 
 // recordSilence records that the runner is silent to a request.
@@ -242,7 +253,7 @@
 func (r *relaying) rejoin(mayHaveRun bool) {
 	l, fork := r.l, r.hedge.l
 	l.sends, l.arrivals = fork.sends, fork.arrivals
-	l.adapterMisses, l.tried = fork.adapterMisses, fork.tried
+	l.adapterMisses, l.tried, l.loadingAt = fork.adapterMisses, fork.tried, fork.loadingAt
 	delete(l.tried, l.runner.ID)
 	l.tried[fork.runner.ID] = l.tried[fork.runner.ID] || mayHaveRun
 	if mayHaveRun {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -108,11 +108,24 @@
 
 	mu      sync.Mutex
 	budgets map[string]*retrybudget.Budget
+	firsts  map[string]*firstEvents
 }
 
 // New returns a server.
 func New(deps Deps) *Server {
-	return &Server{Deps: deps, spreads: placing.NewSpreadEstimator(), started: deps.Now(), budgets: map[string]*retrybudget.Budget{}}
+	return &Server{Deps: deps, spreads: placing.NewSpreadEstimator(), started: deps.Now(), budgets: map[string]*retrybudget.Budget{}, firsts: map[string]*firstEvents{}}
+}
+
+// firstEvents returns what is known of the first events of a service's runners.
+func (s *Server) firstEvents(service string) *firstEvents {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.firsts[service]
+	if f == nil {
+		f = newFirstEvents()
+		s.firsts[service] = f
+	}
+	return f
 }
 
 // budget returns the retry budget of a service. It fills from the start of the process.
@@ -170,6 +183,7 @@
 	arrived  time.Time
 	deadline time.Time
 	budget   *retrybudget.Budget
+	firsts   *firstEvents
 	charge   Charge
 	// ranked is set if requests are ordered by priority, by precedence.
 	ranked     bool
@@ -187,6 +201,8 @@
 	tried map[string]bool
 	// adapterMisses counts, by runner, the sends that came before the adapter was loaded.
 	adapterMisses map[string]int
+	// loadingAt is the adapter that the latest send came too early for.
+	loadingAt loadingAdapter
 	// soonestRetry is the shortest time until a skipped runner accepts requests again,
 	// 0 if none was skipped.
 	soonestRetry time.Duration
@@ -239,6 +255,8 @@
 	// begins with the runners of the host's own data centre.
 	rank int
 	near bool
+	// ownerWaits counts how often it waited for runners to have owners.
+	ownerWaits int
 	// refusals are the reasons why owners did not admit the request or a wait was ended.
 	refusals []string
 	// refusedBy lists the owners that did not admit it, as RUNNER@HOST.
@@ -285,6 +303,7 @@
 	}
 	l.brittle = s.Brittle != nil && s.Brittle(name)
 	l.budget = s.budget(name)
+	l.firsts = s.firstEvents(name)
 	l.budget.RecordRequest(s.Now(), s.HostCount())
 	ctx, cancel := context.WithDeadline(ctx, time.Now().Add(l.deadline.Sub(s.Now())))
 	defer cancel()
@@ -512,6 +531,7 @@
 		return false
 	}
 	l.adapterMisses[l.runner.ID]++
+	l.loadingAt = loadingAdapter{runner: l.runner.ID, key: l.key}
 	l.s.Owners.ReportMissing(l.runner, l.key)
 	return true
 }
