--- a/internal/ingress/connections.go
+++ b/internal/callerconn/connections.go
@@ -1,7 +1,9 @@
-package ingress
+package callerconn
 
 import (
+	"context"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 )
@@ -12,11 +14,27 @@
 
 // connections are the open connections of callers. They are safe for concurrent use.
 type connections struct {
+	// hostEnd ends when the host is about to end.
+	hostEnd context.Context
+	endHost context.CancelFunc
+
 	mu   sync.Mutex
 	open map[*recorder]struct{}
 }
 
-func newConnections() *connections { return &connections{open: map[*recorder]struct{}{}} }
+func newConnections() *connections {
+	c := &connections{open: map[*recorder]struct{}{}}
+	c.hostEnd, c.endHost = context.WithCancel(context.Background())
+	return c
+}
+
+// onHostEnd calls f when the host is about to end, unless stop is called before.
+func (r *recorder) onHostEnd(f func()) (stop func() bool) {
+	if r == nil {
+		return func() bool { return true }
+	}
+	return context.AfterFunc(r.connections.hostEnd, f)
+}
 
 // listener returns a listener whose connections are recorded.
 func (c *connections) listener(inner net.Listener) net.Listener {
@@ -69,7 +87,21 @@
 func (r *recorder) isIdle(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.serving && r.received == 0 && (r.used || now.Sub(r.accepted) >= unusedGrace)
+	_, skipped := r.fromStart()
+	return !r.serving && r.received == skipped && (r.used || now.Sub(r.accepted) >= unusedGrace)
+}
+
+// recordState records that net/http has sent an answer to its end, which it does after the handler: the
+// end of a chunked answer would be lost if its connection were closed before. A connection that net/http
+// closes after an answer stays in use until then.
+func recordState(conn net.Conn, state http.ConnState) {
+	r, ok := conn.(*recorder)
+	if !ok || state != http.StateIdle {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.serving, r.idleDeadlines = false, 0
 }
 
 // Close implements net.Conn.
--- a/internal/ingress/recorder.go
+++ b/internal/callerconn/recorder.go
@@ -1,4 +1,4 @@
-package ingress
+package callerconn
 
 import (
 	"bufio"
@@ -21,13 +21,15 @@
 	maxReadAhead = 4<<10 + 1
 )
 
-// framing is how a request's header declares the length of its body.
-type framing uint8
+// Framing is how a request's header declares the length of its body.
+type Framing uint8
 
+// How a header declares the length of a body: unknown if it was not recorded whole, by one header, or
+// by two that contradict each other.
 const (
-	framingUnknown framing = iota
-	framingSingle
-	framingConflict
+	FramingUnknown Framing = iota
+	FramingSingle
+	FramingConflict
 )
 
 // inputState is what became of the bytes that the caller sends.
@@ -80,9 +82,12 @@
 	recorded, tail []byte
 	// startUnknown is set if it is not known where the present request starts.
 	startUnknown bool
-	// used is set once a request has been handled, serving while one is.
+	// used is set once a request has been handled, serving until its answer has been sent.
 	used, serving bool
 	input         inputState
+	// idleDeadlines counts the read deadlines that were set since the connection became idle.
+	idleDeadlines int
+	writes        int
 	writeFailed   bool
 }
 
@@ -92,10 +97,29 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.input = max(r.input, inputStateOf(err))
+	if n > 0 && r.awaitsRequest() {
+		r.received, r.startUnknown = 0, false
+		r.keepLast(0)
+	}
 	r.record(into[:n])
 	return n, err
 }
 
+// awaitsRequest reports whether a request starts with the next byte although it was not known where the
+// last one ended. After the first deadline that net/http sets on an idle connection, it reads only if
+// there is no request in its buffer.
+func (r *recorder) awaitsRequest() bool {
+	return r.startUnknown && !r.serving && r.idleDeadlines == 1
+}
+
+// SetReadDeadline implements net.Conn.
+func (r *recorder) SetReadDeadline(deadline time.Time) error {
+	r.mu.Lock()
+	r.idleDeadlines++
+	r.mu.Unlock()
+	return r.Conn.SetReadDeadline(deadline)
+}
+
 func (r *recorder) record(data []byte) {
 	r.received += len(data)
 	room := min(len(data), maxRecordedBytes-len(r.recorded))
@@ -109,15 +133,31 @@
 
 // Write implements net.Conn.
 func (r *recorder) Write(data []byte) (int, error) {
+	// Counted before, since the caller may leave before the write has returned.
+	r.countWrite()
 	n, err := r.Conn.Write(data)
-	if err != nil {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		r.writeFailed = true
-	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writeFailed = r.writeFailed || err != nil
 	return n, err
 }
 
+func (r *recorder) countWrite() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.writes++
+}
+
+// writeCount returns the number of writes so far.
+func (r *recorder) writeCount() int {
+	if r == nil {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.writes
+}
+
 // hasWriteFailed reports whether the caller's side has refused what was sent to it.
 func (r *recorder) hasWriteFailed() bool {
 	if r == nil {
@@ -156,7 +196,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ahead, known := r.readAhead(request)
-	r.serving = false
 	r.startUnknown = !known
 	r.received = ahead
 	r.keepLast(ahead)
@@ -167,7 +206,7 @@
 	inTail := min(count, len(r.tail))
 	kept := append(r.recorded[:0], r.recorded[len(r.recorded)-(count-inTail):]...)
 	r.recorded = append(kept, r.tail[len(r.tail)-inTail:]...)
-	r.tail = r.tail[:0]
+	r.tail = nil
 }
 
 // hasReadAhead reports whether bytes beyond the request may have been read.
@@ -186,12 +225,13 @@
 	if r.startUnknown {
 		return 0, false
 	}
-	header, body, complete := bytes.Cut(r.recorded, headerEnd)
+	recorded, skipped := r.fromStart()
+	header, body, complete := bytes.Cut(recorded, headerEnd)
 	if !complete {
 		return 0, false
 	}
 	if len(request.TransferEncoding) == 0 {
-		ahead = r.received - len(header) - len(headerEnd) - int(max(0, request.ContentLength))
+		ahead = r.received - skipped - len(header) - len(headerEnd) - int(max(0, request.ContentLength))
 		return max(0, ahead), ahead <= maxReadAhead
 	}
 	if r.received > len(r.recorded) {
@@ -200,18 +240,29 @@
 	return behindChunks(body)
 }
 
+// fromStart returns what is recorded from the request's first line on, and the number of bytes before
+// it: net/http skips line ends behind the body of the request before.
+func (r *recorder) fromStart() (recorded []byte, skipped int) {
+	recorded = bytes.TrimLeft(r.recorded, string(lineEnd))
+	return recorded, len(r.recorded) - len(recorded)
+}
+
 var (
 	headerEnd = []byte("\r\n\r\n")
 	lineEnd   = []byte("\r\n")
 )
 
+// chunkBufferBytes is enough for the line that begins a chunk.
+const chunkBufferBytes = 256
+
 // behindChunks returns the number of bytes behind a chunked body, if that is whole.
 func behindChunks(body []byte) (int, bool) {
-	buffered := bufio.NewReader(bytes.NewReader(body))
+	unread := bytes.NewReader(body)
+	buffered := bufio.NewReaderSize(unread, chunkBufferBytes)
 	if _, err := io.Copy(io.Discard, httputil.NewChunkedReader(buffered)); err != nil {
 		return 0, false
 	}
-	rest, _ := io.ReadAll(buffered)
+	rest := body[len(body)-unread.Len()-buffered.Buffered():]
 	if bytes.HasPrefix(rest, lineEnd) {
 		return len(rest) - len(lineEnd), true
 	}
@@ -219,24 +270,30 @@
 	return len(behind), complete
 }
 
+// FramingOf returns the framing of a request that has Transfer-Encoding.
+func FramingOf(request *http.Request) Framing {
+	return recorderFrom(request.Context()).detectFraming()
+}
+
 // detectFraming looks for Content-Length in the recorded header of a request that has
 // Transfer-Encoding. The framing is unknown if the header was not recorded whole.
-func (r *recorder) detectFraming() framing {
+func (r *recorder) detectFraming() Framing {
 	if r == nil {
-		return framingUnknown
+		return FramingUnknown
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	header, _, complete := bytes.Cut(r.recorded, headerEnd)
+	recorded, _ := r.fromStart()
+	header, _, complete := bytes.Cut(recorded, headerEnd)
 	if !complete || r.startUnknown {
-		return framingUnknown
+		return FramingUnknown
 	}
 	for _, line := range bytes.Split(bytes.ToLower(header), []byte("\n")) {
 		if bytes.HasPrefix(line, []byte("content-length")) {
-			return framingConflict
+			return FramingConflict
 		}
 	}
-	return framingSingle
+	return FramingSingle
 }
 
 type recorderKey struct{}
--- a/internal/ingress/server.go
+++ b/internal/callerconn/server.go
@@ -1,4 +1,4 @@
-package ingress
+package callerconn
 
 import (
 	"context"
@@ -6,9 +6,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/hashicorp/go-hclog"
-	"github.com/labstack/echo/v4"
 )
 
 // Server is the HTTP server for callers. It is safe for concurrent use.
@@ -21,36 +18,20 @@
 	stopping  bool
 }
 
-// Server returns the HTTP server for callers.
-func (i *Ingress) Server() *Server {
-	router := echo.New()
-	router.HideBanner = true
-	router.HidePort = true
-	// Routes come from the configuration, so every request is handled before echo's router.
-	router.Pre(func(echo.HandlerFunc) echo.HandlerFunc {
-		return func(c echo.Context) error {
-			i.serveHTTP(c.Response().Writer, c.Request())
-			return nil
-		}
-	})
-	return &Server{
-		http: &http.Server{
-			Handler:           router,
-			ReadHeaderTimeout: headerTimeout,
-			IdleTimeout:       idleTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-			ConnContext:       withRecorder,
-			ErrorLog:          i.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-		},
-		connections: newConnections(),
-	}
+// NewServer returns a server with net/http's settings, whose ConnContext and ConnState it sets.
+func NewServer(inner *http.Server) *Server {
+	// net/http would answer OPTIONS * with an empty success of its own.
+	inner.DisableGeneralOptionsHandler = true
+	inner.ConnContext, inner.ConnState = withRecorder, recordState
+	return &Server{http: inner, connections: newConnections()}
 }
 
 // Serve serves the connections of a listener. It returns http.ErrServerClosed after Shutdown or Close.
 func (s *Server) Serve(listener net.Listener) error {
-	s.mu.Lock()
-	s.listeners = append(s.listeners, listener)
-	s.mu.Unlock()
+	if !s.addListener(listener) {
+		_ = listener.Close()
+		return http.ErrServerClosed
+	}
 	err := s.http.Serve(s.connections.listener(listener))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -60,25 +41,52 @@
 	return err
 }
 
+// addListener records a listener, unless the server is stopping.
+func (s *Server) addListener(listener net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return false
+	}
+	s.listeners = append(s.listeners, listener)
+	return true
+}
+
 // shutdownInterval is how often Shutdown looks for connections that have become idle.
 const shutdownInterval = 20 * time.Millisecond
 
+// lastAnswersWait is how long the requests that still wait at the end of a stop have to be answered.
+const lastAnswersWait = 150 * time.Millisecond
+
 // Shutdown stops accepting connections, closes each one once all requests that were read on it have
-// been answered, and returns when none is left or ctx ends.
+// been answered, and returns when none is left. When ctx ends, it ends the requests that still wait, and
+// returns the error of ctx lastAnswersWait later at most.
 //
 // http.Server's own Shutdown closes connections without an answer to what it has read on them.
 func (s *Server) Shutdown(ctx context.Context) error {
 	s.closeListeners()
+	if s.drain(ctx) {
+		return nil
+	}
+	s.connections.endHost()
+	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastAnswersWait)
+	defer cancel()
+	s.drain(last)
+	return ctx.Err()
+}
+
+// drain closes idle connections, and reports whether none was left before ctx ended.
+func (s *Server) drain(ctx context.Context) bool {
 	ticker := time.NewTicker(shutdownInterval)
 	defer ticker.Stop()
 	for s.connections.closeIdle(time.Now()) > 0 {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return false
 		case <-ticker.C:
 		}
 	}
-	return nil
+	return true
 }
 
 func (s *Server) closeListeners() {
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,20 +5,20 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/answer"
+	"github.com/cherrystage/cherrystage/internal/callerconn"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/hashicorp/go-hclog"
+	"github.com/labstack/echo/v4"
 )
 
 const (
@@ -62,43 +62,26 @@
 	Unanswered atomic.Int64
 }
 
-// serveHTTP handles a request, and makes sure that it ends with an answer or with a broken
-// connection.
-func (i *Ingress) serveHTTP(inner http.ResponseWriter, r *http.Request) {
-	conn := recorderFrom(r.Context())
-	conn.begin()
-	w := answer.NewWriter(inner)
-	w.OnHeader = func(header http.Header) {
-		if i.Closing() && !conn.hasReadAhead(r) {
-			header.Set("Connection", "close")
+// Server returns the HTTP server for callers.
+func (i *Ingress) Server() *callerconn.Server {
+	handler := &callerconn.Handler{Serve: i.handle, Closing: i.Closing, RequestID: i.requestID, Log: i.Log, Unanswered: &i.Unanswered}
+	router := echo.New()
+	router.HideBanner = true
+	router.HidePort = true
+	// Routes come from the configuration, so every request is handled before echo's router.
+	router.Pre(func(echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			handler.ServeHTTP(c.Response().Writer, c.Request())
+			return nil
 		}
-	}
-	ctx, stop := watchCaller(w, r)
-	defer i.end(w, r, stop)
-	i.handle(ctx, w, r)
-}
-
-// end ends the answer to a request whose handler has returned or panicked.
-func (i *Ingress) end(w *answer.Writer, r *http.Request, stopWatching func()) {
-	cause := recover()
-	stopWatching()
-	outcome := w.End()
-	recorderFrom(r.Context()).end(r)
-	if cause != nil {
-		i.Log.Error("request handler panicked", "id", i.requestID(r), "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
-	}
-	switch outcome {
-	case answer.Missing:
-		i.logUnanswered(r)
-	case answer.Cut, answer.Left:
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// logUnanswered logs a request for which nothing had been written when its handler ended.
-func (i *Ingress) logUnanswered(r *http.Request) {
-	i.Unanswered.Add(1)
-	i.Log.Warn("request ended without an answer", "id", i.requestID(r), "method", r.Method, "path", r.URL.Path, "input", recorderFrom(r.Context()).inputState().String())
+	})
+	return callerconn.NewServer(&http.Server{
+		Handler:           router,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          i.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	})
 }
 
 func (i *Ingress) handle(ctx context.Context, w *answer.Writer, r *http.Request) {
@@ -109,11 +92,11 @@
 		return
 	}
 	if len(r.TransferEncoding) > 0 {
-		switch recorderFrom(r.Context()).detectFraming() {
-		case framingConflict:
-			i.reject(w, r, http.StatusBadRequest, "both Content-Length and Transfer-Encoding")
+		switch callerconn.FramingOf(r) {
+		case callerconn.FramingConflict:
+			i.rejectAndClose(w, r, http.StatusBadRequest, "both Content-Length and Transfer-Encoding")
 			return
-		case framingUnknown:
+		case callerconn.FramingUnknown:
 			w.Header().Set("Connection", "close")
 		}
 	}
@@ -140,7 +123,7 @@
 	}
 	body, status := i.readBody(w, r, config, metadata)
 	if status != 0 {
-		i.reject(w, r, status, "body not read")
+		i.rejectAndClose(w, r, status, "body not read")
 		return
 	}
 	request := &forward.Request{
@@ -224,19 +207,20 @@
 	}
 }
 
-// reject answers a request that is not served. If its framing is in doubt or its body was not
-// read, the connection is closed: the bytes that follow may belong to this request.
+// reject answers a request that is not served.
 func (i *Ingress) reject(w *answer.Writer, r *http.Request, status int, reason string, fields ...any) {
 	line := []any{"id", i.requestID(r), "method", r.Method, "host_header", r.Host, "path", r.URL.Path, "status", status, "reason", reason}
 	i.Log.Info("request rejected", append(line, fields...)...)
-	switch status {
-	case http.StatusNotFound, http.StatusServiceUnavailable, http.StatusUnauthorized:
-	default:
-		w.Header().Set("Connection", "close")
-	}
 	_ = w.WriteOwn(status, reason)
 }
 
+// rejectAndClose is reject for a request of which it is not known where it ends, so that the bytes that
+// follow may belong to it.
+func (i *Ingress) rejectAndClose(w *answer.Writer, r *http.Request, status int, reason string) {
+	w.Header().Set("Connection", "close")
+	i.reject(w, r, status, reason)
+}
+
 // configLogFields returns the log fields on the configuration that a request was rejected by.
 func (i *Ingress) configLogFields(config *site.Config) []any {
 	return []any{"config_version", config.Version, "config_age_ms", i.ConfigAge().Milliseconds()}
