The line of a request whose caller left tells how that is known

Status 499 did not say whether the caller's connection broke, it refused what was sent to it, or its input ended while its answer was silent; the field left does, from the cause of the request's context.

--- a/internal/callerconn/caller.go
+++ b/internal/callerconn/caller.go
@@ -7,6 +7,7 @@
 
 	"github.com/cherrystage/cherrystage/internal/answer"
 	"github.com/cherrystage/cherrystage/internal/timing"
+	"github.com/pkg/errors"
 )
 
 // interimWaits are the waits after the interim answers to a caller whose input has ended. A caller's
@@ -21,6 +22,13 @@
 	writesTaken = 2
 )
 
+// Causes with which a request's context ends because its caller has left.
+var (
+	errBroken  = errors.New("its connection broke")
+	errRefused = errors.New("it refused what was sent to it")
+	errSilent  = errors.New("its input ended while its answer was silent")
+)
+
 // watchCaller returns a context for the request that ends once its caller has left, or with
 // answer.ErrStopping as its cause. The context of net/http ends earlier: with the caller's input, which a
 // caller also closes that has sent all it has and waits for the answer, and with any error of a read,
@@ -28,9 +36,9 @@
 func watchCaller(w *answer.Writer, r *http.Request) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(context.WithoutCancel(r.Context()))
 	stopWatching := context.AfterFunc(r.Context(), func() {
-		if callerLeft(ctx, w, r) {
+		if left := callerLeft(ctx, w, r); left != nil {
 			w.CallerLeft()
-			cancel(nil)
+			cancel(left)
 		}
 	})
 	stopWaiting := recorderFrom(r.Context()).onHostEnd(func() {
@@ -46,29 +54,36 @@
 	}
 }
 
-// callerLeft finds out whether a caller has left after its input has ended.
+// callerLeft finds out whether a caller has left after its input has ended, and returns how that is
+// known, nil if it has not.
 //
 // A caller that has closed its whole connection refuses whatever is sent to it. Until the answer
 // begins, this host sends interim answers to find out; afterwards, the answer itself shows it. If it
 // is silent then, the caller counts as having left: its runner would work on for nobody.
-func callerLeft(ctx context.Context, w *answer.Writer, r *http.Request) bool {
+func callerLeft(ctx context.Context, w *answer.Writer, r *http.Request) error {
 	conn := recorderFrom(r.Context())
 	switch conn.inputState() {
 	case inputOpen:
-		return false
+		return nil
 	case inputBroken:
-		return true
+		return errBroken
 	}
 	writes := conn.writeCount()
 	// HTTP/1.0 has no interim answers.
 	if r.ProtoAtLeast(1, 1) {
 		sendInterims(ctx, w, conn)
 	}
-	if conn.hasWriteFailed() || !w.Begun() {
-		return conn.hasWriteFailed()
+	if !conn.hasWriteFailed() && w.Begun() {
+		timing.Sleep(ctx, answerWait)
+	}
+	switch {
+	case conn.hasWriteFailed():
+		return errRefused
+	case w.Begun() && conn.writeCount() < writes+writesTaken:
+		return errSilent
+	default:
+		return nil
 	}
-	timing.Sleep(ctx, answerWait)
-	return conn.hasWriteFailed() || conn.writeCount() < writes+writesTaken
 }
 
 // sendInterims sends interim answers until one is refused, the answer begins or there are enough.
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -183,6 +183,9 @@
 	if l.reason != "" {
 		fields = append(fields, "answered", l.reason)
 	}
+	if l.status == statusClientClosedRequest && ctx.Err() != nil {
+		fields = append(fields, "left", context.Cause(ctx).Error())
+	}
 	if l.cutReason != "" && !l.complete {
 		fields = append(fields, "cut", l.cutReason)
 		fields = append(fields, l.silenceLogFields()...)
