A connection that hides its callers' leaving is closed after its answer

If the read deadline of a body passes just as the body ends (a host that stands still there), net/http ends the context of the connection although its input is open; no later request on it would notice its caller leaving. Such a connection is closed behind the next answer.

TestConnectionThatDoesNotShowItsCallersLeavingIsClosed failed before.

--- a/internal/callerconn/handler.go
+++ b/internal/callerconn/handler.go
@@ -33,7 +33,7 @@
 	conn.begin()
 	w := answer.NewWriter(inner)
 	w.OnHeader = func(header http.Header) {
-		if h.Closing() && !conn.hasReadAhead(r) {
+		if (h.Closing() || hidesLeaving(r)) && !conn.hasReadAhead(r) {
 			header.Set("Connection", "close")
 		}
 	}
@@ -42,6 +42,12 @@
 	h.Serve(ctx, w, r)
 }
 
+// hidesLeaving reports whether the connection does not show that its caller leaves: the context of
+// net/http has ended although the caller may send more.
+func hidesLeaving(r *http.Request) bool {
+	return r.Context().Err() != nil && recorderFrom(r.Context()).inputState() == inputOpen
+}
+
 // end ends the answer to a request whose handler has returned or panicked.
 func (h *Handler) end(w *answer.Writer, r *http.Request, stopWatching func()) {
 	cause := recover()
