Requests that were read behind a body that is too long are answered

It is known where a body ends that is too long: net/http reads the rest of it, as behind any answer, and closes the connection itself where that is over 256 KiB. The time limit of the body stays in force for the rest.

TestRequestBehindATooLongOneIsAnswered failed before (EOF, both ways); TestTooLongBodyThatDoesNotEndClosesItsConnection holds the time limit.

--- a/internal/ingress/framing_test.go
+++ b/internal/ingress/framing_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/shoenig/test/must"
@@ -70,3 +71,29 @@
 		must.Eq(e.t, http.StatusOK, e.readAnswer(reader).status)
 	})
 }
+
+// A request whose body is too long drops those that were read behind it.
+func TestRequestBehindATooLongOneIsAnswered(t *testing.T) {
+	tooLong := strings.Replace(smallChunked, "3\r\nabc\r\n", "65\r\n"+strings.Repeat("x", maxBody+1)+"\r\n", 1)
+	for name, text := range map[string]string{"with a length": post("/a/x", maxBody+1), "in chunks": tooLong} {
+		t.Run(name, func(t *testing.T) {
+			withIngress(t, true, func(e *testIngress) {
+				reader := e.sendOnly(text + post("/a/x", 3))
+				must.Eq(e.t, http.StatusRequestEntityTooLarge, e.readAnswer(reader).status)
+				must.Eq(e.t, http.StatusOK, e.readAnswer(reader).status)
+			})
+		})
+	}
+}
+
+// A caller sends a body that is too long and stops in the middle of it: its connection stays open.
+func TestTooLongBodyThatDoesNotEndClosesItsConnection(t *testing.T) {
+	withIngress(t, true, func(e *testIngress) {
+		begin := time.Now()
+		text := strings.Replace(post("/a/x", maxBody+1), "Id: q\r\n", "Id: q\r\nPatience: 2s\r\n", 1)
+		got := e.readAnswer(e.sendOnly(text[:len(text)-10]))
+		must.Eq(e.t, http.StatusRequestEntityTooLarge, got.status)
+		must.True(e.t, got.closes)
+		must.LessEq(e.t, 3*time.Second, time.Since(begin))
+	})
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -123,7 +123,7 @@
 	}
 	body, status := i.readBody(w, r, config, metadata)
 	if status != 0 {
-		i.rejectAndClose(w, r, status, "body not read")
+		i.rejectBody(w, r, status)
 		return
 	}
 	request := &forward.Request{
@@ -182,24 +182,25 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	if r.ContentLength > limit {
-		return nil, http.StatusRequestEntityTooLarge
-	}
 	timeout := metadata.ClientTimeout
 	if timeout == 0 {
 		timeout = bodyTimeout
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(timeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w.Unwrap(), r.Body, limit))
+	if r.ContentLength > limit {
+		return nil, http.StatusRequestEntityTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		// The deadline is left for net/http, which reads the rest.
+		return nil, http.StatusRequestEntityTooLarge
+	}
 	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
 	var network net.Error
 	switch {
 	case err == nil:
 		return body, 0
-	case errors.As(err, &tooLarge):
-		return nil, http.StatusRequestEntityTooLarge
 	case errors.As(err, &network) && network.Timeout():
 		return nil, http.StatusRequestTimeout
 	default:
@@ -214,6 +215,16 @@
 	_ = w.WriteOwn(status, reason)
 }
 
+// rejectBody answers a request whose body is too long or was not read. net/http reads the rest of one
+// that is too long, if that is short enough, and else closes the connection.
+func (i *Ingress) rejectBody(w *answer.Writer, r *http.Request, status int) {
+	if status == http.StatusRequestEntityTooLarge {
+		i.reject(w, r, status, "body too long")
+		return
+	}
+	i.rejectAndClose(w, r, status, "body not read")
+}
+
 // rejectAndClose is reject for a request of which it is not known where it ends, so that the bytes that
 // follow may belong to it.
 func (i *Ingress) rejectAndClose(w *answer.Writer, r *http.Request, status int, reason string) {
