Crashes beyond those counted are not blamed on what was on their runners

Until all hosts block it, at 10.848 s, it crashes further runners, which are not kept. The part subject1 was on some of these: five crashes, of which at least two are in no list of the bad part, so they counted as its own, and it was blocked as a second cause. It had never been answered whole, so that nobody tried it.

A blocked subject with eight crashes now explains any crash from its first one until 2 s after it became suspect, by when all hosts block it, for subjects that have fewer than eight themselves. One with eight is compared by known crashes as before: no further one would be kept for it, so that a second cause as fast as the first would never be blocked. What travels between hosts does not change.

TestCrashesBeyondThoseCountedAreNotBlamedOnOthers shows it without chance and failed before; TestTwoCausesBeyondTheCountedCrashesAreBlocked and TestSecondCauseBesideAKnownOneIsBlocked hold the other side; two safeguards proved. Open: a sound part with eight crashes of its own in these two seconds may still be blamed, until an answer clears it.

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -16,8 +16,8 @@
 	sameCrashWindow = time.Second
 	// sameLossWindow is the time within which the hosts notice crashes of the same moment.
 	sameLossWindow = 100 * time.Millisecond
-	// maxCrashes bounds the crashes kept for a request, to as many as hosts may add before all
-	// of them know that it is suspect.
+	// maxCrashes bounds the crashes kept for a request. One that comes often may crash more runners
+	// before all hosts block it.
 	maxCrashes = 8
 	// maxTrackedRequests bounds the requests that crashes are counted for. The loss of a data
 	// centre of 148 runners with 75 requests each reports 72 requests to each of 460 hosts.
@@ -65,33 +65,58 @@
 func (v evidence) union(other evidence) evidence {
 	result := evidence{crashes: slices.Clone(v.crashes), maxElapsed: max(v.maxElapsed, other.maxElapsed), depth: max(v.depth, other.depth)}
 	for _, c := range other.crashes {
-		if len(result.crashes) < maxCrashes && !slices.ContainsFunc(result.crashes, c.sameAs) {
+		if !result.full() && !slices.ContainsFunc(result.crashes, c.sameAs) {
 			result.crashes = append(result.crashes, c)
 		}
 	}
 	return result
 }
 
-// crashesByRunner maps the ID of a runner to its crashes.
-type crashesByRunner map[string][]crash
+// full reports whether there may be more crashes than are kept.
+func (v evidence) full() bool { return len(v.crashes) >= maxCrashes }
 
-func (m crashesByRunner) add(crashes []crash) {
-	for _, c := range crashes {
-		m[c.runner] = append(m[c.runner], c)
+// causes are the crashes that blocked subjects explain.
+type causes struct {
+	// byRunner maps the ID of a runner to its crashes.
+	byRunner map[string][]crash
+	// uncounted are the times in which there may be more crashes than were kept.
+	uncounted []period
+}
+
+type period struct{ from, to time.Time }
+
+func (p period) contains(at time.Time) bool { return !at.Before(p.from) && !at.After(p.to) }
+
+// add adds the crashes of a blocked subject.
+func (c *causes) add(e entry) {
+	for _, known := range e.crashes {
+		c.byRunner[known.runner] = append(c.byRunner[known.runner], known)
+	}
+	if e.full() {
+		c.uncounted = append(c.uncounted, period{from: e.firstCrash(), to: e.agreedAt()})
 	}
 }
 
-// countMissing returns how many of the given crashes are not in m.
-func (m crashesByRunner) countMissing(crashes []crash) int {
+// countOwn returns how many crashes of a subject the blocked ones do not explain. A subject that is full
+// itself may be a second cause, of which no further crash would be kept: only known crashes explain its.
+func (c *causes) countOwn(v evidence) int {
 	count := 0
-	for _, c := range crashes {
-		if !slices.ContainsFunc(m[c.runner], c.sameAs) {
+	for _, known := range v.crashes {
+		if !c.areKnownFor(known) && (v.full() || !c.mayExplain(known)) {
 			count++
 		}
 	}
 	return count
 }
 
+func (c *causes) areKnownFor(known crash) bool {
+	return slices.ContainsFunc(c.byRunner[known.runner], known.sameAs)
+}
+
+func (c *causes) mayExplain(known crash) bool {
+	return slices.ContainsFunc(c.uncounted, func(p period) bool { return p.contains(known.at) })
+}
+
 // since returns the evidence without crashes before t.
 func (v evidence) since(t time.Time) evidence {
 	kept := evidence{maxElapsed: v.maxElapsed, depth: v.depth}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -16,6 +16,9 @@
 	// host that completed it can clear it first. Changes take 0.4 s to reach 195 hosts; with
 	// this delay all hosts agree within two of the three seconds that the platform allows.
 	confirmationDelay = 800 * time.Millisecond
+	// agreementTime is how long after a subject became suspect it may crash runners: confirmationDelay,
+	// the way through the fleet, and the time in which a runner that has it crashes.
+	agreementTime = 2 * time.Second
 	// A suspect request is blocked for quarantineDuration. For halfOpenDuration after that it is
 	// sent again, and one more crash makes it suspect again. Engines are repaired by people,
 	// which takes longer than minutes; one attempt every ten minutes costs one runner and the
@@ -71,6 +74,9 @@
 	evidence
 }
 
+// agreedAt returns from when on no host sends the subject to runners, if it is to blame.
+func (e entry) agreedAt() time.Time { return e.changedAt.Add(agreementTime) }
+
 // firstSeen returns the time of the first crash, or, for an entry from a persistent record,
 // which has no crashes, when the request became suspect.
 func (e entry) firstSeen() time.Time {
@@ -183,6 +189,9 @@
 // most crashes, then the one that runners had for the shortest time, since it crashes them
 // immediately, then the one that the fewest requests hold. If that is the wrong one, the other
 // causes a crash of its own next and the two change places.
+//
+// A cause may crash more runners than are counted before all hosts block it. Until then a crash that is
+// not among them is attributed to it as well: nothing that was on its runners would be cleared meanwhile.
 func explained(entries map[Fingerprint]entry) map[Fingerprint]bool {
 	var suspected []Fingerprint
 	for content, e := range entries {
@@ -195,14 +204,14 @@
 		return cmp.Or(len(y.crashes)-len(x.crashes), cmp.Compare(x.maxElapsed, y.maxElapsed), y.narrowness()-x.narrowness(), cmp.Compare(a, b))
 	})
 	result := map[Fingerprint]bool{}
-	explaining := crashesByRunner{}
+	explaining := &causes{byRunner: map[string][]crash{}}
 	for _, content := range suspected {
 		e := entries[content]
-		if own := explaining.countMissing(e.crashes); own < len(e.crashes) && own < ownCrashThreshold {
+		if own := explaining.countOwn(e.evidence); own < len(e.crashes) && own < ownCrashThreshold {
 			result[content] = true
 			continue
 		}
-		explaining.add(e.crashes)
+		explaining.add(e)
 	}
 	return result
 }
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -63,6 +63,66 @@
 	must.False(t, blocked(q, middle, 6*time.Second), must.Sprint("given back"))
 }
 
+// A bad part crashes more runners than are counted before all hosts block it. A part of sound requests
+// was on some of the later ones, and has no answer that could clear it: it was blocked for them.
+func TestCrashesBeyondThoseCountedAreNotBlamedOnOthers(t *testing.T) {
+	q := New()
+	bad, sound := Subject{Fingerprint: first, Depth: 2}, Subject{Fingerprint: middle, Depth: 2}
+	const interval = 70 * time.Millisecond
+	for i := range 2 * maxCrashes {
+		subjects := []Subject{bad}
+		if i >= maxCrashes && i%2 == 0 {
+			subjects = append(subjects, sound)
+		}
+		countAt(q, fmt.Sprintf("r%d", i), time.Duration(i)*interval, 50*time.Millisecond, subjects...)
+	}
+	must.True(t, blocked(q, first, 3*time.Second))
+	must.False(t, blocked(q, middle, 3*time.Second))
+	// Once all hosts block the one, further crashes have another cause.
+	for i := range 2 {
+		countAt(q, fmt.Sprintf("later%d", i), time.Duration(4+i)*time.Second, 50*time.Millisecond, sound)
+	}
+	must.True(t, blocked(q, middle, 6*time.Second))
+}
+
+// Two bad parts crash more runners at the same time than are counted. Each of them is blocked.
+func TestTwoCausesBeyondTheCountedCrashesAreBlocked(t *testing.T) {
+	q := New()
+	for i := range 60 {
+		one, other := Subject{Fingerprint: first, Depth: 2}, Subject{Fingerprint: middle, Depth: 2}
+		at := time.Duration(i) * 70 * time.Millisecond
+		if !blocked(q, first, at) {
+			countAt(q, fmt.Sprintf("r%d", i), at, 50*time.Millisecond, one)
+		}
+		if !blocked(q, middle, at) {
+			countAt(q, fmt.Sprintf("o%d", i), at, 60*time.Millisecond, other)
+		}
+	}
+	must.True(t, blocked(q, first, 3*time.Second))
+	must.True(t, blocked(q, middle, 3*time.Second))
+}
+
+// As many crashes as are counted do not hide a second cause that has runners of its own before or after,
+// and fewer hide none that comes at the same time.
+func TestSecondCauseBesideAKnownOneIsBlocked(t *testing.T) {
+	for _, crashes := range []int{crashThreshold, maxCrashes} {
+		q := New()
+		one, other := Subject{Fingerprint: first, Depth: 2}, Subject{Fingerprint: middle, Depth: 2}
+		offset := time.Duration(0)
+		if crashes == maxCrashes {
+			offset = 3 * time.Second
+		}
+		for i := range crashes {
+			countAt(q, fmt.Sprintf("r%d", i), time.Duration(i)*200*time.Millisecond, 50*time.Millisecond, one)
+		}
+		for i := range crashThreshold {
+			countAt(q, fmt.Sprintf("o%d", i), offset+time.Duration(i)*200*time.Millisecond, 50*time.Millisecond, other)
+		}
+		must.True(t, blocked(q, first, 6*time.Second))
+		must.True(t, blocked(q, middle, 6*time.Second))
+	}
+}
+
 // The same request crashes three runners: it is the narrowest. Another one with the same part shows
 // that the part is to blame.
 func TestRequestIsBlockedBeforeItsParts(t *testing.T) {
