--- a/internal/serve/hedge.go
+++ b/internal/serve/hedge.go
@@ -72,9 +72,11 @@
 		r.suspected = true
 		r.recordSilence()
 	}
-	if r.l.mayUseAnotherRunner() {
-		r.search = r.l.searchHedge(r.ctx)
+	l := r.l
+	if !l.mayUseAnotherRunner() {
+		return
 	}
+	r.search = l.searchHedge(r.ctx)
 }
 
 // recordSilence records that the runner is silent to a request.
