A request that crosses the close of an idle connection reaches no runner

Found by reading while the tests of real processes were written: Shutdown judged that a connection was idle and closed it a moment later, and a request that was read in between was passed on and its connection closed. What arrives after the judgement is no longer read.

--- a/internal/callerconn/connections.go
+++ b/internal/callerconn/connections.go
@@ -71,7 +71,7 @@
 	c.mu.Lock()
 	var idle []*recorder
 	for r := range c.open {
-		if r.isIdle(now) {
+		if r.closesIdle(now) {
 			idle = append(idle, r)
 		}
 	}
@@ -83,10 +83,16 @@
 	return left
 }
 
-// isIdle reports whether no request has been read whole or in part that is not answered.
-func (r *recorder) isIdle(now time.Time) bool {
+// closesIdle reports whether no request has been read whole or in part that is not answered. If so,
+// none is read any more: one that crosses the close must not reach a runner.
+func (r *recorder) closesIdle(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.closing = r.isIdle(now)
+	return r.closing
+}
+
+func (r *recorder) isIdle(now time.Time) bool {
 	_, skipped := r.fromStart()
 	return !r.serving && r.received == skipped && (r.used || now.Sub(r.accepted) >= unusedGrace)
 }
--- a/internal/callerconn/handler_test.go
+++ b/internal/callerconn/handler_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cherrystage/cherrystage/internal/answer"
 	"github.com/hashicorp/go-hclog"
@@ -34,3 +36,23 @@
 		must.Eq(t, blind, recorder.Header().Get("Connection") == "close")
 	}
 }
+
+// A request arrives just as a stop closes its connection, and is passed on to a runner all the same.
+func TestRequestThatCrossesTheCloseIsNotRead(t *testing.T) {
+	near, far := net.Pipe()
+	all := newConnections()
+	conn := &recorder{Conn: near, connections: all, accepted: time.Now().Add(-time.Minute)}
+	all.open[conn] = struct{}{}
+	read := make(chan int, 1)
+	go func() {
+		n, _ := conn.Read(make([]byte, 16))
+		read <- n
+	}()
+	conn.mu.Lock()
+	_, err := far.Write([]byte("GET "))
+	must.NoError(t, err)
+	conn.mu.Unlock()
+	left := all.closeIdle(time.Now())
+	n := <-read
+	must.Eq(t, left > 0, n > 0, must.Sprintf("%d connections left, %d bytes read", left, n))
+}
--- a/internal/callerconn/recorder.go
+++ b/internal/callerconn/recorder.go
@@ -84,7 +84,9 @@
 	startUnknown bool
 	// used is set once a request has been handled, serving until its answer has been sent.
 	used, serving bool
-	input         inputState
+	// closing is set once the connection is being closed because it is idle.
+	closing bool
+	input   inputState
 	// idleDeadlines counts the read deadlines that were set since the connection became idle.
 	idleDeadlines int
 	writes        int
@@ -96,6 +98,9 @@
 	n, err := r.Conn.Read(into)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.closing {
+		return 0, net.ErrClosed
+	}
 	r.input = max(r.input, inputStateOf(err))
 	if n > 0 && r.awaitsRequest() {
 		r.received, r.startUnknown = 0, false
