A request is served in the configuration that its route comes from

Seen once by the soak while services moved: 503 "the route's service is not configured". The configuration is passed on with the route.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -367,10 +367,10 @@
 	return false
 }
 
-func (e *Entry) serve(ctx context.Context, w *answer.Writer, route *site.Route, request *forward.Request, arrived time.Time) {
+func (e *Entry) serve(ctx context.Context, w *answer.Writer, config *site.Config, route *site.Route, request *forward.Request, arrived time.Time) {
 	e.openRequests.Add(1)
 	defer e.openRequests.Add(-1)
-	e.server.Serve(ctx, w, route, request, arrived)
+	e.server.Serve(ctx, w, config, route, request, arrived)
 }
 
 // Background runs the host's watches, peer exchange and reconciliation until ctx is done.
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -42,8 +42,8 @@
 	stoppingRetryAfter = "0.05"
 )
 
-// Serve serves a request on its route; arrived is when its header had been read.
-type Serve func(ctx context.Context, w *answer.Writer, route *site.Route, request *forward.Request, arrived time.Time)
+// Serve serves a request on its route in a configuration; arrived is when its header had been read.
+type Serve func(ctx context.Context, w *answer.Writer, config *site.Config, route *site.Route, request *forward.Request, arrived time.Time)
 
 // Ingress accepts callers' requests over HTTP.
 type Ingress struct {
@@ -136,7 +136,7 @@
 		ClientAddr:      stripPort(r.RemoteAddr),
 		Caller:          caller,
 	}
-	i.Serve(ctx, w, route, request, arrived)
+	i.Serve(ctx, w, config, route, request, arrived)
 }
 
 // identifyCaller finds the workspace of the request's key in the configuration in force. It
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -129,7 +129,7 @@
 	return (&Ingress{
 		ConfigAge: func() time.Duration { return 0 },
 		Dialect:   testDialect{}, Directory: known, Now: time.Now, Log: hclog.NewNullLogger(),
-		Serve: func(ctx context.Context, w *answer.Writer, _ *site.Route, request *forward.Request, _ time.Time) {
+		Serve: func(ctx context.Context, w *answer.Writer, _ *site.Config, _ *site.Route, request *forward.Request, _ time.Time) {
 			e.served = append(e.served, request)
 			if e.handler != nil {
 				e.handler(ctx, w)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -281,14 +281,14 @@
 	longestGapEnd time.Time
 }
 
-// Serve serves one request and writes its answer. It leaves an answer that breaks off incomplete, and
+// Serve serves one request on its route in a configuration, which may no longer be the one in force,
+// and writes its answer. It leaves an answer that breaks off incomplete, and
 // writes none for a caller that has left.
-func (s *Server) Serve(ctx context.Context, w *answer.Writer, route *site.Route, request *forward.Request, arrived time.Time) {
+func (s *Server) Serve(ctx context.Context, w *answer.Writer, config *site.Config, route *site.Route, request *forward.Request, arrived time.Time) {
 	l := &lifecycle{s: s, w: w, route: route, request: request, arrived: arrived, tried: map[string]bool{}, adapterMisses: map[string]int{}}
 	l.deadline = arrived.Add(requestTimeout(route, request))
 	l.subjects = quarantine.SubjectsOf(contentOf(request), request.PromptParts)
-	snapshot := s.Directory.Snapshot()
-	l.ranked, l.precedence = snapshot.Config.OrdersByPriority(), site.PrecedenceOf(request.Caller.Workspace, route)
+	l.ranked, l.precedence = config.OrdersByPriority(), site.PrecedenceOf(request.Caller.Workspace, route)
 	l.beginCount()
 	defer l.endCount()
 	if !l.findOrigin(ctx) {
@@ -296,7 +296,7 @@
 		return
 	}
 	name := l.pickService(rand.Float64())
-	l.service = snapshot.Config.Services[name]
+	l.service = config.Services[name]
 	if l.service == nil {
 		l.refuse(retryAfterLong, "the route's service is not configured")
 		return
--- a/internal/serve/testenv_test.go
+++ b/internal/serve/testenv_test.go
@@ -153,6 +153,8 @@
 	sentVersions []string
 	// runnerHandler replaces the runners' usual answer if it is set.
 	runnerHandler http.HandlerFunc
+	// earlierConfig is the configuration that requests arrive in if it is no longer in force.
+	earlierConfig *site.Config
 }
 
 // withTestEnv runs a test with the given number of runners of one model.
@@ -237,10 +239,18 @@
 // serve serves a request, writes its answer to inner and returns how it ended.
 func (w *testEnv) serve(ctx context.Context, inner http.ResponseWriter, route *site.Route, request *forward.Request, arrived time.Time) answer.Outcome {
 	writer := answer.NewWriter(inner)
-	w.server.Serve(ctx, writer, route, request, arrived)
+	w.server.Serve(ctx, writer, w.config(), route, request, arrived)
 	return writer.End()
 }
 
+// config returns the configuration that requests arrive in.
+func (w *testEnv) config() *site.Config {
+	if w.earlierConfig != nil {
+		return w.earlierConfig
+	}
+	return w.directory.Snapshot().Config
+}
+
 // admitAfter answers an admission with a time that lies wait ahead.
 func admitAfter(wait time.Duration, again bool) func(*site.Runner, adapters.AdmissionRequest) (adapters.AdmissionResult, error) {
 	return func(*site.Runner, adapters.AdmissionRequest) (adapters.AdmissionResult, error) {
