--- a/internal/callerconn/server.go
+++ b/internal/callerconn/server.go
@@ -60,33 +60,37 @@
 
 // Shutdown stops accepting connections, closes each one once all requests that were read on it have
 // been answered, and returns when none is left. When ctx ends, it ends the requests that still wait, and
-// returns the error of ctx lastAnswersWait later at most.
+// returns the error of ctx lastAnswersWait later at most, with the number of connections that were left
+// when it ended.
 //
 // http.Server's own Shutdown closes connections without an answer to what it has read on them.
-func (s *Server) Shutdown(ctx context.Context) error {
+func (s *Server) Shutdown(ctx context.Context) (left int, err error) {
 	s.closeListeners()
-	if s.drain(ctx) {
-		return nil
+	if left = s.drain(ctx); left == 0 {
+		return 0, nil
 	}
 	s.connections.endHost()
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastAnswersWait)
 	defer cancel()
 	s.drain(last)
-	return ctx.Err()
+	return left, ctx.Err()
 }
 
-// drain closes idle connections, and reports whether none was left before ctx ended.
-func (s *Server) drain(ctx context.Context) bool {
+// drain closes idle connections until none is left or ctx ends, and returns the number of those left.
+func (s *Server) drain(ctx context.Context) (left int) {
 	ticker := time.NewTicker(shutdownInterval)
 	defer ticker.Stop()
-	for s.connections.closeIdle(time.Now()) > 0 {
+	for {
+		left = s.connections.closeIdle(time.Now())
+		if left == 0 {
+			return 0
+		}
 		select {
 		case <-ctx.Done():
-			return false
+			return left
 		case <-ticker.C:
 		}
 	}
-	return true
 }
 
 func (s *Server) closeListeners() {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -477,8 +477,8 @@
 	grace := time.Duration(e.grace.Load()) - exitMargin - e.now().Sub(start)
 	shutdownCtx, cancel := context.WithTimeout(ctx, max(0, grace))
 	defer cancel()
-	if err := e.callerServer.Shutdown(shutdownCtx); err != nil {
-		e.log.Warn("requests aborted: the shutdown grace period ended", "requests", e.openRequests.Load(), "error", err.Error())
+	if left, err := e.callerServer.Shutdown(shutdownCtx); err != nil {
+		e.log.Warn("requests aborted: the shutdown grace period ended", "requests", left, "error", err.Error())
 	}
 	e.drainTunnels(shutdownCtx)
 	e.log.Info("requests drained", "left", e.openRequests.Load(), "took_ms", e.now().Sub(start).Milliseconds())
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -114,7 +114,7 @@
 		must.NoError(t, err)
 		go func() { _ = server.Serve(listener) }()
 		defer func() { _ = server.Close() }()
-		e.shutdown = func(ctx context.Context) { _ = server.Shutdown(ctx) }
+		e.shutdown = func(ctx context.Context) { _, _ = server.Shutdown(ctx) }
 		run(e)
 	})
 }
--- a/internal/ingress/stop_test.go
+++ b/internal/ingress/stop_test.go
@@ -45,7 +45,7 @@
 		must.NoError(t, err)
 		go func() { _ = server.Serve(wrappingListener{Listener: listener, wrap: wrap}) }()
 		defer func() { _ = server.Close() }()
-		e.shutdown = func(ctx context.Context) { _ = server.Shutdown(ctx) }
+		e.shutdown = func(ctx context.Context) { _, _ = server.Shutdown(ctx) }
 		run(e)
 	})
 }
@@ -140,7 +140,8 @@
 // A server that was shut down before it serves a listener accepts callers all the same.
 func TestServeAfterShutdownEnds(t *testing.T) {
 	server := newServer(configWith(nil), &testIngress{})
-	must.NoError(t, server.Shutdown(t.Context()))
+	_, err := server.Shutdown(t.Context())
+	must.NoError(t, err)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	ended := make(chan error, 1)
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -205,13 +205,12 @@
 	case <-ctx.Done():
 	}
 	n.stopping.Store(true)
-	err := callers.Shutdown(ctx)
+	cut, err := callers.Shutdown(ctx)
 	select {
 	case <-n.openRequests.Empty():
 	case <-ctx.Done():
 	}
 	n.returnPins()
-	cut := n.openRequests.Open()
 	if err != nil {
 		_ = callers.Close()
 	}
