A stream is not given up while its caller waits for longer than usual

But a caller that has abandoned its stream closes the connection, which ends the request; one that is still there waits for longer.

Once that time is over the deadline alone counts. A request that may have run waits over the last 0.15 s of it; one that has not is refused as before, since its caller may send it again.

TestBegunStreamGoesOnWhileItsCallerStays and TestStreamIsBegunElsewhereWhileItsCallerStays failed before (cut; 504 and 502). The safeguard of the latest event was proved by a stream that is served later anyhow now; TestOldStreamGoesOnWhereItsAdapterLoads proves it by the length of the pause.

--- a/internal/serve/search.go
+++ b/internal/serve/search.go
@@ -52,7 +52,7 @@
 			search.Admitted(step.Rank)
 			return true
 		}
-		if ctx.Err() != nil || l.timeToStart() <= 0 {
+		if ctx.Err() != nil || l.timeToStart() <= 0 && !l.awaitPatience(ctx) {
 			l.giveUp(ctx)
 			return false
 		}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -352,8 +352,11 @@
 // awaitRest tries to go on with a begun stream while its caller waits. A retry, a place or a permit
 // that is missing now may be there a moment later, whereas the answer has no other end than a cut.
 func (l *lifecycle) awaitRest(ctx context.Context) bool {
-	for l.headerWritten && !l.complete && ctx.Err() == nil && l.timeToStart() > restRetryInterval {
+	for l.headerWritten && !l.complete && ctx.Err() == nil && l.timeLeft() > restRetryInterval {
 		timing.Sleep(ctx, restRetryInterval)
+		if l.timeToStart() <= 0 {
+			continue
+		}
 		clear(l.tried)
 		l.refusals, l.refusedBy, l.soonestRetry = nil, nil, 0
 		if l.prepare(ctx) {
@@ -469,18 +472,39 @@
 }
 
 // timeToStart returns the time within which the request must be sent to be of use: callers
-// abandon a stream that stays silent, before its first event or after its latest one.
+// abandon a stream that stays silent. For one that has not, its deadline alone counts.
 func (l *lifecycle) timeToStart() time.Duration {
 	left := l.timeLeft()
+	if patience := l.patienceLeft(); patience > 0 {
+		return min(left, patience-sendMargin)
+	}
+	return left
+}
+
+// patienceLeft returns the time until callers abandon a stream that stays silent, before its first event
+// or after its latest one. It is negative for a caller that waits for longer, and for other requests.
+func (l *lifecycle) patienceLeft() time.Duration {
 	if l.route.Kind != site.Streaming {
-		return left
+		return -1
 	}
 	silentSince := l.arrived
 	if l.headerWritten {
 		silentSince = l.lastWriteAt
 	}
 	silence := max(callerSilenceMin, callerTargetFactor*l.route.TargetLatency, callerGapFactor*l.route.TargetGap)
-	return min(left, silentSince.Add(silence-sendMargin).Sub(l.s.Now()))
+	return silentSince.Add(silence).Sub(l.s.Now())
+}
+
+// awaitPatience waits until callers would have abandoned the stream, and reports whether this one still
+// waits. A request that has not run is refused instead: its caller may send it again at once.
+func (l *lifecycle) awaitPatience(ctx context.Context) bool {
+	if l.hedging || l.mayHaveRunCount == 0 {
+		return false
+	}
+	if patience := l.patienceLeft(); patience > 0 {
+		timing.Sleep(ctx, patience)
+	}
+	return ctx.Err() == nil && l.timeToStart() > 0
 }
 
 // retry decides whether another attempt follows a failed one, and answers the request if
