What was charged for requests that have not run is not spent later

Requests that had waited for seconds and were refused gave their units to their host's allowance; these were spent at once, on top of what the parts had gained while the requests waited. Where all requests are refused soon, the units went round at the host and never grew old, and the parts filled beside them. Ruled out: two counting hosts (each part had one in all charges), second runs (270 sends, may_have_run 0).

Now such units go back to their part, which holds no more than its burst, and only within half a second of the charge: a window then holds at most three quarters of a second's rate more than the burst and the rate. Older charges count as spent; for a workspace below its quota its part is near its burst and would discard them.

--- a/internal/entry/quotas.go
+++ b/internal/entry/quotas.go
@@ -156,6 +156,7 @@
 		pause := charge.Wait
 		switch {
 		case charge.Outcome == serve.ChargeGranted || ctx.Err() != nil:
+			charge.At = q.now()
 			return charge
 		case charge.Outcome == serve.ChargeUnknown:
 			pause = unknownRetryPause
@@ -273,8 +274,7 @@
 
 // Refund implements serve.Quotas.
 func (q *quotaManager) Refund(charge serve.Charge) {
-	if charge.Outcome == serve.ChargeGranted {
-		q.allowances.AddGrant(charge.Workspace, charge.Part, charge.Cost, q.now())
+	if charge.Outcome == serve.ChargeGranted && q.allowances.AddRefund(charge.Workspace, charge.Part, charge.Cost, charge.At, q.now()) {
 		q.usages.Add(charge.Workspace, quota.Usage{Returned: charge.Cost})
 	}
 }
--- a/internal/quota/allowance.go
+++ b/internal/quota/allowance.go
@@ -36,6 +36,8 @@
 	// balance holds the unspent units of each part, last changed at updatedAt.
 	balance   [Parts]float64
 	updatedAt time.Time
+	// refunds holds the units of requests that did not run, which are not spent here.
+	refunds [Parts]float64
 	// usage is the exponentially decaying sum of the units spent, as of usageAt.
 	usage   float64
 	usageAt time.Time
@@ -142,13 +144,27 @@
 	})
 }
 
+// AddRefund adds the units that were charged for a request at chargedAt and that has not run, for TakeIdle
+// to return them to their part. It reports whether it did: a charge older than maxIdle counts as spent.
+//
+// The part gains units while requests wait. When those of long waits were spent afterwards, on top of these,
+// a workspace whose requests had not run for seconds was served far more than its quota in the next window.
+// Spent at this host, they would never grow old where all requests are refused soon.
+func (a *Allowances) AddRefund(workspace string, part int, units float64, chargedAt, now time.Time) bool {
+	if now.Sub(chargedAt) >= maxIdle {
+		return false
+	}
+	a.withWorkspace(workspace, func(entry *allowance) { entry.refunds[part] += units })
+	return true
+}
+
 // RecordUse counts units that were granted for a waiting request and spent at once.
 func (a *Allowances) RecordUse(workspace string, cost float64, now time.Time) {
 	a.withWorkspace(workspace, func(entry *allowance) { entry.addUsage(cost, now) })
 }
 
-// TakeIdle removes the units that have been idle for maxIdle and returns the requests that give
-// them back. It also drops workspaces that are no longer in use.
+// TakeIdle removes the refunded units and those that have been idle for maxIdle, and returns the requests
+// that give them back. It also drops workspaces that are no longer in use.
 func (a *Allowances) TakeIdle(now time.Time) []GrantRequest {
 	var returns []GrantRequest
 	for i := range a.shards {
@@ -162,16 +178,20 @@
 	defer s.mu.Unlock()
 	var returns []GrantRequest
 	for name, entry := range s.workspaces {
-		if now.Sub(entry.updatedAt) < maxIdle {
-			continue
+		unused, idle := entry.refunds, now.Sub(entry.updatedAt) >= maxIdle
+		entry.refunds = [Parts]float64{}
+		if idle {
+			for part, balance := range entry.balance {
+				unused[part] += balance
+			}
+			entry.balance = [Parts]float64{}
 		}
-		for part, balance := range entry.balance {
-			if balance > 0 {
-				returns = append(returns, GrantRequest{Key: name, Part: part, Returned: balance})
+		for part, units := range unused {
+			if units > 0 {
+				returns = append(returns, GrantRequest{Key: name, Part: part, Returned: units})
 			}
 		}
-		entry.balance = [Parts]float64{}
-		if now.After(entry.refusedUntil) && now.Sub(entry.usageAt) > 10*usageDecay {
+		if idle && now.After(entry.refusedUntil) && now.Sub(entry.usageAt) > 10*usageDecay {
 			delete(s.workspaces, name)
 		}
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -57,6 +57,15 @@
 	runs  []run
 	// refused and served count the requests.
 	refused, served int
+	// refusedAfter is how long runners hold requests before they refuse them, 0 if they run them.
+	refusedAfter time.Duration
+	held         []heldRequest
+}
+
+// heldRequest is a granted request that has not run.
+type heldRequest struct {
+	run
+	host, part int
 }
 
 func newFleet(q site.Quota, hosts int) *fleet {
@@ -77,8 +86,8 @@
 // request simulates one request at a host and reports whether it was granted.
 func (f *fleet) request(host int, cost float64, now time.Time, turn int) bool {
 	a := f.hosts[host]
-	if _, ok := a.Spend(workspace, cost, now); ok {
-		return f.ran(cost, now)
+	if part, ok := a.Spend(workspace, cost, now); ok {
+		return f.granted(host, part, cost, now)
 	}
 	if _, refused := a.Refused(workspace, cost, now); refused {
 		f.refused++
@@ -96,7 +105,7 @@
 		if response.Granted > 0 {
 			a.RecordUse(workspace, cost, now)
 			a.AddGrant(workspace, part, response.Granted-cost, now)
-			return f.ran(cost, now)
+			return f.granted(host, part, cost, now)
 		}
 		wait = min(wait, response.RetryAfter)
 	}
@@ -105,12 +114,26 @@
 	return false
 }
 
-func (f *fleet) ran(cost float64, now time.Time) bool {
+// granted runs a granted request, unless its runner is to refuse it after refusedAfter.
+func (f *fleet) granted(host, part int, cost float64, now time.Time) bool {
+	if f.refusedAfter > 0 {
+		f.held = append(f.held, heldRequest{run: run{at: now, cost: cost}, host: host, part: part})
+		return true
+	}
 	f.served++
 	f.runs = append(f.runs, run{at: now, cost: cost})
 	return true
 }
 
+// refuseHeld refunds the requests whose runners have refused them by now.
+func (f *fleet) refuseHeld(now time.Time) {
+	for len(f.held) > 0 && now.Sub(f.held[0].at) >= f.refusedAfter {
+		refused := f.held[0]
+		f.held = f.held[1:]
+		f.hosts[refused.host].AddRefund(workspace, refused.part, refused.cost, refused.at, now)
+	}
+}
+
 // returnIdle makes all hosts return their idle units.
 func (f *fleet) returnIdle(now time.Time) {
 	for _, a := range f.hosts {
@@ -135,6 +158,7 @@
 		for ; returnAt < at; returnAt += 250 * time.Millisecond {
 			f.returnIdle(from.Add(returnAt))
 		}
+		f.refuseHeld(from.Add(at))
 		f.request(rng.IntN(len(f.hosts)), 200+rng.Float64()*2*(mean-200), from.Add(at), turn)
 	}
 }
@@ -189,6 +213,24 @@
 	}
 }
 
+// Runners refuse all requests of a workspace that sends twenty times its quota, each after a short time,
+// and run them all from then on. Units of the refused requests must not have added up at the hosts.
+func TestUnitsOfRefusedRequestsDoNotAddUp(t *testing.T) {
+	const rate = 30_000
+	for _, refusedAfter := range []time.Duration{20 * time.Millisecond, 100 * time.Millisecond, 450 * time.Millisecond, 2 * time.Second} {
+		f := newFleet(tokens(rate), 7)
+		rng := rand.New(rand.NewPCG(5, 6))
+		f.refusedAfter = refusedAfter
+		f.load(rng, epoch, 10*time.Second, steady(20*rate))
+		f.refusedAfter = 0
+		f.load(rng, epoch.Add(10*time.Second), 20*time.Second, steady(20*rate))
+		highest := maxInWindow(f.runs, tolerance.Window)
+		t.Logf("refused after %s: %.0f of %.0f allowed in a window", refusedAfter, highest, allowed(f.quota, tolerance))
+		must.Less(t, allowed(f.quota, tolerance), highest)
+		must.Greater(t, rate*tolerance.Window.Seconds(), highest)
+	}
+}
+
 // equalShares is the alternative of a fixed, equal share of the quota for each host, without any
 // communication.
 type equalShares struct {
--- a/internal/serve/charge.go
+++ b/internal/serve/charge.go
@@ -14,7 +14,7 @@
 	// Charge charges a request to its workspace. Target is the request's target latency;
 	// the call takes a fraction of it at most.
 	Charge(ctx context.Context, workspace *site.Workspace, cost float64, target time.Duration) Charge
-	// Refund returns the charge of a request that has not run.
+	// Refund returns the charge of a request that has not run, unless it is too old.
 	Refund(charge Charge)
 }
 
@@ -37,8 +37,9 @@
 	Workspace string
 	// Cost is in the units of the workspace's quota.
 	Cost float64
-	// Part is the part of the quota that was charged.
+	// Part is the part of the quota that was charged, At when it was.
 	Part int
+	At   time.Time
 	// Wait is the time after which to retry a refused request.
 	Wait time.Duration
 	// CountedBy is the host that decided, or the reason why none was asked. Level is the
