A second attempt has its own state, and copies no request

Cause: lifecycle was one struct of 63 fields. A second attempt beside a silent one began with a copy of all of them, and copied all of them back when it became the current one. A new field took part in both, whether it belonged to the request, to the caller's answer or to the attempt, and the probes of runners read a field of the struct (s) while it could be overwritten (found by reading, not by a run).

- run stores the failure after relay has returned: the order in which Go evaluates l.failure = l.relay(ctx) does not say to which attempt it would go.
- notPassedOn no longer sets status.
Nothing read that value: status is set again with the header or with 499.
- leftRunner is gone; leaveCurrent knows which exchange it leaves.

No change of behaviour.

TestStreamGoesOnAtTheThirdRunnerWhereTheSecondBreaksOff passes before as well; it fails if the failure is stored in the attempt that was left (trial), which no other test showed.

There is no benchmark of a request in internal/serve.

--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -143,12 +143,9 @@
 func (x *exchange) notPassedOn(besideAnother bool) *forward.Failure {
 	l := x.l
 	serverError := x.answer.Status >= http.StatusInternalServerError
-	switch {
-	case l.headerWritten:
-		// The runner that was to resume the stream sent no event stream.
-	case serverError && (besideAnother || l.mayUseAnotherRunner()):
-		l.status = x.answer.Status
-	default:
+	askAnother := serverError && (besideAnother || l.mayUseAnotherRunner())
+	// A runner that was to resume a stream has sent no event stream.
+	if !askAnother && !l.headerWritten {
 		return nil
 	}
 	return &forward.Failure{Verdict: verdict.MayHaveRun, Reason: forward.ReasonBroken, Cause: errors.Errorf("status %d", x.answer.Status), Metadata: x.answer.Metadata}
--- a/internal/serve/contention_test.go
+++ b/internal/serve/contention_test.go
@@ -119,7 +119,7 @@
 func TestRetryAfterTheRequestsTimeRanOut(t *testing.T) {
 	withTestEnv(t, 1, func(w *testEnv) {
 		w.orderByPriority()
-		l := &lifecycle{s: w.server, ranked: true}
+		l := &lifecycle{call: &call{s: w.server, ranked: true}, attempt: &attempt{}}
 		for _, left := range []time.Duration{-time.Second, 0, minTimeLeft} {
 			l.deadline = time.Now().Add(left)
 			must.GreaterEq(t, minRetryAfter, l.retryAfter())
--- a/internal/serve/exchange.go
+++ b/internal/serve/exchange.go
@@ -26,7 +26,7 @@
 
 // exchange is one attempt: a request that was sent to a runner, and its answer as it arrives.
 type exchange struct {
-	// l is the request as it was placed for this attempt.
+	// l is the lifecycle of the request, or a fork of it for a second attempt.
 	l *lifecycle
 	// runner is the ID of its runner, address that runner's address, and sentAt when it was sent.
 	runner, address string
--- a/internal/serve/hedge.go
+++ b/internal/serve/hedge.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/forward"
@@ -97,8 +95,7 @@
 	canceled chan struct{}
 }
 
-// hedgeResult is the request as it was placed for a second attempt; ok is false if no runner takes
-// it.
+// hedgeResult is a second attempt as it was placed; ok is false if no runner takes it.
 type hedgeResult struct {
 	l  *lifecycle
 	ok bool
@@ -139,22 +136,6 @@
 	}
 }
 
-// fork returns a copy of the request for a second attempt, which counts the current one as one that
-// may have run. It writes no answer, and shares nothing that it changes.
-func (l *lifecycle) fork() *lifecycle {
-	fork := *l
-	fork.hedging = true
-	fork.w, fork.counted, fork.slot, fork.failure = nil, nil, nil, nil
-	fork.trial = false
-	fork.tried, fork.adapterMisses = maps.Clone(l.tried), maps.Clone(l.adapterMisses)
-	fork.tried[l.runner.ID] = true
-	fork.leftRunner = l.runner.ID
-	fork.refusals, fork.refusedBy, fork.skipped = slices.Clip(l.refusals), slices.Clip(l.refusedBy), slices.Clip(l.skipped)
-	fork.mayHaveRunCount++
-	fork.arrivals = max(1, l.arrivals)
-	return &fork
-}
-
 // prepareHedge is prepare for a second attempt. It takes the retry first: of many silent requests only
 // as many ask the owners of runners as may be sent.
 func (l *lifecycle) prepareHedge(ctx context.Context) bool {
@@ -282,19 +263,17 @@
 // leaveCurrent leaves the silent attempt for the second one.
 func (r *relaying) leaveCurrent() {
 	r.l.logSilent("silent attempt left for the second one", "to", r.hedge.l.runner.ID)
-	r.current.abandon()
+	left := r.current
+	left.abandon()
 	r.adoptHedge()
 	// It is asked again if the other one refuses.
-	delete(r.l.tried, r.l.leftRunner)
+	delete(r.l.tried, left.runner)
 }
 
 // adoptHedge makes the second attempt the current one, after that has ended.
 func (r *relaying) adoptHedge() {
 	l, x := r.l, r.hedge
-	w, counted := l.w, l.counted
-	*l = *x.l
-	l.w, l.counted, l.hedging = w, counted, false
-	x.l = l
+	l.attempt, x.l = x.l.attempt, l
 	r.current, r.hedge = x, nil
 	r.hedgeLimit.Stop()
 	r.quietSince, r.suspected, r.keptLogged = l.sentAt, false, false
--- a/internal/serve/hedge_edges_test.go
+++ b/internal/serve/hedge_edges_test.go
@@ -200,6 +200,34 @@
 	})
 }
 
+// A runner is silent for good in the middle of a stream. The second one goes on with it and breaks off
+// after two events. The third one is well.
+func TestStreamGoesOnAtTheThirdRunnerWhereTheSecondBreaksOff(t *testing.T) {
+	withTestEnv(t, 3, func(w *testEnv) {
+		s := &scriptedRunners{}
+		s.install(w, func(rw http.ResponseWriter, r *http.Request, _, _ string, number, after int) {
+			beginEvents(rw)
+			switch number {
+			case 1:
+				pieces(rw, r, 1, 5)
+				pauseFor(r, time.Hour)
+			case 2:
+				pieces(rw, r, after+1, after+2)
+				panic(http.ErrAbortHandler)
+			default:
+				pieces(rw, r, after+1, testEvents)
+			}
+		})
+		time.Sleep(10 * time.Second)
+		route := resumableRoute
+		route.MaxAttempts = 3
+		answer, cut := w.serveStream("q", "a", route)
+		must.False(t, cut)
+		must.Eq(t, wholeStream(), answer.Body.String())
+		must.Len(t, 3, s.runs)
+	})
+}
+
 // A host has two streams, at two runners, and both fall silent for good. The third runner is well.
 func TestStreamsOfAQuietHostLeaveTwoSilentRunners(t *testing.T) {
 	withTestEnv(t, 3, func(w *testEnv) {
--- a/internal/serve/relaying.go
+++ b/internal/serve/relaying.go
@@ -42,10 +42,11 @@
 	answeredAt  time.Time
 }
 
-// attempt sends the request to the chosen runner and relays its answer. It returns nil once
+// relay sends the request to the chosen runner and relays its answer. It returns nil once
 // the request is answered.
-func (l *lifecycle) attempt(ctx context.Context) *forward.Failure {
-	r := &relaying{l: l, ctx: ctx, current: l.send(ctx), quietSince: l.sentAt, hedgeLimit: newStoppedTimer()}
+func (l *lifecycle) relay(ctx context.Context) *forward.Failure {
+	current := l.send(ctx)
+	r := &relaying{l: l, ctx: ctx, current: current, quietSince: current.sentAt, hedgeLimit: newStoppedTimer()}
 	r.silence = time.NewTimer(r.silenceLimit())
 	defer r.stop()
 	for {
--- a/internal/serve/requestcounts_test.go
+++ b/internal/serve/requestcounts_test.go
@@ -56,7 +56,7 @@
 // missing where they are.
 func TestPrecedenceIsLoggedWhereRequestsAreOrdered(t *testing.T) {
 	withTestEnv(t, 1, func(w *testEnv) {
-		l := &lifecycle{s: w.server, request: &forward.Request{}}
+		l := &lifecycle{call: &call{s: w.server, request: &forward.Request{}}, attempt: &attempt{}}
 		must.SliceNotContains(t, l.contentionLogFields(), any("precedence"))
 		l.ranked, l.precedence = true, site.Precedence{Workspace: 1, Route: 2}
 		must.Eq(t, []any{"precedence", []int{1, 2}}, l.contentionLogFields())
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -22,7 +22,6 @@
 	"github.com/cherrystage/cherrystage/internal/retrybudget"
 	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/cherrystage/cherrystage/internal/standstill"
-	"github.com/cherrystage/cherrystage/internal/streams"
 	"github.com/cherrystage/cherrystage/internal/timing"
 	"github.com/cherrystage/cherrystage/internal/verdict"
 	"github.com/hashicorp/go-hclog"
@@ -173,120 +172,11 @@
 	retryAfterLong  = time.Second
 )
 
-// lifecycle is the state of one request while it is served.
-type lifecycle struct {
-	s        *Server
-	w        *answer.Writer
-	route    *site.Route
-	service  *site.Service
-	request  *forward.Request
-	arrived  time.Time
-	deadline time.Time
-	budget   *retrybudget.Budget
-	firsts   *firstEvents
-	charge   Charge
-	// ranked is set if requests are ordered by priority, by precedence.
-	ranked     bool
-	precedence site.Precedence
-	// brittle is set if the service's runners fall over if they have to turn away many requests.
-	brittle bool
-	// counted is the request as counted for the metrics page.
-	counted *contention.Request
-	// subjects is what the quarantine may block the request for, its whole content first.
-	subjects []quarantine.Subject
-	// trial is set while the request may be sent although a part of its prompt is blocked.
-	trial bool
-
-	// tried holds the IDs of runners to which the request is not sent again.
-	tried map[string]bool
-	// adapterMisses counts, by runner, the sends that came before the adapter was loaded.
-	adapterMisses map[string]int
-	// loadingAt is the adapter that the latest send came too early for.
-	loadingAt loadingAdapter
-	// soonestRetry is the shortest time until a skipped runner accepts requests again,
-	// 0 if none was skipped.
-	soonestRetry time.Duration
-	// permitRunner is the runner for which a permit was acquired ahead of the admission,
-	// at permitAt.
-	permitRunner string
-	permitAt     time.Time
-	sends        int
-	// arrivals counts the sends that may have reached a runner.
-	arrivals        int
-	mayHaveRunCount int
-	// via is the host through which the latest attempt was sent, "" if it was sent directly.
-	via    string
-	runner *site.Runner
-	key    adapters.Key
-	// keyChosenAt is when the adapter's version was selected.
-	keyChosenAt   time.Time
-	failure       *forward.Failure
-	headerWritten bool
-	// callerGone is set when the answer could not be written.
-	callerGone  bool
-	complete    bool
-	lastEventID string
-	// origin is what began the stream, nil before its first event; originSource is how that is
-	// known of a stream that the request continues.
-	origin       *streams.Origin
-	originSource OriginSource
-	// restriction tells apart what is learnt of an adapter's runners where only some of them may
-	// run the request; "" stands for all.
-	restriction string
-	status      int
-	// reason is why this host generated the answer itself, empty if a runner answered.
-	reason string
-	// hedging is set on the copy of the request for a second attempt beside a silent one.
-	// hedgeRefusal is why no second attempt could be made last.
-	hedging      bool
-	hedgeRefusal string
-	// leftRunner is the ID of the runner that was left for the present one, "" if none was.
-	leftRunner string
-	// cutReason is why this host ended an answer that had begun, empty if it did not.
-	cutReason     string
-	waitedForLoad bool
-	// deferrals counts how often an owner told the request to ask again because others
-	// go first, deferred is how long it waited for that.
-	deferrals int
-	deferred  time.Duration
-	// shortestWait is the shortest wait that an owner reported, 0 if none did.
-	shortestWait time.Duration
-	// rank is the runner's position in the adapter's order; near is set if the order
-	// begins with the runners of the host's own data centre.
-	rank int
-	near bool
-	// ownerWaits counts how often it waited for runners to have owners.
-	ownerWaits int
-	// refusals are the reasons why owners did not admit the request or a wait was ended.
-	refusals []string
-	// refusedBy lists the owners that did not admit it, as RUNNER@HOST.
-	refusedBy []string
-	// skipped lists up to maxSkipped runners that accepted no request.
-	skipped []string
-	waited  time.Duration
-	// slot is the request slot that the request holds, nil if none.
-	slot *SlotGrant
-	// slotAnswer is the latest answer to a request for a slot, nil if there was none.
-	slotAnswer  *SlotGrant
-	slotWaited  time.Duration
-	firstByteAt time.Time
-	// sentAt is when the latest attempt was sent.
-	sentAt time.Time
-	// lastWriteAt is the time of the latest write of events; longestGap is the longest
-	// pause between two writes, which ended at longestGapEnd.
-	lastWriteAt time.Time
-	// events counts the writes of events.
-	events        int
-	longestGap    time.Duration
-	longestGapEnd time.Time
-}
-
 // Serve serves one request on its route in a configuration, which may no longer be the one in force,
 // and writes its answer. It leaves an answer that breaks off incomplete, and
 // writes none for a caller that has left.
 func (s *Server) Serve(ctx context.Context, w *answer.Writer, config *site.Config, route *site.Route, request *forward.Request, arrived time.Time) {
-	l := &lifecycle{s: s, w: w, route: route, request: request, arrived: arrived, tried: map[string]bool{}, adapterMisses: map[string]int{}}
-	l.deadline = arrived.Add(requestTimeout(route, request))
+	l := newLifecycle(s, w, route, request, arrived)
 	l.subjects = quarantine.SubjectsOf(contentOf(request), request.PromptParts)
 	l.ranked, l.precedence = config.OrdersByPriority(), site.PrecedenceOf(request.Caller.Workspace, route)
 	l.beginCount()
@@ -338,8 +228,9 @@
 // run makes attempts until the request is answered.
 func (l *lifecycle) run(ctx context.Context) {
 	for l.prepare(ctx) || l.awaitRest(ctx) {
-		l.failure = l.attempt(ctx)
-		l.trial = false
+		failure := l.relay(ctx)
+		// A second attempt may have become the current one.
+		l.failure, l.trial = failure, false
 		if l.failure == nil || !l.retry(ctx) {
 			return
 		}
