A begun stream that waits asks no owner without a retry, and no search asks beyond its end

A request whose own refusal could not be written counts as begun no longer; a second attempt takes over no permit.

--- a/internal/serve/lifecycle.go
+++ b/internal/serve/lifecycle.go
@@ -115,7 +115,9 @@
 	adapterMisses map[string]int
 	// loadingAt is the adapter that the latest send came too early for.
 	loadingAt loadingAdapter
-	sends     int
+	// hasRetry is set while the request holds a retry for the attempt that is prepared.
+	hasRetry bool
+	sends    int
 	// arrivals counts the sends that may have reached a runner.
 	arrivals        int
 	mayHaveRunCount int
@@ -169,6 +171,7 @@
 	// placeWhereItLoads sets neither.
 	second.rank, second.near = l.rank, l.near
 	second.tried[l.runner.ID] = true
+	second.permitRunner, second.hasRetry = "", false
 	second.mayHaveRunCount++
 	second.arrivals = max(1, l.arrivals)
 	return &lifecycle{call: l.call, reply: &reply{progress: l.progress}, attempt: second, hedging: true}
--- a/internal/serve/patience_test.go
+++ b/internal/serve/patience_test.go
@@ -105,3 +105,51 @@
 		must.LessEq(t, minEventSilence+load+2*testInterval, answer.longestPause())
 	})
 }
+
+// A begun stream breaks off while no retry is left. Owners are not to be asked for places that cannot be used.
+func TestOwnersAreNotAskedWithoutARetry(t *testing.T) {
+	withTestEnv(t, 2, func(w *testEnv) {
+		newStreamRunners(w, breakOffAfter(5, 0))
+		time.Sleep(10 * time.Second)
+		budget := w.server.budget(llm)
+		now := time.Now()
+		for budget.Take(now, 100000) {
+		}
+		w.server.HostCount = func() int { return 100000 }
+		start := time.Now()
+		_, cut := w.serveResumable()
+		t.Logf("cut %v after %s: %d calls for admission, %d releases", cut, time.Since(start), len(w.owners.asked), w.owners.released)
+		must.Less(t, 10, len(w.owners.asked))
+	})
+}
+
+// Past the time for which callers usually wait, a search for a second attempt asks for a place within its own time.
+func TestSecondAttemptAsksForAPlaceInItsTime(t *testing.T) {
+	withTestEnv(t, 2, func(w *testEnv) {
+		newStreamRunners(w, func(_ *testRun, number, event int) time.Duration {
+			if event == 5 {
+				return 9 * time.Second
+			}
+			return 0
+		})
+		time.Sleep(10 * time.Second)
+		w.owners.admissions = append(w.owners.admissions, admitAfter(0, false))
+		reserved := 0
+		for range 1000 {
+			w.owners.admissions = append(w.owners.admissions, func(runner *site.Runner, request adapters.AdmissionRequest) (adapters.AdmissionResult, error) {
+				if request.MaxWait < 3*time.Second {
+					return refuseAdmission(runner, request)
+				}
+				reserved++
+				return adapters.AdmissionResult{At: time.Now().Add(3 * time.Second)}, nil
+			})
+		}
+		_, cut := w.serveResumable()
+		longest := time.Duration(0)
+		for _, a := range w.owners.asked[1:] {
+			longest = max(longest, a.MaxWait)
+		}
+		t.Logf("cut %v, %d asked, %d places reserved for longer than a search lasts, longest wait asked for %s", cut, len(w.owners.asked), reserved, longest)
+		must.Eq(t, 0, reserved)
+	})
+}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -243,20 +243,36 @@
 // awaitRest tries to go on with a begun stream while its caller waits. A retry, a place or a permit
 // that is missing now may be there a moment later, whereas the answer has no other end than a cut.
 func (l *lifecycle) awaitRest(ctx context.Context) bool {
-	for l.headerWritten && !l.complete && ctx.Err() == nil && l.timeLeft() > restRetryInterval {
+	for l.events > 0 && !l.complete && ctx.Err() == nil && l.timeLeft() > restRetryInterval {
 		timing.Sleep(ctx, restRetryInterval)
 		if l.timeToStart() <= 0 {
 			continue
 		}
 		clear(l.tried)
 		l.refusals, l.refusedBy, l.soonestRetry = nil, nil, 0
-		if l.prepare(ctx) {
+		if l.prepareRest(ctx) {
 			return true
 		}
 	}
 	return false
 }
 
+// prepareRest is prepare for the rest of a stream. It takes the retry first: without one, the owners of
+// runners would be asked for places that cannot be used.
+func (l *lifecycle) prepareRest(ctx context.Context) bool {
+	if l.arrivals > 0 && !l.budget.Take(l.s.Now(), l.s.HostCount()) {
+		l.cut(reasonBudgetSpent)
+		return false
+	}
+	l.hasRetry = l.arrivals > 0
+	prepared := l.prepare(ctx)
+	if l.hasRetry && !prepared {
+		l.budget.Return(l.s.Now(), l.s.HostCount())
+	}
+	l.hasRetry = false
+	return prepared
+}
+
 // prepare finds a runner to which the request may be sent now. If there is none, it answers the
 // request and returns false.
 func (l *lifecycle) prepare(ctx context.Context) bool {
@@ -278,7 +294,7 @@
 		}
 		l.releaseAdmission()
 	}
-	if l.arrivals > 0 && !l.hedging && !l.budget.Take(l.s.Now(), l.s.HostCount()) {
+	if l.arrivals > 0 && !l.hedging && !l.hasRetry && !l.budget.Take(l.s.Now(), l.s.HostCount()) {
 		l.releaseAdmission()
 		l.s.Counters.RetriesDenied.Add(1)
 		l.fail(reasonBudgetSpent)
@@ -392,7 +408,7 @@
 	if l.hedging || l.mayHaveRunCount == 0 {
 		return false
 	}
-	if patience := l.patienceLeft(); patience > 0 {
+	for patience := l.patienceLeft(); patience > 0 && ctx.Err() == nil; patience = l.patienceLeft() {
 		timing.Sleep(ctx, patience)
 	}
 	return ctx.Err() == nil && l.timeToStart() > 0
