No second attempt is made after the time for which callers usually wait

What callers saw: while all prompts are slow, a stream got its first event 6 s after it was sent and not after 4.

Cause: let the deadline alone count once callers usually have left, for second attempts as well. These had had no time left then, and were refused by owners; now one was admitted after 3.2 s, its runner answered questions, and the first attempt, whose prompt was almost read, was left for it.

TestNoPlaceIsReservedPastTheUsualPatience (renamed) proves it.

--- a/internal/serve/patience_test.go
+++ b/internal/serve/patience_test.go
@@ -123,8 +123,8 @@
 	})
 }
 
-// Past the time for which callers usually wait, a search for a second attempt asks for a place within its own time.
-func TestSecondAttemptAsksForAPlaceInItsTime(t *testing.T) {
+// A runner is silent for longer than callers usually wait. No place is reserved for a second attempt beside it.
+func TestNoPlaceIsReservedPastTheUsualPatience(t *testing.T) {
 	withTestEnv(t, 2, func(w *testEnv) {
 		newStreamRunners(w, func(_ *testRun, number, event int) time.Duration {
 			if event == 5 {
--- a/internal/serve/search.go
+++ b/internal/serve/search.go
@@ -160,7 +160,7 @@
 func (l *lifecycle) admit(ctx context.Context, home *site.Runner, step placing.Step, lastResort, barred bool) error {
 	waited, ticket := false, uint64(0)
 	for {
-		within := l.timeToAsk(ctx)
+		within := l.timeToStart()
 		admitted, err := l.s.Owners.Admit(ctx, l.runner, adapters.AdmissionRequest{
 			Key:                  l.key,
 			PromptTokens:         l.request.PromptTokens,
@@ -213,16 +213,6 @@
 	}
 }
 
-// timeToAsk returns the time within which a runner must become available: for a second attempt no more than
-// is left of its search, after which a place would be given back unused.
-func (l *lifecycle) timeToAsk(ctx context.Context) time.Duration {
-	within := l.timeToStart()
-	if deadline, ok := ctx.Deadline(); ok && l.hedging {
-		return min(within, time.Until(deadline))
-	}
-	return within
-}
-
 var (
 	errTooLate    = errors.New("the runner becomes available too late for the request")
 	errRunnerLeft = errors.New("the runner left while the request waited for it")
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -379,21 +379,23 @@
 }
 
 // timeToStart returns the time within which the request must be sent to be of use: callers
-// abandon a stream that stays silent. For one that has not, its deadline alone counts.
+// abandon a stream that stays silent. For one that has not, its deadline alone counts, but no second
+// attempt is made: the first one has had that time, and another would begin from the start.
 func (l *lifecycle) timeToStart() time.Duration {
 	left := l.timeLeft()
-	if patience := l.patienceLeft(); patience > 0 {
-		return min(left, patience-sendMargin)
+	if l.route.Kind != site.Streaming {
+		return left
+	}
+	patience := l.patienceLeft()
+	if patience <= 0 && !l.hedging {
+		return left
 	}
-	return left
+	return min(left, patience-sendMargin)
 }
 
 // patienceLeft returns the time until callers abandon a stream that stays silent, before its first event
-// or after its latest one. It is negative for a caller that waits for longer, and for other requests.
+// or after its latest one. It is negative for a caller that waits for longer.
 func (l *lifecycle) patienceLeft() time.Duration {
-	if l.route.Kind != site.Streaming {
-		return -1
-	}
 	silentSince := l.arrived
 	if l.headerWritten {
 		silentSince = l.lastWriteAt
