A host that is lost with all its witnesses is noticed, and logged

Nobody expects heartbeats from it: the hosts that live are no witnesses of it. Each host now probes the next one in the order of names, and twice as many further ones while these are silent. It changes no decision.

--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -202,6 +202,7 @@
 // Run maintains the lease, the owner records and the heartbeats until the context ends.
 func (s *Service) Run(ctx context.Context) {
 	go s.tellNextHost(ctx)
+	go s.probeHosts(ctx)
 	for ctx.Err() == nil {
 		s.maintainLease(ctx)
 		s.failOver(ctx)
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -120,6 +120,11 @@
 	// revision is the revision of the peer's record, first seen at changedAt.
 	revision  uint64
 	changedAt time.Time
+	// unansweredSince is when the first probe was sent that the peer did not answer, zero if it
+	// answered the last one or is not probed.
+	unansweredSince time.Time
+	// probedAt is when this host last probed the peer.
+	probedAt time.Time
 	// votedAt is the latest position of the peer's record whose lease this host has agreed
 	// to break.
 	votedAt registry.Position
