Leases of hosts that are lost with their witnesses end, and their runners get owners

Cause: a lease was broken only by votes of the witnesses that its record names, and a lost witness counts as a vote only once its own lease was broken. Among hosts that are lost together nobody could be the first.

Owners and leaders go on without orders in a longer outage, by answers of witnesses that presume the lease.

TestRunnersOfLostHostsGetOwners fails without the contest.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -159,7 +159,7 @@
 	e.directory.OnVersion = func(version site.AdapterVersion) { go e.prefetchVersion(version) }
 	e.board = board.New()
 	e.board.Standstill = &e.standstill
-	e.state = mesh.NewState(cfg.Host, mesh.Timing{Lease: mesh.DefaultLease, OrderGap: cfg.OrderGap, Margin: mesh.DefaultMargin}, now())
+	e.state = mesh.NewState(cfg.Host, mesh.Timing{Lease: mesh.DefaultLease, OrderGap: cfg.OrderGap, Margin: mesh.DefaultMargin, MaxStoreSilence: mesh.DefaultMaxStoreSilence}, now())
 	e.state.Standstill = &e.standstill
 	e.createPaths(dial, running)
 	e.backpressure = newBackpressure(cfg.Host, e.state, pool, e.board, e.directory, now, log)
--- a/internal/mesh/breaking.go
+++ b/internal/mesh/breaking.go
@@ -45,6 +45,9 @@
 // is newer than its other records, in which the peer's witnesses seem to be gone although
 // they have registered again and promised to keep the renewed lease.
 //
+// No votes are needed where the peer's lease has been contested without an answer for so long
+// that it has ended whatever its witnesses promise.
+//
 // In a new era of the store this host waits until a peer that still acts on the previous
 // era has stopped, except for peers whose lease is known to have been broken.
 func (s *State) Breakable(now time.Time) []DeadHost {
@@ -80,6 +83,9 @@
 }
 
 func (s *State) breakable(host string, m member, now time.Time) (DeadHost, bool) {
+	if s.contestLapsed(host, m, now) {
+		return DeadHost{Host: host, Record: m.HostRecord, Revision: m.revision, Era: s.era}, true
+	}
 	own := slices.Index(m.Witnesses, s.self)
 	if own >= 0 {
 		// The first witness begins; the others follow if it does not.
--- a/internal/mesh/eras.go
+++ b/internal/mesh/eras.go
@@ -94,6 +94,7 @@
 	for _, peer := range s.peers {
 		// A record of the new era may have the revision of one of the old era.
 		peer.changedAt = now
+		peer.contest.since = now
 	}
 	// Hosts that joined or left in the part that the store has lost appear again a moment
 	// later, so a new era counts as a join.
--- a/internal/mesh/freshness.go
+++ b/internal/mesh/freshness.go
@@ -157,6 +157,13 @@
 	return f.now().Sub(f.lastContact)
 }
 
+// confirmedAt returns the time up to which the store has confirmed a kind, or the zero time.
+func (f *freshness) confirmedAt(kind string) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.kinds[kind].asOf
+}
+
 // confirmedSince reports whether the store confirmed a kind of record as of a time after
 // moment.
 func (f *freshness) confirmedSince(kind string, moment time.Time) bool {
--- a/internal/mesh/handover.go
+++ b/internal/mesh/handover.go
@@ -136,7 +136,7 @@
 	if own.Epoch == s.State.Epoch() {
 		own.Epoch++
 	}
-	own.CutOff = true
+	own.CutOff, own.Contested = true, false
 	own.Renewals++
 	sent := s.Now()
 	s.State.HandoverAttempted(sent)
--- a/internal/mesh/heartbeat.go
+++ b/internal/mesh/heartbeat.go
@@ -46,6 +46,8 @@
 	// Promised reports that the witness will not vote to break the sender's lease before a
 	// lease, the order gap and a margin have passed.
 	Promised bool `json:"promised,omitempty"`
+	// Presumed reports that it would promise but for its own long time without news from the store.
+	Presumed bool `json:"presumed,omitempty"`
 	// Renew reports that the witness promises only for a newer record of the sender.
 	Renew bool `json:"renew,omitempty"`
 	// Known holds the kinds of record of which the answering host has newer versions.
@@ -159,6 +161,9 @@
 	if answer.Promised {
 		s.State.PromiseReceived(host, sent)
 	}
+	if answer.Presumed {
+		s.State.PresumedReceived(host, sent)
+	}
 	if answer.Renew {
 		s.State.RenewalRequested(sent)
 	}
@@ -189,15 +194,15 @@
 
 func (s *Service) handleHeartbeat(_ context.Context, from peer.Identity, heartbeat Heartbeat) (HeartbeatResult, error) {
 	now := s.Now()
-	var promised, renew bool
+	var answer WitnessAnswer
 	if heartbeat.NoLease {
 		s.State.ReceiveLeaselessHeartbeat(from.Host, now)
 	} else {
 		record := registry.Position{Era: heartbeat.Known[Kind].Era, Revision: heartbeat.RecordRevision}
-		promised, renew = s.State.ReceiveHeartbeat(from.Host, record, now)
+		answer = s.State.ReceiveHeartbeat(from.Host, record, now)
 	}
 	s.learn(from.Host, heartbeat.Address, heartbeat.Known, heartbeat.Status, now.Add(-s.delays.estimate(from.Host, heartbeat.SentMS, now)))
-	return HeartbeatResult{Promised: promised, Renew: renew, Known: s.freshness.newsFor(heartbeat.Known), Status: s.status()}, nil
+	return HeartbeatResult{Promised: answer.Promised, Presumed: answer.Presumed && !answer.Promised, Renew: answer.Renew, Known: s.freshness.newsFor(heartbeat.Known), Status: s.status()}, nil
 }
 
 // learn merges what a peer knew at the given time and fetches the kinds in which it is ahead.
@@ -206,6 +211,7 @@
 	for _, kind := range s.freshness.learn(address, known, moment) {
 		go s.fetchUntilCurrent(kind)
 	}
+	s.noteStoreSeen()
 	if len(status) > 0 {
 		s.Statuses.ReceiveStatus(host, status, moment)
 	}
@@ -214,6 +220,7 @@
 // Confirmed records that, according to the store, a kind's replica is complete up to asOf.
 func (s *Service) Confirmed(kind string, asOf time.Time) {
 	s.freshness.confirm(kind, asOf)
+	s.noteStoreSeen()
 	s.announceNews(kind)
 }
 
--- a/internal/mesh/leadership.go
+++ b/internal/mesh/leadership.go
@@ -48,11 +48,13 @@
 //
 // Without the lease, a host that was suspended or cut off would continue alongside its
 // successor, and the two would grant the same budget twice. Another host takes over only
-// after the lease is broken, which is at least the order gap after it expired.
+// after the lease is broken, which is at least the order gap after it expired. A group of hosts that
+// hears neither the store nor the others for long goes on beside it: what a leader counts is then
+// counted twice, but if all leaders stopped in a long outage of the store, nothing would be.
 func (s *State) Leads(key string, now time.Time) (Leadership, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.epoch == 0 || s.currentMembership().leaderFor(key) != s.self || !now.Add(s.timing.Margin).Before(s.validUntil()) {
+	if s.epoch == 0 || s.currentMembership().leaderFor(key) != s.self || !now.Add(s.timing.Margin).Before(s.presumedUntil()) {
 		return Leadership{}, false
 	}
 	since := s.started
--- a/internal/mesh/orderer_fleet_test.go
+++ b/internal/mesh/orderer_fleet_test.go
@@ -62,6 +62,8 @@
 	withoutRunners map[string]bool
 	// hostsDead tells that some hosts stay dead.
 	hostsDead bool
+	// hostsLost tells that some may be dead together with their witnesses.
+	hostsLost bool
 
 	mu    sync.Mutex
 	hosts map[string]*fleetHost
@@ -71,6 +73,9 @@
 	// given counts the orders, takeovers the changes of a runner's highest token.
 	given, takeovers int
 	ownersAfter      time.Duration
+	// longestPause is the longest time between two orders to one runner since watchOrders.
+	watching     bool
+	longestPause time.Duration
 	// brokenAlive are the hosts whose lease was broken while their process ran.
 	brokenAlive []string
 	// brokenHistory is the trace before the first of them.
@@ -229,6 +234,7 @@
 func (f *ordererFleet) noteOrder(runner string, order givenOrder) {
 	f.given++
 	last := f.orders[runner]
+	f.notePause(order, last)
 	if _, ordered := last[order.host]; !ordered || last[order.host].token != order.token {
 		f.note(fmt.Sprintf("orders: %s orders %s by token %s", order.host, runner, tokenText(order.token)))
 	}
@@ -248,6 +254,20 @@
 	last[order.host] = order
 }
 
+// notePause measures the time since the last order to a runner by any host. The caller holds mu.
+func (f *ordererFleet) notePause(order givenOrder, last map[string]givenOrder) {
+	if !f.watching {
+		return
+	}
+	pause := time.Duration(-1)
+	for _, before := range last {
+		if since := order.at.Sub(before.at); pause < 0 || since < pause {
+			pause = since
+		}
+	}
+	f.longestPause = max(f.longestPause, pause)
+}
+
 func tokenText(token uint64) string {
 	return fmt.Sprintf("%d/%d", token>>revisionBits, token&(1<<revisionBits-1))
 }
@@ -356,9 +376,19 @@
 	if f.hostsDead {
 		bound += testTiming.breakTimeout() + maxWitnesses*testTiming.Margin + maxBreakBackoff + storeTimeout + witnessesBroken
 	}
+	if f.hostsLost {
+		bound += contestBound()
+	}
 	return bound
 }
 
+// watchOrders has the longest pause between orders measured from now on.
+func (f *ordererFleet) watchOrders() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watching = true
+}
+
 // awaitOwners waits until every runner has a host that may order it, with the same hosts for
 // two seconds.
 func (f *ordererFleet) awaitOwners() {
--- a/internal/mesh/probe.go
+++ b/internal/mesh/probe.go
@@ -23,7 +23,8 @@
 )
 
 // HostsToProbe returns the live hosts that this host should probe: the next one in the order
-// of names, and two more after it for each of those that leaves probes unanswered.
+// of names, and two more after it for each of those that leaves probes unanswered, up to one that
+// answers.
 //
 // A host that is lost together with all its witnesses is missed by nobody else: hosts that are
 // no witness of it expect no heartbeats from it. Whoever is lost, the nearest host before it
@@ -50,6 +51,9 @@
 		if unanswered >= probeSilence {
 			wanted += 2
 		}
+		if unanswered == 0 && now.Sub(peer.answeredAt) < probeSilence {
+			wanted = i
+		}
 		if unanswered < s.timing.breakTimeout() || now.Sub(peer.probedAt) >= silentProbeInterval {
 			peer.probedAt = now
 			probed = append(probed, Peer{Host: host, Address: s.members[host].Address})
@@ -67,11 +71,12 @@
 	return s.running(peer.unansweredSince, now)
 }
 
-// ProbeAnswered records that a peer answered a probe.
-func (s *State) ProbeAnswered(host string) {
+// ProbeAnswered records that a peer has answered a probe.
+func (s *State) ProbeAnswered(host string, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.peerOf(host).unansweredSince = time.Time{}
+	peer := s.peerOf(host)
+	peer.unansweredSince, peer.answeredAt = time.Time{}, now
 }
 
 // ProbeUnanswered records that a peer did not answer a probe that was sent at a time.
@@ -116,7 +121,7 @@
 	return silent
 }
 
-// probeHosts probes hosts until the context ends.
+// probeHosts probes hosts, and contests the leases of silent ones, until the context ends.
 func (s *Service) probeHosts(ctx context.Context) {
 	logged := map[string]time.Time{}
 	ticker := time.NewTicker(probeInterval)
@@ -128,6 +133,7 @@
 		case <-ticker.C:
 			s.probeRound(ctx)
 			s.logSilentHosts(logged)
+			s.contestSilentHosts(ctx, s.Now())
 		}
 	}
 }
@@ -155,7 +161,7 @@
 		s.State.ProbeUnanswered(host.Host, sent)
 		return
 	}
-	s.State.ProbeAnswered(host.Host)
+	s.State.ProbeAnswered(host.Host, s.Now())
 }
 
 // logSilentHosts logs the hosts that are silent although their leases are not broken.
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -31,6 +31,9 @@
 	Witnesses []string `json:"witnesses,omitempty"`
 	// Broken reports that other hosts broke the lease.
 	Broken bool `json:"broken,omitempty"`
+	// Contested reports that another host got no answer from this one for long. A host that
+	// lives renews its record without it.
+	Contested bool `json:"contested,omitempty"`
 	// CutOff reports that the host lost its paths to runners, so that it claims none.
 	CutOff bool `json:"cut_off,omitempty"`
 }
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -272,7 +272,7 @@
 	}
 	own.Epoch, own.Broken = s.State.NextEpoch(own, s.fleet.Revision()), false
 	own.Address, own.DataCentre, own.Incarnation = s.Address, s.DataCentre, s.Self.Incarnation
-	own.CutOff = s.State.IsCutOff()
+	own.CutOff, own.Contested = s.State.IsCutOff(), false
 	// A process that has just started knows no hosts yet and keeps the witnesses of its
 	// record. The same applies to a record that the store has lost.
 	if _, wanted, needsCheck := s.State.UnverifiedRecord(); needsCheck && len(wanted) > 0 {
@@ -373,7 +373,7 @@
 	}
 	own := m.HostRecord
 	own.Witnesses = witnesses
-	own.CutOff = s.State.IsCutOff()
+	own.CutOff, own.Contested = s.State.IsCutOff(), false
 	own.Renewals++
 	sent := s.Now()
 	record, err := s.Store.Update(ctx, Kind, current.Name, own, current.Revision)
--- a/internal/mesh/state.go
+++ b/internal/mesh/state.go
@@ -29,6 +29,9 @@
 	// Margin allows for the transit time of an order and for clocks that run at slightly
 	// different rates. It is applied on both sides.
 	Margin time.Duration
+	// MaxStoreSilence is how long a host gives orders without news from the store, its own or
+	// that of a host that it hears. 0 stands for any time; then no lease is contested.
+	MaxStoreSilence time.Duration
 }
 
 // Default timing. A lease of 1.5 s survives four lost heartbeats of 300 ms, and ends early
@@ -36,6 +39,9 @@
 const (
 	DefaultLease  = 1500 * time.Millisecond
 	DefaultMargin = 200 * time.Millisecond
+	// DefaultMaxStoreSilence is longer than two of the platform's longest outages in a row. Hosts
+	// that are lost with all their witnesses are replaced after it.
+	DefaultMaxStoreSilence = 20 * time.Second
 )
 
 // breakTimeout returns how long a host must be silent before its lease is broken. By then
@@ -90,6 +96,8 @@
 	promisesAfter uint64
 	// renewedAt is the send time of the last successful write of this host's record.
 	renewedAt time.Time
+	// storeSeenAt is a time at which the store had this host's record uncontested.
+	storeSeenAt time.Time
 	// witnesses are the witnesses that this host's record names, nil while the record is
 	// not known.
 	witnesses []string
@@ -117,14 +125,18 @@
 	// promisedAt is the send time of the last heartbeat that the peer answered with a
 	// promise.
 	promisedAt time.Time
-	// revision is the revision of the peer's record, first seen at changedAt.
+	// presumedAt is the same for any answer that presumes the lease, promises included.
+	presumedAt time.Time
+	// revision is the revision of the peer's record. changedAt is when a record of that content
+	// was first seen, but for whether the lease is contested.
 	revision  uint64
 	changedAt time.Time
+	contest   contestState
 	// unansweredSince is when the first probe was sent that the peer did not answer, zero if it
 	// answered the last one or is not probed.
 	unansweredSince time.Time
-	// probedAt is when this host last probed the peer.
-	probedAt time.Time
+	// probedAt is when this host last probed the peer, answeredAt when the peer last answered.
+	probedAt, answeredAt time.Time
 	// votedAt is the latest position of the peer's record whose lease this host has agreed
 	// to break.
 	votedAt registry.Position
@@ -247,7 +259,10 @@
 	peer := s.peerOf(host)
 	if peer.revision != m.revision {
 		peer.revision = m.revision
-		peer.changedAt = now
+		peer.contest.note(before, m, now)
+		if !onlyContested(before, m) {
+			peer.changedAt = now
+		}
 	}
 	if m.Broken {
 		s.noteLeaseEnd(host, m.Epoch, now)
@@ -295,6 +310,7 @@
 	s.witnesses, s.recordWitnesses = witnesses, witnesses
 	s.attempted = nil
 	s.renewedAt = sent
+	s.noteStoreSeen(sent)
 	s.unverified = false
 }
 
@@ -396,15 +412,41 @@
 	return s.validUntil()
 }
 
+// validUntil returns the end of this host's lease: a lease after its last renewal, or after the last
+// promises of a majority of its witnesses, but no later than MaxStoreSilence after the store last
+// had its record uncontested.
+//
+// A group of hosts that keeps itself in leases without the store can't be told from one that is
+// lost. Without an end to its leases the runners of lost hosts would never get another owner.
 func (s *State) validUntil() time.Time {
+	if s.timing.MaxStoreSilence == 0 {
+		return s.leaseEnd(s.majorityPromised(), time.Time{})
+	}
+	return s.leaseEnd(s.majorityPromised(), s.storeSeenAt.Add(s.timing.MaxStoreSilence))
+}
+
+// presumedUntil is validUntil without the end that the silence of the store sets. No order is given
+// by it. Until then this host goes on with what takes no orders, since in a long outage of the store
+// all hosts are without leases and no other one would.
+func (s *State) presumedUntil() time.Time {
+	presumed := s.majorityAnswered(func(p *peerState) time.Time { return p.presumedAt })
+	return s.leaseEnd(presumed, time.Time{})
+}
+
+// leaseEnd returns the end of a lease that was renewed by promises at a time, and not later than a
+// limit, if it is not zero. The caller holds s.mu.
+func (s *State) leaseEnd(promised, limit time.Time) time.Time {
 	if s.epoch == 0 {
 		return time.Time{}
 	}
 	valid := s.renewedAt
-	if promised := s.majorityPromised(); promised.After(valid) {
+	if promised.After(valid) {
 		valid = promised
 	}
 	valid = valid.Add(s.timing.Lease)
+	if !limit.IsZero() && limit.Before(valid) {
+		valid = limit
+	}
 	if s.previousLeaseEnd.After(valid) {
 		return s.previousLeaseEnd
 	}
@@ -422,7 +464,8 @@
 func (s *State) MayOrder(address string, now time.Time) (token uint64, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	o, owned := s.ownClaim(address, now)
+	o, owned := s.ownClaim(address)
+	owned = owned && now.Add(s.timing.Margin).Before(s.validUntil())
 	return fencingToken(s.era, o.revision), owned && s.mayOrderInEra(ownerRecordName(address), now) && !s.isQuiet()
 }
 
@@ -430,22 +473,22 @@
 // that hands its runners over owns them until its claims have ended, but gives no orders. Nor does one
 // whose records belong to a new era of the store, until all hosts have stopped acting on earlier ones:
 // the runner's adapters may change under it meanwhile, and the runner rejects what it does not hold.
+// The same holds for an owner that has had no news from the store for too long to order.
 func (s *State) Owns(address string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, owned := s.ownClaim(address, now)
-	return owned
+	_, owned := s.ownClaim(address)
+	return owned && now.Add(s.timing.Margin).Before(s.presumedUntil())
 }
 
-// ownClaim returns this host's claim on the runner at an address, and whether it is in force. The
-// caller holds s.mu.
-func (s *State) ownClaim(address string, now time.Time) (owner, bool) {
-	name := ownerRecordName(address)
-	o, found := s.owners[name]
+// ownClaim returns this host's claim on the runner at an address under its present epoch, and
+// whether there is one. The caller holds s.mu.
+func (s *State) ownClaim(address string) (owner, bool) {
+	o, found := s.owners[ownerRecordName(address)]
 	if !found || o.Host != s.self || o.Epoch != s.epoch || s.epoch == 0 {
 		return owner{}, false
 	}
-	return o, now.Add(s.timing.Margin).Before(s.validUntil())
+	return o, true
 }
 
 // OwnerOf returns the host that owns the runner at an address, whether or not it can be
--- a/internal/mesh/witnesses.go
+++ b/internal/mesh/witnesses.go
@@ -19,20 +19,41 @@
 // other witnesses, who may break its lease.
 //
 // at is the position of the peer's record as the peer knows it. Its revision is 0 if the peer
-// did not send it. If only a newer record is missing, renew is set.
-func (s *State) ReceiveHeartbeat(host string, at registry.Position, now time.Time) (promised, renew bool) {
+// did not send it.
+func (s *State) ReceiveHeartbeat(host string, at registry.Position, now time.Time) WitnessAnswer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	peer := s.peerOf(host)
-	promised, renew = s.mayPromise(host, peer, at, now)
-	peer.noteHeartbeat(now, promised, s.timing.breakTimeout())
-	return promised, renew
+	answer := s.answerHeartbeat(host, peer, at, now)
+	peer.noteHeartbeat(now, answer.Presumed, s.timing.breakTimeout())
+	return answer
 }
 
-// mayPromise reports whether this host may promise to keep a peer's lease, and if not, whether
-// a newer record of the peer would change that. The caller holds s.mu.
-func (s *State) mayPromise(host string, peer *peerState, at registry.Position, now time.Time) (promised, renew bool) {
-	if at.Era != s.era || !now.Before(s.validUntil()) {
+// WitnessAnswer is what a witness says of a peer's lease.
+type WitnessAnswer struct {
+	// Promised: this host promises to keep the lease.
+	Promised bool
+	// Presumed: it would, but for the time for which it has had no news from the store. Set
+	// wherever Promised is.
+	Presumed bool
+	// Renew: only a newer record of the peer is missing for a promise.
+	Renew bool
+}
+
+func (s *State) answerHeartbeat(host string, peer *peerState, at registry.Position, now time.Time) WitnessAnswer {
+	keeps, renew := s.mayPromise(host, peer, at)
+	presumed := now.Before(s.presumedUntil())
+	return WitnessAnswer{
+		Promised: keeps && now.Before(s.validUntil()),
+		Presumed: keeps && presumed,
+		Renew:    renew && presumed,
+	}
+}
+
+// mayPromise reports whether the peer's record lets this host promise to keep its lease, and if not,
+// whether a newer record would. The caller holds s.mu.
+func (s *State) mayPromise(host string, peer *peerState, at registry.Position) (promised, renew bool) {
+	if at.Era != s.era {
 		return false, false
 	}
 	if peer.votedAt.Revision > 0 && peer.votedAt.Era != s.era && at.Revision == 0 {
@@ -60,7 +81,7 @@
 func (s *State) WantsPromises(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.epoch != 0 && now.Sub(s.validUntil()) < s.timing.breakTimeout()
+	return s.epoch != 0 && now.Sub(s.presumedUntil()) < s.timing.breakTimeout()
 }
 
 // leaseRevision returns the revision of the record that holds a peer's lease, or 0 if the lease
@@ -82,10 +103,26 @@
 func (s *State) PromiseReceived(host string, sent time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if peer := s.peerOf(host); sent.After(peer.promisedAt) {
+	peer := s.peerOf(host)
+	if sent.After(peer.promisedAt) {
 		s.dropRetainedIfLapsed(sent)
 		peer.promisedAt = sent
 	}
+	peer.notePresumed(sent)
+}
+
+// PresumedReceived records that a peer presumes this host's lease without promising to keep it, in
+// answer to a heartbeat sent at a time.
+func (s *State) PresumedReceived(host string, sent time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.peerOf(host).notePresumed(sent)
+}
+
+func (p *peerState) notePresumed(sent time.Time) {
+	if sent.After(p.presumedAt) {
+		p.presumedAt = sent
+	}
 }
 
 // Peer is another host.
@@ -123,23 +160,28 @@
 // the zero time without witnesses. If one of two lists of witnesses may be in force, it is a
 // majority of both.
 func (s *State) majorityPromised() time.Time {
-	promised := s.majorityPromisedOf(s.witnesses)
+	return s.majorityAnswered(func(p *peerState) time.Time { return p.promisedAt })
+}
+
+// majorityAnswered is majorityPromised for any kind of answer.
+func (s *State) majorityAnswered(answeredAt func(p *peerState) time.Time) time.Time {
+	answered := s.majorityOf(s.witnesses, answeredAt)
 	if s.attempted == nil {
-		return promised
+		return answered
 	}
-	if attempted := s.majorityPromisedOf(s.attempted); attempted.Before(promised) {
+	if attempted := s.majorityOf(s.attempted, answeredAt); attempted.Before(answered) {
 		return attempted
 	}
-	return promised
+	return answered
 }
 
-func (s *State) majorityPromisedOf(witnesses []string) time.Time {
+func (s *State) majorityOf(witnesses []string, answeredAt func(p *peerState) time.Time) time.Time {
 	if len(witnesses) == 0 {
 		return time.Time{}
 	}
 	times := make([]time.Time, 0, len(witnesses))
 	for _, host := range witnesses {
-		times = append(times, s.peerOf(host).promisedAt)
+		times = append(times, answeredAt(s.peerOf(host)))
 	}
 	slices.SortFunc(times, func(a, b time.Time) int { return b.Compare(a) })
 	return times[majority(len(times))-1]
@@ -159,7 +201,7 @@
 
 // NeedsRenewal reports whether the lease should be renewed in the store: the promises of a
 // majority are older than half the lease, and the last renewal is older than a third of it;
-// or a witness asked for a newer record, while others keep the lease.
+// or a witness asked for a newer record, while others keep the lease; or another host contests it.
 func (s *State) NeedsRenewal(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -167,9 +209,12 @@
 		return false
 	}
 	third := s.timing.Lease / 3
-	if now.Sub(s.majorityPromised()) > 3*third/2 {
+	if s.members[s.self].Contested {
 		return now.Sub(s.renewedAt) > third
 	}
+	if now.Sub(s.majorityPromised()) > 3*third/2 {
+		return now.Sub(s.renewedAt) > third && !s.onlyStoreIsSilent(now)
+	}
 	return s.renewalRequested.After(s.renewedAt) && now.Sub(s.renewedAt) > requestedRenewalInterval
 }
 
@@ -205,7 +250,7 @@
 func (s *State) selectWitnesses(now time.Time) []string {
 	var wanted []string
 	for _, host := range s.witnesses {
-		if m, ok := s.members[host]; ok && !m.Broken && s.running(s.peerOf(host).promisedAt, now) < witnessTimeout {
+		if m, ok := s.members[host]; ok && !m.Broken && s.running(s.peerOf(host).presumedAt, now) < witnessTimeout {
 			wanted = append(wanted, host)
 		}
 	}
