Runners whose owner is unreachable serve what they hold

A runner rejects what it does not hold, so a report that is seconds old does no harm.

TestRunnerWithoutOwnerServesWhatItHolds failed before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -181,7 +181,7 @@
 		Engines: engines, Owns: e.owns, PeerFetches: statuses.peersInTransit, RunnerView: e.board.View, Utilization: statuses.utilization, TypicalPrefill: statuses.typicalPromptTokenNS,
 		HostCount: e.state.Size, Brittle: e.backpressure.isBrittle, ModelLoads: cfg.LoadLimit, Contended: e.contended, OnRestart: e.directory.MarkRestarted, OnSignal: e.backpressure.applyEngineSignal, OnWork: e.board.RecordWork, Now: now, Log: log,
 	})
-	e.owners.owner = e.owner
+	e.owners.owner, e.owners.ownerless.report = e.owner, engines.Report
 	e.replicator = newReplicator(e.owner, e.owners, e.board, e.contended, now)
 	statuses.owner = e.owner
 	e.mesh = mesh.NewService(mesh.Deps{
--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -39,7 +39,8 @@
 	now       func() time.Time
 	log       hclog.Logger
 
-	backoff hostBackoff
+	backoff   hostBackoff
+	ownerless *ownerlessRunners
 
 	mu sync.Mutex
 	// placements holds, by runner, the adapters that its owner last confirmed on it.
@@ -57,7 +58,8 @@
 
 func newOwnerClient(host string, state *mesh.State, pool *peer.Pool, b *board.Board, now func() time.Time, log hclog.Logger) *ownerClient {
 	return &ownerClient{
-		host: host, mesh: state, pool: pool, board: b, brittle: board.NewBrittleness(), now: now, log: log,
+		ownerless: newOwnerlessRunners(now, log),
+		host:      host, mesh: state, pool: pool, board: b, brittle: board.NewBrittleness(), now: now, log: log,
 		placements: map[string]map[site.Adapter]placement{},
 		pending:    map[string]RunnerOutcomes{}, reported: map[string]reportedLoad{},
 	}
@@ -69,6 +71,7 @@
 // Admit implements serve.Owners.
 func (o *ownerClient) Admit(ctx context.Context, runner *site.Runner, request adapters.AdmissionRequest) (adapters.AdmissionResult, error) {
 	admitted, err := o.admit(ctx, runner, request)
+	o.noteOwner(runner, err)
 	if errors.Is(err, errOwnerUnreachable) && o.recentlyPlaced(runner.ID, request.Key) && o.mayGuess(runner) {
 		return adapters.AdmissionResult{At: o.now()}, nil
 	}
@@ -78,6 +81,34 @@
 	return admitted, err
 }
 
+// noteOwner records whether a runner's owner responded. If it has not for long, the runner is asked
+// what it holds.
+func (o *ownerClient) noteOwner(runner *site.Runner, err error) {
+	if !errors.Is(err, errOwnerUnreachable) {
+		o.ownerless.noteReached(runner.ID)
+		return
+	}
+	if o.ownerless.noteUnreachable(runner.ID) {
+		go o.readPlacements(runner)
+	}
+}
+
+// readPlacements replaces what is known of the adapters on a runner by its own report.
+func (o *ownerClient) readPlacements(runner *site.Runner) {
+	asked := o.now()
+	held, ok := o.ownerless.read(runner)
+	if !ok {
+		return
+	}
+	placements := make(map[site.Adapter]placement, len(held))
+	for _, key := range held {
+		placements[key.Adapter] = placement{version: key.Version, at: asked}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.placements[runner.ID] = placements
+}
+
 func (o *ownerClient) admit(ctx context.Context, runner *site.Runner, request adapters.AdmissionRequest) (adapters.AdmissionResult, error) {
 	host, address, err := o.locateOwner(runner)
 	if err != nil {
@@ -286,6 +317,7 @@
 func (o *ownerClient) forget(runner string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.ownerless.noteReached(runner)
 	delete(o.placements, runner)
 	delete(o.pending, runner)
 	delete(o.reported, runner)
