Parts of prompts behind the sixteenth are counted and blocked

Cause: the parser kept the first 16 parts of a prompt, so a later one was no subject of the quarantine. Evidence, on the old code: with the bad part at the 16th place 6 requests reached runners, none late; at the 17th 143, 131 late. Behind it the same fault waited at a thousand parts: the truncations held back (1,024), the subjects counted (2,048) and the list (256) kept the first N.

--- a/internal/entry/quarantine.go
+++ b/internal/entry/quarantine.go
@@ -38,6 +38,8 @@
 	// reaches none of its first three; after four rounds one in 4,096 reaches none. They take
 	// 1.6 of the three seconds in which hosts are to agree.
 	reportRounds = 4
+	// maxLoggedParts bounds the log lines on the parts of prompts that one crash is counted against.
+	maxLoggedParts = 16
 	// minBroadcastInterval is the least time between two rounds of extra heartbeats, which
 	// send five messages each.
 	minBroadcastInterval = 100 * time.Millisecond
@@ -52,6 +54,8 @@
 // TruncationsParams reports truncated responses.
 type TruncationsParams struct {
 	Truncations []TruncationParams `json:"cuts"`
+	// Parts reports them against parts of their prompts.
+	Parts []PartTruncations `json:"parts,omitempty"`
 }
 
 // TruncationParams is a truncated response.
@@ -146,6 +150,13 @@
 		for _, params := range p.Truncations {
 			s.countTruncation(params.truncation(now), from.Host)
 		}
+		for _, params := range p.Parts {
+			truncations, err := params.truncations(now)
+			if err != nil {
+				return struct{}{}, err
+			}
+			s.countParts(truncations, from.Host)
+		}
 		return struct{}{}, nil
 	})
 	peer.Handle(mux, methodEntries, func(context.Context, peer.Identity, struct{}) (EntriesResult, error) {
@@ -198,13 +209,25 @@
 	}
 	s.log.Info("reporting truncated responses", "cuts", len(due), "runner", due[0].Runner)
 	reports := make([]*truncationReport, 0, len(due))
-	for _, truncation := range due {
+	requests, parts := splitTruncations(due)
+	for _, truncation := range requests {
 		s.countTruncation(truncation, s.host)
 		reports = append(reports, newTruncationReport(truncation, s.rankedHosts(truncation.Content), s.host))
 	}
+	for _, ofCrash := range parts {
+		s.countParts(ofCrash, s.host)
+		reports = append(reports, newPartsReport(ofCrash, s.hostsForParts(), s.host))
+	}
 	go s.reportAll(ctx, reports)
 }
 
+// hostsForParts returns all hosts by their rank as counting hosts of parts of prompts. The same hosts
+// count all parts: a prompt may name thousands, and a report to other hosts for each of them would go to
+// all hosts of a large fleet.
+func (s *quarantineSync) hostsForParts() []string {
+	return fleet.Rank(recordPrefix+"parts", s.mesh.Members())
+}
+
 // rankedHosts returns all hosts by their rank as counting hosts of a request.
 func (s *quarantineSync) rankedHosts(content quarantine.Fingerprint) []string {
 	return fleet.Rank(recordPrefix+content.String(), s.mesh.Members())
@@ -243,12 +266,16 @@
 	now := s.now()
 	var params TruncationsParams
 	for _, r := range reports {
+		if r.parts != nil {
+			params.Parts = append(params.Parts, newPartTruncations(r.parts, now))
+			continue
+		}
 		params.Truncations = append(params.Truncations, newTruncationParams(r.truncation, now))
 	}
 	ctx, cancel := context.WithTimeout(ctx, quarantineTimeout)
 	defer cancel()
 	if err := s.pool.Call(ctx, address, methodTruncations, params, nil); err != nil {
-		s.log.Info("could not report truncated responses", "peer", host, "cuts", len(params.Truncations), "error", err.Error())
+		s.log.Info("could not report truncated responses", "peer", host, "cuts", len(params.Truncations), "crashes_with_parts", len(params.Parts), "error", err.Error())
 		return false
 	}
 	return true
@@ -256,11 +283,27 @@
 
 // countTruncation counts a truncated response.
 func (s *quarantineSync) countTruncation(truncation quarantine.Truncation, from string) {
-	counted := s.quarantine.Count(truncation, s.now())
-	if counted.Crashes > 1 || counted.Suspected {
+	s.logCount(truncation, s.quarantine.Count(truncation, s.now()), from)
+}
+
+// countParts counts the truncations of one crash against parts of prompts. Of thousands it logs only some.
+func (s *quarantineSync) countParts(truncations []quarantine.Truncation, from string) {
+	lines := 0
+	for i, counted := range s.quarantine.CountAll(truncations, s.now()) {
+		if lines < maxLoggedParts && s.logCount(truncations[i], counted, from) {
+			lines++
+		}
+	}
+}
+
+// logCount logs the count of crashes against a subject if there are several, and reports whether it did.
+func (s *quarantineSync) logCount(truncation quarantine.Truncation, counted quarantine.CountResult, from string) bool {
+	worthLogging := counted.Crashes > 1 || counted.Suspected
+	if worthLogging {
 		s.log.Info("request crashes runners", "content", truncation.Content.String(), "depth", truncation.Depth, "ends", counted.Crashes, "runner", truncation.Runner, "reported_by", from,
 			"age_ms", s.now().Sub(truncation.At).Milliseconds(), "lasted_ms", truncation.Elapsed.Milliseconds(), "suspected", counted.Suspected)
 	}
+	return worthLogging
 }
 
 // hasNews reports whether the quarantine changed since the last broadcast.
--- a/internal/entry/truncationreport.go
+++ b/internal/entry/truncationreport.go
@@ -9,6 +9,8 @@
 // truncationReport is a truncated response that is being reported to its counting hosts.
 type truncationReport struct {
 	truncation quarantine.Truncation
+	// parts holds the truncations of one crash against parts of prompts, in place of truncation.
+	parts []quarantine.Truncation
 	// untried holds the hosts not tried yet, by rank.
 	untried []string
 	// acksNeeded is how many hosts still have to receive the report.
@@ -30,6 +32,13 @@
 	return r
 }
 
+// newPartsReport returns a report of one crash against parts of prompts.
+func newPartsReport(parts []quarantine.Truncation, ranked []string, self string) *truncationReport {
+	r := newTruncationReport(quarantine.Truncation{}, ranked, self)
+	r.parts = parts
+	return r
+}
+
 // nextHosts returns the hosts to try next, as many as still have to receive the report.
 func (r *truncationReport) nextHosts() []string {
 	count := min(int(r.acksNeeded.Load()), len(r.untried))
--- a/internal/experiment/badparts.go
+++ b/internal/experiment/badparts.go
@@ -76,7 +76,7 @@
 	if wholeRequests {
 		parts = nil
 	}
-	r.subjects = quarantine.SubjectsOf(quarantine.Content{RequestURI: strconv.Itoa(r.sim.contents)}, parts)
+	r.subjects = quarantine.SubjectsOf(quarantine.Content{RequestURI: strconv.Itoa(r.sim.contents)}, slices.Values(parts))
 }
 
 // isBlocked reports whether the quarantine blocks the request, and ends it if so.
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"io"
+	"iter"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -32,8 +33,8 @@
 	Adapter      site.Adapter
 	PromptTokens int
 	OutputTokens int
-	// PromptParts identifies the parts of the prompt that other requests may share, in order.
-	PromptParts []string
+	// PromptParts yields the IDs of the parts of the prompt that other requests may share, in order.
+	PromptParts iter.Seq[string]
 	// TokenCounts is the total that the token-count header declares.
 	TokenCounts TokenCounts
 	// KeyDigest is the digest of the caller's bearer key; it is valid only if HasKey is set.
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -15,6 +15,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"fmt"
+	"iter"
 	"strconv"
 
 	"github.com/pkg/errors"
@@ -32,12 +33,14 @@
 }
 
 // SubjectsOf returns the subjects of a request: its content, and the parts of its prompt that other
-// requests may share, in order.
-func SubjectsOf(content Content, parts []string) []Subject {
-	subjects := make([]Subject, 1, 1+len(parts))
-	subjects[0] = Subject{Fingerprint: content.Fingerprint()}
-	for place, part := range parts {
-		subjects = append(subjects, Subject{Fingerprint: partFingerprint(part), Depth: place + 1})
+// requests may share, in order. parts may be nil.
+func SubjectsOf(content Content, parts iter.Seq[string]) []Subject {
+	subjects := []Subject{{Fingerprint: content.Fingerprint()}}
+	if parts == nil {
+		return subjects
+	}
+	for part := range parts {
+		subjects = append(subjects, Subject{Fingerprint: partFingerprint(part), Depth: len(subjects)})
 	}
 	return subjects
 }
--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -1,6 +1,8 @@
 package quarantine
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -10,10 +12,10 @@
 	// coincidence: a request that was cut off is retried and may meet the crash of another
 	// runner. The platform tolerates three.
 	crashThreshold = 3
-	// sameCrashWindow is the time within which truncated responses from one runner are
+	// SameCrashWindow is the time within which truncated responses from one runner are
 	// attributed to the same crash. Hosts notice a crash within milliseconds of each other, and
 	// a runner takes seconds to restart.
-	sameCrashWindow = time.Second
+	SameCrashWindow = time.Second
 	// sameLossWindow is the time within which the hosts notice crashes of the same moment.
 	sameLossWindow = 100 * time.Millisecond
 	// maxCrashes bounds the crashes kept for a request. One that comes often may crash more runners
@@ -22,6 +24,9 @@
 	// maxTrackedRequests bounds the requests that crashes are counted for. The loss of a data
 	// centre of 148 runners with 75 requests each reports 72 requests to each of 460 hosts.
 	maxTrackedRequests = 2048
+	// maxTrackedParts bounds the parts of prompts: four of the longest lists that a header of
+	// 16 KB holds, or the parts of 4,000 requests of four. One takes 150 to 500 bytes.
+	maxTrackedParts = 16384
 )
 
 // Truncation is a response that broke off, most likely because its runner crashed.
@@ -48,7 +53,7 @@
 // sameAs reports whether two reports, from different hosts or for different requests, describe
 // one crash.
 func (c crash) sameAs(other crash) bool {
-	return c.runner == other.runner && c.at.Sub(other.at).Abs() < sameCrashWindow
+	return c.runner == other.runner && c.at.Sub(other.at).Abs() < SameCrashWindow
 }
 
 // evidence is what is known about the crashes of runners that were executing a request.
@@ -173,29 +178,68 @@
 	return evidence{crashes: []crash{{runner: truncation.Runner, at: truncation.At}}, maxElapsed: truncation.Elapsed, depth: truncation.Depth}
 }
 
-// ledger holds the evidence on requests that are not suspect yet. It is not safe for concurrent
-// use.
-type ledger map[Fingerprint]evidence
+// lastCrash returns the time of the latest crash, the zero time if there is none.
+func (v evidence) lastCrash() time.Time {
+	var last time.Time
+	for _, c := range v.crashes {
+		if c.at.After(last) {
+			last = c.at
+		}
+	}
+	return last
+}
+
+// ledger holds the evidence on subjects of one kind that are not suspect yet. It is not safe for
+// concurrent use.
+type ledger struct {
+	subjects map[Fingerprint]evidence
+	limit    int
+	prunedAt time.Time
+}
+
+// pruneInterval is the minimum time between two looks for evidence that has expired.
+const pruneInterval = 10 * time.Second
 
-// add records a truncation and returns all evidence on its request, or none if the ledger is
-// full.
-func (l ledger) add(truncation Truncation, now time.Time) evidence {
-	known, ok := l[truncation.Content]
-	if !ok && len(l) >= maxTrackedRequests {
+func newLedger(limit int) *ledger { return &ledger{subjects: map[Fingerprint]evidence{}, limit: limit} }
+
+// add records a truncation and returns all evidence on its subject.
+func (l *ledger) add(truncation Truncation, now time.Time) evidence {
+	known, ok := l.subjects[truncation.Content]
+	if !ok && len(l.subjects) >= l.limit {
 		l.prune(now)
-		if len(l) >= maxTrackedRequests {
-			return evidence{}
-		}
+		l.makeRoom()
 	}
 	known = known.since(now.Add(-evidenceTTL)).union(evidenceOf(truncation))
-	l[truncation.Content] = known
+	l.subjects[truncation.Content] = known
 	return known
 }
 
-func (l ledger) prune(now time.Time) {
-	for content, known := range l {
-		if len(known.since(now.Add(-evidenceTTL)).crashes) == 0 {
-			delete(l, content)
+// prune drops evidence that has expired.
+func (l *ledger) prune(now time.Time) {
+	if now.Sub(l.prunedAt) < pruneInterval {
+		return
+	}
+	l.prunedAt = now
+	for content, known := range l.subjects {
+		if known.lastCrash().Before(now.Add(-evidenceTTL)) {
+			delete(l.subjects, content)
 		}
 	}
 }
+
+// makeRoom drops a quarter of the subjects if the ledger is full: those with the fewest crashes, and of
+// these the ones whose last crash is longest ago. If it kept the first ones instead, a loss of many
+// runners would fill it, and what crashes runners afterwards would not be counted for ten minutes.
+func (l *ledger) makeRoom() {
+	if len(l.subjects) < l.limit {
+		return
+	}
+	contents := slices.Collect(maps.Keys(l.subjects))
+	slices.SortFunc(contents, func(a, b Fingerprint) int {
+		x, y := l.subjects[a], l.subjects[b]
+		return cmp.Or(len(x.crashes)-len(y.crashes), x.lastCrash().Compare(y.lastCrash()))
+	})
+	for _, content := range contents[:(l.limit+3)/4] {
+		delete(l.subjects, content)
+	}
+}
--- a/internal/quarantine/list.go
+++ b/internal/quarantine/list.go
@@ -38,7 +38,8 @@
 	// ownCrashThreshold is the number of crashes not explained by other requests that keeps a
 	// request blocked. One may be coincidence.
 	ownCrashThreshold = 2
-	// maxEntries bounds the list, to 150 KB on the wire if every entry has eight crashes.
+	// maxEntries bounds the list, to 150 KB on the wire if every entry has eight crashes. The
+	// likeliest causes stay.
 	maxEntries = 256
 )
 
@@ -157,11 +158,11 @@
 
 // narrowness orders subjects by how few requests hold them: a whole request is the narrowest, and
 // requests that share a part share those before it as well.
-func (e entry) narrowness() int {
-	if e.depth == 0 {
+func (v evidence) narrowness() int {
+	if v.depth == 0 {
 		return math.MaxInt
 	}
-	return e.depth
+	return v.depth
 }
 
 // list holds the suspect and cleared requests. It is immutable.
@@ -181,6 +182,11 @@
 	return l
 }
 
+// compareCauses orders subjects by how likely they are to blame, the likeliest first.
+func compareCauses(a Fingerprint, x evidence, b Fingerprint, y evidence) int {
+	return cmp.Or(len(y.crashes)-len(x.crashes), cmp.Compare(x.maxElapsed, y.maxElapsed), y.narrowness()-x.narrowness(), cmp.Compare(a, b))
+}
+
 // explained returns the suspect requests whose crashes are attributed to other requests.
 //
 // A harmless request that runs wherever another crashes the runner has the same crashes counted
@@ -199,10 +205,7 @@
 			suspected = append(suspected, content)
 		}
 	}
-	slices.SortFunc(suspected, func(a, b Fingerprint) int {
-		x, y := entries[a], entries[b]
-		return cmp.Or(len(y.crashes)-len(x.crashes), cmp.Compare(x.maxElapsed, y.maxElapsed), y.narrowness()-x.narrowness(), cmp.Compare(a, b))
-	})
+	slices.SortFunc(suspected, func(a, b Fingerprint) int { return compareCauses(a, entries[a].evidence, b, entries[b].evidence) })
 	result := map[Fingerprint]bool{}
 	explaining := &causes{byRunner: map[string][]crash{}}
 	for _, content := range suspected {
@@ -225,30 +228,30 @@
 	return e.blockedFor(now)
 }
 
-func (l *list) full() bool { return len(l.entries) >= maxEntries }
-
-// oldestCleared returns the entry that was cleared first, and false if none is cleared.
-func (l *list) oldestCleared() (oldest Fingerprint, ok bool) {
-	for content, e := range l.entries {
-		if e.cleared && (!ok || e.changedAt.Before(l.entries[oldest].changedAt)) {
-			oldest, ok = content, true
+// leastImportant returns the entry that gives way in a full list: the one that was cleared first, or, if
+// none is cleared, the suspect that is the least likely to blame. Which suspects stay is the same on all
+// hosts, whatever they hear first.
+func leastImportant(entries map[Fingerprint]entry) Fingerprint {
+	var least Fingerprint
+	found := false
+	for content, e := range entries {
+		if !found || givesWay(content, e, least, entries[least]) {
+			least, found = content, true
 		}
 	}
-	return oldest, ok
+	return least
 }
 
-// withoutEntry returns a copy of the list without a request.
-func (l *list) withoutEntry(content Fingerprint) *list {
-	entries := maps.Clone(l.entries)
-	delete(entries, content)
-	return newList(entries)
-}
-
-// withEntry returns a copy of the list in which the request has the given entry.
-func (l *list) withEntry(content Fingerprint, e entry) *list {
-	entries := maps.Clone(l.entries)
-	entries[content] = e
-	return newList(entries)
+// givesWay reports whether the first of two entries is less important.
+func givesWay(a Fingerprint, x entry, b Fingerprint, y entry) bool {
+	switch {
+	case x.cleared != y.cleared:
+		return x.cleared
+	case x.cleared:
+		return x.changedAt.Before(y.changedAt)
+	default:
+		return compareCauses(a, x.evidence, b, y.evidence) > 0
+	}
 }
 
 // unexpired returns a copy of the list without expired entries.
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,11 +25,11 @@
 
 func TestSubjectsOfARequest(t *testing.T) {
 	content := Content{Method: "POST", Authority: "h", RequestURI: "/a", Body: []byte("x")}
-	subjects := SubjectsOf(content, []string{"5c1e07a2", "91bd3f06"})
+	subjects := SubjectsOf(content, slices.Values([]string{"5c1e07a2", "91bd3f06"}))
 	must.Len(t, 3, subjects)
 	must.Eq(t, Subject{Fingerprint: content.Fingerprint()}, subjects[0])
 	must.Eq(t, []int{0, 1, 2}, []int{subjects[0].Depth, subjects[1].Depth, subjects[2].Depth})
-	elsewhere := SubjectsOf(Content{Method: "GET"}, []string{"91bd3f06"})
+	elsewhere := SubjectsOf(Content{Method: "GET"}, slices.Values([]string{"91bd3f06"}))
 	must.Eq(t, subjects[2].Fingerprint, elsewhere[1].Fingerprint, must.Sprint("whatever else the request holds"))
 	must.Len(t, 1, SubjectsOf(content, nil))
 }
@@ -263,7 +264,7 @@
 	for _, n := range []int{0, len(parts)} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			for b.Loop() {
-				SubjectsOf(content, parts[:n])
+				SubjectsOf(content, slices.Values(parts[:n]))
 			}
 		})
 	}
@@ -271,7 +272,7 @@
 
 func BenchmarkCompletionOfFourParts(b *testing.B) {
 	q := New()
-	subjects := SubjectsOf(Content{Method: "POST"}, []string{"5c1e07a2", "91bd3f06", "e4402b7d", "77aa01c3"})
+	subjects := SubjectsOf(Content{Method: "POST"}, slices.Values([]string{"5c1e07a2", "91bd3f06", "e4402b7d", "77aa01c3"}))
 	for b.Loop() {
 		q.RecordCompletions(subjects, epoch)
 	}
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -1,7 +1,9 @@
 package quarantine
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,9 +19,12 @@
 	livenessDelay = 200 * time.Millisecond
 	// maxLivenessDelay is the same where nothing is known of the runner.
 	maxLivenessDelay = 1200 * time.Millisecond
-	// maxPending bounds the truncations that wait for livenessDelay: ten times as many as one
-	// crash causes on a host, with the parts of the prompts that were cut off.
-	maxPending = 1024
+	// maxPendingRequests and maxPendingParts bound the truncations that wait for livenessDelay: ten
+	// times as many as one crash causes on a host at the planned size, and the parts of four of the
+	// longest prompts that a header of 16 KB holds. Beyond that, which are left out is random, so
+	// that none is left out each time.
+	maxPendingRequests = 1024
+	maxPendingParts    = 16384
 )
 
 // Quarantine is one host's state of requests that crash runners. Its methods take the current
@@ -41,10 +46,15 @@
 	list    atomic.Pointer[list]
 	wakeups chan struct{}
 
-	mu      sync.Mutex
-	ledger  ledger
-	pending []Truncation
-	dropped int
+	mu sync.Mutex
+	// requests and parts hold the evidence on subjects that are not listed.
+	requests *ledger
+	parts    *ledger
+	// pending holds the truncations that are not reported yet, the earliest of each crash and
+	// subject. pendingParts is the number of those of parts.
+	pending      map[pendingKey]Truncation
+	pendingParts int
+	dropped      int
 	// trials counts the trials of blocked parts; decidesTrials reports whether this host is the
 	// one that may make them.
 	trials        map[Fingerprint]int
@@ -53,7 +63,7 @@
 
 // New returns an empty quarantine.
 func New() *Quarantine {
-	q := &Quarantine{wakeups: make(chan struct{}, 1), ledger: ledger{}, trials: map[Fingerprint]int{}, decidesTrials: func(Fingerprint) bool { return false }}
+	q := &Quarantine{wakeups: make(chan struct{}, 1), requests: newLedger(maxTrackedRequests), parts: newLedger(maxTrackedParts), pending: map[pendingKey]Truncation{}, trials: map[Fingerprint]int{}, decidesTrials: func(Fingerprint) bool { return false }}
 	q.list.Store(newList(map[Fingerprint]entry{}))
 	return q
 }
@@ -105,7 +115,9 @@
 	defer q.mu.Unlock()
 	if e := q.list.Load().entries[content]; q.suspected(content) {
 		e.cleared, e.changedAt = true, now
-		q.set(content, e)
+		edit := q.edit()
+		edit.set(content, e)
+		edit.commit()
 	}
 }
 
@@ -121,11 +133,72 @@
 	return ok && !e.cleared
 }
 
-// set replaces an entry. The caller holds q.mu.
-func (q *Quarantine) set(content Fingerprint, e entry) {
-	q.list.Store(q.list.Load().withEntry(content, e))
-	delete(q.ledger, content)
-	q.wake()
+func (q *Quarantine) ledgerOf(depth int) *ledger {
+	if depth > 0 {
+		return q.parts
+	}
+	return q.requests
+}
+
+// listEdit is a change of several entries of the list, which is replaced once. The reports of one crash
+// may concern thousands of parts.
+type listEdit struct {
+	q       *Quarantine
+	entries map[Fingerprint]entry
+	changed bool
+}
+
+// edit begins a change of the list. The caller holds q.mu until commit.
+func (q *Quarantine) edit() *listEdit { return &listEdit{q: q, entries: q.list.Load().entries} }
+
+// set replaces an entry.
+func (l *listEdit) set(content Fingerprint, e entry) {
+	l.own()
+	l.entries[content] = e
+	delete(l.q.ledgerOf(e.depth).subjects, content)
+}
+
+// keepEvidence keeps the evidence on a subject that is not listed as suspect. The caller holds q.mu.
+func (q *Quarantine) keepEvidence(content Fingerprint, found evidence) {
+	if len(found.crashes) == 0 {
+		return
+	}
+	ledger := q.ledgerOf(found.depth)
+	ledger.makeRoom()
+	ledger.subjects[content] = found
+}
+
+// own makes the entries a copy that may be changed.
+func (l *listEdit) own() {
+	if !l.changed {
+		l.entries, l.changed = maps.Clone(l.entries), true
+	}
+}
+
+// admit makes room for an entry, and reports whether there is any: the least important one gives way
+// in a full list, and its crashes stay evidence.
+func (l *listEdit) admit(content Fingerprint, e entry) bool {
+	if _, listed := l.entries[content]; listed || len(l.entries) < maxEntries {
+		return true
+	}
+	least := leastImportant(l.entries)
+	if !givesWay(least, l.entries[least], content, e) {
+		return false
+	}
+	l.own()
+	if given := l.entries[least]; !given.cleared {
+		l.q.keepEvidence(least, given.evidence)
+	}
+	delete(l.entries, least)
+	return true
+}
+
+// commit replaces the list if entries were set.
+func (l *listEdit) commit() {
+	if l.changed {
+		l.q.list.Store(newList(l.entries))
+		l.q.wake()
+	}
 }
 
 // RecordTruncations records that the response to a request broke off, most likely because its
@@ -150,30 +223,66 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.joinPending(truncation) {
-		return
+	q.addPending(truncation)
+}
+
+// pendingKey identifies the pending truncations of one subject and runner, which belong to one crash if
+// they come within SameCrashWindow.
+type pendingKey struct {
+	content    Fingerprint
+	runner     string
+	looksWhole bool
+	// later is set for the truncations of a crash that came while those of an earlier one of the same
+	// runner are still pending.
+	later bool
+}
+
+// addPending adds a truncation to the pending ones, or to one of the same subject and crash. The caller
+// holds q.mu.
+func (q *Quarantine) addPending(truncation Truncation) {
+	key := pendingKey{content: truncation.Content, runner: truncation.Runner, looksWhole: truncation.LooksWhole}
+	known, pending := q.pending[key]
+	if pending && truncation.At.Sub(known.At) >= SameCrashWindow {
+		key.later = true
+		known, pending = q.pending[key]
 	}
-	if len(q.pending) >= maxPending {
-		q.dropped++
+	if pending {
+		known.Elapsed, known.Depth = max(known.Elapsed, truncation.Elapsed), max(known.Depth, truncation.Depth)
+		q.pending[key] = known
 		return
 	}
-	q.pending = append(q.pending, truncation)
+	q.makePendingRoom(truncation.Depth > 0)
+	q.pending[key] = truncation
+	if truncation.Depth > 0 {
+		q.pendingParts++
+	}
 	q.wake()
 }
 
-// joinPending adds a truncation to one that is pending for the same subject and crash, and reports
-// whether there was one. The caller holds q.mu.
-func (q *Quarantine) joinPending(truncation Truncation) bool {
-	for i := range q.pending {
-		known := &q.pending[i]
-		if known.Content != truncation.Content || known.Runner != truncation.Runner || known.LooksWhole != truncation.LooksWhole ||
-			truncation.At.Sub(known.At) >= sameCrashWindow {
-			continue
+// makePendingRoom drops a random pending truncation of the same kind if there are too many. The
+// caller holds q.mu.
+func (q *Quarantine) makePendingRoom(ofParts bool) {
+	pending, limit := len(q.pending)-q.pendingParts, maxPendingRequests
+	if ofParts {
+		pending, limit = q.pendingParts, maxPendingParts
+	}
+	if pending < limit {
+		return
+	}
+	for key, truncation := range q.pending {
+		if truncation.Depth > 0 == ofParts {
+			q.dropPending(key)
+			q.dropped++
+			return
 		}
-		known.Elapsed, known.Depth = max(known.Elapsed, truncation.Elapsed), max(known.Depth, truncation.Depth)
-		return true
 	}
-	return false
+}
+
+func (q *Quarantine) dropPending(key pendingKey) {
+	if q.pending[key].Depth > 0 {
+		q.pendingParts--
+	}
+	delete(q.pending, key)
 }
 
 // Liveness is what a host knows of a runner since one of its responses was truncated.
@@ -211,29 +320,55 @@
 func (q *Quarantine) takeDue(now time.Time, liveness func(runner string, since time.Time) Liveness) (whole, due []Truncation, dropped int) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	waiting := q.pending[:0]
-	for _, truncation := range q.pending {
+	known := map[livenessKey]Liveness{}
+	for key, truncation := range q.pending {
 		age := awake.Between(q.Standstill, truncation.At, now)
 		if age < livenessDelay {
-			waiting = append(waiting, truncation)
 			continue
 		}
-		known := liveness(truncation.Runner, truncation.At)
-		undecided := known == Unknown || truncation.LooksWhole && known == Silent
+		state := livenessOf(known, truncation, liveness)
+		undecided := state == Unknown || truncation.LooksWhole && state == Silent
+		if undecided && age < maxLivenessDelay {
+			continue
+		}
+		q.dropPending(key)
 		switch {
-		case undecided && age < maxLivenessDelay:
-			waiting = append(waiting, truncation)
-		case known == Alive && truncation.LooksWhole:
+		case state == Alive && truncation.LooksWhole:
 			whole = append(whole, truncation)
-		case known != Alive && (!truncation.LooksWhole || known == Gone):
+		case state != Alive && (!truncation.LooksWhole || state == Gone):
 			due = append(due, truncation)
 		}
 	}
-	q.pending = waiting
+	sortTruncations(whole)
+	sortTruncations(due)
 	dropped, q.dropped = q.dropped, 0
 	return whole, due, dropped
 }
 
+// livenessKey identifies a question for the state of a runner since a time.
+type livenessKey struct {
+	runner string
+	since  time.Time
+}
+
+// livenessOf asks for the state of a truncation's runner once for all subjects of one answer.
+func livenessOf(known map[livenessKey]Liveness, truncation Truncation, liveness func(runner string, since time.Time) Liveness) Liveness {
+	key := livenessKey{runner: truncation.Runner, since: truncation.At}
+	state, ok := known[key]
+	if !ok {
+		state = liveness(truncation.Runner, truncation.At)
+		known[key] = state
+	}
+	return state
+}
+
+// sortTruncations orders truncations by time, those of whole requests first.
+func sortTruncations(truncations []Truncation) {
+	slices.SortFunc(truncations, func(a, b Truncation) int {
+		return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.Runner, b.Runner), cmp.Compare(a.Depth, b.Depth), cmp.Compare(a.Content, b.Content))
+	})
+}
+
 // Pending reports whether truncations are waiting for livenessDelay.
 func (q *Quarantine) Pending() bool {
 	q.mu.Lock()
@@ -251,81 +386,94 @@
 
 // Count counts a truncation that this host or a peer reported.
 func (q *Quarantine) Count(truncation Truncation, now time.Time) CountResult {
+	return q.CountAll([]Truncation{truncation}, now)[0]
+}
+
+// CountAll counts truncations and returns the result of each.
+func (q *Quarantine) CountAll(truncations []Truncation, now time.Time) []CountResult {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	known, listed := q.list.Load().entries[truncation.Content]
+	results := make([]CountResult, 0, len(truncations))
+	edit := q.edit()
+	for _, truncation := range truncations {
+		results = append(results, edit.count(truncation, now))
+	}
+	edit.commit()
+	return results
+}
+
+func (l *listEdit) count(truncation Truncation, now time.Time) CountResult {
+	ledger := l.q.ledgerOf(truncation.Depth)
+	known, listed := l.entries[truncation.Content]
 	switch {
 	case !listed || known.expired(now):
-		found := q.ledger.add(truncation, now)
-		suspected := found.suffices() && q.suspect(truncation.Content, 1, found, now)
+		found := ledger.add(truncation, now)
+		suspected := found.suffices() && l.suspect(truncation.Content, 1, found, now)
 		return CountResult{Crashes: len(found.crashes), Suspected: suspected}
 	case known.cleared && known.depth > 0:
 		// It was sound, and may have become bad since.
-		found := q.ledger.add(truncation, now).since(known.changedAt)
-		return CountResult{Crashes: len(found.crashes), Suspected: found.suffices() && q.suspect(truncation.Content, known.round+1, found, now)}
+		found := ledger.add(truncation, now).since(known.changedAt)
+		return CountResult{Crashes: len(found.crashes), Suspected: found.suffices() && l.suspect(truncation.Content, known.round+1, found, now)}
 	case known.cleared:
 		return CountResult{}
 	case known.halfOpen(now):
 		since := evidenceOf(truncation).since(known.changedAt.Add(quarantineDuration))
-		return CountResult{Crashes: len(since.crashes), Suspected: len(since.crashes) > 0 && q.suspect(truncation.Content, known.round+1, since, now)}
+		return CountResult{Crashes: len(since.crashes), Suspected: len(since.crashes) > 0 && l.suspect(truncation.Content, known.round+1, since, now)}
 	default:
 		updated := known
 		updated.evidence = known.union(evidenceOf(truncation))
 		if updated.differsFrom(known) {
-			q.set(truncation.Content, updated)
+			l.set(truncation.Content, updated)
 		}
 		return CountResult{Crashes: len(updated.crashes)}
 	}
 }
 
-// suspect marks a request as suspect, or as cleared if this host has completed it. In a full list it
-// takes the place of a cleared one, and does nothing if there is none. The caller holds q.mu.
-func (q *Quarantine) suspect(content Fingerprint, round int, found evidence, now time.Time) bool {
-	l := q.list.Load()
-	if _, listed := l.entries[content]; !listed && l.full() {
-		oldest, ok := l.oldestCleared()
-		if !ok {
-			return false
-		}
-		q.list.Store(l.withoutEntry(oldest))
+// suspect marks a subject as suspect, or as cleared if this host has completed it. It does nothing if
+// the list is full of likelier causes.
+func (l *listEdit) suspect(content Fingerprint, round int, found evidence, now time.Time) bool {
+	e := l.q.clearedIfServed(content, entry{round: round, changedAt: now, evidence: found}, now)
+	if !l.admit(content, e) {
+		return false
 	}
-	e := entry{round: round, changedAt: now, evidence: found}
-	e.cleared = q.served(content, e)
-	q.set(content, e)
+	l.set(content, e)
 	return !e.cleared
 }
 
-// served reports whether this host has answered the request completely since its crashes began.
-func (q *Quarantine) served(content Fingerprint, e entry) bool {
+// clearedIfServed returns the entry as cleared if this host has answered the request completely since
+// its crashes began.
+func (q *Quarantine) clearedIfServed(content Fingerprint, e entry, now time.Time) entry {
 	at, ok := q.completionsOf(e.depth).lastCompletion(content)
-	return ok && at.After(e.clearedSince(e.firstSeen()))
+	first := e.firstSeen()
+	if e.cleared || !ok || !at.After(e.clearedSince(first)) {
+		return e
+	}
+	e.cleared, e.changedAt = true, now
+	return e
 }
 
 // Merge applies entries received from a peer and returns those that changed the list.
 func (q *Quarantine) Merge(received []Entry, now time.Time) (changed []Entry) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	entries := maps.Clone(q.list.Load().entries)
+	edit := q.edit()
 	for _, r := range received {
 		e := imported(r, now)
-		known, listed := entries[r.Content]
+		known, listed := edit.entries[r.Content]
 		if listed {
 			e = known.mergedWith(e)
 		}
-		if e.expired(now) || !listed && len(entries) >= maxEntries || listed && !e.differsFrom(known) {
+		if e.expired(now) || listed && !e.differsFrom(known) {
 			continue
 		}
-		if !e.cleared && q.served(r.Content, e) {
-			e.cleared, e.changedAt = true, now
+		e = q.clearedIfServed(r.Content, e, now)
+		if !edit.admit(r.Content, e) {
+			continue
 		}
-		entries[r.Content] = e
-		delete(q.ledger, r.Content)
+		edit.set(r.Content, e)
 		changed = append(changed, e.export(r.Content, now))
 	}
-	if len(changed) > 0 {
-		q.list.Store(newList(entries))
-		q.wake()
-	}
+	edit.commit()
 	return changed
 }
 
@@ -360,7 +508,8 @@
 func (q *Quarantine) Prune(now time.Time) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.ledger.prune(now)
+	q.requests.prune(now)
+	q.parts.prune(now)
 	if unexpired := q.list.Load().unexpired(now); len(unexpired.entries) < q.Size() {
 		q.list.Store(unexpired)
 	}
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -164,16 +164,20 @@
 // number of dropped truncations is returned.
 func TestRetainedStateIsBounded(t *testing.T) {
 	q := New()
-	for i := range 2 * maxPending {
-		q.RecordTruncation(Truncation{Content: Fingerprint(i), Runner: "r", At: epoch})
+	for depth, limit := range []int{maxPendingRequests, maxPendingParts} {
+		for i := range 2 * limit {
+			q.RecordTruncation(Truncation{Content: Fingerprint(i), Depth: depth, Runner: "r", At: epoch})
+		}
+		due, dropped := q.TakeDue(after(livenessDelay), func(string, time.Time) Liveness { return Silent })
+		must.Len(t, limit, due)
+		must.Eq(t, limit, dropped)
 	}
-	due, dropped := q.TakeDue(after(livenessDelay), func(string, time.Time) Liveness { return Silent })
-	must.Len(t, maxPending, due)
-	must.Eq(t, maxPending, dropped)
-	for i := range 2 * maxTrackedRequests {
-		q.Count(Truncation{Content: Fingerprint(i), Runner: "r", At: epoch}, epoch)
+	for depth, limit := range []int{maxTrackedRequests, maxTrackedParts} {
+		for i := range 2 * limit {
+			q.Count(Truncation{Content: Fingerprint(i), Depth: depth, Runner: "r", At: epoch}, epoch)
+		}
+		must.Between(t, 3*limit/4, len(q.ledgerOf(depth).subjects), limit)
 	}
-	must.MapLen(t, maxTrackedRequests, q.ledger)
 	for i := range 2 * maxEntries {
 		q.Restore(Fingerprint(i), 1, epoch)
 	}
@@ -186,7 +190,8 @@
 	}
 	q.Prune(after(quarantineDuration + halfOpenDuration + time.Second))
 	must.Eq(t, 0, q.Size())
-	must.MapEmpty(t, q.ledger)
+	must.MapEmpty(t, q.requests.subjects)
+	must.MapEmpty(t, q.parts.subjects)
 }
 
 // Two requests always run together, and neither is completed, so that each may be the cause of
--- a/internal/serve/answer.go
+++ b/internal/serve/answer.go
@@ -154,8 +154,8 @@
 	if l.via != "" {
 		fields = append(fields, "via", l.via)
 	}
-	if len(l.request.PromptParts) > 0 {
-		fields = append(fields, "parts", strings.Join(l.request.PromptParts, ","))
+	if parts := l.partsForLog(); parts != "" {
+		fields = append(fields, "parts", parts)
 	}
 	if l.request.ResumeAfter != "" {
 		fields = append(fields, "resume_after", l.request.ResumeAfter, "resumes", l.request.Resumes, "origin_source", string(l.originSource))
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -316,7 +315,7 @@
 	}
 	if l.arrivals == 0 && l.s.Quarantine.TakeTrial(l.subjects, l.s.Now()) {
 		l.trial = true
-		l.s.Log.Info("trying a blocked part of a prompt", "id", l.request.ID, "parts", strings.Join(l.request.PromptParts, ","))
+		l.s.Log.Info("trying a blocked part of a prompt", "id", l.request.ID, "parts", l.partsForLog())
 		return false
 	}
 	if !l.hedging {
@@ -438,7 +437,7 @@
 
 func (l *lifecycle) logFailedAttempt() {
 	fields := []any{
-		"id", l.request.ID, "content", l.subjects[0].String(), "parts", strings.Join(l.request.PromptParts, ","), "runner", l.runner.ID, "software_version", l.runner.SoftwareVersion, "last_event", l.lastEventID, "send", l.sends, "reason", string(l.failure.Reason),
+		"id", l.request.ID, "content", l.subjects[0].String(), "parts", l.partsForLog(), "runner", l.runner.ID, "software_version", l.runner.SoftwareVersion, "last_event", l.lastEventID, "send", l.sends, "reason", string(l.failure.Reason),
 		"verdict", l.failure.Verdict.String(), "cause", l.failure.Error(), "via", l.via, "left_ms", l.timeLeft().Milliseconds(),
 	}
 	l.s.Log.Info("attempt failed", append(fields, l.silenceLogFields()...)...)
