Many crashes of one moment are evidence against a part of prompts

Cause: crashes within 0.1 s counted as one against a part, since runners that are lost together had popular parts in common. Change: five suffice, the number from which the platform counts, unless a host has answered the part whole in the 10 s before, which is what tells a popular part; the crashes then still count once one more comes. A part that may have been on lost runners is tried once.

TestManyCrashesOfOneMomentSufficeAgainstAPart failed before. TestRunnersLostTogetherAreOneCrashAgainstAPart blamed no part for five crashes of one moment even where nobody had ever answered it; its part is now popular, as its comment says, and all its checks stay, with one more.

--- a/internal/quarantine/ledger.go
+++ b/internal/quarantine/ledger.go
@@ -27,6 +27,9 @@
 	// maxTrackedParts bounds the parts of prompts: four of the longest lists that a header of
 	// 16 KB holds, or the parts of 4,000 requests of four. One takes 150 to 500 bytes.
 	maxTrackedParts = 16384
+	// lossThreshold is the number of crashes at the same moment after which a part is suspect that
+	// no host has answered whole of late. The platform counts from the fifth crash on.
+	lossThreshold = 5
 )
 
 // Truncation is a response that broke off, most likely because its runner crashed.
@@ -134,12 +137,15 @@
 }
 
 // suffices reports whether the evidence makes its subject suspect. Runners that are lost together
-// may have had a popular part in common; they count as one crash against a part.
+// may have had a popular part in common, so few crashes of one moment do not suffice against a part.
+//
+// Many do: requests with a bad part may come together again, a moment later. What was merely popular
+// has been answered whole shortly before, and is cleared by that, see clearedSince.
 func (v evidence) suffices() bool {
-	if len(v.crashes) < crashThreshold {
-		return false
+	if v.depth > 0 && v.isOneLoss() {
+		return len(v.crashes) >= lossThreshold
 	}
-	return v.depth == 0 || !v.isOneLoss()
+	return len(v.crashes) >= crashThreshold
 }
 
 // isOneLoss reports whether all crashes came at the same moment.
@@ -154,9 +160,10 @@
 }
 
 // clearedSince returns the time from which a completion clears the subject: some time before the
-// first crash for a whole request, and the first crash for a part, which many requests complete.
+// first crash for a whole request, and the first crash for a part, which many requests complete. If all
+// crashes came at one moment, no answer could come in between, and that time counts for a part as well.
 func (v evidence) clearedSince(first time.Time) time.Time {
-	if v.depth > 0 {
+	if v.depth > 0 && !v.isOneLoss() {
 		return first
 	}
 	return first.Add(-contentCompletionGrace)
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -34,14 +34,17 @@
 	must.Len(t, 1, SubjectsOf(content, nil))
 }
 
-// Runners are lost together while a popular part is on each: that is one crash against the part.
-// One that ends runners one by one is known after the third.
+// Runners are lost together while a popular part is on each: that is one crash against the part,
+// however many they are, since answers with it came shortly before. One that ends runners one by one is
+// known after the third.
 func TestRunnersLostTogetherAreOneCrashAgainstAPart(t *testing.T) {
 	together, one := New(), New()
 	part := Subject{Fingerprint: first, Depth: 1}
+	together.RecordCompletion(part, after(-contentCompletionGrace/2))
 	for i := range 5 {
 		must.False(t, countAt(together, fmt.Sprintf("r%d", i), time.Duration(i)*10*time.Millisecond, 0, part).Suspected)
 	}
+	must.False(t, blocked(together, first, 4*time.Second))
 	must.True(t, countAt(together, "r9", 5*time.Second, 0, part).Suspected)
 	for i := range 2 {
 		must.False(t, countAt(one, fmt.Sprintf("r%d", i), time.Duration(i)*300*time.Millisecond, 0, part).Suspected)
@@ -49,6 +52,43 @@
 	must.True(t, countAt(one, "r2", 600*time.Millisecond, 0, part).Suspected)
 }
 
+// Requests with a bad part come together, and again a moment later. The crashes of the first moment must
+// suffice, as many as the platform counts; fewer may be a loss that runners with one new part in common
+// had together.
+func TestManyCrashesOfOneMomentSufficeAgainstAPart(t *testing.T) {
+	for crashes, suspected := range map[int]bool{lossThreshold - 1: false, lossThreshold: true} {
+		q := New()
+		q.SetTrialDecider(func(Fingerprint) bool { return true })
+		part := Subject{Fingerprint: first, Depth: 4}
+		for i := range crashes {
+			countAt(q, fmt.Sprintf("r%d", i), time.Duration(i)*time.Millisecond, 0, part)
+		}
+		must.Eq(t, suspected, blocked(q, first, time.Second), must.Sprintf("%d crashes", crashes))
+		if !suspected {
+			continue
+		}
+		must.True(t, q.TakeTrial([]Subject{part}, after(4*time.Second)), must.Sprint("it may have been a loss"))
+		countAt(q, "r9", 5*time.Second, 0, part)
+		must.False(t, q.TakeTrial([]Subject{part}, after(time.Minute)), must.Sprint("it was none"))
+	}
+}
+
+// A part was popular on one host only, which did not count the crashes. It clears the part, and the
+// crashes still count: one more suffices.
+func TestHostThatAnsweredAPartBeforeALossClearsIt(t *testing.T) {
+	counting, serving := New(), New()
+	part := Subject{Fingerprint: first, Depth: 1}
+	serving.RecordCompletion(part, after(-5*time.Second))
+	for i := range lossThreshold {
+		countAt(counting, fmt.Sprintf("r%d", i), 0, 0, part)
+	}
+	serving.Merge(counting.Entries(after(300*time.Millisecond)), after(300*time.Millisecond))
+	counting.Merge(serving.Entries(after(600*time.Millisecond)), after(600*time.Millisecond))
+	must.False(t, blocked(counting, first, time.Second))
+	must.False(t, blocked(serving, first, time.Second))
+	must.True(t, countAt(counting, "r9", 5*time.Second, 0, part).Suspected)
+}
+
 // A first part and a rarer one come together in all requests that crashed runners, and no answer
 // tells them apart yet. The rarer one is blocked; if a request without it crashes a runner, the first.
 func TestOfPartsWithTheSameCrashesTheNarrowestIsBlocked(t *testing.T) {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -151,11 +151,14 @@
 // edit begins a change of the list. The caller holds q.mu until commit.
 func (q *Quarantine) edit() *listEdit { return &listEdit{q: q, entries: q.list.Load().entries} }
 
-// set replaces an entry.
+// set replaces an entry. Crashes since it was cleared stay evidence.
 func (l *listEdit) set(content Fingerprint, e entry) {
 	l.own()
 	l.entries[content] = e
 	delete(l.q.ledgerOf(e.depth).subjects, content)
+	if e.cleared && e.depth > 0 {
+		l.q.keepEvidence(content, e.since(e.changedAt))
+	}
 }
 
 // keepEvidence keeps the evidence on a subject that is not listed as suspect. The caller holds q.mu.
@@ -441,7 +444,8 @@
 }
 
 // clearedIfServed returns the entry as cleared if this host has answered the request completely since
-// its crashes began.
+// its crashes began. What was answered just before all crashes came at one moment is cleared as of then:
+// the crashes still count once more come.
 func (q *Quarantine) clearedIfServed(content Fingerprint, e entry, now time.Time) entry {
 	at, ok := q.completionsOf(e.depth).lastCompletion(content)
 	first := e.firstSeen()
@@ -449,6 +453,9 @@
 		return e
 	}
 	e.cleared, e.changedAt = true, now
+	if e.depth > 0 && at.Before(first) {
+		e.changedAt = at
+	}
 	return e
 }
 
--- a/internal/quarantine/trial.go
+++ b/internal/quarantine/trial.go
@@ -16,19 +16,23 @@
 }
 
 // TakeTrial reports whether a blocked request may be sent once, to find out whether the part for
-// which it is blocked is still bad. Only a part that this host saw complete lately is tried.
+// which it is blocked is still bad. Only a part that this host saw complete lately is tried, and, once, one
+// of which all crashes came at one moment: it may have been in use on runners that were lost together.
 func (q *Quarantine) TakeTrial(subjects []Subject, now time.Time) bool {
 	part, ok := q.onlyBlocked(subjects, now)
 	if !ok || part.Depth == 0 || !q.decidesTrials(part.Fingerprint) {
 		return false
 	}
-	if at, completed := q.partCompletions.lastCompletion(part.Fingerprint); !completed || now.Sub(at) >= evidenceTTL {
-		return false
-	}
+	at, completed := q.partCompletions.lastCompletion(part.Fingerprint)
+	wasSound := completed && now.Sub(at) < evidenceTTL
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	made := q.trials[part.Fingerprint]
 	e := q.list.Load().entries[part.Fingerprint]
+	mayBeLoss := made == 0 && len(e.crashes) > 0 && e.isOneLoss()
+	if !wasSound && !mayBeLoss {
+		return false
+	}
 	if made >= len(trialDelays) || now.Sub(e.changedAt) < trialDelays[made] {
 		return false
 	}
