Processes that a test kills reach nobody any more

The network now knows processes: one that has ended opens no connection, whoever runs on its host afterwards. TestEndedProcessOpensNoConnection failed before (End is new).

--- a/internal/standin/network.go
+++ b/internal/standin/network.go
@@ -36,15 +36,26 @@
 	return &Network{listeners: map[string]*memListener{}, conns: map[*memConn]struct{}{}, cut: map[[2]string]bool{}, hanging: map[[2]string]bool{}, refusing: map[[2]string]bool{}, silentUntil: map[string]time.Time{}, pathSilentUntil: map[[2]string]time.Time{}, Links: NewLinks(time.Now)}
 }
 
-// HostNet is the network as seen by one host.
+// HostNet is the network as seen by one process on a host.
 type HostNet struct {
 	network *Network
 	host    string
+	// ended is set once the process has ended. It is guarded by network.mu.
+	ended bool
 }
 
-// Host returns the network as seen by a host.
+// Host returns the network as seen by a process on a host.
 func (n *Network) Host(name string) *HostNet { return &HostNet{network: n, host: name} }
 
+// End simulates the end of the process: it opens no connection any more, whoever runs on the host
+// afterwards. The goroutines of a process that a test ends go on; without this they reach others again
+// once the host is healed for the next process. Its open connections end by Partition or KillHost.
+func (h *HostNet) End() {
+	h.network.mu.Lock()
+	defer h.network.mu.Unlock()
+	h.ended = true
+}
+
 // Listen listens on a port of the host's only address.
 func (h *HostNet) Listen(port string) (net.Listener, error) {
 	h.network.mu.Lock()
@@ -61,7 +72,7 @@
 	target := hostOf(address)
 	h.network.mu.Lock()
 	listener := h.network.listeners[address]
-	blocked := h.network.closed || isListed(h.network.cut, h.host, target) || isListed(h.network.refusing, h.host, target)
+	blocked := h.network.closed || h.ended || isListed(h.network.cut, h.host, target) || isListed(h.network.refusing, h.host, target)
 	hangs := isListed(h.network.hanging, h.host, target)
 	h.network.mu.Unlock()
 	if silent := h.network.silence(h.host, target); silent > 0 && !hangs {
@@ -79,7 +90,7 @@
 	client := &memConn{Conn: near, network: h.network, owner: h.host, ends: [2]string{h.host, target}, closed: make(chan struct{})}
 	server := &memConn{Conn: far, network: h.network, owner: target, ends: [2]string{h.host, target}, closed: make(chan struct{})}
 	client.peer, server.peer = server, client
-	if !h.network.add(client, server) {
+	if !h.network.add(h, client, server) {
 		return nil, refused
 	}
 	select {
@@ -122,11 +133,12 @@
 	return host
 }
 
-// add registers a connection's ends. It returns false if the network is closed.
-func (n *Network) add(conns ...*memConn) bool {
+// add registers the ends of a process's connection. It returns false if the network is closed or the
+// process has ended.
+func (n *Network) add(process *HostNet, conns ...*memConn) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.closed {
+	if n.closed || process.ended {
 		return false
 	}
 	for _, conn := range conns {
--- a/internal/standin/network_test.go
+++ b/internal/standin/network_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,3 +35,32 @@
 		must.Eq(t, time.Second, time.Since(began))
 	})
 }
+
+// A process is killed and the next one runs on its host. What goes on of the killed one in the test's
+// own process must reach nobody: its requests would count as the next one's.
+func TestEndedProcessOpensNoConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := NewNetwork()
+		listener, err := network.Host("runner").Listen("80")
+		must.NoError(t, err)
+		go func() {
+			for {
+				if _, err := listener.Accept(); err != nil {
+					return
+				}
+			}
+		}()
+		killed := network.Host("h")
+		_, err = killed.Dial(t.Context(), "tcp", "runner:80")
+		must.NoError(t, err)
+		killed.End()
+		network.KillHost("h")
+		network.Heal("h", "*")
+		_, err = killed.Dial(t.Context(), "tcp", "runner:80")
+		must.ErrorIs(t, err, syscall.ECONNREFUSED)
+		_, err = network.Host("h").Dial(t.Context(), "tcp", "runner:80")
+		must.NoError(t, err)
+		_ = listener.Close()
+		network.Close()
+	})
+}
