--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -227,6 +227,8 @@
 	// bufferBytes is small because an event has a few hundred bytes and each open
 	// stream holds its buffers.
 	bufferBytes = 2 << 10
+	// maxResponseHeadBytes bounds the head of an answer; net/http would keep 10 MB of each.
+	maxResponseHeadBytes = 64 << 10
 )
 
 // Paths connects to runners, directly or through another host.
@@ -267,6 +269,8 @@
 		DisableCompression:  true,
 		ReadBufferSize:      bufferBytes,
 		WriteBufferSize:     bufferBytes,
+		// A runner in trouble may send a head without an end.
+		MaxResponseHeaderBytes: maxResponseHeadBytes,
 	}
 }
 
