Bodies and answers that a host keeps share a bound on its memory

Answers that are kept until they are whole, up to 8 MiB each, had no bound on their sum either, and a runner in trouble sends such bytes without end.

A body waits for room up to two seconds, unread, so that it stays with its caller; then it is refused with 503 and Retry-After, and read without being kept, as its caller would see a reset otherwise. An answer that finds no room is given up like one that broke off.

--- a/cmd/cherrystaged/platform.go
+++ b/cmd/cherrystaged/platform.go
@@ -41,6 +41,9 @@
 	// which the platform kills the process. A host that watches for a large fleet reads lists of
 	// several megabytes at once; with the GC percentage alone, its heap came near the limit.
 	memoryLimitShare = 0.5
+	// heldShare is the share of it that bodies and answers may take; reading them leaves as much
+	// garbage again.
+	heldShare = 0.25
 )
 
 // platformDialer detects dead connections to the store and to other hosts within two seconds: idle
@@ -154,6 +157,7 @@
 		PeerKey:       []byte(peerKey),
 		OrderGap:      platformSettings.Bounds.OrderLease,
 		ShutdownGrace: platformSettings.Bounds.ShutdownGrace,
+		HeldBytes:     int64(heldShare * float64(platformSettings.MemoryBytes)),
 		RetryLimit: retrybudget.Limit{
 			Ratio:  platformSettings.Bounds.RetryRatio,
 			Slack:  platformSettings.Bounds.RetrySlack,
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
@@ -20,6 +21,7 @@
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
 	"github.com/cherrystage/cherrystage/internal/ingress"
+	"github.com/cherrystage/cherrystage/internal/membudget"
 	"github.com/cherrystage/cherrystage/internal/mesh"
 	"github.com/cherrystage/cherrystage/internal/peer"
 	"github.com/cherrystage/cherrystage/internal/quota"
@@ -68,8 +70,14 @@
 	RetryLimit     retrybudget.Limit
 	QuotaTolerance quota.Tolerance
 	LoadLimit      adapters.ModelLoadLimit
+	// HeldBytes bounds the bodies and answers that requests keep at a time, in bytes; 0 stands for
+	// defaultHeldBytes.
+	HeldBytes int64
 }
 
+// defaultHeldBytes is the bound of a host without a memory limit.
+const defaultHeldBytes = 256 << 20
+
 // DialFunc opens connections.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -208,11 +216,12 @@
 	e.slots.ledgers.register(mux)
 	e.peerServer = peer.NewServer(identity, cfg.PeerKey, mux, log)
 	e.client = forward.NewClient(platform.Dialect, e.connector)
+	memory := membudget.New(cmp.Or(cfg.HeldBytes, defaultHeldBytes))
 	e.server = serve.New(serve.Deps{
 		DataCentre: cfg.DataCentre, Directory: e.directory, Board: e.board, Owners: e.owners, Backpressure: e.backpressure,
 		Client: e.client, Quarantine: e.quarantineSync.quarantine, RetryLimit: cfg.RetryLimit, Quotas: e.quotas, Ages: func() (config, runners time.Duration) {
 			return e.mesh.Age(platform.ConfigKind), e.mesh.Age(platform.RunnerKind)
-		}, HostCount: e.sharingHosts, Slots: e.slots, Streams: e.streams, Brittle: e.backpressure.isBrittle, Contention: e.requestCounts, Standstill: &e.standstill,
+		}, HostCount: e.sharingHosts, Slots: e.slots, Streams: e.streams, Brittle: e.backpressure.isBrittle, Contention: e.requestCounts, Standstill: &e.standstill, Memory: memory,
 		Answers: func(ctx context.Context, address string) bool {
 			_, err := engines.Report(ctx, address)
 			return err == nil
@@ -220,7 +229,7 @@
 		Now: now, Log: log,
 	})
 	e.ingress = &ingress.Ingress{
-		Dialect: platform.Dialect, Directory: e.directory, Serve: e.serve, Now: now, Log: log, Closing: e.stopping.Load, Refusing: e.rejecting.Load,
+		Dialect: platform.Dialect, Directory: e.directory, Serve: e.serve, Now: now, Log: log, Closing: e.stopping.Load, Refusing: e.rejecting.Load, Memory: memory,
 		ConfigAge: func() time.Duration { return e.mesh.Age(platform.ConfigKind) },
 	}
 	e.callerServer = e.ingress.Server()
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"github.com/cherrystage/cherrystage/internal/callerconn"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
+	"github.com/cherrystage/cherrystage/internal/membudget"
 	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/hashicorp/go-hclog"
 	"github.com/labstack/echo/v4"
@@ -40,6 +41,14 @@
 	// stoppingRetryAfter is the Retry-After value, in seconds, of a host that is stopping:
 	// another host can serve the request at once.
 	stoppingRetryAfter = "0.05"
+	// memoryWait is how long a request waits for memory for its body, at most a quarter of its time.
+	// What it has not read stays with the caller.
+	memoryWait = 2 * time.Second
+	// unreadTimeout bounds the reading of a body whose request has been rejected.
+	unreadTimeout = 2 * time.Second
+	// noMemoryRetryAfter is the Retry-After value, in seconds, of a host that has no memory for
+	// another long body. Those that it holds are passed on within fractions of a second.
+	noMemoryRetryAfter = "0.5"
 )
 
 // Serve serves a request on its route in a configuration; arrived is when its header had been read.
@@ -52,6 +61,8 @@
 	Serve     Serve
 	Now       func() time.Time
 	Log       hclog.Logger
+	// Memory bounds the bodies that requests keep at a time. It may be nil, which stands for no bound.
+	Memory *membudget.Budget
 	// ConfigAge returns an upper bound on the age of the host's configuration.
 	ConfigAge func() time.Duration
 	// Closing reports whether connections are to be closed after the next answer.
@@ -121,7 +132,9 @@
 		i.rejectUnauthorized(w, r, config)
 		return
 	}
-	body, status := i.readBody(w, r, config, metadata)
+	hold := i.Memory.Hold()
+	defer hold.Release()
+	body, status := i.readBody(w, r, config, metadata, hold)
 	if status != 0 {
 		i.rejectBody(w, r, status)
 		return
@@ -157,24 +170,31 @@
 // nothing. The rest of the body is read after the answer, so that the next request on the
 // connection is parsed from its start.
 func (i *Ingress) rejectUnauthorized(w *answer.Writer, r *http.Request, config *site.Config) {
+	w.Header().Set("WWW-Authenticate", "Bearer")
+	i.rejectBeforeBody(w, r, bodyTimeout, http.StatusUnauthorized, "no key in force came with the request", i.configLogFields(config)...)
+}
+
+// rejectBeforeBody answers a request without waiting for its body, and reads that afterwards, for up to a
+// time, without keeping it.
+func (i *Ingress) rejectBeforeBody(w *answer.Writer, r *http.Request, timeout time.Duration, status int, reason string, fields ...any) {
 	control := http.NewResponseController(w)
 	if err := control.EnableFullDuplex(); err != nil {
 		i.Log.Debug("full duplex not available, the answer waits for the request's body", "error", err.Error())
 	}
-	w.Header().Set("WWW-Authenticate", "Bearer")
-	i.reject(w, r, http.StatusUnauthorized, "no key in force came with the request", i.configLogFields(config)...)
+	i.reject(w, r, status, reason, fields...)
 	if err := control.Flush(); err != nil {
 		return
 	}
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = control.SetReadDeadline(time.Now().Add(timeout))
 	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	if _, err := io.Copy(io.Discard, http.MaxBytesReader(w.Unwrap(), r.Body, defaultBodyBytes)); err != nil {
 		i.Log.Debug("rest of a rejected request's body not read", "error", err.Error())
 	}
 }
 
-// readBody reads the body. It returns the status to reject the request with, or 0.
-func (i *Ingress) readBody(w *answer.Writer, r *http.Request, config *site.Config, metadata forward.RequestMetadata) ([]byte, int) {
+// readBody reads the body, which hold accounts for. It returns the status to reject the request with,
+// or 0.
+func (i *Ingress) readBody(w *answer.Writer, r *http.Request, config *site.Config, metadata forward.RequestMetadata, hold *membudget.Hold) ([]byte, int) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, 0
 	}
@@ -188,13 +208,15 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(timeout))
-	if r.ContentLength > limit {
-		return nil, http.StatusRequestEntityTooLarge
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
+	ctx, cancel := context.WithTimeout(r.Context(), min(memoryWait, timeout/4))
+	defer cancel()
+	body, err := membudget.AwaitAll(ctx, r.Body, r.ContentLength, limit, hold)
+	switch {
+	case errors.Is(err, membudget.ErrTooLong):
 		// The deadline is left for net/http, which reads the rest.
 		return nil, http.StatusRequestEntityTooLarge
+	case errors.Is(err, membudget.ErrExhausted):
+		return nil, http.StatusServiceUnavailable
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	var network net.Error
@@ -218,9 +240,16 @@
 // rejectBody answers a request whose body is too long or was not read. net/http reads the rest of one
 // that is too long, if that is short enough, and else closes the connection.
 func (i *Ingress) rejectBody(w *answer.Writer, r *http.Request, status int) {
-	if status == http.StatusRequestEntityTooLarge {
+	switch status {
+	case http.StatusRequestEntityTooLarge:
 		i.reject(w, r, status, "body too long")
 		return
+	case http.StatusServiceUnavailable:
+		// A caller that still sends would see its connection reset instead of the answer.
+		w.Header().Set("Retry-After", noMemoryRetryAfter)
+		w.Header().Set("Connection", "close")
+		i.rejectBeforeBody(w, r, unreadTimeout, status, "too many long bodies at once")
+		return
 	}
 	i.rejectAndClose(w, r, status, "body not read")
 }
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -30,6 +30,7 @@
 func (x *exchange) release(refused bool) {
 	l := x.l
 	x.cancel()
+	x.memory.Release()
 	l.firsts.end(x)
 	l.releaseSlot(refused)
 	l.s.Board.RecordEnd(l.runner.ID)
--- a/internal/serve/endless_test.go
+++ b/internal/serve/endless_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"bytes"
 	"context"
 	"net/http"
 	"net/http/httptest"
@@ -9,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/membudget"
 	"github.com/cherrystage/cherrystage/internal/site"
 	"github.com/shoenig/test/must"
 )
@@ -211,3 +213,30 @@
 		must.True(t, w.server.Quarantine.Pending())
 	})
 }
+
+// Answers that are kept until they are whole share the host's memory. What they have taken must be free
+// again once they are passed on or given up, and one that finds no room must not look whole.
+func TestAnswersShareTheMemoryOfTheHost(t *testing.T) {
+	withTestEnv(t, 1, func(w *testEnv) {
+		const length, fits = 1 << 20, 2 << 20
+		w.server.Memory = membudget.New(fits)
+		sent := length
+		w.runnerHandler = func(rw http.ResponseWriter, r *http.Request) {
+			rw.Header().Set("Id", r.Header.Get("Id"))
+			rw.Header().Set(stampHeader, "s")
+			_, _ = rw.Write(bytes.Repeat([]byte("x"), sent))
+		}
+		for range 5 {
+			answer := httptest.NewRecorder()
+			w.serve(context.Background(), answer, endlessRoute(site.NonIdempotent, 1), w.request(), time.Now())
+			must.Eq(t, http.StatusOK, answer.Code)
+			must.Eq(t, length, answer.Body.Len())
+			must.Zero(t, w.server.Memory.Used())
+		}
+		sent = 2 * fits
+		answer := httptest.NewRecorder()
+		w.serve(context.Background(), answer, endlessRoute(site.NonIdempotent, 1), w.request(), time.Now())
+		must.Eq(t, http.StatusBadGateway, answer.Code)
+		must.Zero(t, w.server.Memory.Used())
+	})
+}
--- a/internal/serve/exchange.go
+++ b/internal/serve/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/forward"
+	"github.com/cherrystage/cherrystage/internal/membudget"
 	"github.com/pkg/errors"
 )
 
@@ -41,6 +42,8 @@
 	answer *forward.Response
 	// connected is set once the request may have reached the runner.
 	connected atomic.Bool
+	// memory accounts for what is kept of the answer.
+	memory *membudget.Hold
 }
 
 // part is what arrived of an answer.
@@ -58,7 +61,7 @@
 	l.sends++
 	l.sentAt = l.s.Now()
 	l.s.Board.RecordStart(l.runner.ID, l.sentAt)
-	x := &exchange{l: l, runner: l.runner.ID, address: l.runner.Address, sentAt: l.sentAt, parts: make(chan part), unused: make(chan struct{})}
+	x := &exchange{l: l, runner: l.runner.ID, address: l.runner.Address, sentAt: l.sentAt, parts: make(chan part), unused: make(chan struct{}), memory: l.s.Memory.Hold()}
 	l.firsts.begin(x)
 	x.ctx, x.cancel = context.WithCancel(ctx)
 	options := l.sendOptions()
@@ -94,7 +97,7 @@
 	if answer.Status == http.StatusOK && isEventStream(answer.Header) {
 		return x.readEvents(answer)
 	}
-	return readWhole(answer)
+	return x.readWhole(answer)
 }
 
 // deliver passes a part on, and reports whether something took it.
@@ -115,9 +118,9 @@
 
 // readWhole reads an answer that is no event stream to its end before it passes it on: a truncated
 // answer must not look complete, and a repeatable request can still be retried.
-func readWhole(answer *forward.Response) part {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeldAnswerBytes+1))
-	if err == nil && len(body) > maxHeldAnswerBytes {
+func (x *exchange) readWhole(answer *forward.Response) part {
+	body, err := membudget.ReadAll(answer.Body, answer.ContentLength, maxHeldAnswerBytes, x.memory)
+	if errors.Is(err, membudget.ErrTooLong) {
 		err = errTooLong
 	}
 	if err != nil {
@@ -132,6 +135,9 @@
 	chunk := make([]byte, readBufferBytes)
 	for {
 		n, err := answer.Body.Read(chunk)
+		if grown := len(held) + n - cap(held); grown > 0 && !x.memory.Grow(int64(grown)) {
+			return part{failure: forward.TruncatedResponse(answer.Metadata, membudget.ErrExhausted)}
+		}
 		held = append(held, chunk[:n]...)
 		if length := completeEventsLen(held); length > 0 {
 			if !x.deliver(part{content: bytes.Clone(held[:length])}) {
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -16,6 +16,7 @@
 	"github.com/cherrystage/cherrystage/internal/contention"
 	"github.com/cherrystage/cherrystage/internal/directory"
 	"github.com/cherrystage/cherrystage/internal/forward"
+	"github.com/cherrystage/cherrystage/internal/membudget"
 	"github.com/cherrystage/cherrystage/internal/placing"
 	"github.com/cherrystage/cherrystage/internal/quarantine"
 	"github.com/cherrystage/cherrystage/internal/retrybudget"
@@ -92,8 +93,10 @@
 	Answers func(ctx context.Context, address string) bool
 	// Standstill knows for which time this process could not run; nil stands for never.
 	Standstill *standstill.Monitor
-	Now        func() time.Time
-	Log        hclog.Logger
+	// Memory bounds the answers that attempts keep at a time. It may be nil, which stands for no bound.
+	Memory *membudget.Budget
+	Now    func() time.Time
+	Log    hclog.Logger
 }
 
 // Server serves callers' requests. It is safe for concurrent use.
