A path that begins with two slashes is sent as it came

Cause: the caller's target went into URL.Opaque, and RequestURI writes the scheme before an opaque text that begins with two slashes. A target in absolute form was taken from the parsed URL, which escapes some bytes anew.

Change: such a target is sent as path and raw path; one in absolute form is cut from the request line; a path of two slashes with bytes that no URI may have, which net/http can't write, is refused with 400.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -398,7 +397,7 @@
 	}
 	return &http.Request{
 		Method:        request.Method,
-		URL:           &url.URL{Scheme: "http", Host: address, Opaque: request.Target},
+		URL:           runnerURL(address, request.Target),
 		Host:          request.Host,
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -111,6 +111,10 @@
 			w.Header().Set("Connection", "close")
 		}
 	}
+	if !forward.CanSend(requestTarget(r)) {
+		i.reject(w, r, http.StatusBadRequest, "the path has bytes that no URI may have")
+		return
+	}
 	metadata, err := i.Dialect.ParseRequest(r.Header)
 	if err != nil {
 		i.reject(w, r, http.StatusBadRequest, err.Error())
@@ -282,12 +286,22 @@
 	return host
 }
 
-// requestTarget returns the path and query exactly as the caller sent them.
+// requestTarget returns the path and query exactly as the caller sent them, in absolute form too: the URL
+// that net/http parses from it would escape some bytes anew, and unescape others.
 func requestTarget(r *http.Request) string {
-	if strings.HasPrefix(r.RequestURI, "/") {
+	if strings.HasPrefix(r.RequestURI, "/") || !r.URL.IsAbs() {
 		return r.RequestURI
 	}
-	return r.URL.RequestURI()
+	_, rest, _ := strings.Cut(r.RequestURI, "://")
+	begin := strings.IndexAny(rest, "/?")
+	switch {
+	case begin < 0:
+		return "/"
+	case rest[begin] == '?':
+		return "/" + rest[begin:]
+	default:
+		return rest[begin:]
+	}
 }
 
 func requestPath(r *http.Request) string {
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -180,6 +180,26 @@
 	})
 }
 
+// A target is passed on byte for byte also if its path begins with two slashes, or if it comes in absolute form
+// with bytes that net/http would escape anew. Else a runner runs another path.
+func TestTargetIsPassedOnAsItCame(t *testing.T) {
+	for sent, target := range map[string]string{
+		"//berth-7/tugs":         "//berth-7/tugs",
+		"/a%2fb|c":               "/a%2fb|c",
+		"http://h/a%2fb|c?x=1|2": "/a%2fb|c?x=1|2",
+		"http://h//a/b":          "//a/b",
+		"http://h":               "/",
+		"http://h?x=1":           "/?x=1",
+	} {
+		everything := site.NewConfig(1, []*site.Route{{Name: "all", Host: "h", Prefix: "/", Kind: site.Idempotent}}, nil, site.Limits{MaxBodyBytes: maxBody})
+		withIngressConfig(t, everything, func(e *testIngress) {
+			response := e.send("POST " + sent + " HTTP/1.1\r\nHost: h\r\nId: q\r\nContent-Length: 0\r\n\r\n")
+			must.Eq(t, http.StatusOK, response.StatusCode, must.Sprint(sent))
+			must.Eq(t, target, e.served[0].Target)
+		})
+	}
+}
+
 // Requests that cannot be served are rejected with the right status, and the connection is
 // closed if unread bytes may follow on it.
 func TestRejectedRequests(t *testing.T) {
@@ -188,11 +208,12 @@
 		status int
 		closed bool
 	}{
-		"no route":            {text: post("/b/x", 0), status: http.StatusNotFound},
-		"no ID":               {text: "GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n", status: http.StatusBadRequest},
-		"patience not a time": {text: "GET /a/x HTTP/1.1\r\nHost: h\r\nId: q\r\nPatience: soon\r\n\r\n", status: http.StatusBadRequest},
-		"two lengths":         {text: "POST /a/x HTTP/1.1\r\nHost: h\r\nId: q\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", status: http.StatusBadRequest, closed: true},
-		"body over the limit": {text: post("/a/x", maxBody+1), status: http.StatusRequestEntityTooLarge},
+		"no route":                             {text: post("/b/x", 0), status: http.StatusNotFound},
+		"path of two slashes that is no URI's": {text: post("//a|b", 0), status: http.StatusBadRequest},
+		"no ID":                                {text: "GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n", status: http.StatusBadRequest},
+		"patience not a time":                  {text: "GET /a/x HTTP/1.1\r\nHost: h\r\nId: q\r\nPatience: soon\r\n\r\n", status: http.StatusBadRequest},
+		"two lengths":                          {text: "POST /a/x HTTP/1.1\r\nHost: h\r\nId: q\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", status: http.StatusBadRequest, closed: true},
+		"body over the limit":                  {text: post("/a/x", maxBody+1), status: http.StatusRequestEntityTooLarge},
 		"chunks over the limit": {text: "POST /a/x HTTP/1.1\r\nHost: h\r\nId: q\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + strings.Repeat("x", maxBody+1) + "\r\n0\r\n\r\n",
 			status: http.StatusRequestEntityTooLarge},
 		"body far over the limit": {text: post("/a/x", 300<<10), status: http.StatusRequestEntityTooLarge, closed: true},
