An answer that hung in an outage confirms nothing

A short watch that hung in the outage is answered as the store is back, and what it confirms is as old as the call, so an outage of 6.6 s looked like one of 4.7 s, after which no time to register is left. Change: such an answer is no confirmation; the next watch, which is short as well, comes at once.

--- a/internal/registry/follow.go
+++ b/internal/registry/follow.go
@@ -245,6 +245,11 @@
 	}
 	asOf := f.Now().Add(-changes.Age)
 	if waited := asked.Add(wait); len(changes.List) == 0 && asOf.After(waited) {
+		if f.unreachable.Load() && asOf.Sub(waited) > outageWait {
+			// The call hung in the outage, so its answer says little of how long that was. The next
+			// one comes at once.
+			return nil
+		}
 		// A host that was suspended reads the answer later than the store sent it.
 		asOf = waited
 	}
--- a/internal/registry/follow_test.go
+++ b/internal/registry/follow_test.go
@@ -318,3 +318,46 @@
 	must.LessEq(t, outageWait, store.waits[1])
 	must.Eq(t, 2*time.Second, store.waits[2], must.Sprint("the store is back"))
 }
+
+// hangingStore fails the first watch, answers the second only after a time, and the others at once.
+type hangingStore struct {
+	listingStore
+	watches int
+	hangs   time.Duration
+}
+
+func (h *hangingStore) Watch(_ context.Context, _ string, since uint64, wait time.Duration) (Changes, error) {
+	h.watches++
+	switch h.watches {
+	case 1:
+		return Changes{}, &objectapi.Error{Op: "watch", Cause: objectapi.ErrUnavailable}
+	case 2:
+		time.Sleep(h.hangs)
+	default:
+		time.Sleep(wait)
+	}
+	return Changes{Position: at(since)}, nil
+}
+
+// A call hangs in an outage and is answered as the store is back. What it says is as old as the call, so the
+// outage would look shorter than it was, and hosts that could not register in it would be declared dead.
+func TestAnswerThatHungInAnOutageConfirmsNothing(t *testing.T) {
+	const hangs = 1500 * time.Millisecond
+	store := &hangingStore{hangs: hangs}
+	synctest.Test(t, func(t *testing.T) {
+		replica := NewReplica()
+		replica.Listed(nil, at(7))
+		begin := time.Now()
+		var first time.Time
+		follower := &Follower{Store: store, Kind: "k", Sink: replica, Wait: 2 * time.Second, Now: time.Now, Log: hclog.NewNullLogger(), OnConfirmed: func(asOf time.Time) {
+			if first.IsZero() {
+				first = asOf
+			}
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		follower.Run(ctx)
+		must.GreaterEq(t, hangs, first.Sub(begin))
+		must.Less(t, hangs+time.Second, first.Sub(begin))
+	})
+}
