A new machine of a host's name waits for the old one's lease to end

Cause: registering took any record of the own name for that of an earlier process on the machine. Change: a record with another address is not taken over. Others break its lease, or, if nobody else is left, the new machine contests and breaks it itself; it then registers under the next epoch.

TestNewMachineOfTheSameNameWaitsForTheOldOne failed before.

--- a/internal/mesh/breakattempt.go
+++ b/internal/mesh/breakattempt.go
@@ -72,9 +72,13 @@
 func (s *Service) breakLease(ctx context.Context, dead DeadHost) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if !s.collectVotes(ctx, dead) {
-		return
+	if s.collectVotes(ctx, dead) {
+		s.writeBroken(ctx, dead)
 	}
+}
+
+// writeBroken writes that a host's lease has ended, if its record is unchanged.
+func (s *Service) writeBroken(ctx context.Context, dead DeadHost) {
 	dead.Record.Broken = true
 	record, err := s.Store.Update(ctx, Kind, hostRecordName(dead.Host), dead.Record, dead.Revision)
 	if err != nil {
@@ -83,7 +87,7 @@
 		return
 	}
 	s.applyRecord(record)
-	s.Log.Warn("lease broken: no heartbeats or renewals from the host", "peer", dead.Host, "epoch", dead.Record.Epoch, "revision", record.Revision)
+	s.Log.Warn("lease broken: no heartbeats or renewals from the host", "peer", dead.Host, "contested", dead.Record.Contested, "epoch", dead.Record.Epoch, "revision", record.Revision)
 }
 
 // collectVotes asks the other witnesses for their votes and reports whether enough agreed.
--- a/internal/mesh/contest.go
+++ b/internal/mesh/contest.go
@@ -44,6 +44,11 @@
 	}
 }
 
+// mayRepeat reports whether enough time has passed since the holder's last answer.
+func (c contestState) mayRepeat(now time.Time) bool {
+	return c.answeredAt.IsZero() || now.Sub(c.answeredAt) >= contestPause
+}
+
 // onlyContested reports whether a record differs from the one before only in that the lease is
 // contested: its holder has not renewed it in between.
 func onlyContested(before, after member) bool {
@@ -61,6 +66,18 @@
 	return now.Sub(peer.contest.since) >= s.timing.MaxStoreSilence+s.timing.breakTimeout()
 }
 
+// OwnContest tells what to do about this host's record if a process at another address holds it: contest its
+// lease, or break it, as it was contested so long ago that the process has given no orders for the order gap.
+func (s *State) OwnContest(now time.Time) (contest, lapsed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.peerOf(s.self).contest
+	if s.members[s.self].Contested {
+		return false, !known.since.IsZero() && now.Sub(known.since) >= s.timing.MaxStoreSilence+s.timing.breakTimeout()
+	}
+	return known.mayRepeat(now), false
+}
+
 // Contestable returns the peers whose lease this host should contest: they leave its probes
 // unanswered, and their witnesses have not broken the lease.
 func (s *State) Contestable(now time.Time) []DeadHost {
@@ -84,7 +101,7 @@
 	if s.unanswered(peer, now) < least || s.running(peer.changedAt, now) < least {
 		return false
 	}
-	return peer.contest.answeredAt.IsZero() || now.Sub(peer.contest.answeredAt) >= contestPause
+	return peer.contest.mayRepeat(now)
 }
 
 // StoreSeen records that at a time the store had this host's record uncontested.
@@ -142,3 +159,24 @@
 	s.applyRecord(record)
 	s.Log.Warn("lease contested: the host answers no probes and its witnesses have not broken it", "peer", silent.Host, "epoch", silent.Record.Epoch, "revision", record.Revision)
 }
+
+// isHeldElsewhere reports whether this host's record holds the lease of a process at another address: of a
+// machine that bore the same name, and may live on without the store and order its runners.
+func (s *Service) isHeldElsewhere(own HostRecord) bool {
+	return !own.Broken && own.Address != "" && own.Address != s.Address
+}
+
+// replaceHolder ends the lease of a process that bears this host's name at another address. If others don't
+// break it, as no witness is left, this host contests and breaks it itself; it then registers under the next
+// epoch, which leaves the claims behind.
+func (s *Service) replaceHolder(ctx context.Context, held member) {
+	host := DeadHost{Host: s.Self.Host, Record: held.HostRecord, Revision: held.revision}
+	contest, lapsed := s.State.OwnContest(s.Now())
+	switch {
+	case contest:
+		s.contest(ctx, host)
+	case lapsed:
+		s.writeBroken(ctx, host)
+	}
+	s.backOffStore()
+}
--- a/internal/mesh/contest_test.go
+++ b/internal/mesh/contest_test.go
@@ -199,3 +199,57 @@
 	perLost := int(testTiming.breakTimeout()/probeInterval) + int(30*time.Second/silentProbeInterval) + 2
 	must.LessEq(t, perLost*len(lost)+int(30*time.Second/probeInterval)*2, probes)
 }
+
+// A machine is gone, and a new one bears its name at another address. The old process may live on, cut off
+// from the store, and order its runners; the new one must not register over its lease, or two machines order
+// under one token. It registers once others have broken the lease, or by itself if nobody else is left.
+func TestNewMachineOfTheSameNameWaitsForTheOldOne(t *testing.T) {
+	old := HostRecord{Address: "gone:1", Epoch: 4, Renewals: 9, Witnesses: []string{"w"}}
+	begin := func() (*Service, *memoryStore, *time.Time) {
+		s := newFollowingService(t, "b", registry.Position{Revision: 10}, recordOf(t, hostRecordName("b"), old, 3),
+			recordOf(t, ownerRecordName(runnerAddress), OwnerRecord{Host: "b", Epoch: 4}, 5))
+		store := &memoryStore{records: map[string]registry.Record{hostRecordName("b"): recordOf(t, hostRecordName("b"), old, 3)}, revision: 10}
+		s.Store, s.State.epoch = store, 0
+		now := testStart
+		s.Now, s.freshness.now = func() time.Time { return now }, func() time.Time { return now }
+		return s, store, &now
+	}
+	t.Run("nobody else is left", func(t *testing.T) {
+		s, _, now := begin()
+		for ; s.State.Epoch() == 0 && now.Sub(testStart) < time.Minute; *now = now.Add(loopInterval) {
+			s.maintainLease(t.Context())
+		}
+		must.Eq(t, 5, s.State.Epoch(), must.Sprint("the claims of the old one have ended"))
+		must.GreaterEq(t, testTiming.MaxStoreSilence+testTiming.breakTimeout(), now.Sub(testStart))
+		_, ok := s.State.MayOrder(runnerAddress, *now)
+		must.False(t, ok)
+	})
+	t.Run("others broke the lease", func(t *testing.T) {
+		s, store, now := begin()
+		s.maintainLease(t.Context())
+		must.Zero(t, s.State.Epoch())
+		broken := old
+		broken.Broken = true
+		record, err := store.Update(t.Context(), Kind, hostRecordName("b"), broken, store.records[hostRecordName("b")].Revision)
+		must.NoError(t, err)
+		s.fleet.Put(record)
+		*now = now.Add(time.Second)
+		s.maintainLease(t.Context())
+		must.Eq(t, 5, s.State.Epoch())
+	})
+	t.Run("the old one lives and answers", func(t *testing.T) {
+		s, store, now := begin()
+		writes := store.revision
+		for ; now.Sub(testStart) < 2*time.Minute; *now = now.Add(loopInterval) {
+			s.maintainLease(t.Context())
+			if _, m, _ := decodeHost(store.records[hostRecordName("b")]); m.Contested {
+				m.Contested, m.Renewals = false, m.Renewals+1
+				record, err := store.Update(t.Context(), Kind, hostRecordName("b"), m.HostRecord, m.revision)
+				must.NoError(t, err)
+				s.fleet.Put(record)
+			}
+		}
+		must.Zero(t, s.State.Epoch())
+		must.LessEq(t, 2*uint64(2*time.Minute/contestPause+1), store.revision-writes)
+	})
+}
--- a/internal/mesh/service.go
+++ b/internal/mesh/service.go
@@ -268,6 +268,10 @@
 	var own HostRecord
 	current, _ := s.fleet.Get(name)
 	if _, m, ok := decodeHost(current); ok {
+		if s.isHeldElsewhere(m.HostRecord) {
+			s.replaceHolder(ctx, m)
+			return
+		}
 		own = m.HostRecord
 	}
 	own.Epoch, own.Broken = s.State.NextEpoch(own, s.fleet.Revision()), false
