A host without a lease serves no runner whose owner it can't reach

A host that is cut off from the store and the others read what runners hold, and began streams there that it could tell nobody of, so that they could go on at no other host. Change: only a host with a lease of its own does so.

TestHostWithoutALeaseAsksNoRunnerWhatItHolds failed before.

--- a/internal/entry/ownerless_test.go
+++ b/internal/entry/ownerless_test.go
@@ -25,6 +25,7 @@
 			}}, nil
 		}
 		admit := func(name string, version int64) error {
+			o.mesh.Registered(1, nil, time.Now())
 			request := admissionFor(name)
 			request.Key.Version = version
 			_, err := o.Admit(context.Background(), remoteRunner, request)
@@ -45,6 +46,22 @@
 	})
 }
 
+// A host that has no lease may be cut off itself. It must not serve runners whose owners it can't reach.
+func TestHostWithoutALeaseAsksNoRunnerWhatItHolds(t *testing.T) {
+	withRemoteOwner(t, func(o *ownerClient, owner *fakeOwner) {
+		owner.locked(func() { owner.silent = true })
+		o.ownerless.report = func(context.Context, string) (adapters.Report, error) {
+			t.Error("asked")
+			return adapters.Report{}, nil
+		}
+		for range 20 {
+			time.Sleep(ownerlessDelay / 5)
+			_, err := o.Admit(context.Background(), remoteRunner, admissionFor("held"))
+			must.ErrorIs(t, err, errOwnerUnreachable)
+		}
+	})
+}
+
 // The owners of all runners of a large fleet are lost. Every host would ask every runner what it
 // holds; the reports of one host must stay bounded.
 func TestReportsOfRunnersWithoutOwnersAreBounded(t *testing.T) {
--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -83,8 +83,11 @@
 
 // noteOwner records whether a runner's owner responded. If it has not for long, the runner is asked
 // what it holds.
+//
+// A host without a lease may be the one that is cut off. It would begin streams that no other host
+// learns of, and that cannot go on there.
 func (o *ownerClient) noteOwner(runner *site.Runner, err error) {
-	if !errors.Is(err, errOwnerUnreachable) {
+	if !errors.Is(err, errOwnerUnreachable) || !o.now().Before(o.mesh.ValidUntil()) {
 		o.ownerless.noteReached(runner.ID)
 		return
 	}
