Log lines of failed attempts tell whether the connection was a kept one

A refusal that belongs to an earlier request on the connection could not be told from a true one: the line had the verdict only.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -176,6 +176,10 @@
 	// the runner. Relay is the host through which it was sent, "" if it was sent directly.
 	Connected bool
 	Relay     string
+	// Kept reports that the connection had carried requests before this one, and IdleFor for how
+	// long it had been unused. On such a connection the answer to an earlier request may arrive again.
+	Kept    bool
+	IdleFor time.Duration
 }
 
 // TruncatedResponse returns the failure for a response whose body ended early.
@@ -281,13 +285,13 @@
 	response, sent := c.roundTrip(ctx, address, request, attempt)
 	if sent.err != nil {
 		failure := roundTripFailure(ctx, sent.err, sent.connected())
-		failure.Connected, failure.Relay = sent.connected(), sent.relay()
+		sent.describe(failure)
 		return nil, failure
 	}
 	metadata := c.dialect.ParseResponse(response.StatusCode, response.Header)
 	if failure := checkResponse(request, response, metadata); failure != nil {
 		_ = response.Body.Close()
-		failure.Connected, failure.Relay = true, sent.relay()
+		sent.describe(failure)
 		return nil, failure
 	}
 	return &Response{
@@ -314,19 +318,29 @@
 // trip is the outcome of sending a request by one path.
 type trip struct {
 	// conn is the connection that the request was sent on, nil if there was none.
-	conn atomic.Pointer[net.Conn]
+	conn atomic.Pointer[httptrace.GotConnInfo]
 	err  error
 }
 
 func (t *trip) connected() bool { return t.conn.Load() != nil }
 
+// describe records in a failure by which connection the request was sent.
+func (t *trip) describe(failure *Failure) {
+	conn := t.conn.Load()
+	if conn == nil {
+		return
+	}
+	failure.Connected, failure.Relay = true, reach.RelayOf(conn.Conn)
+	failure.Kept, failure.IdleFor = conn.Reused, conn.IdleTime
+}
+
 // relay returns the host through which the request was sent, or "".
 func (t *trip) relay() string {
 	conn := t.conn.Load()
 	if conn == nil {
 		return ""
 	}
-	return reach.RelayOf(*conn)
+	return reach.RelayOf(conn.Conn)
 }
 
 // roundTrip sends the request directly, or through a relay if no direct connection can be made, or
@@ -375,7 +389,7 @@
 	t := &trip{}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			t.conn.Store(&info.Conn)
+			t.conn.Store(&info)
 			if attempt.OnConnected != nil {
 				attempt.OnConnected()
 			}
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -442,6 +442,7 @@
 	fields := []any{
 		"id", l.request.ID, "content", l.subjects[0].String(), "parts", l.partsForLog(), "runner", l.runner.ID, "software_version", l.runner.SoftwareVersion, "last_event", l.lastEventID, "send", l.sends, "reason", string(l.failure.Reason),
 		"verdict", l.failure.Verdict.String(), "cause", l.failure.Error(), "via", l.via, "left_ms", l.timeLeft().Milliseconds(),
+		"connected", l.failure.Connected, "kept_connection", l.failure.Kept, "idle_ms", l.failure.IdleFor.Milliseconds(), "answer_id", l.failure.Metadata.RequestID,
 	}
 	l.s.Log.Info("attempt failed", append(fields, l.silenceLogFields()...)...)
 }
