An answer that names no request is no answer to this one

What callers saw: 503 for a request that ran, or a second run, after a runner had sent a refusal without an ID again on a kept connection. Cause: the comparison of IDs passed over answers that name none; a marked refusal among them was taken for this request's. Why it works: runners echo the ID of each request, so a due answer names it. One that does not, success, error or refusal, is now 'may have run'. Stand-ins of two tests that did not echo the ID do now.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -442,10 +442,10 @@
 
 // checkResponse returns a failure if the response must not be forwarded.
 func checkResponse(request *Request, response *http.Response, metadata ResponseMetadata) *Failure {
-	if metadata.RequestID != "" && metadata.RequestID != request.ID {
-		// A late second response to an earlier request arrived in place of this one's.
-		// Forwarding it would give the caller somebody else's response.
-		return &Failure{Verdict: verdict.MayHaveRun, Reason: ReasonForeign, Metadata: metadata, Cause: errors.Errorf("response belongs to request %q", metadata.RequestID)}
+	if metadata.RequestID == "" || metadata.RequestID != request.ID {
+		// A response to an earlier request on the connection may arrive again, in place of this
+		// one's, which then runs. Only the ID tells them apart.
+		return &Failure{Verdict: verdict.MayHaveRun, Reason: ReasonForeign, Metadata: metadata, Cause: errors.Errorf("status %d names request %q", response.StatusCode, metadata.RequestID)}
 	}
 	if metadata.NotRun || metadata.Misdirected {
 		reason := ReasonRefused
@@ -460,8 +460,8 @@
 		return &Failure{Verdict: verdict.MayHaveRun, Reason: ReasonBroken, Metadata: metadata, Cause: errors.Errorf("status %d without a not-run header", response.StatusCode)}
 	}
 	success := response.StatusCode/100 == 2
-	if success && (!metadata.Stamped || metadata.RequestID == "" || response.Header.Get("Content-Encoding") != "") {
-		return &Failure{Verdict: verdict.MayHaveRun, Reason: ReasonForeign, Metadata: metadata, Cause: errors.New("success status without the runner's stamp or request ID, or with a content encoding")}
+	if success && (!metadata.Stamped || response.Header.Get("Content-Encoding") != "") {
+		return &Failure{Verdict: verdict.MayHaveRun, Reason: ReasonForeign, Metadata: metadata, Cause: errors.New("success status without the runner's stamp, or with a content encoding")}
 	}
 	return nil
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -37,6 +37,10 @@
 		"response to another request":     {status: 200, metadata: ResponseMetadata{RequestID: "p", Stamped: true}, reason: ReasonForeign, verdict: verdict.MayHaveRun},
 		"success without a stamp":         {status: 200, metadata: ResponseMetadata{RequestID: "q"}, reason: ReasonForeign, verdict: verdict.MayHaveRun},
 		"success without a request ID":    {status: 200, metadata: ResponseMetadata{Stamped: true}, reason: ReasonForeign, verdict: verdict.MayHaveRun},
+		"503 not run without an ID":       {status: 503, metadata: ResponseMetadata{NotRun: true}, reason: ReasonForeign, verdict: verdict.MayHaveRun},
+		"503 not run of another request":  {status: 503, metadata: ResponseMetadata{RequestID: "p", NotRun: true}, reason: ReasonForeign, verdict: verdict.MayHaveRun},
+		"421 without an ID":               {status: 421, metadata: ResponseMetadata{Misdirected: true, NotRun: true}, reason: ReasonForeign, verdict: verdict.MayHaveRun},
+		"error without an ID":             {status: 500, metadata: ResponseMetadata{Stamped: true}, reason: ReasonForeign, verdict: verdict.MayHaveRun},
 		"success with a content encoding": {status: 200, metadata: complete, header: http.Header{"Content-Encoding": {"gzip"}}, reason: ReasonForeign, verdict: verdict.MayHaveRun},
 		"503 marked not run":              {status: 503, metadata: ResponseMetadata{RequestID: "q", NotRun: true}, reason: ReasonRefused, verdict: verdict.NotRun},
 		"runner is at another address":    {status: 421, metadata: ResponseMetadata{RequestID: "q", Misdirected: true}, reason: ReasonAbsent, verdict: verdict.NotRun},
@@ -169,7 +173,7 @@
 	local, remote := net.Pipe()
 	go func() {
 		_, _ = http.ReadRequest(bufio.NewReader(remote))
-		_, _ = io.WriteString(remote, "HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")
+		_, _ = io.WriteString(remote, "HTTP/1.1 500 Failed\r\nId: q\r\nContent-Length: 0\r\n\r\n")
 	}()
 	return local, nil
 }
@@ -183,7 +187,7 @@
 		client := NewClient(dialect, paths)
 		ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
 		defer cancel()
-		request := &Request{Method: http.MethodGet, Host: "h", Target: "/x", Header: http.Header{}}
+		request := &Request{RequestMetadata: RequestMetadata{ID: "q"}, Method: http.MethodGet, Host: "h", Target: "/x", Header: http.Header{}}
 		answer, failure := client.Do(ctx, "r:80", request, Attempt{Remaining: 4 * time.Second})
 		must.Nil(t, failure)
 		_ = answer.Body.Close()
--- a/internal/serve/charge_test.go
+++ b/internal/serve/charge_test.go
@@ -128,9 +128,9 @@
 			}
 		},
 		"refused by the runner": func(w *testEnv) {
-			w.runnerHandler = func(rw http.ResponseWriter, _ *http.Request) {
-				rw.Header().Set(notRunHeader, "1")
-				rw.WriteHeader(http.StatusServiceUnavailable)
+			w.runnerHandler = func(rw http.ResponseWriter, r *http.Request) {
+				rw.Header().Set("Id", r.Header.Get("Id"))
+				refuseRun(rw)
 			}
 		},
 	} {
