A request goes again to the same runner on a connection that has carried nothing

What callers saw: 503 for a request that ran, or a second run, after a runner had turned it away and had sent that refusal again. Cause: the ID tells two requests apart, not two attempts of one. A request that came before its adapter was loaded goes again to the same runner, by the pool on the same connection, where the late copy of the first refusal names it rightly. Why it works: a late answer arrives on the connection of its request only, and the second attempt's connection has carried none. It is closed after it, and only such attempts open one: those to an address where the request has been.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -83,6 +83,10 @@
 	ResumeAfter string
 	// Caller is the owner of the request.
 	Caller Caller
+	// SentBefore reports that the request was sent to this address before. It is given a connection
+	// that has carried nothing: on a kept one, the answer to the earlier attempt may arrive again, and
+	// it names the same request.
+	SentBefore bool
 	// OnConnected is called once the request is given a connection, so that it may reach the
 	// runner. It may be nil.
 	OnConnected func()
@@ -253,11 +257,14 @@
 	dialect         Dialect
 	paths           Paths
 	direct, relayed *http.Transport
+	// unused gives each request a direct connection that has carried nothing.
+	unused *http.Transport
 }
 
 // NewClient returns a client that connects to runners by paths.
 func NewClient(dialect Dialect, paths Paths) *Client {
-	c := &Client{dialect: dialect, paths: paths, direct: newTransport(paths.DialDirect), relayed: newTransport(paths.DialRelayed)}
+	c := &Client{dialect: dialect, paths: paths, direct: newTransport(paths.DialDirect), relayed: newTransport(paths.DialRelayed), unused: newTransport(paths.DialDirect)}
+	c.unused.DisableKeepAlives = true
 	// Each tunnel serves one request, so that none is used once the direct path is back or the
 	// relay stops.
 	c.relayed.DisableKeepAlives = true
@@ -369,7 +376,11 @@
 }
 
 func (c *Client) sendDirect(ctx context.Context, address string, request *Request, attempt Attempt) (*http.Response, *trip) {
-	response, sent := c.send(ctx, c.direct, address, request, attempt)
+	transport := c.direct
+	if attempt.SentBefore {
+		transport = c.unused
+	}
+	response, sent := c.send(ctx, transport, address, request, attempt)
 	if sent.err == nil {
 		c.paths.Heard()
 	}
--- a/internal/serve/attempt.go
+++ b/internal/serve/attempt.go
@@ -87,6 +87,7 @@
 		Priority:       uniformPriority,
 		ResumeAfter:    l.lastEventID,
 		Caller:         l.request.Caller,
+		SentBefore:     l.sentTo[l.runner.Address],
 	}
 }
 
--- a/internal/serve/exchange.go
+++ b/internal/serve/exchange.go
@@ -66,6 +66,7 @@
 	x.ctx, x.cancel = context.WithCancel(ctx)
 	options := l.sendOptions()
 	options.OnConnected = func() { x.connected.Store(true) }
+	l.sentTo[x.address] = true
 	go x.run(l.s.Client, l.request, options)
 	return x
 }
--- a/internal/serve/hedge.go
+++ b/internal/serve/hedge.go
@@ -236,7 +236,7 @@
 func (r *relaying) rejoin(mayHaveRun bool) {
 	l, fork := r.l, r.hedge.l
 	l.sends, l.arrivals = fork.sends, fork.arrivals
-	l.adapterMisses, l.tried, l.loadingAt = fork.adapterMisses, fork.tried, fork.loadingAt
+	l.adapterMisses, l.tried, l.sentTo, l.loadingAt = fork.adapterMisses, fork.tried, fork.sentTo, fork.loadingAt
 	delete(l.tried, l.runner.ID)
 	l.tried[fork.runner.ID] = l.tried[fork.runner.ID] || mayHaveRun
 	if mayHaveRun {
--- a/internal/serve/lifecycle.go
+++ b/internal/serve/lifecycle.go
@@ -111,6 +111,8 @@
 type history struct {
 	// tried holds the IDs of runners to which the request is not sent again.
 	tried map[string]bool
+	// sentTo holds the addresses to which the request was sent.
+	sentTo map[string]bool
 	// adapterMisses counts, by runner, the sends that came before the adapter was loaded.
 	adapterMisses map[string]int
 	// loadingAt is the adapter that the latest send came too early for.
@@ -151,7 +153,7 @@
 
 // clone returns a copy that shares nothing that either side changes.
 func (h history) clone() history {
-	h.tried, h.adapterMisses = maps.Clone(h.tried), maps.Clone(h.adapterMisses)
+	h.tried, h.sentTo, h.adapterMisses = maps.Clone(h.tried), maps.Clone(h.sentTo), maps.Clone(h.adapterMisses)
 	h.refusals, h.refusedBy, h.skipped = slices.Clip(h.refusals), slices.Clip(h.refusedBy), slices.Clip(h.skipped)
 	return h
 }
@@ -160,7 +162,7 @@
 	return &lifecycle{
 		call:    &call{s: s, route: route, request: request, arrived: arrived, deadline: arrived.Add(requestTimeout(route, request))},
 		reply:   &reply{w: w},
-		attempt: &attempt{history: history{tried: map[string]bool{}, adapterMisses: map[string]int{}}},
+		attempt: &attempt{history: history{tried: map[string]bool{}, sentTo: map[string]bool{}, adapterMisses: map[string]int{}}},
 	}
 }
 
