An answer that is not due signals nothing

What happens: a rate limit, a pause, a drain notice or a load is read from a copy of an earlier request's answer, and taken for the runner's word of now. Cause: the metadata of an answer of another request were passed on with its failure. Why it works: the signals were read from the answer when it was due.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -455,8 +455,9 @@
 func checkResponse(request *Request, response *http.Response, metadata ResponseMetadata) *Failure {
 	if metadata.RequestID == "" || metadata.RequestID != request.ID {
 		// A response to an earlier request on the connection may arrive again, in place of this
-		// one's, which then runs. Only the ID tells them apart.
-		return &Failure{Verdict: verdict.MayHaveRun, Reason: ReasonForeign, Metadata: metadata, Cause: errors.Errorf("status %d names request %q", response.StatusCode, metadata.RequestID)}
+		// one's, which then runs. Only the ID tells them apart, and the signals in it are as old as
+		// it is: a limit may have been lifted since.
+		return &Failure{Verdict: verdict.MayHaveRun, Reason: ReasonForeign, Metadata: ResponseMetadata{RequestID: metadata.RequestID}, Cause: errors.Errorf("status %d names request %q", response.StatusCode, metadata.RequestID)}
 	}
 	if metadata.NotRun || metadata.Misdirected {
 		reason := ReasonRefused
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/board"
 	"github.com/cherrystage/cherrystage/internal/reach"
 	"github.com/cherrystage/cherrystage/internal/verdict"
 	"github.com/pkg/errors"
@@ -63,6 +64,18 @@
 	}
 }
 
+// Guards against a limit, a pause or a drain notice that is read again from an answer that is not due: it
+// may have been lifted since.
+func TestAnswerThatIsNotDueSignalsNothing(t *testing.T) {
+	request := &Request{RequestMetadata: RequestMetadata{ID: "q"}}
+	for _, id := range []string{"", "p"} {
+		metadata := ResponseMetadata{RequestID: id, NotRun: true, Load: &Load{Slots: 1}, Signal: &board.Signal{Limited: true}}
+		failure := checkResponse(request, &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{}}, metadata)
+		must.Nil(t, failure.Metadata.Signal)
+		must.Nil(t, failure.Metadata.Load)
+	}
+}
+
 // When a runner's process ends in the middle of a response, its connections close. Other
 // failures must not count as that: a runner that sends a malformed response is alive, and
 // a deadline of this host closes the connection on this side.
