A runner that answers again gets connections that have carried nothing

What callers saw: 502 in place of an answer. A copy of an earlier answer takes the place of the due one, which nobody reads any more; the request runs in vain. Cause: the connections to such a runner stayed in use, each with a copy to come. Change: for 10 s after an answer that was not due, each request to that address gets a connection of its own. Reading on to the due answer would save these too; net/http closes a connection on which more than one answer comes, so it would take a client of our own.

--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -184,6 +184,8 @@
 	// long it had been unused. On such a connection the answer to an earlier request may arrive again.
 	Kept    bool
 	IdleFor time.Duration
+	// FirstRepeat reports that the runner has sent an answer that was not due, and none in the time before.
+	FirstRepeat bool
 }
 
 // TruncatedResponse returns the failure for a response whose body ended early.
@@ -258,7 +260,8 @@
 	paths           Paths
 	direct, relayed *http.Transport
 	// unused gives each request a direct connection that has carried nothing.
-	unused *http.Transport
+	unused    *http.Transport
+	repeaters repeaters
 }
 
 // NewClient returns a client that connects to runners by paths.
@@ -299,6 +302,9 @@
 	if failure := checkResponse(request, response, metadata); failure != nil {
 		_ = response.Body.Close()
 		sent.describe(failure)
+		if failure.Kept && failure.Reason == ReasonForeign {
+			failure.FirstRepeat = c.repeaters.note(address, time.Now())
+		}
 		return nil, failure
 	}
 	return &Response{
@@ -377,7 +383,7 @@
 
 func (c *Client) sendDirect(ctx context.Context, address string, request *Request, attempt Attempt) (*http.Response, *trip) {
 	transport := c.direct
-	if attempt.SentBefore {
+	if attempt.SentBefore || c.repeaters.has(address, time.Now()) {
 		transport = c.unused
 	}
 	response, sent := c.send(ctx, transport, address, request, attempt)
--- a/internal/serve/serve.go
+++ b/internal/serve/serve.go
@@ -445,6 +445,9 @@
 		"connected", l.failure.Connected, "kept_connection", l.failure.Kept, "idle_ms", l.failure.IdleFor.Milliseconds(), "answer_id", l.failure.Metadata.RequestID,
 	}
 	l.s.Log.Info("attempt failed", append(fields, l.silenceLogFields()...)...)
+	if l.failure.FirstRepeat {
+		l.s.Log.Warn("runner sends answers that are not due", "runner", l.runner.ID, "id", l.request.ID, "answer_id", l.failure.Metadata.RequestID)
+	}
 }
 
 // retryNotRun is retry for a request that the runner did not run.
