Requests to plain services of the own mode have a connection each

What callers would see: another caller's answer, or 'not run' for a request that ran, after a service has sent an answer again on a kept connection. Cause: idempotent requests shared connections, and the answers of plain services name no request. Evidence: TestLateAnswersAreNotTakenForTheNext fails with kept connections.

--- a/internal/dispatch/services.go
+++ b/internal/dispatch/services.go
@@ -49,7 +49,6 @@
 		}
 		trace.Sent(host.ID, time.Now())
 		call.Address = host.Address
-		call.Idempotent = req.Idempotent
 		answer, failure := d.deps.Services.Do(ctx, call)
 		d.deps.Breakers.Record(host.ID, healthy(failure), time.Now())
 		if failure == nil {
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -22,14 +22,13 @@
 
 // Call is one attempt to send a request to one host of a service.
 type Call struct {
-	Address    string
-	Method     string
-	Path       string
-	Query      string
-	Header     http.Header
-	Body       []byte
-	TraceID    string
-	Idempotent bool
+	Address string
+	Method  string
+	Path    string
+	Query   string
+	Header  http.Header
+	Body    []byte
+	TraceID string
 }
 
 // Answer is a complete response of a service.
@@ -40,24 +39,21 @@
 }
 
 // Client sends requests to plain services. It is safe for concurrent use.
+//
+// Each request has a connection of its own. The answers of plain services name no request, so a
+// copy of an earlier one on a kept connection would be taken for the one that is due.
 type Client struct {
-	timeout   time.Duration
-	pooled    *http.Client
-	singleUse *http.Client
+	timeout time.Duration
+	client  *http.Client
 }
 
-const maxIdlePerHost = 32
-
 // NewClient returns a client; timeout bounds a whole request.
 func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error), timeout time.Duration) *Client {
-	newClient := func(keepAlive bool) *http.Client {
-		return &http.Client{
-			Transport: &http.Transport{DialContext: dial, DisableKeepAlives: !keepAlive, MaxIdleConnsPerHost: maxIdlePerHost, DisableCompression: true},
-			// All answers go to the caller, redirects included.
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		}
-	}
-	return &Client{timeout: timeout, pooled: newClient(true), singleUse: newClient(false)}
+	return &Client{timeout: timeout, client: &http.Client{
+		Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+		// All answers go to the caller, redirects included.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
 // droppedHeaders are not forwarded: hop-by-hop headers, credentials, and the idempotency
@@ -88,12 +84,7 @@
 	if err != nil {
 		return Answer{}, &engine.Failure{Stage: engine.StageConnect, Code: engine.CodeUnreachable, Cause: err}
 	}
-	client := c.pooled
-	if !call.Idempotent {
-		// The HTTP library only retries on reused connections, so use a new one.
-		client = c.singleUse
-	}
-	resp, err := client.Do(req)
+	resp, err := c.client.Do(req)
 	if err != nil {
 		return Answer{}, sendFailure(connected.Load(), err)
 	}
--- a/internal/plain/plain_test.go
+++ b/internal/plain/plain_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/engine"
+	"github.com/cherrystage/cherrystage/internal/standin"
 	"github.com/cherrystage/cherrystage/internal/verdict"
 	"github.com/shoenig/test/must"
 )
@@ -47,3 +48,31 @@
 		must.Eq(t, verdict.MayHaveRun, failure.Verdict())
 	}
 }
+
+// A service sends an answer again as the next request arrives. Its caller would get another caller's answer,
+// or be told that its request has not run.
+func TestLateAnswersAreNotTakenForTheNext(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	service := &standin.RawServer{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/refused" {
+				w.Header().Set(engine.HeaderNotRun, "true")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			_, _ = io.WriteString(w, r.URL.Path)
+		}),
+		Conduct: func(*http.Request) standin.Conduct { return standin.Conduct{Repeat: standin.RepeatBeforeNext} },
+	}
+	go service.Serve(t.Context(), listener)
+	client := NewClient((&net.Dialer{}).DialContext, 5*time.Second)
+	for _, path := range []string{"/refused", "/first", "/refused", "/second"} {
+		answer, failure := client.Do(t.Context(), Call{Address: listener.Addr().String(), Method: http.MethodGet, Path: path, Header: http.Header{}})
+		if path == "/refused" {
+			must.Eq(t, verdict.NotRun, failure.Verdict())
+			continue
+		}
+		must.Nil(t, failure)
+		must.Eq(t, path, string(answer.Body))
+	}
+}
