An engine's refusal on a kept connection counts as not run only if it names the attempt

What callers would see (own mode): 'not run' for an idempotent request that ran. Cause: an engine's late copy of a refusal was taken for the answer to the next attempt on the connection. Change: answers that name another attempt are malformed; a refusal that names none proves nothing on a connection that had carried other attempts. Evidence: TestLateRefusalIsNoProofForTheNextAttempt, both forms, fails without either check. True refusals on new connections stay refusals (same test).

--- a/internal/engine/api.go
+++ b/internal/engine/api.go
@@ -7,7 +7,8 @@
 
 // Headers that an entry host sets on a request to an engine.
 const (
-	// HeaderRequestID identifies the attempt for cancel and resume.
+	// HeaderRequestID identifies the attempt for cancel and resume. An engine that returns it in its
+	// answers proves to which attempt they belong.
 	HeaderRequestID = "X-Request-Id"
 	// HeaderTrace carries the caller's request ID into the engine's log.
 	HeaderTrace = "X-Cherrystage-Request"
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -96,7 +96,7 @@
 	f := newFollower(a)
 	f.openFirst(ctx)
 	failure := f.follow(ctx)
-	if failure != nil && failure.Stage != StageConnect && failure.Stage != StageRefused {
+	if failure != nil && failure.Stage != StageConnect && (failure.Stage != StageRefused || failure.Unproven) {
 		c.cancel(ctx, call)
 	}
 	return failure
@@ -115,10 +115,11 @@
 
 // send posts the request and returns the response once its headers have arrived.
 func (a *attempt) send(ctx context.Context) (*http.Response, *Failure) {
-	var connected atomic.Bool
+	var connected, reused atomic.Bool
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			connected.Store(true)
+			reused.Store(info.Reused)
 			if info.Reused {
 				select {
 				case a.reused <- info.Conn:
@@ -142,8 +143,15 @@
 	if err != nil {
 		return nil, a.sendFailure(ctx, connected.Load(), err)
 	}
+	named := resp.Header.Get(HeaderRequestID)
+	if named != "" && named != a.call.AttemptID {
+		_ = resp.Body.Close()
+		return nil, &Failure{Stage: StageSend, Code: CodeMalformed, Cause: errors.Errorf("the answer names attempt %q", named)}
+	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, refusalFailure(resp)
+		failure := refusalFailure(resp)
+		failure.Unproven = named == "" && reused.Load()
+		return nil, failure
 	}
 	return resp, nil
 }
--- a/internal/engine/failure.go
+++ b/internal/engine/failure.go
@@ -29,6 +29,9 @@
 	// MarkedNotRun reports whether the target marked its refusal as issued before it
 	// began the request.
 	MarkedNotRun bool
+	// Unproven reports that a refusal names no attempt and came on a connection that had carried
+	// others: it may be a copy of the answer to one of those, while this one runs.
+	Unproven bool
 	// Delivered is the number of pieces delivered to the caller.
 	Delivered  int
 	RetryAfter time.Duration
@@ -63,13 +66,14 @@
 
 // Verdict reports whether the request may have run. It did not run if no
 // connection was made, if the target marked its refusal, or if the status is one
-// that servers return before they begin. Otherwise it may have run.
+// that servers return before they begin, unless the refusal may be another attempt's.
+// Otherwise it may have run.
 func (f *Failure) Verdict() verdict.Verdict {
 	switch f.Stage {
 	case StageConnect:
 		return verdict.NotRun
 	case StageRefused:
-		if f.MarkedNotRun || refusedBeforeRun(f.Status) {
+		if !f.Unproven && (f.MarkedNotRun || refusedBeforeRun(f.Status)) {
 			return verdict.NotRun
 		}
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -186,6 +186,7 @@
 }
 
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(engine.HeaderRequestID, r.Header.Get(engine.HeaderRequestID))
 	var req completionRequest
 	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
 		writeError(w, http.StatusBadRequest, "bad_request", "not a completion request", true)
