A second attempt that is left is judged once its round trip has ended

What callers see: 503 for a repeatable request whose second attempt runs at a runner. Cause: an attempt that is left while it connects may still be given its connection, and its request goes out. Why it works: the hand-over of a connection is reported in the goroutine whose round trip ends before the flag is read; net/http ends it soon after the cancellation. Ruled out by reading: first attempts, stops, deadlines, relays; see docs/design/verdicts.md.

--- a/internal/serve/exchange.go
+++ b/internal/serve/exchange.go
@@ -40,8 +40,10 @@
 	unused chan struct{}
 	// answer is the runner's answer, nil until its header has been taken.
 	answer *forward.Response
-	// connected is set once the request may have reached the runner.
+	// connected is set once the request may have reached the runner. It is final once tripEnded is
+	// closed, which follows soon after the attempt is canceled.
 	connected atomic.Bool
+	tripEnded chan struct{}
 	// memory accounts for what is kept of the answer.
 	memory *membudget.Hold
 }
@@ -61,7 +63,7 @@
 	l.sends++
 	l.sentAt = l.s.Now()
 	l.s.Board.RecordStart(l.runner.ID, l.sentAt)
-	x := &exchange{l: l, runner: l.runner.ID, address: l.runner.Address, sentAt: l.sentAt, parts: make(chan part), unused: make(chan struct{}), memory: l.s.Memory.Hold()}
+	x := &exchange{l: l, runner: l.runner.ID, address: l.runner.Address, sentAt: l.sentAt, parts: make(chan part), unused: make(chan struct{}), tripEnded: make(chan struct{}), memory: l.s.Memory.Hold()}
 	l.firsts.begin(x)
 	x.ctx, x.cancel = context.WithCancel(ctx)
 	options := l.sendOptions()
@@ -73,6 +75,7 @@
 
 func (x *exchange) run(client *forward.Client, request *forward.Request, options forward.Attempt) {
 	answer, failure := client.Do(x.ctx, x.address, request, options)
+	close(x.tripEnded)
 	if failure != nil {
 		x.deliver(part{failure: failure})
 		return
@@ -117,6 +120,14 @@
 	close(x.unused)
 }
 
+// mayHaveReached reports whether the request may have reached the runner, once the attempt has been
+// abandoned. An attempt that is canceled while it connects may still be given a connection, so this waits
+// until that is decided.
+func (x *exchange) mayHaveReached() bool {
+	<-x.tripEnded
+	return x.connected.Load()
+}
+
 // readWhole reads an answer that is no event stream to its end before it passes it on: a truncated
 // answer must not look complete, and a repeatable request can still be retried.
 func (x *exchange) readWhole(answer *forward.Response) part {
--- a/internal/serve/hedge.go
+++ b/internal/serve/hedge.go
@@ -257,7 +257,7 @@
 	r.l.logSilent("second attempt left", "to", r.hedge.l.runner.ID)
 	r.hedge.abandon()
 	r.hedge.l.tried[r.hedge.l.runner.ID] = true
-	r.rejoin(r.hedge.connected.Load())
+	r.rejoin(r.hedge.mayHaveReached())
 }
 
 // leaveCurrent leaves the silent attempt for the second one.
