--- a/internal/standin/rawserver.go
+++ b/internal/standin/rawserver.go
@@ -78,7 +78,7 @@
 func (s *RawServer) Serve(ctx context.Context, listener net.Listener) {
 	stop := context.AfterFunc(ctx, func() {
 		_ = listener.Close()
-		s.closeConns(func(*rawConn) bool { return true })
+		s.CloseAll()
 	})
 	defer stop()
 	for {
@@ -108,6 +108,9 @@
 // CloseIdle closes the connections that handle no request.
 func (s *RawServer) CloseIdle() { s.closeConns((*rawConn).isIdle) }
 
+// CloseAll closes all connections.
+func (s *RawServer) CloseAll() { s.closeConns(func(*rawConn) bool { return true }) }
+
 // Repeats returns the number of answers sent again.
 func (s *RawServer) Repeats() int {
 	s.mu.Lock()
