What net/http says of answers on idle connections is part of the log

It was written to standard error as plain text, with bytes that a runner chooses, and without its host. It is now a JSON line on standard output, as all others. TestStandardLogIsPartOfTheLog.

--- a/cmd/cherrystaged/platform.go
+++ b/cmd/cherrystaged/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"os"
@@ -97,6 +98,7 @@
 	out := logging.NewWriter(os.Stdout)
 	defer out.Close(logFlushTimeout)
 	log := hclog.New(&hclog.LoggerOptions{Level: hclog.LevelFromString(cfg.LogLevel), JSONFormat: true, Output: out}).With("host", platformSettings.Host)
+	redirectStandardLog(log)
 	log.Info("starting", "version", version, "data_centre", platformSettings.DataCentre, "front", platformSettings.FrontAddress, "store", platformSettings.StoreAddress)
 	if err := runEntry(entryConfig(platformSettings, cfg.PeerKey), platformSettings, out, log); err != nil {
 		log.Error("ended", "error", err.Error())
@@ -106,6 +108,13 @@
 	return 0
 }
 
+// redirectStandardLog passes on what libraries write to the standard log. net/http tells there of answers
+// that arrive on an idle connection, whose bytes a runner chooses.
+func redirectStandardLog(log hclog.Logger) {
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(log.StandardWriter(&hclog.StandardLoggerOptions{ForceLevel: hclog.Info}))
+}
+
 func runEntry(cfg entry.Config, platformSettings platform.Settings, out *logging.Writer, log hclog.Logger) error {
 	e := entry.New(cfg, entry.Platform{
 		Store:   platform.NewStore(platformSettings.StoreAddress, platformDialer.DialContext),
--- a/cmd/cherrystaged/platform_test.go
+++ b/cmd/cherrystaged/platform_test.go
@@ -1,10 +1,14 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
+	stdlog "log"
 	"net"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
 	"golang.org/x/sys/unix"
 )
@@ -50,3 +54,25 @@
 		})
 	}
 }
+
+// Guards against lines of libraries outside the log: net/http writes there what a runner sends on an idle
+// connection.
+func TestStandardLogIsPartOfTheLog(t *testing.T) {
+	flags, output := stdlog.Flags(), stdlog.Writer()
+	t.Cleanup(func() {
+		stdlog.SetFlags(flags)
+		stdlog.SetOutput(output)
+	})
+	var out bytes.Buffer
+	redirectStandardLog(hclog.New(&hclog.LoggerOptions{JSONFormat: true, Output: &out}).With("host", "h"))
+	stdlog.Printf("Unsolicited response starting with %q", "HTTP/1.1 200\r\n")
+	var line struct {
+		Message string `json:"@message"`
+		Level   string `json:"@level"`
+		Host    string `json:"host"`
+	}
+	must.NoError(t, json.Unmarshal(out.Bytes(), &line))
+	must.Eq(t, "info", line.Level)
+	must.Eq(t, "h", line.Host)
+	must.StrContains(t, line.Message, "Unsolicited")
+}
