--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -302,7 +302,7 @@
 	if failure := checkResponse(request, response, metadata); failure != nil {
 		_ = response.Body.Close()
 		sent.describe(failure)
-		if failure.Kept && failure.Reason == ReasonForeign {
+		if failure.Kept && metadata.RequestID != request.ID {
 			failure.FirstRepeat = c.repeaters.note(address, time.Now())
 		}
 		return nil, failure
