A load report of the own mode has a connection of its own

What happens: the owner of an engine takes a copy of an earlier report for the state of now. Cause: reports name no call and shared kept connections with completions. Evidence: TestLateReportIsNotTakenForTheNext fails with kept connections.

--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -77,7 +77,8 @@
 	return verdict.MayHaveRun
 }
 
-// Report fetches an engine's load report.
+// Report fetches an engine's load report, on a connection of its own: a copy of an earlier one would pass for
+// the engine's state of now.
 func (c *Client) Report(ctx context.Context, address string) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -85,7 +86,7 @@
 	if err != nil {
 		return Report{}, errors.Wrap(err, "load report")
 	}
-	resp, err := c.pooled.Do(req)
+	resp, err := c.unpooled.Do(req)
 	if err != nil {
 		return Report{}, errors.Wrap(err, "load report")
 	}
