Whether a runner's process ended is asked of itself after a standstill and behind a relay

What callers saw: a part of a stream as a whole one (MIXED), where an answer without a length ended while its host stood still and its runner crashed and was back. Cause: the host asked whether the runner refuses connections. One that started again does not, and a relay's refusal to connect says nothing. Change: after a standstill of 0.3 s since the request was sent, and behind a relay, the runner's report is asked for the start of its process (born); without that word the answer is not whole. Plain services, which give no report, are judged as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -226,6 +226,10 @@
 			_, err := engines.Report(ctx, address)
 			return err == nil
 		},
+		ProcessStart: func(ctx context.Context, address string) (int64, error) {
+			report, err := engines.Report(ctx, address)
+			return report.StartedMS, err
+		},
 		Now: now, Log: log,
 	})
 	e.ingress = &ingress.Ingress{
--- a/internal/serve/exchange.go
+++ b/internal/serve/exchange.go
@@ -32,8 +32,10 @@
 	// runner is the ID of its runner, address that runner's address, and sentAt when it was sent.
 	runner, address string
 	sentAt          time.Time
-	ctx             context.Context
-	cancel          context.CancelFunc
+	// startedMS is the start of the runner's process, as in site.Runner.
+	startedMS int64
+	ctx       context.Context
+	cancel    context.CancelFunc
 	// parts delivers the answer in order; its last part has ended or failure set.
 	parts chan part
 	// unused is closed by leave, when nothing takes the parts any more.
@@ -63,7 +65,7 @@
 	l.sends++
 	l.sentAt = l.s.Now()
 	l.s.Board.RecordStart(l.runner.ID, l.sentAt)
-	x := &exchange{l: l, runner: l.runner.ID, address: l.runner.Address, sentAt: l.sentAt, parts: make(chan part), unused: make(chan struct{}), tripEnded: make(chan struct{}), memory: l.s.Memory.Hold()}
+	x := &exchange{l: l, runner: l.runner.ID, address: l.runner.Address, startedMS: l.runner.StartedMS, sentAt: l.sentAt, parts: make(chan part), unused: make(chan struct{}), tripEnded: make(chan struct{}), memory: l.s.Memory.Hold()}
 	l.firsts.begin(x)
 	x.ctx, x.cancel = context.WithCancel(ctx)
 	options := l.sendOptions()
@@ -85,7 +87,7 @@
 		return
 	}
 	last := x.read(answer)
-	if last.ended && client.BrokeOff(x.ctx, x.address, answer) {
+	if last.ended && x.brokeOff(client, answer) {
 		last = part{failure: forward.TruncatedResponse(answer.Metadata, errRunnerEnded)}
 	}
 	x.deliver(last)
@@ -96,6 +98,49 @@
 // process that has ended refuses connections; one that lives has sent what it meant to.
 var errRunnerEnded = errors.Wrap(io.ErrUnexpectedEOF, "the runner's process ended with the response")
 
+const (
+	// shortStandstill is a standstill within which no runner ends and is back.
+	shortStandstill = 300 * time.Millisecond
+	// processCheckTimeout bounds the question whether a runner's process is still the same.
+	processCheckTimeout = time.Second
+)
+
+// brokeOff reports whether an answer whose body was read to its end may have broken off there because its
+// runner's process ended.
+//
+// A host that stood still may find the end of the connection only after the process has started again, and
+// one that reaches the runner through another host cannot tell whether a connection is refused there. Both
+// ask the process when it started.
+func (x *exchange) brokeOff(client *forward.Client, answer *forward.Response) bool {
+	if !answer.EndsWithConnection {
+		return false
+	}
+	if x.asksProcess() && (answer.Relay != "" || x.stoodStill()) {
+		return !x.sameProcess()
+	}
+	return client.BrokeOff(x.ctx, x.address, answer)
+}
+
+// asksProcess reports whether the runner can be asked when its process started, and that is known of the
+// process to which the request was sent.
+func (x *exchange) asksProcess() bool {
+	return x.l.service.Engine != nil && x.l.s.ProcessStart != nil && x.startedMS != 0
+}
+
+// stoodStill reports whether this host stood still since the request was sent.
+func (x *exchange) stoodStill() bool {
+	now := x.l.s.Now()
+	return now.Sub(x.sentAt)-x.l.s.Standstill.Awake(x.sentAt, now) >= shortStandstill
+}
+
+// sameProcess reports whether the process to which the request was sent still runs.
+func (x *exchange) sameProcess() bool {
+	ctx, cancel := context.WithTimeout(x.ctx, processCheckTimeout)
+	defer cancel()
+	startedMS, err := x.l.s.ProcessStart(ctx, x.address)
+	return err == nil && startedMS == x.startedMS
+}
+
 // read reads an answer's body and returns its last part.
 func (x *exchange) read(answer *forward.Response) part {
 	if answer.Status == http.StatusOK && isEventStream(answer.Header) {
