--- a/internal/engine/orders.go
+++ b/internal/engine/orders.go
@@ -77,8 +77,7 @@
 	return verdict.MayHaveRun
 }
 
-// Report fetches an engine's load report, on a connection of its own: a copy of an earlier one would pass for
-// the engine's state of now.
+// Report fetches an engine's load report.
 func (c *Client) Report(ctx context.Context, address string) (Report, error) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -86,7 +85,7 @@
 	if err != nil {
 		return Report{}, errors.Wrap(err, "load report")
 	}
-	resp, err := c.unpooled.Do(req)
+	resp, err := c.pooled.Do(req)
 	if err != nil {
 		return Report{}, errors.Wrap(err, "load report")
 	}
