--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -31,7 +31,6 @@
 
 	dir     string
 	prefix  string
-	store   string
 	ports   [5]int
 	started time.Time
 
@@ -53,13 +52,18 @@
 	}
 	pid := os.Getpid()
 	r := &Rig{Store: NewStore(), dir: dir, prefix: fmt.Sprintf("127.%d.%d.", 20+pid%200, pid/200%250), started: time.Now(), record: record}
-	listener, err := net.Listen("tcp", r.prefix+"9:0")
+	return r, r.choosePorts()
+}
+
+// serveStore serves the store at an address that only one host calls, and returns it: on loopback addresses a caller
+// does not show which host it is.
+func (r *Rig) serveStore(host string, number int) (string, error) {
+	listener, err := net.Listen("tcp", fmt.Sprintf("%s%d:0", r.prefix, 100+number))
 	if err != nil {
-		return nil, err
+		return "", err
 	}
-	r.store = listener.Addr().String()
-	go func() { _ = (&http.Server{Handler: r.Store}).Serve(listener) }()
-	return r, r.choosePorts()
+	go func() { _ = (&http.Server{Handler: r.Store.For(host)}).Serve(listener) }()
+	return listener.Addr().String(), nil
 }
 
 // choosePorts chooses ports that are free at the addresses of the hosts: for callers, readiness, control, and two
@@ -145,6 +149,10 @@
 		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s%d:%d", r.prefix, seed, r.ports[2])))
 	}
 	zone := fmt.Sprintf("hall-%d", (number-1)%3+1)
+	store, err := r.serveStore(ip, number)
+	if err != nil {
+		return nil, err
+	}
 	text := fmt.Sprintf(`node = "front-%[1]s-%[2]d"
 role = "entry"
 machineClass = "front"
@@ -210,7 +218,7 @@
 historyS = 20
 valueBytes = 1048576
 minTtlMs = 1000
-`, zone, number, ip, r.ports[3], r.ports[4], strings.Join(seeds, ","), at(0), at(1), limits.MemoryMB, limits.Files, r.store)
+`, zone, number, ip, r.ports[3], r.ports[4], strings.Join(seeds, ","), at(0), at(1), limits.MemoryMB, limits.Files, store)
 	path := filepath.Join(r.dir, fmt.Sprintf("boot-%d.toml", number))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -122,8 +122,12 @@
 	s.changed = make(chan struct{})
 }
 
-// ServeHTTP implements http.Handler.
-func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// For returns the handler of the calls of one host.
+func (s *Store) For(host string) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(w, r, host) })
+}
+
+func (s *Store) serve(w http.ResponseWriter, r *http.Request, host string) {
 	s.mu.Lock()
 	down := s.down
 	s.mu.Unlock()
@@ -137,7 +141,7 @@
 	case r.Method == http.MethodGet && named:
 		s.get(w, kind, name)
 	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
-		s.watch(w, r, kind)
+		s.watch(w, r, kind, host)
 	case r.Method == http.MethodGet:
 		s.list(w, r, kind)
 	case r.Method == http.MethodDelete:
@@ -182,12 +186,12 @@
 	answer(w, http.StatusOK, map[string]any{"items": items, "hasMore": more, "storeRevision": s.revision})
 }
 
-func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind, host string) {
 	since, _ := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	waitMS, _ := strconv.Atoi(r.URL.Query().Get("waitMs"))
 	end := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
 	defer end.Stop()
-	s.noteWatch(kind, hostOf(r.RemoteAddr))
+	s.noteWatch(kind, host)
 	over := false
 	for {
 		s.mu.Lock()
