--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -14,6 +14,7 @@
 type Answer struct {
 	Status  int
 	Stamped bool
+	Body    string
 	// RetryAfter is when the caller may ask again.
 	RetryAfter time.Duration
 	Err        error
@@ -55,12 +56,14 @@
 		return Answer{Err: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
 		return Answer{Status: response.StatusCode, Err: err}
 	}
 	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
 	return Answer{
 		Status:     response.StatusCode,
+		Body:       string(text),
 		Stamped:    response.Header.Get("X-Cherrystage-Response-Stamp") != "",
 		RetryAfter: time.Duration(seconds * float64(time.Second)),
 	}
