--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -68,3 +68,59 @@
 		RetryAfter: time.Duration(seconds * float64(time.Second)),
 	}
 }
+
+// Stream is what a caller has got of a stream.
+type Stream struct {
+	Status int
+	// Began is the id of the request that brought the first event, Last the number of the last event, and Versions
+	// the software versions whose events came.
+	Began    string
+	Last     int
+	Versions map[string]bool
+	Whole    bool
+}
+
+// Begin sends a request for a stream, or for the rest of one, and reads its events until it ends or stop is closed.
+// It returns the status and how long the caller is asked to wait.
+func (c *Caller) Begin(stream *Stream, id string, limit time.Duration, stop <-chan struct{}) (status int, retryAfter time.Duration, events int) {
+	more := ""
+	if stream.Last > 0 {
+		more = fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", stream.Last, stream.Began)
+	}
+	_ = c.conn.SetDeadline(time.Now().Add(limit))
+	go func() {
+		<-stop
+		_ = c.conn.Close()
+	}()
+	_, err := fmt.Fprintf(c.conn, "GET /live/2f HTTP/1.1\r\nHost: ferry.example\r\nX-Cherrystage-Request-Id: %s\r\nX-Cherrystage-Deadline-Ms: %d\r\n%s\r\n", id, limit.Milliseconds(), more)
+	if err != nil {
+		return 0, 0, 0
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, 0, 0
+	}
+	defer func() { _ = response.Body.Close() }()
+	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	if response.StatusCode != http.StatusOK {
+		return response.StatusCode, time.Duration(seconds * float64(time.Second)), 0
+	}
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		var number, again int
+		var version string
+		if _, err := fmt.Sscanf(lines.Text(), "data: event %d of %s", &again, &version); err == nil {
+			stream.Versions[version] = true
+			continue
+		}
+		if _, err := fmt.Sscanf(lines.Text(), "id: %d", &number); err == nil {
+			if stream.Last == 0 {
+				stream.Began = id
+			}
+			stream.Last = number
+			events++
+		}
+	}
+	stream.Whole = lines.Err() == nil && stream.Last == Events
+	return response.StatusCode, 0, events
+}
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -20,7 +21,9 @@
 // Runner is a stand-in for a runner of a service without models.
 type Runner struct {
 	Instance, Address, Zone, Service string
-	Slots                            int
+	// Version is the version of its software.
+	Version string
+	Slots   int
 	// Work is how long it works on a request, by the prefix of its path.
 	Work map[string]time.Duration
 
@@ -34,13 +37,18 @@
 
 // AddRunner starts a runner and registers it in the store, which it goes on doing about every 1.2 s.
 func (r *Rig) AddRunner(number int, service string, slots int, work map[string]time.Duration) (*Runner, error) {
+	return r.AddRunnerOf(number, service, "v1", slots, work)
+}
+
+// AddRunnerOf is AddRunner for a version of the runners' software.
+func (r *Rig) AddRunnerOf(number int, service, version string, slots int, work map[string]time.Duration) (*Runner, error) {
 	listener, err := net.Listen("tcp", r.RunnerIP(number)+":0")
 	if err != nil {
 		return nil, err
 	}
 	runner := &Runner{
 		Instance: fmt.Sprintf("i-%08x", 0x5f00+number), Address: listener.Addr().String(), Zone: fmt.Sprintf("hall-%d", number%3+1),
-		Service: service, Slots: slots, Work: work, rig: r, born: time.Now().UnixMilli(), closed: make(chan struct{}),
+		Service: service, Version: version, Slots: slots, Work: work, rig: r, born: time.Now().UnixMilli(), closed: make(chan struct{}),
 	}
 	runner.server = &http.Server{Handler: runner}
 	go func() { _ = runner.server.Serve(listener) }()
@@ -53,7 +61,7 @@
 	defer ticker.Stop()
 	for sequence := 0; ; sequence++ {
 		r.rig.Store.Put("servers", r.Instance, map[string]any{
-			"service": r.Service, "address": r.Address, "zone": r.Zone, "version": "v1", "slots": r.Slots, "state": "ready", "coldLeftMs": 0, "sequence": sequence, "born": r.born,
+			"service": r.Service, "address": r.Address, "zone": r.Zone, "version": r.Version, "slots": r.Slots, "state": "ready", "coldLeftMs": 0, "sequence": sequence, "born": r.born,
 		})
 		select {
 		case <-r.closed:
@@ -105,6 +113,10 @@
 	r.runs = append(r.runs, Run{ID: id, Path: request.URL.Path, From: hostOf(request.RemoteAddr), At: time.Now()})
 	r.mu.Unlock()
 	r.rig.Note("runner %s runs %s from %s", r.Instance, id, hostOf(request.RemoteAddr))
+	if strings.HasPrefix(request.URL.Path, streamPrefix) {
+		r.stream(w, request, id)
+		return
+	}
 	select {
 	case <-time.After(r.workOn(request.URL.Path)):
 	case <-request.Context().Done():
@@ -128,3 +140,31 @@
 	}
 	return 0
 }
+
+// Streams are answered on streamPrefix: Events events with increasing ids, one each eventEvery.
+const (
+	streamPrefix = "/live/"
+	Events       = 60
+	eventEvery   = 150 * time.Millisecond
+)
+
+// stream answers with the events behind the one that the request names.
+func (r *Runner) stream(w http.ResponseWriter, request *http.Request, id string) {
+	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("X-Cherrystage-Request-Id", id)
+	w.Header().Set("X-Cherrystage-Response-Stamp", "stamp-"+r.Instance+"-"+id)
+	for number := last + 1; number <= Events; number++ {
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: event %d of %s\n\n", number, number, r.Version); err != nil {
+			return
+		}
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+		select {
+		case <-time.After(eventEvery):
+		case <-request.Context().Done():
+			return
+		}
+	}
+}
