--- a/review/rig/crowd/main.go
+++ b/review/rig/crowd/main.go
@@ -1,5 +1,5 @@
 // Command crowd shows that an entry host ends when it has no file descriptor left while another host connects to it:
-// the platform hands most new channels to one host for some seconds, and another host is restarted meanwhile.
+// the platform hands most new channels to one host for some seconds, and the other hosts are restarted in turn meanwhile.
 package main
 
 import (
@@ -20,9 +20,12 @@
 	// files is the number of descriptors of a machine of the smallest of the users' installations.
 	files    = 3075
 	memoryMB = 284
-	// crowdPerS new channels a second come to one host, for crowdTime: fewer than the requests of that installation.
+	// crowdPerS new channels a second come to one host: fewer than the requests of that installation. They come for
+	// crowdTime, or a little longer where they come more slowly.
 	crowdPerS = 600
-	crowdTime = 6 * time.Second
+	crowdTime = 9 * time.Second
+	// enough is the number of channels from which the other host may start again.
+	enough = files + 200
 	// crowdPatience is how long a caller of the crowd waits for its answer.
 	crowdPatience = 1600 * time.Millisecond
 	// kept is how many callers with a kept channel send one request after the other to that host.
@@ -77,7 +80,7 @@
 }
 
 func play(r *rig.Rig, all []*rig.Host, runners []*rig.Runner) int {
-	crowded, restarted := all[0], all[1]
+	crowded, restarted := all[0], all[1:]
 	stop := make(chan struct{})
 	var results results
 	var callers sync.WaitGroup
@@ -86,18 +89,29 @@
 	}
 	time.Sleep(2 * time.Second)
 	var crowd sync.WaitGroup
+	var opened atomic.Int64
+	came := make(chan struct{})
 	if rig.Troubled() {
-		crowd.Go(func() { come(r, crowded) })
+		crowd.Go(func() { come(r, crowded, &opened, came) })
 	}
-	time.Sleep(crowdTime - time.Second)
-	// Planned work: another host is stopped and started again.
-	restarted.Signal(syscall.SIGTERM)
-	restarted.Wait()
-	if err := restarted.Start(); err != nil {
-		r.Note("not started again: %v", err)
-		return rig.ExitNotRun
+	began := time.Now()
+	time.Sleep(crowdTime / 3)
+	// Planned work: the other hosts are stopped and started in turn.
+	for _, host := range restarted {
+		host.Signal(syscall.SIGTERM)
+		host.Wait()
+		for rig.Troubled() && opened.Load() < enough && time.Since(began) < 2*crowdTime {
+			time.Sleep(50 * time.Millisecond)
+		}
+		if err := host.Start(); err != nil {
+			r.Note("not started again: %v", err)
+			return rig.ExitNotRun
+		}
+		time.Sleep(time.Second)
 	}
-	time.Sleep(5 * time.Second)
+	time.Sleep(max(time.Second, time.Until(began.Add(crowdTime))))
+	close(came)
+	time.Sleep(3 * time.Second)
 	close(stop)
 	callers.Wait()
 	crowd.Wait()
@@ -160,16 +174,21 @@
 	}
 }
 
-// come opens channels to a host. Each carries one request and is kept.
-func come(r *rig.Rig, host *rig.Host) {
+// come opens channels to a host until came is closed, and counts them. Each carries one request and is kept.
+func come(r *rig.Rig, host *rig.Host, opened *atomic.Int64, came <-chan struct{}) {
 	r.Note("the crowd comes")
 	var open sync.WaitGroup
-	var opened, answered atomic.Int64
+	var answered atomic.Int64
 	gone := make(chan struct{})
 	ticker := time.NewTicker(time.Second / crowdPerS)
 	defer ticker.Stop()
-	for number := range int(crowdTime.Seconds() * crowdPerS) {
-		<-ticker.C
+	coming := true
+	for number := 0; coming; number++ {
+		select {
+		case <-ticker.C:
+		case <-came:
+			coming = false
+		}
 		open.Go(func() {
 			caller, err := r.Connect(host.Front)
 			if err != nil {
