--- a/review/rig/crowd/main.go
+++ b/review/rig/crowd/main.go
@@ -20,6 +20,8 @@
 	// files is the number of descriptors of a machine of the smallest of the users' installations.
 	files    = 3075
 	memoryMB = 284
+	// ownFiles is the number of descriptors that the callers may need.
+	ownFiles = 10_000
 	// crowdPerS new channels a second come to one host: fewer than the requests of that installation. They come for
 	// crowdTime, or a little longer where they come more slowly.
 	crowdPerS = 600
@@ -46,6 +48,11 @@
 		fmt.Fprintln(os.Stderr, "usage: crowd FOLDER")
 		return rig.ExitNotRun
 	}
+	var own syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own); err != nil || own.Max < ownFiles {
+		fmt.Fprintln(os.Stderr, "too few descriptors for the callers:", own.Max, err)
+		return rig.ExitNotRun
+	}
 	r, err := rig.New(filepath.Join(os.Args[1], "record.txt"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
