A reset that the write of a long upload is told of is no end of an answer

What callers saw: a runner answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. A stream ended as complete before its last event.

Cause: a socket reports a reset once, to whichever call asks first. While the host's write of the upload is blocked, that call may get it; the read beside it then finds a regular end, which for an answer without a length is its end. The question to the runner's process that follows shows that it lives, as it does. In a relay the same happens to both connections of a tunnel, and it passed the reset on as a regular end.

TestResetDuringAnUploadPassesThroughATunnel: nine of nine scenes failed (runner's reset, its close, the relay killed).

Change: resetconn, through which the daemon opens every connection (runners, relays and other hosts, the store, the own mode), asks for the socket's state where a read ends regularly: one that does not wait to be closed was reset.

Ruled out: remembering a failed write, as the read may end before it has failed, and a wait for a blocked write would keep a sound end back. Where today's code holds and was left: callers' connections (a failed write is kept, TestCallerWhoseResetAWriteIsToldHasLeft), a host's reset towards a runner through a tunnel (a request has a length, TestResetOfTheHostLeavesNoWholeRequest).

--- a/cmd/cherrystaged/main.go
+++ b/cmd/cherrystaged/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/cherrystage/cherrystage/internal/callerconn"
 	"github.com/cherrystage/cherrystage/internal/node"
+	"github.com/cherrystage/cherrystage/internal/resetconn"
 	"github.com/cherrystage/cherrystage/internal/settings"
 	"github.com/cherrystage/cherrystage/internal/standalone"
 	"github.com/hashicorp/go-hclog"
@@ -78,9 +79,11 @@
 	return cfg, err
 }
 
-// dialer sends keep-alive probes early, so that a connection that a device between two hosts has
+// dial sends keep-alive probes early, so that a connection that a device between two hosts has
 // dropped is found before a request uses it.
-var dialer = net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3}}
+var dial = resetconn.Dial((&net.Dialer{
+	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3},
+}).DialContext)
 
 // serve runs all long-running components in one run group.
 func serve(cfg *settings.Settings, log hclog.Logger) error {
@@ -97,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	n := node.New(cfg, dialer.DialContext, log)
+	n := node.New(cfg, dial, log)
 	expvar.Publish("cherrystage", n.Vars())
 	callers, operators := n.CallerServer(), n.OperatorServer()
 
--- a/cmd/cherrystaged/platform.go
+++ b/cmd/cherrystaged/platform.go
@@ -18,6 +18,7 @@
 	"github.com/cherrystage/cherrystage/internal/entry"
 	"github.com/cherrystage/cherrystage/internal/logging"
 	"github.com/cherrystage/cherrystage/internal/quota"
+	"github.com/cherrystage/cherrystage/internal/resetconn"
 	"github.com/cherrystage/cherrystage/internal/retrybudget"
 	"github.com/cherrystage/cherrystage/internal/settings"
 	"github.com/cherrystage/cherrystage/platform"
@@ -47,13 +48,13 @@
 	heldShare = 0.25
 )
 
-// platformDialer detects dead connections to the store and to other hosts within two seconds: idle
+// dialPlatform detects dead connections to the store and to other hosts within two seconds: idle
 // ones by keep-alive probes, the others by the TCP user timeout.
-var platformDialer = newDialer(tcpUserTimeout)
+var dialPlatform = resetconn.Dial(newDialer(tcpUserTimeout).DialContext)
 
-// runnerDialer is used for connections to runners, which may be silent for a second and more
+// dialRunner is used for connections to runners, which may be silent for a second and more
 // without having failed. A connection that was given up meanwhile would cut off its answer.
-var runnerDialer = newDialer(runnerUserTimeout)
+var dialRunner = resetconn.Dial(newDialer(runnerUserTimeout).DialContext)
 
 // newDialer returns a dialer with keep-alive probes and a TCP user timeout. On Linux the latter
 // also decides when unanswered probes give up, whatever their count.
@@ -117,7 +118,7 @@
 
 func runEntry(cfg entry.Config, platformSettings platform.Settings, out *logging.Writer, log hclog.Logger) error {
 	e := entry.New(cfg, entry.Platform{
-		Store:   platform.NewStore(platformSettings.StoreAddress, platformDialer.DialContext),
+		Store:   platform.NewStore(platformSettings.StoreAddress, dialPlatform),
 		Decoder: platform.Records{},
 		Dialect: platform.Headers{},
 		Engines: func(paths entry.RunnerPaths) adapters.Engines {
@@ -126,7 +127,7 @@
 		ConfigKind:  platform.KindConfig,
 		RunnerKind:  platform.KindRunners,
 		VersionKind: platform.KindAdapterVersions,
-	}, entry.Dialers{Hosts: platformDialer.DialContext, Runners: runnerDialer.DialContext}, clock.Now, log)
+	}, entry.Dialers{Hosts: dialPlatform, Runners: dialRunner}, clock.Now, log)
 	listeners, err := listenPlatform(platformSettings)
 	if err != nil {
 		return err
--- a/cmd/cherrystaged/platform_test.go
+++ b/cmd/cherrystaged/platform_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	stdlog "log"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -16,7 +18,7 @@
 // socketOption returns an option of a TCP connection.
 func socketOption(t *testing.T, conn net.Conn, level, option int) int {
 	t.Helper()
-	raw, err := conn.(*net.TCPConn).SyscallConn()
+	raw, err := conn.(syscall.Conn).SyscallConn()
 	must.NoError(t, err)
 	var value int
 	var optionErr error
@@ -34,14 +36,14 @@
 	defer func() { _ = listener.Close() }()
 	for _, test := range []struct {
 		name           string
-		dialer         *net.Dialer
+		dial           func(ctx context.Context, network, address string) (net.Conn, error)
 		least, longest time.Duration
 	}{
-		{"runners", runnerDialer, 2500 * time.Millisecond, 4 * time.Second},
-		{"hosts and the store", platformDialer, time.Second, 2 * time.Second},
+		{"runners", dialRunner, 2500 * time.Millisecond, 4 * time.Second},
+		{"hosts and the store", dialPlatform, time.Second, 2 * time.Second},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			conn, err := test.dialer.DialContext(t.Context(), "tcp", listener.Addr().String())
+			conn, err := test.dial(t.Context(), "tcp", listener.Addr().String())
 			must.NoError(t, err)
 			defer func() { _ = conn.Close() }()
 			userTimeout := time.Duration(socketOption(t, conn, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)) * time.Millisecond
@@ -55,6 +57,38 @@
 	}
 }
 
+// Guards against a reset that looks like a regular end, as the write of a long request was told of it: each
+// connection that the process opens must tell the read too.
+func TestEachConnectionTellsAReset(t *testing.T) {
+	for name, dial := range map[string]func(ctx context.Context, network, address string) (net.Conn, error){
+		"runners": dialRunner, "hosts and the store": dialPlatform, "own mode": dial,
+	} {
+		t.Run(name, func(t *testing.T) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			defer func() { _ = listener.Close() }()
+			conn, err := dial(t.Context(), "tcp", listener.Addr().String())
+			must.NoError(t, err)
+			defer func() { _ = conn.Close() }()
+			far, err := listener.Accept()
+			must.NoError(t, err)
+			written := make(chan error, 1)
+			go func() {
+				_, err := conn.Write(make([]byte, 16<<20))
+				written <- err
+			}()
+			_, err = far.Read(make([]byte, 1))
+			must.NoError(t, err)
+			must.NoError(t, far.(*net.TCPConn).SetLinger(0))
+			must.NoError(t, far.Close())
+			// Nothing reads until the write has been told.
+			must.ErrorIs(t, <-written, syscall.ECONNRESET)
+			_, err = conn.Read(make([]byte, 1))
+			must.ErrorIs(t, err, syscall.ECONNRESET)
+		})
+	}
+}
+
 // Guards against lines of libraries outside the log: net/http writes there what a runner sends on an idle
 // connection.
 func TestStandardLogIsPartOfTheLog(t *testing.T) {
--- a/internal/guardedconn/guardedconn.go
+++ b/internal/guardedconn/guardedconn.go
@@ -28,7 +28,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if tcp, ok := c.(*net.TCPConn); ok {
+		if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 			if err := tcp.SetLinger(0); err != nil {
 				_ = c.Close()
 				return nil, errors.Wrap(err, "set linger")
--- a/internal/ingress/answered_test.go
+++ b/internal/ingress/answered_test.go
@@ -216,3 +216,35 @@
 		})
 	}
 }
+
+// A caller resets its connection while the write of a long answer to it is blocked. The write is told of the reset,
+// and the read finds a regular end, as that of a caller that waits: its request would go on for nobody.
+func TestCallerWhoseResetAWriteIsToldHasLeft(t *testing.T) {
+	ended := make(chan error, 1)
+	server := newServer(configWith(nil), &testIngress{handler: func(ctx context.Context, w *answer.Writer) {
+		w.WriteHeader(http.StatusOK)
+		_, err := w.Write(make([]byte, 32<<20))
+		must.Error(t, err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(5 * time.Second):
+		}
+		ended <- ctx.Err()
+	}})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	for range 10 {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		must.NoError(t, err)
+		_, err = io.WriteString(conn, post("/a/x", 3))
+		must.NoError(t, err)
+		_, err = conn.Read(make([]byte, 1))
+		must.NoError(t, err)
+		time.Sleep(20 * time.Millisecond)
+		must.NoError(t, conn.(*net.TCPConn).SetLinger(0))
+		must.NoError(t, conn.Close())
+		must.ErrorIs(t, <-ended, context.Canceled)
+	}
+}
--- a/internal/reach/relay_processes_test.go
+++ b/internal/reach/relay_processes_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"log"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"os/signal"
@@ -15,6 +16,7 @@
 	"testing"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/resetconn"
 	"github.com/hashicorp/go-hclog"
 	"github.com/shoenig/test/must"
 )
@@ -46,8 +48,11 @@
 	relay.Close()
 }
 
+// dialTCP opens connections as the daemon does.
+var dialTCP = resetconn.Dial((&net.Dialer{}).DialContext)
+
 func newTCPRelay() *Relay {
-	return &Relay{Key: []byte(testKey), Dial: (&net.Dialer{}).DialContext, Reaches: func(string) bool { return true }, IsRunner: func(string) bool { return true }, Log: hclog.NewNullLogger()}
+	return &Relay{Key: []byte(testKey), Dial: dialTCP, Reaches: func(string) bool { return true }, IsRunner: func(string) bool { return true }, Log: hclog.NewNullLogger()}
 }
 
 // relayProcess is a relay with a process of its own.
@@ -86,7 +91,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	defer func() { _ = listener.Close() }()
-	host, err = openTunnel(t.Context(), (&net.Dialer{}).DialContext, []byte(testKey), relay, listener.Addr().String())
+	host, err = openTunnel(t.Context(), dialTCP, []byte(testKey), relay, listener.Addr().String())
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = host.Close() })
 	accepted, err := listener.Accept()
@@ -180,3 +185,86 @@
 		})
 	}
 }
+
+// tunnelUpload is more than a tunnel holds, so that its writes are blocked until the runner reads.
+const tunnelUpload = 24 << 20
+
+// A runner begins to answer a long upload through a relay and resets the connection. At the relay the blocked write
+// to the runner is told of the reset, at the host the one to the relay: each read would find a regular end, and the
+// host pass the part on as a whole answer.
+func TestResetDuringAnUploadPassesThroughATunnel(t *testing.T) {
+	for name, end := range map[string]func(relay *relayProcess, runner *net.TCPConn){
+		"runner resets": func(_ *relayProcess, runner *net.TCPConn) {
+			_ = runner.SetLinger(0)
+			_ = runner.Close()
+		},
+		"runner closes with the upload unread": func(_ *relayProcess, runner *net.TCPConn) { _ = runner.Close() },
+		"relay is killed":                      func(relay *relayProcess, _ *net.TCPConn) { relay.signal(syscall.SIGKILL) },
+	} {
+		for _, pause := range []time.Duration{0, 300 * time.Microsecond, 20 * time.Millisecond} {
+			t.Run(fmt.Sprintf("%s, %s", name, pause), func(t *testing.T) {
+				t.Parallel()
+				for range 8 {
+					relay := startRelayProcess(t)
+					host, runner := openThrough(t, relay.address)
+					beginUpload(t, host, runner)
+					time.Sleep(pause)
+					end(relay, runner)
+					read, err := io.ReadAll(host)
+					must.Error(t, err, must.Sprintf("%q and a regular end", read))
+				}
+			})
+		}
+	}
+}
+
+// The same for a runner that ends its answer regularly: it is whole, at once.
+func TestRegularEndDuringAnUploadPassesThroughATunnel(t *testing.T) {
+	relay := startRelayProcess(t)
+	host, runner := openThrough(t, relay.address)
+	beginUpload(t, host, runner)
+	must.NoError(t, runner.CloseWrite())
+	_ = host.SetReadDeadline(time.Now().Add(lingerTime / 2))
+	read, err := io.ReadAll(host)
+	must.NoError(t, err)
+	must.Eq(t, "part", string(read))
+}
+
+// beginUpload begins a long upload, and an answer to it.
+func beginUpload(t *testing.T, host net.Conn, runner *net.TCPConn) {
+	t.Helper()
+	go func() { _, _ = host.Write(make([]byte, tunnelUpload)) }()
+	_, err := runner.Read(make([]byte, 1))
+	must.NoError(t, err)
+	_, err = io.WriteString(runner, "part")
+	must.NoError(t, err)
+}
+
+// The other direction: a host's end of a tunnel is reset while the relay's write of a long answer to it is blocked.
+// The runner has a part of a request, which its length shows, and learns that the connection has ended.
+func TestResetOfTheHostLeavesNoWholeRequest(t *testing.T) {
+	for _, pause := range []time.Duration{0, 300 * time.Microsecond, 20 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			t.Parallel()
+			relay := startRelayProcess(t)
+			host, runner := openThrough(t, relay.address)
+			_, err := io.WriteString(host, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\na part of the body")
+			must.NoError(t, err)
+			answered := make(chan error, 1)
+			go func() {
+				_, err := runner.Write(make([]byte, tunnelUpload))
+				answered <- err
+			}()
+			_, err = io.ReadFull(host, make([]byte, 1))
+			must.NoError(t, err)
+			time.Sleep(pause)
+			must.NoError(t, host.(*tunnelConn).Conn.(interface{ SetLinger(int) error }).SetLinger(0))
+			must.NoError(t, host.Close())
+			request, err := http.ReadRequest(bufio.NewReader(runner))
+			must.NoError(t, err)
+			body, err := io.ReadAll(request.Body)
+			must.Error(t, err, must.Sprintf("%q", body))
+			must.Error(t, <-answered)
+		})
+	}
+}
