An answer with a status that HTTP does not have is a broken one

What callers saw: a runner in trouble sent an answer with status 000 (099 alike): its caller got nothing, as its connection ended while the host wrote the answer; the log had "request handler panicked", "invalid WriteHeader code 0", and the runner counted as sound. With 999 or 600 the caller got that status with the runner's stamp; with 101, to a request that asked for no switch, an interim answer and nothing behind it until its time was over.

Cause: net/http reads any three digits as a status, "+20" and "-00" too, and 101 ends its wait for a final answer. Nothing asked whether a status ends a request before the answer was passed on. Only the own mode's plain services had a check.

At other readers: the store's answer with status 000, 099, 101 acknowledged a write or a removal; an order answered so counted as rejected, which says that it will not be carried out.

Change: answerhead, one place for all readers of answers over HTTP: forward (first and second attempts, take-ups, directly and through relays), orders, reports and health checks, the store, relays' answers to CONNECT, engines, plain services, object API, host list, weight store, administration. A status outside 200 to 599 (RFC 9110, section 15) is an error of the round trip: the request may have run, an order's outcome is unknown, a write's answer is lost; it counts against the runner, and nothing else in the answer is believed, as a mark that the request has not run. The check of plain services is this one now.

--- a/internal/adminclient/adminclient.go
+++ b/internal/adminclient/adminclient.go
@@ -13,6 +13,7 @@
 	"strings"
 
 	"github.com/cherrystage/cherrystage/internal/adminapi"
+	"github.com/cherrystage/cherrystage/internal/answerhead"
 	"github.com/cherrystage/cherrystage/internal/configlog"
 	"github.com/cherrystage/cherrystage/internal/dispatch"
 	"github.com/cherrystage/cherrystage/internal/verdict"
@@ -54,7 +55,7 @@
 
 // New returns a client for the API at base with an operator's key.
 func New(base, key string, transport http.RoundTripper) *Client {
-	return &Client{base: strings.TrimSuffix(base, "/"), key: key, http: &http.Client{Transport: transport}}
+	return &Client{base: strings.TrimSuffix(base, "/"), key: key, http: &http.Client{Transport: &answerhead.Transport{Base: transport}}}
 }
 
 // Inventory returns the inventory in force on the host.
--- a/internal/adminclient/adminclient_test.go
+++ b/internal/adminclient/adminclient_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cherrystage/cherrystage/internal/adminapi"
 	"github.com/cherrystage/cherrystage/internal/inventory"
+	"github.com/cherrystage/cherrystage/internal/standin"
 	"github.com/cherrystage/cherrystage/internal/verdict"
 	"github.com/pkg/errors"
 	"github.com/shoenig/test/must"
@@ -77,6 +78,19 @@
 	requireFailures(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
 }
 
+// A host, or something before it, answers with a head that is none of HTTP. Whatever its body says, nothing is known.
+func TestMalformedAnswerIsNoSuccess(t *testing.T) {
+	for _, malformed := range standin.MalformedAnswers {
+		text := malformed.Text("200 OK", "Content-Length: 21\r\n", `{"status":"draining"}`)
+		c := New("http://host", "key", &http.Transport{DisableKeepAlives: true, DialContext: standin.DialAnswering(text)})
+		err := c.Drain(t.Context(), "h")
+		must.Error(t, err, must.Sprint(malformed.Name))
+		must.Eq(t, verdict.MayHaveRun, verdict.Of(err))
+		_, err = c.Status(t.Context())
+		must.Error(t, err, must.Sprint(malformed.Name))
+	}
+}
+
 // A change whose host can't be reached has not been made.
 func TestChangeOfAnUnreachableHostHasNotBeenMade(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/answerhead"
 	"github.com/pkg/errors"
 )
 
@@ -58,7 +59,7 @@
 }
 
 func newHTTPClient(cfg Config, keepAlive bool) *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: &answerhead.Transport{Base: &http.Transport{
 		DialContext:         dialWithTimeout(cfg.Dial, cfg.ConnectTimeout),
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
@@ -66,7 +67,7 @@
 		DisableCompression:  true,
 		ReadBufferSize:      connBuffer,
 		WriteBufferSize:     connBuffer,
-	}}
+	}}}
 }
 
 func dialWithTimeout(dial func(context.Context, string, string) (net.Conn, error), timeout time.Duration) func(context.Context, string, string) (net.Conn, error) {
@@ -176,6 +177,8 @@
 		return &Failure{Stage: StageSend, Code: CodeSilent, Cause: err}
 	case ctx.Err() != nil:
 		return &Failure{Stage: StageCaller, Code: CodeCallerGone, Cause: err}
+	case errors.Is(err, answerhead.ErrMalformed):
+		return &Failure{Stage: StageSend, Code: CodeMalformed, Cause: err}
 	default:
 		return &Failure{Stage: StageSend, Code: CodeNoAnswer, Cause: err}
 	}
--- a/internal/engine/ends_test.go
+++ b/internal/engine/ends_test.go
@@ -1,17 +1,16 @@
 package engine_test
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
-	"net/http"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/engine"
+	"github.com/cherrystage/cherrystage/internal/standin"
+	"github.com/cherrystage/cherrystage/internal/verdict"
 	"github.com/shoenig/test/must"
 )
 
@@ -44,14 +43,8 @@
 // other connection.
 func completeFrom(t *testing.T, text string) (delivered int, failure *engine.Failure) {
 	t.Helper()
-	near, far := net.Pipe()
-	go func() {
-		if request, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
-			_, _ = io.Copy(io.Discard, request.Body)
-			_, _ = io.WriteString(far, text)
-		}
-		_ = far.Close()
-	}()
+	near, err := standin.DialAnswering(text)(t.Context(), "tcp", "engine:80")
+	must.NoError(t, err)
 	conns := make(chan net.Conn, 1)
 	conns <- near
 	client := engine.NewClient(engine.Config{
@@ -108,16 +101,38 @@
 // reportFrom fetches a load report from an engine that answers with a text and closes the connection.
 func reportFrom(t *testing.T, text string) (engine.Report, error) {
 	t.Helper()
-	near, far := net.Pipe()
-	go func() {
-		if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
-			_, _ = io.WriteString(far, text)
-		}
-		_ = far.Close()
-	}()
-	client := engine.NewClient(engine.Config{
-		Dial:           func(context.Context, string, string) (net.Conn, error) { return near, nil },
+	return clientOf(text).Report(t.Context(), "engine:80")
+}
+
+// An engine in trouble answers with a head that is none of HTTP, beside a whole stream, a report or a refusal of an
+// order. Nothing of it may be believed: a request or an order that may have run would count as not run.
+func TestMalformedAnswerTellsNothing(t *testing.T) {
+	whole := piece(0) + piece(1) + done
+	const report = `{"boot":"b","seq":7,"resident":[]}`
+	for _, malformed := range standin.MalformedAnswers {
+		t.Run(malformed.Name, func(t *testing.T) {
+			for _, status := range []string{"200 OK", "404 Not Found", "503 Service Unavailable"} {
+				lines := "Content-Type: text/event-stream\r\n" + engine.HeaderNotRun + ": true\r\nContent-Length: " + strconv.Itoa(len(whole)) + "\r\n"
+				delivered, failure := completeFrom(t, malformed.Text(status, lines, whole))
+				must.NotNil(t, failure)
+				must.Eq(t, verdict.MayHaveRun, failure.Verdict())
+				must.Eq(t, 0, delivered)
+			}
+			_, err := reportFrom(t, malformed.Text("200 OK", "Content-Length: "+strconv.Itoa(len(report))+"\r\n", report))
+			must.Error(t, err)
+			for _, status := range []string{"200 OK", "409 Conflict"} {
+				err = clientOf(malformed.Text(status, "Content-Length: 15\r\n", `{"code":"busy"}`)).Order(t.Context(), "engine:80", engine.Order{Kind: engine.OrderLoad, Model: "m@1"})
+				must.Error(t, err)
+				must.Eq(t, verdict.MayHaveRun, verdict.Of(err))
+			}
+		})
+	}
+}
+
+// clientOf returns a client of an engine that answers with a text and closes the connection.
+func clientOf(text string) *engine.Client {
+	return engine.NewClient(engine.Config{
+		Dial:           standin.DialAnswering(text),
 		ConnectTimeout: time.Second, FirstPieceTimeout: time.Second, SilenceTimeout: time.Second, OrderTimeout: time.Second,
 	})
-	return client.Report(t.Context(), "engine:80")
 }
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/answerhead"
 	"github.com/cherrystage/cherrystage/internal/board"
 	"github.com/cherrystage/cherrystage/internal/credential"
 	"github.com/cherrystage/cherrystage/internal/reach"
@@ -278,25 +279,37 @@
 type Client struct {
 	dialect         Dialect
 	paths           Paths
-	direct, relayed *http.Transport
+	direct, relayed *answerhead.Transport
 	// unused gives each request a direct connection that has carried nothing.
-	unused    *http.Transport
+	unused    *answerhead.Transport
 	repeaters repeaters
 }
 
 // NewClient returns a client that connects to runners by paths.
 func NewClient(dialect Dialect, paths Paths) *Client {
-	c := &Client{dialect: dialect, paths: paths, direct: newTransport(paths.DialDirect), relayed: newTransport(paths.DialRelayed), unused: newTransport(paths.DialDirect)}
-	c.unused.DisableKeepAlives = true
-	// Each tunnel serves one request, so that none is used once the direct path is back or the
-	// relay stops.
-	c.relayed.DisableKeepAlives = true
-	return c
+	return &Client{
+		dialect: dialect,
+		paths:   paths,
+		direct:  newTransport(paths.DialDirect, kept),
+		// Each tunnel serves one request, so that none is used once the direct path is back or the
+		// relay stops.
+		relayed: newTransport(paths.DialRelayed, usedOnce),
+		unused:  newTransport(paths.DialDirect, usedOnce),
+	}
 }
 
-func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
-	return &http.Transport{
+// connUse is whether a connection serves further requests.
+type connUse bool
+
+const (
+	kept     connUse = true
+	usedOnce connUse = false
+)
+
+func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error), use connUse) *answerhead.Transport {
+	return &answerhead.Transport{Base: &http.Transport{
 		DialContext:         dial,
+		DisableKeepAlives:   use == usedOnce,
 		MaxIdleConnsPerHost: idlePerRunner,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
@@ -304,7 +317,7 @@
 		WriteBufferSize:     bufferBytes,
 		// A runner in trouble may send a head without an end.
 		MaxResponseHeaderBytes: maxResponseHeadBytes,
-	}
+	}}
 }
 
 // CloseIdleConnections closes the idle direct connections.
@@ -413,7 +426,7 @@
 
 var errNoRelay = errors.New("no relay reached the runner lately")
 
-func (c *Client) send(ctx context.Context, transport *http.Transport, address string, request *Request, attempt Attempt) (*http.Response, *trip) {
+func (c *Client) send(ctx context.Context, transport *answerhead.Transport, address string, request *Request, attempt Attempt) (*http.Response, *trip) {
 	t := &trip{}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
--- a/internal/forward/framing_test.go
+++ b/internal/forward/framing_test.go
@@ -1,13 +1,14 @@
 package forward
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 
+	"github.com/cherrystage/cherrystage/internal/standin"
+	"github.com/cherrystage/cherrystage/internal/verdict"
 	"github.com/shoenig/test/must"
 )
 
@@ -21,15 +22,8 @@
 	return nil, net.ErrClosed
 }
 
-func (p scriptedPaths) DialDirect(context.Context, string, string) (net.Conn, error) {
-	near, far := net.Pipe()
-	go func() {
-		if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
-			_, _ = io.WriteString(far, p.text)
-		}
-		_ = far.Close()
-	}()
-	return near, nil
+func (p scriptedPaths) DialDirect(ctx context.Context, network, address string) (net.Conn, error) {
+	return standin.DialAnswering(p.text)(ctx, network, address)
 }
 
 const framedHead = "Id: q\r\nStamp: s\r\n"
@@ -96,3 +90,23 @@
 		must.False(t, answer.EndsWithConnection)
 	}
 }
+
+// A runner in trouble answers with a head that is none of HTTP. Whatever else it says, such as that the request has not
+// run, its answer must not be believed, and counts against the runner.
+func TestMalformedAnswerIsBroken(t *testing.T) {
+	for _, malformed := range standin.MalformedAnswers {
+		for _, status := range []string{"200 OK", "503 Service Unavailable", "421 Misdirected Request"} {
+			t.Run(malformed.Name+" beside "+status, func(t *testing.T) {
+				text := malformed.Text(status, "Content-Length: 2\r\nNot-Run: 1\r\n"+framedHead, "ab")
+				client := NewClient(idDialect{}, scriptedPaths{text: text})
+				answer, failure := client.Do(t.Context(), "runner:80", &Request{RequestMetadata: RequestMetadata{ID: "q"}, Method: http.MethodPost, Target: "/x", Header: http.Header{}}, Attempt{})
+				must.Nil(t, answer)
+				must.Eq(t, verdict.MayHaveRun, failure.Verdict)
+				must.Eq(t, ReasonBroken, failure.Reason)
+				must.True(t, failure.Connected)
+				must.False(t, failure.ConnectionLost)
+				must.Nil(t, failure.Metadata.Signal)
+			})
+		}
+	}
+}
--- a/internal/hostlist/hostlist.go
+++ b/internal/hostlist/hostlist.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/answerhead"
 	"github.com/cherrystage/cherrystage/internal/fleet"
 	"github.com/pkg/errors"
 )
@@ -29,7 +30,7 @@
 func NewClient(base string, transport http.RoundTripper) *Client {
 	return &Client{
 		url:  strings.TrimSuffix(base, "/") + "/hosts",
-		http: &http.Client{Transport: transport, Timeout: callTimeout},
+		http: &http.Client{Transport: &answerhead.Transport{Base: transport}, Timeout: callTimeout},
 	}
 }
 
--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/answerhead"
 	"github.com/pkg/errors"
 )
 
@@ -37,7 +38,7 @@
 func NewClient(base string, transport http.RoundTripper) *Client {
 	return &Client{
 		base:    strings.TrimSuffix(base, "/"),
-		http:    &http.Client{Transport: transport},
+		http:    &http.Client{Transport: &answerhead.Transport{Base: transport}},
 		timeout: defaultTimeout,
 	}
 }
--- a/internal/objectapi/ends_test.go
+++ b/internal/objectapi/ends_test.go
@@ -1,30 +1,18 @@
 package objectapi_test
 
 import (
-	"bufio"
-	"context"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/cherrystage/cherrystage/internal/objectapi"
+	"github.com/cherrystage/cherrystage/internal/standin"
 	"github.com/shoenig/test/must"
 )
 
 // clientOf returns a client of an API that answers each request with a text and closes the connection.
 func clientOf(text string) *objectapi.Client {
-	return objectapi.NewClient("http://api", &http.Transport{DisableKeepAlives: true, DialContext: func(context.Context, string, string) (net.Conn, error) {
-		near, far := net.Pipe()
-		go func() {
-			if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
-				_, _ = io.WriteString(far, text)
-			}
-			_ = far.Close()
-		}()
-		return near, nil
-	}})
+	return objectapi.NewClient("http://api", &http.Transport{DisableKeepAlives: true, DialContext: standin.DialAnswering(text)})
 }
 
 // The object API ends in the middle of an answer. The version comes before the value: the host would hold a
@@ -54,3 +42,22 @@
 		must.ErrorIs(t, err, objectapi.ErrUnavailable)
 	}
 }
+
+// The object API answers with a head that is none of HTTP. Its version would be that of a write or of a value that it does
+// not have.
+func TestMalformedAnswerAcknowledgesNothing(t *testing.T) {
+	for _, malformed := range standin.MalformedAnswers {
+		t.Run(malformed.Name, func(t *testing.T) {
+			client := clientOf(malformed.Text("200 OK", "ETag: \"7\"\r\nContent-Length: 2\r\n", "{}"))
+			_, err := client.Get(t.Context(), "k")
+			must.ErrorIs(t, err, objectapi.ErrUnavailable)
+			_, err = client.List(t.Context(), "k")
+			must.ErrorIs(t, err, objectapi.ErrUnavailable)
+			_, err = client.Watch(t.Context(), "k", 3, time.Millisecond)
+			must.ErrorIs(t, err, objectapi.ErrUnavailable)
+			_, err = client.Put(t.Context(), "k", []byte("{}"), 6)
+			must.ErrorIs(t, err, objectapi.ErrAnswerLost)
+			must.ErrorIs(t, client.Delete(t.Context(), "k", 6), objectapi.ErrAnswerLost)
+		})
+	}
+}
--- a/internal/plain/plain.go
+++ b/internal/plain/plain.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/answerhead"
 	"github.com/cherrystage/cherrystage/internal/engine"
 	"github.com/pkg/errors"
 )
@@ -52,7 +53,7 @@
 // NewClient returns a client; timeout bounds a whole request.
 func NewClient(dial func(ctx context.Context, network, address string) (net.Conn, error), timeout time.Duration) *Client {
 	return &Client{timeout: timeout, client: &http.Client{
-		Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true},
+		Transport: &answerhead.Transport{Base: &http.Transport{DialContext: dial, DisableKeepAlives: true, DisableCompression: true}},
 		// All answers go to the caller, redirects included.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
@@ -113,6 +114,9 @@
 	if !connected {
 		return &engine.Failure{Stage: engine.StageConnect, Code: engine.CodeUnreachable, Cause: err}
 	}
+	if errors.Is(err, answerhead.ErrMalformed) {
+		return &engine.Failure{Stage: engine.StageSend, Code: engine.CodeMalformed, Cause: err}
+	}
 	return &engine.Failure{Stage: engine.StageSend, Code: engine.CodeNoAnswer, Cause: err}
 }
 
@@ -120,9 +124,6 @@
 	if resp.Header.Get(engine.HeaderNotRun) == "true" {
 		return Answer{}, &engine.Failure{Stage: engine.StageRefused, Status: resp.StatusCode, Code: engine.CodeBusy, MarkedNotRun: true}
 	}
-	if resp.StatusCode < http.StatusOK {
-		return Answer{}, &engine.Failure{Stage: engine.StageSend, Code: engine.CodeMalformed, Cause: errors.Errorf("final answer with status %d", resp.StatusCode)}
-	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxAnswerBytes+1))
 	if err != nil {
 		return Answer{}, &engine.Failure{Stage: engine.StageSend, Code: engine.CodeTruncated, Cause: err}
--- a/internal/plain/plain_test.go
+++ b/internal/plain/plain_test.go
@@ -1,8 +1,6 @@
 package plain
 
 import (
-	"bufio"
-	"context"
 	"io"
 	"net"
 	"net/http"
@@ -18,14 +16,7 @@
 // answerWith makes one attempt at a service that answers with a text and closes the connection.
 func answerWith(t *testing.T, text string) (Answer, *engine.Failure) {
 	t.Helper()
-	near, far := net.Pipe()
-	go func() {
-		if _, err := http.ReadRequest(bufio.NewReader(far)); err == nil {
-			_, _ = io.WriteString(far, text)
-		}
-		_ = far.Close()
-	}()
-	client := NewClient(func(context.Context, string, string) (net.Conn, error) { return near, nil }, time.Second)
+	client := NewClient(standin.DialAnswering(text), time.Second)
 	return client.Do(t.Context(), Call{Address: "service:80", Method: http.MethodGet, Path: "/x", Header: http.Header{}})
 }
 
@@ -40,6 +31,17 @@
 	}
 }
 
+// A service in trouble answers with a head that is none of HTTP, and says that the request has not run.
+func TestMalformedAnswerIsNoAnswer(t *testing.T) {
+	for _, malformed := range standin.MalformedAnswers {
+		for _, lines := range []string{"", engine.HeaderNotRun + ": true\r\n"} {
+			_, failure := answerWith(t, malformed.Text("200 OK", "Content-Length: 0\r\n"+lines, ""))
+			must.NotNil(t, failure, must.Sprint(malformed.Name))
+			must.Eq(t, verdict.MayHaveRun, failure.Verdict(), must.Sprint(malformed.Name))
+		}
+	}
+}
+
 // A service's connection breaks off in the middle of its answer.
 func TestCutAnswerIsNoAnswer(t *testing.T) {
 	for _, text := range []string{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nabcde\r\n", "HTTP/1.1 200 OK\r\nConte", ""} {
--- a/internal/reach/relay.go
+++ b/internal/reach/relay.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/answerhead"
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 )
@@ -244,6 +245,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := answerhead.Check(response); err != nil {
+		return nil, err
+	}
 	if response.StatusCode != http.StatusOK {
 		return nil, errors.Wrapf(errNoTunnel, "status %d", response.StatusCode)
 	}
--- a/internal/reach/relay_test.go
+++ b/internal/reach/relay_test.go
@@ -243,3 +243,14 @@
 		must.False(t, w.connector.Paths.Works("r:80"))
 	})
 }
+
+// A relay, or what has its address now, answers with a head that is none of HTTP. No tunnel may be believed in.
+func TestMalformedAnswerOpensNoTunnel(t *testing.T) {
+	for _, malformed := range standin.MalformedAnswers {
+		_, err := openTunnel(t.Context(), standin.DialAnswering(malformed.Text("200 OK", "", "")), []byte(testKey), "relay:71", "runner:80")
+		must.Error(t, err, must.Sprint(malformed.Name))
+	}
+	conn, err := openTunnel(t.Context(), standin.DialAnswering("HTTP/1.1 200 OK\r\n\r\n"), []byte(testKey), "relay:71", "runner:80")
+	must.NoError(t, err)
+	_ = conn.Close()
+}
--- a/internal/weights/weights.go
+++ b/internal/weights/weights.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/cherrystage/cherrystage/internal/answerhead"
 	"github.com/pkg/errors"
 )
 
@@ -34,7 +35,7 @@
 func NewClient(base string, transport http.RoundTripper) *Client {
 	return &Client{
 		url:  strings.TrimSuffix(base, "/") + "/weights/limits",
-		http: &http.Client{Transport: transport, Timeout: callTimeout},
+		http: &http.Client{Transport: &answerhead.Transport{Base: transport}, Timeout: callTimeout},
 	}
 }
 
