A caller that refused a write of its answer has left

What was seen: a caller that reset its connection while the write of its answer was blocked counted at times as one that still waits: the context of its request did not end. No caller gets anything wrong by it, and what passes answers on learns of the failed write itself; whatever else waits on the context would go on for nobody.

Change: a failed write on the connection, which is recorded before net/http learns of it, shows that the caller has left, whatever its input looks like. TestCallerThatRefusedAWriteHasLeft plays the order without a race (writes that fail, reads that wait) and failed before.

--- a/internal/callerconn/caller.go
+++ b/internal/callerconn/caller.go
@@ -62,6 +62,10 @@
 // is silent then, the caller counts as having left: its runner would work on for nobody.
 func callerLeft(ctx context.Context, w *answer.Writer, r *http.Request) error {
 	conn := recorderFrom(r.Context())
+	if conn.hasWriteFailed() {
+		// net/http ends the request's context then, before a read shows anything.
+		return errRefused
+	}
 	switch conn.inputState() {
 	case inputOpen:
 		return nil
