An answer whose head has a name with a blank is a broken one

What callers saw: a runner in trouble sent an answer in whose head a field's name held a blank. "X Bar: 4" and "X-Bar : 4" beside a length: the answer was passed on. "Transfer-Encoding : chunked": the caller got the chunks' own lines as the body. "Content-Length : 2": it framed nothing, and all bytes to the end of the connection were the body. The runner counted as sound.

Cause: net/http refuses other bytes that no name has, but lets blanks through on purpose, as part of names that nothing else knows, and nothing asked afterwards.

Change: answerhead, which all readers of answers ask, takes no name that is not a token (golang.org/x/net's httpguts), in an answer's head and in those of interim answers before it, for which it adds a hook to each request's trace. The failure is that of any broken answer: it may have run, no second run of what may run once, it counts against the runner, and nothing else in the answer is believed. A blank in a name of a trailer is left as it was: the body is whole by then, and nothing of a trailer is passed on.

--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -2,9 +2,13 @@
 package answerhead
 
 import (
+	"context"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 
 	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // The statuses of final answers (RFC 9110, section 15).
@@ -24,10 +28,32 @@
 	if response.StatusCode < minStatus || response.StatusCode > maxStatus {
 		return errors.Wrapf(ErrMalformed, "status %03d ends no request", response.StatusCode)
 	}
+	return checkNames(response.Header)
+}
+
+// checkNames returns an error if the name of a field is none of HTTP.
+//
+// net/http lets names with blanks through and takes them for other ones. Behind "Content-Length " or
+// "Transfer-Encoding " the body does not end where its sender means, and what frames it becomes a part of it.
+func checkNames(header map[string][]string) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrMalformed, "field %q", name)
+		}
+	}
 	return nil
 }
 
-// Transport is a transport that returns the error of Check instead of a malformed answer. A Base that is nil stands for
+// withInterimsChecked returns a context whose request fails with the error of the heads of its interim answers.
+func withInterimsChecked(ctx context.Context) context.Context {
+	// A trace of its own for each request: WithClientTrace adds the hooks that are in ctx to it.
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return checkNames(header) },
+	})
+}
+
+// Transport is a transport that returns the error of Check instead of a malformed answer, and an error for one behind a
+// malformed interim answer. Trailers are left: their body is whole, and net/http refuses what it can't read. A Base that is nil stands for
 // http.DefaultTransport, as in http.Client.
 type Transport struct{ Base http.RoundTripper }
 
@@ -40,7 +66,7 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := t.base().RoundTrip(request)
+	response, err := t.base().RoundTrip(request.WithContext(withInterimsChecked(request.Context())))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/cherrystage/cherrystage/internal/answerhead"
@@ -46,6 +49,26 @@
 	}
 }
 
+// Each request keeps the hooks of its own trace: whether it was given a connection decides whether it may have run. Those of
+// another request would be called with one trace for both.
+func TestRequestsKeepTheirOwnTraces(t *testing.T) {
+	transport := &answerhead.Transport{Base: &http.Transport{DialContext: standin.DialAnswering("HTTP/1.1 204 No Content\r\n\r\n"), DisableKeepAlives: true}}
+	var group sync.WaitGroup
+	for range 50 {
+		group.Go(func() {
+			var connections atomic.Int64
+			ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connections.Add(1) }})
+			request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://runner/x", nil)
+			must.NoError(t, err)
+			response, err := transport.RoundTrip(request)
+			must.NoError(t, err)
+			_ = response.Body.Close()
+			must.Eq(t, 1, connections.Load())
+		})
+	}
+	group.Wait()
+}
+
 // http.Client closes idle connections by a method that it looks for in its transport.
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	base := &idleCloser{}
