Interim answers without an end are given up again

Cause: net/http bounds the bytes of interim answers only while no hook asks for them, as the check of their heads does since then; with a hook the bound begins anew at each of them.

Change: the check counts the bytes of all interim answers to a request and fails beyond 64 KB, the bound that forward had before; it holds for all readers now, of which the own mode's had 10 MB. 1,000 interim answers before a sound one pass.

--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -17,6 +17,13 @@
 	maxStatus = 599
 )
 
+const (
+	// maxInterimBytes bounds the heads of all interim answers to a request.
+	maxInterimBytes = 64 << 10
+	// statusLineBytes is the least that the head of one counts for.
+	statusLineBytes = 25
+)
+
 // ErrMalformed is wrapped by the error of an answer that is refused.
 var ErrMalformed = errors.New("malformed answer")
 
@@ -47,9 +54,25 @@
 // withInterimsChecked returns a context whose request fails with the error of the heads of its interim answers.
 func withInterimsChecked(ctx context.Context) context.Context {
 	// A trace of its own for each request: WithClientTrace adds the hooks that are in ctx to it.
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		Got1xxResponse: func(_ int, header textproto.MIMEHeader) error { return checkNames(header) },
-	})
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{Got1xxResponse: (&interims{}).check})
+}
+
+// interims are the interim answers to one request.
+type interims struct{ bytes int }
+
+// check checks the head of the next one. net/http bounds them only where nothing asks for them: a server in trouble may
+// send them without an end.
+func (i *interims) check(_ int, header textproto.MIMEHeader) error {
+	i.bytes += statusLineBytes
+	for name, values := range header {
+		for _, value := range values {
+			i.bytes += len(name) + len(value)
+		}
+	}
+	if i.bytes > maxInterimBytes {
+		return errors.Wrapf(ErrMalformed, "interim answers of over %d bytes", maxInterimBytes)
+	}
+	return checkNames(header)
 }
 
 // Transport is a transport that returns the error of Check instead of a malformed answer, and an error for one behind a
--- a/internal/answerhead/answerhead_test.go
+++ b/internal/answerhead/answerhead_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -49,6 +50,17 @@
 	}
 }
 
+// A server in trouble sends interim answers without an end. The request would wait, and read, for as long.
+func TestInterimAnswersWithoutEndAreGivenUp(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 103 Early Hints\r\n\r\n", "HTTP/1.1 100 Continue\r\nX-A: " + strings.Repeat("a", 10<<10) + "\r\n\r\n"} {
+		_, err := get(strings.Repeat(head, 4<<20/len(head)))
+		must.ErrorIs(t, err, answerhead.ErrMalformed)
+	}
+	response, err := get(strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1000) + "HTTP/1.1 204 No Content\r\n\r\n")
+	must.NoError(t, err)
+	_ = response.Body.Close()
+}
+
 // Each request keeps the hooks of its own trace: whether it was given a connection decides whether it may have run. Those of
 // another request would be called with one trace for both.
 func TestRequestsKeepTheirOwnTraces(t *testing.T) {
