--- a/internal/standin/rawserver.go
+++ b/internal/standin/rawserver.go
@@ -25,8 +25,8 @@
 	IDHeader string
 	// Conduct returns how a request is answered. It may be nil, which stands for no faults.
 	Conduct func(r *http.Request) Conduct
-	// Refuse writes the refusal of a request whose body has not been read.
-	Refuse func(w http.ResponseWriter, r *http.Request)
+	// Refuse writes the refusal of a request whose body has not been read, Begin the beginning of an answer to one.
+	Refuse, Begin func(w http.ResponseWriter, r *http.Request)
 
 	mu       sync.Mutex
 	conns    map[*rawConn]bool
@@ -47,6 +47,11 @@
 	Unframed bool
 	// Early refuses the request before its body has been read.
 	Early bool
+	// Malformed, if set, is what the head of the answer becomes. The connection closes behind it.
+	Malformed *MalformedAnswer
+	// Reset begins the answer before the request's body has been read, and resets the connection ResetAfter later.
+	Reset      bool
+	ResetAfter time.Duration
 }
 
 // RepeatTime is when an answer is sent again.
@@ -249,13 +254,17 @@
 	if c.server.Conduct != nil {
 		conduct = c.server.Conduct(request)
 	}
+	if conduct.Reset {
+		c.breakOff(request, conduct.ResetAfter)
+		return false
+	}
 	handler := c.server.Handler
 	if conduct.Early {
 		handler = http.HandlerFunc(c.server.Refuse)
 	} else if err := holdBody(request); err != nil {
 		return false
 	}
-	w := &rawWriter{conn: c, header: http.Header{}, unframed: conduct.Unframed}
+	w := &rawWriter{conn: c, header: http.Header{}, unframed: conduct.Unframed, malformed: conduct.Malformed}
 	ended, more := c.handle(ctx, w, request, handler, conduct.Early)
 	if !ended {
 		return false
@@ -267,13 +276,23 @@
 			return false
 		}
 	}
-	if conduct.Unframed || request.Close {
+	if conduct.Unframed || conduct.Malformed != nil || request.Close {
 		return false
 	}
 	c.setIdle(true)
 	return <-more
 }
 
+// breakOff begins an answer that ends with its connection, and resets that.
+func (c *rawConn) breakOff(request *http.Request, after time.Duration) {
+	w := &rawWriter{conn: c, header: http.Header{}, unframed: true}
+	c.server.Begin(w, request)
+	_ = w.FlushError()
+	w.release()
+	time.Sleep(after)
+	resetConn(c.Conn)
+}
+
 // handle runs a handler to its end, and reports whether it wrote a whole answer. The request's context ends
 // with the connection; more delivers whether there is more to read on it.
 func (c *rawConn) handle(ctx context.Context, w *rawWriter, request *http.Request, handler http.Handler, early bool) (ended bool, more chan bool) {
@@ -363,7 +382,9 @@
 	conn     *rawConn
 	header   http.Header
 	unframed bool
-	status   int
+	// malformed, if set, is what the head becomes.
+	malformed *MalformedAnswer
+	status    int
 	// begun is set once the head has been sent, chunked then unless the answer is unframed.
 	begun bool
 	// body is all that was written, sent how much of it was sent.
@@ -382,8 +403,9 @@
 	}
 }
 
-// Unframed reports whether the answer ends with its connection.
-func (w *rawWriter) Unframed() bool { return w.unframed }
+// Unframed reports whether the answer ends with its connection, Malformed whether its head is none of HTTP.
+func (w *rawWriter) Unframed() bool  { return w.unframed }
+func (w *rawWriter) Malformed() bool { return w.malformed != nil }
 
 // Write implements http.ResponseWriter.
 func (w *rawWriter) Write(data []byte) (int, error) {
@@ -421,6 +443,11 @@
 	}
 	header.Set(name, value)
 	var head bytes.Buffer
+	if w.malformed != nil {
+		_ = header.Write(&head)
+		w.write([]byte(w.malformed.Text(fmt.Sprintf("%d %s", w.status, http.StatusText(w.status)), head.String(), "")))
+		return
+	}
 	writeHead(&head, w.status, header)
 	w.write(head.Bytes())
 }
