--- a/cmd/cherrystaged/main.go
+++ b/cmd/cherrystaged/main.go
@@ -79,9 +79,9 @@
 	return cfg, err
 }
 
-// dial sends keep-alive probes early, so that a connection that a device between two hosts has
+// dialOwnMode sends keep-alive probes early, so that a connection that a device between two hosts has
 // dropped is found before a request uses it.
-var dial = resetconn.Dial((&net.Dialer{
+var dialOwnMode = resetconn.Dial((&net.Dialer{
 	KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 5 * time.Second, Interval: 2 * time.Second, Count: 3},
 }).DialContext)
 
@@ -100,7 +100,7 @@
 	if err != nil {
 		return err
 	}
-	n := node.New(cfg, dial, log)
+	n := node.New(cfg, dialOwnMode, log)
 	expvar.Publish("cherrystage", n.Vars())
 	callers, operators := n.CallerServer(), n.OperatorServer()
 
--- a/cmd/cherrystaged/platform_test.go
+++ b/cmd/cherrystaged/platform_test.go
@@ -61,7 +61,7 @@
 // connection that the process opens must tell the read too.
 func TestEachConnectionTellsAReset(t *testing.T) {
 	for name, dial := range map[string]func(ctx context.Context, network, address string) (net.Conn, error){
-		"runners": dialRunner, "hosts and the store": dialPlatform, "own mode": dial,
+		"runners": dialRunner, "hosts and the store": dialPlatform, "own mode": dialOwnMode,
 	} {
 		t.Run(name, func(t *testing.T) {
 			listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/answerhead/answerhead.go
+++ b/internal/answerhead/answerhead.go
@@ -75,9 +75,10 @@
 	return checkNames(header)
 }
 
-// Transport is a transport that returns the error of Check instead of a malformed answer, and an error for one behind a
-// malformed interim answer. Trailers are left: their body is whole, and net/http refuses what it can't read. A Base that is nil stands for
-// http.DefaultTransport, as in http.Client.
+// Transport is a transport that returns the error of Check instead of a malformed answer, and an error that wraps
+// ErrMalformed for one behind a malformed interim answer. Trailers are left: the body before one is whole.
+//
+// A Base that is nil stands for http.DefaultTransport, as in http.Client.
 type Transport struct{ Base http.RoundTripper }
 
 func (t *Transport) base() http.RoundTripper {
--- a/internal/forward/endless_head_test.go
+++ b/internal/forward/endless_head_test.go
@@ -19,7 +19,7 @@
 	defer network.Close()
 	sent := make(chan int, 1)
 	go func() { sent <- floodHead(listener) }()
-	transport := newTransport(network.Host("h").Dial, kept)
+	transport := newTransport(network.Host("h").Dial, keepAlive)
 	_, err = (&http.Client{Transport: transport}).Get("http://r:80/")
 	must.Error(t, err)
 	must.LessEq(t, 2*maxResponseHeadBytes, <-sent)
--- a/internal/forward/forward.go
+++ b/internal/forward/forward.go
@@ -290,11 +290,11 @@
 	return &Client{
 		dialect: dialect,
 		paths:   paths,
-		direct:  newTransport(paths.DialDirect, kept),
+		direct:  newTransport(paths.DialDirect, keepAlive),
 		// Each tunnel serves one request, so that none is used once the direct path is back or the
 		// relay stops.
-		relayed: newTransport(paths.DialRelayed, usedOnce),
-		unused:  newTransport(paths.DialDirect, usedOnce),
+		relayed: newTransport(paths.DialRelayed, singleUse),
+		unused:  newTransport(paths.DialDirect, singleUse),
 	}
 }
 
@@ -302,14 +302,14 @@
 type connUse bool
 
 const (
-	kept     connUse = true
-	usedOnce connUse = false
+	keepAlive connUse = true
+	singleUse connUse = false
 )
 
 func newTransport(dial func(ctx context.Context, network, address string) (net.Conn, error), use connUse) *answerhead.Transport {
 	return &answerhead.Transport{Base: &http.Transport{
 		DialContext:         dial,
-		DisableKeepAlives:   use == usedOnce,
+		DisableKeepAlives:   use == singleUse,
 		MaxIdleConnsPerHost: idlePerRunner,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
--- a/internal/forward/target_test.go
+++ b/internal/forward/target_test.go
@@ -42,7 +42,7 @@
 		line <- strings.TrimSpace(text)
 		_ = conn.Close()
 	}()
-	transport := newTransport(network.Host("h").Dial, kept)
+	transport := newTransport(network.Host("h").Dial, keepAlive)
 	response, err := transport.RoundTrip(&http.Request{Method: http.MethodPost, URL: runnerURL("r:80", target), Host: "h", Header: http.Header{}})
 	must.Error(t, err)
 	if response != nil {
